--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,73 @@
+import { readdirSync } from 'node:fs';
+import { fileURLToPath } from 'node:url';
+
+import { configs, plugins } from 'eslint-config-airbnb-extended';
+
+const ROOT = fileURLToPath(new URL('.', import.meta.url));
+const PACKAGES = readdirSync(`${ROOT}/packages`).map((name) => `${ROOT}/packages/${name}`);
+
+export default [
+  { ignores: ['**/dist/**', '**/node_modules/**', 'coverage/**'] },
+  plugins.stylistic,
+  plugins.importX,
+  plugins.node,
+  plugins.typescriptEslint,
+  ...configs.base.recommended,
+  ...configs.base.typescript,
+  ...configs.node.recommended,
+  {
+    rules: {
+      // NodeNext resolution needs the .js ending on relative imports of TypeScript modules.
+      'import-x/extensions': 'off',
+      // Modules are named after their one noun; a single named export reads the same as several.
+      'import-x/prefer-default-export': 'off',
+      // Layout belongs to prettier.
+      '@stylistic/implicit-arrow-linebreak': 'off',
+      '@stylistic/function-paren-newline': 'off',
+      '@stylistic/object-curly-newline': 'off',
+      '@stylistic/operator-linebreak': 'off',
+      '@stylistic/indent': 'off',
+      '@stylistic/max-len': [
+        'error',
+        {
+          code: 100,
+          ignoreUrls: true,
+          ignoreStrings: true,
+          ignoreTemplateLiterals: true,
+          ignoreRegExpLiterals: true,
+          ignoreComments: false,
+        },
+      ],
+      '@stylistic/no-confusing-arrow': 'off',
+      '@stylistic/newline-per-chained-call': 'off',
+      '@stylistic/lines-between-class-members': 'off',
+      '@stylistic/brace-style': 'off',
+      '@stylistic/quotes': 'off',
+      '@stylistic/wrap-regex': 'off',
+      '@stylistic/spaced-comment': 'off',
+    },
+  },
+  {
+    files: ['**/*.ts'],
+    languageOptions: { parserOptions: { projectService: true } },
+  },
+  {
+    // Tools of tests and builds are declared once, at the root of the workspace.
+    files: ['packages/*/test/**'],
+    rules: {
+      'import-x/no-extraneous-dependencies': [
+        'error',
+        { devDependencies: true, packageDir: [ROOT, ...PACKAGES] },
+      ],
+    },
+  },
+  {
+    // Scripts run before any build: they need no type information and may block.
+    files: ['**/*.js', '**/*.mjs'],
+    rules: { 'n/no-sync': 'off' },
+  },
+  {
+    files: ['**/*.js', '**/*.mjs', 'packages/standin/src/**', 'packages/client/src/**'],
+    rules: { 'no-console': 'off' },
+  },
+];
--- /dev/null
+++ b/scripts/run-tests.mjs
@@ -0,0 +1,109 @@
+/**
+ * Runs every compiled test file in a process of its own, with a bound on its time, and sums up.
+ *
+ * Tests listed in KNOWN-RED.txt may fail; they are printed and left out of the failures.
+ * Usage: node scripts/run-tests.mjs [PART OF A PATH]
+ */
+import { spawn } from 'node:child_process';
+import { existsSync, readFileSync, readdirSync, statSync } from 'node:fs';
+import path from 'node:path';
+
+const FILE_TIMEOUT_MS = 240_000;
+const PARALLEL_FILES = 4;
+const KNOWN_RED_FILE = 'KNOWN-RED.txt';
+
+function listFiles(dir) {
+  if (!existsSync(dir)) return [];
+  return readdirSync(dir).flatMap((name) => {
+    const full = path.join(dir, name);
+    if (statSync(full).isDirectory()) return listFiles(full);
+    return full.endsWith('.test.js') ? [full] : [];
+  });
+}
+
+function findTestFiles(filter) {
+  const files = readdirSync('packages').flatMap((name) => listFiles(`packages/${name}/dist/test`));
+  return files.filter((file) => file.includes(filter)).sort();
+}
+
+/** Names of the tests that may fail: lines of the form `test: NAME`. */
+function readKnownRed() {
+  if (!existsSync(KNOWN_RED_FILE)) return new Set();
+  const lines = readFileSync(KNOWN_RED_FILE, 'utf8').split('\n');
+  const names = lines
+    .filter((line) => line.startsWith('test:'))
+    .map((line) => line.slice(5).trim());
+  return new Set(names);
+}
+
+function runFile(file) {
+  return new Promise((resolve) => {
+    const child = spawn(process.execPath, ['--enable-source-maps', file], {
+      env: { ...process.env, FORCE_COLOR: '0' },
+    });
+    let output = '';
+    let isTimedOut = false;
+    const timer = setTimeout(() => {
+      isTimedOut = true;
+      child.kill('SIGKILL');
+    }, FILE_TIMEOUT_MS);
+    child.stdout.on('data', (data) => {
+      output += data;
+    });
+    child.stderr.on('data', (data) => {
+      output += data;
+    });
+    child.on('close', (code) => {
+      clearTimeout(timer);
+      resolve({ file, output, code, isTimedOut });
+    });
+  });
+}
+
+function readCount(output, label) {
+  const match = new RegExp(`${label}:\\s+(\\d+)`).exec(output);
+  return match ? Number(match[1]) : 0;
+}
+
+function listFailures(output) {
+  return [...output.matchAll(/^\s*FAIL\s+(?:\S+\s+)?"(.*)"$/gm)].map((match) => match[1]);
+}
+
+/** Counts one file's outcome; a file that breaks before it reports is one failure. */
+function summarise(result, knownRed) {
+  const passed = readCount(result.output, 'Passed');
+  const total = readCount(result.output, 'Total');
+  const failures = listFailures(result.output);
+  const red = failures.filter((name) => knownRed.has(name));
+  const unexpected = failures.filter((name) => !knownRed.has(name));
+  const isBroken = result.isTimedOut || total === 0 || (result.code !== 0 && failures.length === 0);
+  const skipped = readCount(result.output, 'Skipped');
+  const failed = Math.max(unexpected.length, total - passed - red.length) + skipped;
+  return { passed, red, failed: isBroken ? Math.max(1, failed) : failed };
+}
+
+async function runAll(files, knownRed) {
+  const queue = [...files];
+  const totals = { passed: 0, failed: 0, red: [] };
+  const work = async () => {
+    const file = queue.shift();
+    if (!file) return;
+    const result = await runFile(file);
+    const summary = summarise(result, knownRed);
+    totals.passed += summary.passed;
+    totals.failed += summary.failed;
+    totals.red.push(...summary.red);
+    const word = summary.failed > 0 ? 'FAILED' : 'ok';
+    process.stdout.write(`${word} ${file} (${summary.passed} passed)\n`);
+    if (result.isTimedOut) process.stdout.write(`  ended after ${FILE_TIMEOUT_MS} ms\n`);
+    if (summary.failed > 0) process.stdout.write(`${result.output}\n`);
+    await work();
+  };
+  await Promise.all(Array.from({ length: PARALLEL_FILES }, work));
+  return totals;
+}
+
+const totals = await runAll(findTestFiles(process.argv[2] ?? ''), readKnownRed());
+totals.red.forEach((name) => process.stdout.write(`known red: ${name}\n`));
+process.stdout.write(`${totals.passed} passed, ${totals.failed} failed\n`);
+process.exitCode = totals.failed > 0 || totals.passed === 0 ? 1 : 0;
