Let an inquiry name a tick from before its submission

Cause: a side process keeps ended attempts for attemptKeptMs. An inquiry that comes later, of an entry that was frozen or of a claim taken over, finds no record; answering dead would call an attempt not run that has run. Ruled out: keeping all ids (no bound); a limit on the age of inquiries by the clock of the entry (it may freeze between the check and the sending). Change: optional submitTickMs in Inquire.

--- a/packages/core/src/messages/message.ts
+++ b/packages/core/src/messages/message.ts
@@ -178,6 +178,11 @@
   sideIncarnation: z.string(),
   fromOffset: COUNT,
   creditBytes: COUNT,
+  /**
+   * Tick of the side process heard no later than the submission, such as the one it echoed. Without
+   * it, a side process that has forgotten any attempt can't prove that this one has not run.
+   */
+  submitTickMs: z.number().optional(),
 });
 
 /** Where the state is running or finished, `Head`, `Data` and `End` follow from the offset. */
