Decide in the side process: sessions, gate, attempts, drain, orders, reports

Cause: the whole path needs the one gate in front of each upstream. Change: SideNode with attach, start, markLeaving and stop, and its parts. A refused id counts as dead from then on.

--- /dev/null
+++ b/packages/core/src/side/attempt.ts
@@ -0,0 +1,294 @@
+/**
+ * One attempt in the side process: the call of the engine and the delivery of its answer.
+ *
+ * It outlives the link that brought it. One that may not be repeated runs to its end once the
+ * engine has it; one that may be repeated is cancelled at its deadline, on request, and where
+ * nobody asks for it after its link is lost.
+ */
+import { AttemptState, MessageType, type MessageOf } from '../messages/message.js';
+import { Outcome, RefusalReason } from '../model/reason.js';
+import type { HeaderMap } from '../model/request.js';
+import {
+  EngineFailureKind,
+  type Engine,
+  type EngineFailure,
+  type EngineRun,
+} from '../ports/engine.js';
+
+import { AnswerDelivery } from './answerDelivery.js';
+import type { AttemptOwner } from './attemptOwner.js';
+import { GateExit, type GatePass } from './gate.js';
+import type { LinkSession } from './linkSession.js';
+import { readClockMs } from './sideClock.js';
+
+/** Bytes that wait for credit before the engine is paused. */
+const PAUSE_BYTES = 131_072;
+
+/** Bytes that wait for credit when the engine goes on. */
+const RESUME_BYTES = 32_768;
+
+/** Largest answer, or end of one, that is kept for an attempt that may not be repeated. */
+export const KEPT_BYTES_PER_ATTEMPT = 1_048_576;
+
+export enum AttemptPhase {
+  Running = 'running',
+  /** The whole answer came. */
+  Finished = 'finished',
+  /** Proved: the engine never got it. */
+  NotRun = 'not-run',
+  /** It may have run, and there is no whole answer. */
+  Lost = 'lost',
+}
+
+/** How an attempt is made. */
+export interface AttemptOptions {
+  readonly submit: MessageOf<MessageType.Submit>;
+  readonly pass: GatePass;
+  readonly owner: AttemptOwner;
+  /** Time without a link after which a repeatable attempt is cancelled. */
+  readonly orphanLimitMs: number;
+}
+
+const EXIT_OF_FAILURE: Readonly<Record<EngineFailureKind, GateExit>> = {
+  [EngineFailureKind.NotSent]: GateExit.NotSent,
+  [EngineFailureKind.Declined]: GateExit.Declined,
+  [EngineFailureKind.Lost]: GateExit.Broken,
+};
+
+/** State machine of one attempt. */
+export class Attempt {
+  readonly id: string;
+
+  readonly isRepeatable: boolean;
+
+  /** Reading of this process's clock that the submission echoed. */
+  readonly echoTickMs: number;
+
+  readonly pass: GatePass;
+
+  readonly #options: AttemptOptions;
+
+  readonly #delivery: AnswerDelivery;
+
+  #phase = AttemptPhase.Running;
+
+  #run: EngineRun | undefined;
+
+  #isPaused = false;
+
+  #hasFirstByte = false;
+
+  #pieceAtMs: number | undefined;
+
+  #deadlineTimer: NodeJS.Timeout | undefined;
+
+  #orphanTimer: NodeJS.Timeout | undefined;
+
+  #detachedAtMs = Number.NEGATIVE_INFINITY;
+
+  constructor(options: AttemptOptions) {
+    this.id = options.submit.attemptId;
+    this.isRepeatable = options.submit.isRepeatable;
+    this.echoTickMs = options.submit.echoTickMs;
+    this.pass = options.pass;
+    this.#options = options;
+    this.#delivery = new AnswerDelivery(this.id);
+  }
+
+  get phase(): AttemptPhase {
+    return this.#phase;
+  }
+
+  get session(): LinkSession | undefined {
+    return this.#delivery.session;
+  }
+
+  get heldBytes(): number {
+    return this.#delivery.heldBytes;
+  }
+
+  /** Whether somebody may still be waiting for what the attempt yields. */
+  isAwaited(nowMs: number, orphanGraceMs: number): boolean {
+    if (this.#phase === AttemptPhase.Running) return true;
+    if (!this.session) return nowMs - this.#detachedAtMs <= orphanGraceMs;
+    return this.#phase === AttemptPhase.Finished && !this.#delivery.isEndSent;
+  }
+
+  /** Starts the call, for an entry that follows it. */
+  start(engine: Engine, session: LinkSession): void {
+    const { submit } = this.#options;
+    this.#delivery.attach(session, 0, submit.creditBytes);
+    this.#deadlineTimer = setTimeout(() => this.#readDeadline(), submit.remainingMs);
+    this.#run = engine.start(
+      {
+        attemptId: this.id,
+        method: submit.method,
+        path: submit.path,
+        headers: submit.headers,
+        body: submit.body,
+        priority: submit.priority,
+      },
+      {
+        onHead: (status, headers) => this.#readHead(status, headers),
+        onData: (data) => this.#readData(data),
+        onEnd: () => this.#readEnd(),
+        onFailure: (failure) => this.#readFailure(failure),
+      },
+    );
+    this.#balance();
+  }
+
+  /** What an inquiry from an offset on is told. */
+  readState(fromOffset: number): AttemptState {
+    if (this.#phase === AttemptPhase.NotRun) return AttemptState.Dead;
+    if (this.#phase === AttemptPhase.Lost) return AttemptState.Lost;
+    if (!this.#delivery.canSendFrom(fromOffset)) return AttemptState.Lost;
+    return this.#phase === AttemptPhase.Running ? AttemptState.Running : AttemptState.Finished;
+  }
+
+  /** Moves to another session, from an offset that {@link readState} has allowed. */
+  attach(session: LinkSession, fromOffset: number, creditBytes: number): void {
+    clearTimeout(this.#orphanTimer);
+    this.#delivery.attach(session, fromOffset, creditBytes);
+    this.#balance();
+  }
+
+  /** Goes on without a session. */
+  detach(): void {
+    this.#delivery.detach();
+    this.#detachedAtMs = readClockMs();
+    this.#balance();
+    if (!this.isRepeatable || this.#phase !== AttemptPhase.Running) return;
+    this.#orphanTimer = setTimeout(() => this.#cancelRun(), this.#options.orphanLimitMs);
+  }
+
+  grantCredit(upToOffset: number): void {
+    this.#delivery.grant(upToOffset);
+    this.#trim();
+    this.#balance();
+  }
+
+  /** The caller wants no answer any more. */
+  cancel(): void {
+    if (this.isRepeatable) this.#cancelRun();
+    else this.detach();
+  }
+
+  /** Ends a repeatable attempt early and tells the entry why. */
+  abandon(reason: RefusalReason): void {
+    if (!this.isRepeatable || this.#phase !== AttemptPhase.Running) return;
+    this.#sendFailed(reason, Outcome.Unknown);
+    this.#cancelRun();
+  }
+
+  /** Lets go of the kept answer; the attempt itself is remembered. */
+  discardAnswer(): void {
+    this.#delivery.discard();
+  }
+
+  #readHead(status: number, headers: HeaderMap): void {
+    if (this.#phase !== AttemptPhase.Running) return;
+    this.#noteFirstByte();
+    this.#delivery.writeHead(status, headers);
+  }
+
+  #readData(data: Uint8Array): void {
+    if (this.#phase !== AttemptPhase.Running) return;
+    this.#noteFirstByte();
+    this.#notePiece();
+    this.#delivery.writeData(data);
+    this.#trim();
+    this.#balance();
+  }
+
+  #readEnd(): void {
+    if (!this.#end(AttemptPhase.Finished)) return;
+    this.#delivery.complete();
+    this.#options.owner.onExit(this, GateExit.Completed);
+  }
+
+  #readFailure(failure: EngineFailure): void {
+    const isLost = failure.kind === EngineFailureKind.Lost || this.#hasFirstByte;
+    if (!this.#end(isLost ? AttemptPhase.Lost : AttemptPhase.NotRun)) return;
+    const isDeclined = failure.kind === EngineFailureKind.Declined;
+    const reason = isDeclined ? RefusalReason.UpstreamFull : RefusalReason.UpstreamFailed;
+    this.#sendFailed(reason, isLost ? Outcome.Unknown : Outcome.NotRun);
+    this.#delivery.discard();
+    this.#options.owner.onExit(this, EXIT_OF_FAILURE[failure.kind]);
+  }
+
+  #readDeadline(): void {
+    if (this.isRepeatable) this.abandon(RefusalReason.DeadlinePassed);
+  }
+
+  #cancelRun(): void {
+    if (!this.#end(AttemptPhase.Lost)) return;
+    this.#run?.cancel();
+    this.#delivery.discard();
+    this.#options.owner.onExit(this, GateExit.Cancelled);
+  }
+
+  /** @returns false where the attempt had ended before */
+  #end(phase: AttemptPhase): boolean {
+    if (this.#phase !== AttemptPhase.Running) return false;
+    this.#phase = phase;
+    clearTimeout(this.#deadlineTimer);
+    clearTimeout(this.#orphanTimer);
+    return true;
+  }
+
+  #sendFailed(reason: RefusalReason, outcome: Outcome.NotRun | Outcome.Unknown): void {
+    this.session?.send({
+      type: MessageType.Failed,
+      attemptId: this.id,
+      reason,
+      outcome,
+      retryAfterMs: 0,
+    });
+  }
+
+  #noteFirstByte(): void {
+    if (this.#hasFirstByte) return;
+    this.#hasFirstByte = true;
+    this.#options.owner.onFirstByte(this);
+  }
+
+  #notePiece(): void {
+    const nowMs = readClockMs();
+    const beforeMs = this.#pieceAtMs;
+    this.#pieceAtMs = this.#isPaused ? undefined : nowMs;
+    if (beforeMs !== undefined) this.#options.owner.onPiece(nowMs - beforeMs);
+  }
+
+  /** Repeatable answers keep what is not taken; others keep all up to a bound. */
+  #trim(): void {
+    if (this.isRepeatable) {
+      this.#delivery.releaseTaken();
+    } else if (this.heldBytes > KEPT_BYTES_PER_ATTEMPT) {
+      if (this.session) this.#delivery.releaseTaken();
+      else this.#delivery.discard();
+    }
+  }
+
+  /** Pauses the engine where the entry is slow; nothing holds one back that must run to its end. */
+  #balance(): void {
+    if (this.#phase !== AttemptPhase.Running) return;
+    const { waitingBytes } = this.#delivery;
+    const mayPause = this.isRepeatable || this.session !== undefined;
+    if (!mayPause || waitingBytes < RESUME_BYTES) this.#resume();
+    else if (waitingBytes > PAUSE_BYTES) this.#pause();
+  }
+
+  #pause(): void {
+    if (this.#isPaused || !this.#run) return;
+    this.#isPaused = true;
+    this.#run.pause();
+  }
+
+  #resume(): void {
+    if (!this.#isPaused) return;
+    this.#isPaused = false;
+    this.#pieceAtMs = undefined;
+    this.#run?.resume();
+  }
+}
--- /dev/null
+++ b/packages/core/src/side/attemptOwner.ts
@@ -0,0 +1,14 @@
+/** What the owner of attempts wants to hear. */
+import type { Attempt } from './attempt.js';
+import type { GateExit } from './gate.js';
+
+/** Hears what becomes of an attempt. */
+export abstract class AttemptOwner {
+  abstract onFirstByte(attempt: Attempt): void;
+
+  /** @param gapMs time since the piece before */
+  abstract onPiece(gapMs: number): void;
+
+  /** Called once, when the engine has nothing more to do with the attempt. */
+  abstract onExit(attempt: Attempt, exit: GateExit): void;
+}
--- /dev/null
+++ b/packages/core/src/side/attemptRecords.ts
@@ -0,0 +1,147 @@
+/**
+ * What a side process remembers of attempts, and what it may forget.
+ *
+ * A submission echoes the last tick that its sender had heard, and one whose echo is older than the
+ * tick limit is refused. An id that was recorded dead at tick T can only come late in a submission
+ * that was sent before T, so its echo is at most T: once T is older than the tick limit, the age
+ * alone refuses it and the id can go. Where an id has to go earlier, {@link AttemptRecords.isStale}
+ * refuses every submission whose echo is not newer than T.
+ *
+ * An ended attempt that was forgotten must not be taken for one that never came. Inquiries name a
+ * tick heard no later than their submission: where it is newer than the echo of all forgotten
+ * attempts, the attempt in question is not one of these.
+ */
+import type { Attempt } from './attempt.js';
+
+/** Ids recorded dead at once, at most. */
+const DEAD_IDS_KEPT = 20_000;
+
+/** Ended attempts remembered at once, at most. */
+const ENDED_ATTEMPTS_KEPT = 10_000;
+
+/** Bytes of answers kept of ended attempts, all together. */
+const KEPT_BYTES = 8_388_608;
+
+/** Limits on what is kept. */
+export interface RecordLimits {
+  /** Time for which ended attempts are kept. */
+  readonly attemptKeptMs: number;
+  readonly tickLimitMs: number;
+}
+
+/** Attempts and dead ids of this incarnation. */
+export class AttemptRecords {
+  readonly #limits: RecordLimits;
+
+  readonly #attempts = new Map<string, Attempt>();
+
+  /** Ended attempts and the time of their end, oldest first. */
+  readonly #ended = new Map<Attempt, number>();
+
+  /** Ticks at which ids were recorded dead, oldest first. */
+  readonly #dead = new Map<string, number>();
+
+  /** Submissions with no newer echo may be of a dead id that was forgotten early. */
+  #deadForgottenMs = Number.NEGATIVE_INFINITY;
+
+  /** Submissions with no newer echo may be of an attempt that was forgotten. */
+  #attemptForgottenMs = Number.NEGATIVE_INFINITY;
+
+  constructor(limits: RecordLimits) {
+    this.#limits = limits;
+  }
+
+  /** All attempts remembered, running ones included. */
+  get attempts(): readonly Attempt[] {
+    return [...this.#attempts.values()];
+  }
+
+  find(id: string): Attempt | undefined {
+    return this.#attempts.get(id);
+  }
+
+  isDead(id: string): boolean {
+    return this.#dead.has(id);
+  }
+
+  /** Whether a submission with this echo is too old to be told from forgotten ones. */
+  isStale(echoTickMs: number, nowMs: number): boolean {
+    if (echoTickMs > nowMs || nowMs - echoTickMs > this.#limits.tickLimitMs) return true;
+    return echoTickMs <= Math.max(this.#deadForgottenMs, this.#attemptForgottenMs);
+  }
+
+  /**
+   * Whether an attempt that is not remembered may have been forgotten.
+   *
+   * @param submitTickMs tick heard no later than its submission; undefined where it is not known
+   */
+  mayBeForgotten(submitTickMs: number | undefined): boolean {
+    if (this.#attemptForgottenMs === Number.NEGATIVE_INFINITY) return false;
+    return submitTickMs === undefined || submitTickMs <= this.#attemptForgottenMs;
+  }
+
+  add(attempt: Attempt): void {
+    this.#attempts.set(attempt.id, attempt);
+  }
+
+  /** Records that an id has not run and never will. */
+  markDead(id: string, nowMs: number): void {
+    this.#dead.delete(id);
+    this.#dead.set(id, nowMs);
+    if (this.#dead.size > DEAD_IDS_KEPT) this.#forgetOldestDead();
+  }
+
+  /** Records that the engine has nothing more to do with an attempt. */
+  markEnded(attempt: Attempt, nowMs: number): void {
+    this.#ended.set(attempt, nowMs);
+    if (this.#ended.size > ENDED_ATTEMPTS_KEPT) this.#forgetOldestAttempt();
+    this.#boundBytes();
+  }
+
+  /** Forgets what has been kept for long enough. */
+  prune(nowMs: number): void {
+    this.#pruneDead(nowMs);
+    this.#pruneEnded(nowMs);
+  }
+
+  #pruneDead(nowMs: number): void {
+    const [oldest] = this.#dead;
+    if (!oldest || nowMs - oldest[1] <= this.#limits.tickLimitMs) return;
+    this.#dead.delete(oldest[0]);
+    this.#pruneDead(nowMs);
+  }
+
+  #pruneEnded(nowMs: number): void {
+    const [oldest] = this.#ended;
+    if (!oldest || nowMs - oldest[1] <= this.#limits.attemptKeptMs) return;
+    this.#forgetOldestAttempt();
+    this.#pruneEnded(nowMs);
+  }
+
+  #forgetOldestDead(): void {
+    const [oldest] = this.#dead;
+    if (!oldest) return;
+    this.#dead.delete(oldest[0]);
+    this.#deadForgottenMs = Math.max(this.#deadForgottenMs, oldest[1]);
+  }
+
+  #forgetOldestAttempt(): void {
+    const [oldest] = this.#ended.keys();
+    if (!oldest) return;
+    this.#ended.delete(oldest);
+    this.#attempts.delete(oldest.id);
+    oldest.discardAnswer();
+    this.#attemptForgottenMs = Math.max(this.#attemptForgottenMs, oldest.echoTickMs);
+  }
+
+  /** Discards the oldest answers first, and those that nobody follows before the others. */
+  #boundBytes(): void {
+    let heldBytes = [...this.#ended.keys()].reduce((sum, attempt) => sum + attempt.heldBytes, 0);
+    const byNeed = [...this.#ended.keys()].filter((attempt) => !attempt.session);
+    byNeed.forEach((attempt) => {
+      if (heldBytes <= KEPT_BYTES) return;
+      heldBytes -= attempt.heldBytes;
+      attempt.discardAnswer();
+    });
+  }
+}
--- /dev/null
+++ b/packages/core/src/side/configIntake.ts
@@ -0,0 +1,48 @@
+/** Takes configuration from entries in, and hands on what this process has. */
+import { MessageType, type MessageOf } from '../messages/message.js';
+
+import type { LinkSession } from './linkSession.js';
+import type { SideOptions } from './sideOptions.js';
+
+/** Exchange of configuration with entries. */
+export class ConfigIntake {
+  readonly #options: SideOptions;
+
+  readonly #onChange: () => void;
+
+  /** @param onChange called after objects have changed */
+  constructor(options: SideOptions, onChange: () => void) {
+    this.#options = options;
+    this.#onChange = onChange;
+  }
+
+  /** Takes objects in; older versions and faulty objects change nothing. */
+  readObjects(message: MessageOf<MessageType.ConfigObjects>): void {
+    const { board, metrics } = this.#options;
+    const changes = message.objects.map(({ key, version, value }) => ({ key, version, value }));
+    const changed = board.config.apply(changes, message.revision, message.isFull);
+    changes
+      .filter(({ key }) => board.config.faults.has(key))
+      .forEach(() => metrics.count('side.config_rejected'));
+    if (changed.length > 0) this.#onChange();
+  }
+
+  /** Answers with what this process has; never a full set, as it holds a part only. */
+  answer(session: LinkSession, message: MessageOf<MessageType.ConfigRequest>): void {
+    const { config } = this.#options.board;
+    const objects = config.listChanges(message.afterRevision).map((change) => ({ ...change }));
+    session.send({
+      type: MessageType.ConfigObjects,
+      revision: config.revision,
+      isFull: false,
+      objects,
+    });
+  }
+
+  /** Asks for what is missing where the entry has a newer revision. */
+  compareRevision(session: LinkSession, revision: number): void {
+    const ownRevision = this.#options.board.config.revision;
+    if (revision <= ownRevision) return;
+    session.send({ type: MessageType.ConfigRequest, afterRevision: ownRevision });
+  }
+}
--- /dev/null
+++ b/packages/core/src/side/groupOrderForwarder.ts
@@ -0,0 +1,119 @@
+/**
+ * Passes group orders on to the engine, of which this process is the sole caller.
+ *
+ * Orders run one after the other. One with a fencing number below the highest seen is refused,
+ * also where the engine does not check. An order is known by its id: repeated, it gets the reply of
+ * the first, unless that is unknown; then it is given to the engine again under the same id.
+ */
+import PQueue from 'p-queue';
+
+import { MessageType, type MessageOf } from '../messages/message.js';
+import { EngineOrderErrorKind, type EngineOrder } from '../ports/engine.js';
+
+import type { LinkSession } from './linkSession.js';
+import type { OrderTarget, SideOptions } from './sideOptions.js';
+
+/** Replies remembered. */
+const REPLIES_KEPT = 1_000;
+
+/** Orders that wait at most. */
+const WAITING_LIMIT = 64;
+
+/** Time after which a reply is given as unknown; the order itself goes on. */
+const REPLY_LIMIT_MS = 5_000;
+
+type Reply = Omit<MessageOf<MessageType.GroupReply>, 'type' | 'orderId'>;
+
+function replyError(kind: EngineOrderErrorKind, detail: string): Reply {
+  return { isOk: false, result: { error: kind, detail } };
+}
+
+const REPLY_FENCED = replyError(EngineOrderErrorKind.Fenced, 'a higher fencing number was seen');
+const REPLY_LATE = replyError(EngineOrderErrorKind.Unknown, 'no reply of the engine in time');
+const REPLY_BUSY = replyError(EngineOrderErrorKind.Refused, 'too many orders wait');
+
+function isFinal(reply: Reply): boolean {
+  return reply.isOk || reply.result.error === EngineOrderErrorKind.Refused;
+}
+
+function waitFor(reply: Promise<Reply>): Promise<Reply> {
+  return new Promise((resolve) => {
+    const timer = setTimeout(() => resolve(REPLY_LATE), REPLY_LIMIT_MS);
+    reply.then((value) => {
+      clearTimeout(timer);
+      resolve(value);
+    });
+  });
+}
+
+/** Fences, orders and remembers. */
+export class GroupOrderForwarder {
+  readonly #options: SideOptions;
+
+  readonly #target: OrderTarget;
+
+  readonly #queue = new PQueue({ concurrency: 1 });
+
+  readonly #running = new Map<string, Promise<Reply>>();
+
+  readonly #replies = new Map<string, Reply>();
+
+  #highestFencing = 0;
+
+  constructor(options: SideOptions) {
+    this.#options = options;
+    this.#target = options.orderTarget ?? options.engine;
+  }
+
+  /** Highest fencing number seen by this process. */
+  get highestFencing(): number {
+    return this.#highestFencing;
+  }
+
+  /** Carries an order out and replies on the session it came from. */
+  async handle(session: LinkSession, message: MessageOf<MessageType.GroupOrder>): Promise<void> {
+    const reply = await waitFor(this.#find(message) ?? this.#enqueue(message));
+    const outcome = reply.isOk ? 'done' : String(reply.result.error);
+    this.#options.metrics.count('side.group_order', { outcome });
+    session.send({ type: MessageType.GroupReply, orderId: message.orderId, ...reply });
+  }
+
+  #find({ orderId }: EngineOrder): Promise<Reply> | undefined {
+    const known = this.#replies.get(orderId);
+    return known ? Promise.resolve(known) : this.#running.get(orderId);
+  }
+
+  #enqueue(order: EngineOrder): Promise<Reply> {
+    if (order.fencingNumber < this.#highestFencing) return Promise.resolve(REPLY_FENCED);
+    if (this.#queue.size >= WAITING_LIMIT) return Promise.resolve(REPLY_BUSY);
+    this.#highestFencing = order.fencingNumber;
+    const reply = this.#queue.add(() => this.#carryOut(order));
+    this.#running.set(order.orderId, reply);
+    reply.then((value) => this.#remember(order.orderId, value));
+    return reply;
+  }
+
+  /** A higher number may have come while the order waited. */
+  async #carryOut(order: EngineOrder): Promise<Reply> {
+    if (order.fencingNumber < this.#highestFencing) return REPLY_FENCED;
+    const { orderId, fencingNumber, action, params } = order;
+    const result = await this.#target.order({ orderId, fencingNumber, action, params });
+    if (result.ok) return { isOk: true, result: { ...result.val } };
+    const { kind, detail } = result.val;
+    if (kind === EngineOrderErrorKind.Fenced) this.#learnFencing(fencingNumber);
+    return replyError(kind, detail);
+  }
+
+  /** The engine has seen a higher number than this process, which may have started since. */
+  #learnFencing(refusedNumber: number): void {
+    this.#highestFencing = Math.max(this.#highestFencing, refusedNumber + 1);
+  }
+
+  #remember(orderId: string, reply: Reply): void {
+    this.#running.delete(orderId);
+    if (!isFinal(reply)) return;
+    this.#replies.set(orderId, reply);
+    const [oldest] = this.#replies.keys();
+    if (this.#replies.size > REPLIES_KEPT && oldest !== undefined) this.#replies.delete(oldest);
+  }
+}
--- /dev/null
+++ b/packages/core/src/side/linkSession.ts
@@ -0,0 +1,165 @@
+/**
+ * One incoming link: greeting, heartbeats and the limit on silence.
+ *
+ * Nothing is read before a `Hello` with the right protocol and token, and nothing after the close.
+ */
+import {
+  MessageType,
+  PROTOCOL_VERSION,
+  PeerRole,
+  type Message,
+  type MessageOf,
+} from '../messages/message.js';
+import { LogLevel } from '../ports/log.js';
+import type { Link } from '../ports/link.js';
+
+import type { SessionOwner } from './sessionOwner.js';
+import { readClockMs } from './sideClock.js';
+import type { SideOptions } from './sideOptions.js';
+
+/** Beats missed by this process itself after which the silence of others says nothing. */
+const PAUSED_BEATS = 2;
+
+/** Part named in log lines. */
+const LOG_PART = 'side-link';
+
+/** An incoming link of one entry. */
+export class LinkSession {
+  readonly #link: Link;
+
+  readonly #options: SideOptions;
+
+  readonly #owner: SessionOwner;
+
+  readonly #timer: NodeJS.Timeout;
+
+  #hello: MessageOf<MessageType.Hello> | undefined;
+
+  #heardAtMs = readClockMs();
+
+  #beatAtMs = readClockMs();
+
+  #peerTickMs = 0;
+
+  #echoTickMs = 0;
+
+  #isClosed = false;
+
+  constructor(link: Link, options: SideOptions, owner: SessionOwner) {
+    this.#link = link;
+    this.#options = options;
+    this.#owner = owner;
+    this.#timer = setInterval(() => this.#beat(), options.timing.heartbeatMs);
+  }
+
+  /** Name of the entry; empty before its greeting. */
+  get name(): string {
+    return this.#hello?.name ?? '';
+  }
+
+  get isReady(): boolean {
+    return this.#hello !== undefined && !this.#isClosed;
+  }
+
+  /** Last reading of this process's clock that the entry has confirmed. */
+  get echoTickMs(): number {
+    return this.#echoTickMs;
+  }
+
+  get bufferedBytes(): number {
+    return this.#link.bufferedBytes;
+  }
+
+  /** Starts to read. */
+  open(): void {
+    this.#link.listen({
+      onOpen: () => {},
+      onMessage: (message) => this.#read(message),
+      onClose: (detail) => this.close(detail),
+    });
+  }
+
+  /** Sends a message; dropped where the session has closed. */
+  send(message: Message): void {
+    if (!this.#isClosed) this.#link.send(message);
+  }
+
+  sendHeartbeat(): void {
+    const { board } = this.#options;
+    this.send({
+      type: MessageType.Heartbeat,
+      configRevision: board.config.revision,
+      tickMs: readClockMs(),
+      echoTickMs: this.#peerTickMs,
+      isCurrent: true,
+      isStopping: board.isStopping,
+    });
+  }
+
+  close(detail: string): void {
+    if (this.#isClosed) return;
+    this.#isClosed = true;
+    clearInterval(this.#timer);
+    this.#link.close(detail);
+    this.#options.log.write(LogLevel.Info, LOG_PART, 'Link closed.', { entry: this.name, detail });
+    this.#owner.onClosed(this);
+  }
+
+  #read(message: Message): void {
+    if (this.#isClosed) return;
+    this.#heardAtMs = readClockMs();
+    if (!this.#hello) {
+      this.#greet(message);
+      return;
+    }
+    if (message.type === MessageType.Heartbeat) {
+      this.#peerTickMs = message.tickMs;
+      this.#echoTickMs = Math.max(this.#echoTickMs, message.echoTickMs);
+    }
+    this.#owner.onMessage(this, message);
+  }
+
+  #greet(message: Message): void {
+    if (message.type !== MessageType.Hello) {
+      this.#reject('no-greeting');
+    } else if (message.protocol !== PROTOCOL_VERSION) {
+      this.#reject('other-protocol');
+    } else if (message.token !== this.#options.linkToken) {
+      this.#reject('wrong-token');
+    } else if (message.role !== PeerRole.Entry) {
+      this.#reject('not-an-entry');
+    } else {
+      this.#hello = message;
+      this.#owner.onGreeted(this);
+      this.#welcome();
+    }
+  }
+
+  #reject(cause: string): void {
+    this.#options.metrics.count('side.link_rejected', { cause });
+    this.close(cause);
+  }
+
+  #welcome(): void {
+    const { board } = this.#options;
+    this.send({
+      type: MessageType.Welcome,
+      role: PeerRole.Side,
+      name: board.upstream,
+      incarnation: board.incarnation,
+      upstream: board.upstream,
+      configRevision: board.config.revision,
+      tickMs: readClockMs(),
+    });
+  }
+
+  #beat(): void {
+    const nowMs = readClockMs();
+    const { heartbeatMs, silenceLimitMs } = this.#options.timing;
+    const wasPaused = nowMs - this.#beatAtMs > PAUSED_BEATS * heartbeatMs;
+    if (wasPaused) this.#heardAtMs = nowMs;
+    this.#beatAtMs = nowMs;
+    if (nowMs - this.#heardAtMs > silenceLimitMs) this.#reject('silent');
+    else if (this.isReady) this.sendHeartbeat();
+  }
+}
--- /dev/null
+++ b/packages/core/src/side/sideNode.ts
@@ -0,0 +1,220 @@
+/**
+ * A side process: the one gate in front of its upstream, for the links of all entries.
+ *
+ * Joins the parts: sessions bring messages, the attempt controller and the gate decide, and reports
+ * tell entries what they need to know. It does no input or output of its own.
+ */
+import { MessageType, type Message } from '../messages/message.js';
+import { RefusalReason } from '../model/reason.js';
+import type { Link } from '../ports/link.js';
+import { LogLevel } from '../ports/log.js';
+
+import { AttemptController } from './attemptController.js';
+import { ConfigIntake } from './configIntake.js';
+import { DrainWatch } from './drainWatch.js';
+import { EngineReportReader } from './engineReportReader.js';
+import { Gate } from './gate.js';
+import { GroupOrderForwarder } from './groupOrderForwarder.js';
+import { LinkSession } from './linkSession.js';
+import { ReportSender } from './reportSender.js';
+import { SessionOwner } from './sessionOwner.js';
+import { readClockMs } from './sideClock.js';
+import type { SideOptions } from './sideOptions.js';
+
+/** Longest wait, in silence limits, for entries to confirm that they know of a planned stop. */
+const STOP_CONFIRM_SILENCES = 2;
+
+/** Part named in log lines. */
+const LOG_PART = 'side';
+
+/** Decisions of one side process. */
+export class SideNode extends SessionOwner {
+  readonly #options: SideOptions;
+
+  readonly #gate: Gate;
+
+  readonly #attempts: AttemptController;
+
+  readonly #reader: EngineReportReader;
+
+  readonly #reports: ReportSender;
+
+  readonly #config: ConfigIntake;
+
+  readonly #drain: DrainWatch;
+
+  readonly #orders: GroupOrderForwarder;
+
+  readonly #sessions = new Set<LinkSession>();
+
+  #timer: NodeJS.Timeout | undefined;
+
+  #stoppingSinceMs: number | undefined;
+
+  #onStopped: (() => void) | undefined;
+
+  #stopped: Promise<void> | undefined;
+
+  #isClosed = false;
+
+  constructor(options: SideOptions) {
+    super();
+    this.#options = options;
+    const broadcast = (message: Message): void => this.#broadcast(message);
+    this.#gate = new Gate(options, () => this.#reports.sendIfUrgent());
+    this.#attempts = new AttemptController(options, this.#gate);
+    this.#reader = new EngineReportReader(options, this.#gate, broadcast);
+    this.#reports = new ReportSender(options, this.#gate, broadcast);
+    this.#config = new ConfigIntake(options, () => this.#readConfigChange());
+    this.#drain = new DrainWatch(options.board, () => this.#moveWork());
+    this.#orders = new GroupOrderForwarder(options);
+  }
+
+  /** Starts reading the engine and reporting. */
+  start(): void {
+    if (this.#timer || this.#isClosed) return;
+    this.#reader.start();
+    this.#timer = setInterval(() => this.#step(), this.#options.timing.reportMs);
+  }
+
+  /** Takes an incoming link. */
+  attach(link: Link): void {
+    if (this.#isClosed) {
+      link.close('stopped');
+      return;
+    }
+    const session = new LinkSession(link, this.#options, this);
+    this.#sessions.add(session);
+    session.open();
+  }
+
+  /** Refuses new work from now on, as the VM is about to leave. */
+  markLeaving(): void {
+    const { board } = this.#options;
+    if (board.isLeaving) return;
+    board.isLeaving = true;
+    this.#reports.send();
+  }
+
+  /**
+   * Stops as planned: entries hear of it first, and what is under way is finished.
+   *
+   * @returns resolved when all is done and the links are closed
+   */
+  stop(): Promise<void> {
+    this.#stopped ??= new Promise((resolve) => {
+      this.#onStopped = resolve;
+      this.#announceStop();
+    });
+    return this.#stopped;
+  }
+
+  onGreeted(session: LinkSession): void {
+    [...this.#sessions]
+      .filter((other) => other !== session && other.name === session.name)
+      .forEach((other) => other.close('replaced by a newer link'));
+  }
+
+  onMessage(session: LinkSession, message: Message): void {
+    this.#dispatch(session, message);
+    this.#reports.sendIfUrgent();
+  }
+
+  onClosed(session: LinkSession): void {
+    this.#sessions.delete(session);
+    this.#attempts.detach(session);
+  }
+
+  #dispatch(session: LinkSession, message: Message): void {
+    switch (message.type) {
+      case MessageType.Submit:
+        this.#attempts.submit(session, message);
+        break;
+      case MessageType.Inquire:
+        this.#attempts.inquire(session, message);
+        break;
+      case MessageType.Cancel:
+        this.#attempts.cancel(session, message);
+        break;
+      case MessageType.Credit:
+        this.#attempts.grantCredit(session, message);
+        break;
+      case MessageType.ConfigObjects:
+        this.#config.readObjects(message);
+        break;
+      case MessageType.ConfigRequest:
+        this.#config.answer(session, message);
+        break;
+      case MessageType.ConfigOffer:
+        this.#config.compareRevision(session, message.revision);
+        break;
+      case MessageType.Heartbeat:
+        this.#config.compareRevision(session, message.configRevision);
+        break;
+      case MessageType.GroupOrder:
+        this.#orders.handle(session, message);
+        break;
+      default:
+        this.#options.metrics.count('side.unexpected_message', { type: message.type });
+    }
+  }
+
+  #step(): void {
+    const nowMs = readClockMs();
+    this.#gate.refresh(nowMs);
+    this.#drain.step(nowMs);
+    this.#attempts.prune(nowMs);
+    this.#reports.send();
+    if (this.#isStopComplete(nowMs)) this.#finishStop();
+  }
+
+  #broadcast(message: Message): void {
+    this.#sessions.forEach((session) => {
+      if (session.isReady) session.send(message);
+    });
+  }
+
+  #readConfigChange(): void {
+    const nowMs = readClockMs();
+    this.#gate.refresh(nowMs);
+    this.#drain.step(nowMs);
+    this.#sessions.forEach((session) => {
+      if (session.isReady) session.sendHeartbeat();
+    });
+  }
+
+  #moveWork(): void {
+    this.#options.metrics.count('side.domain_moved');
+    this.#attempts.abandonRepeatable(RefusalReason.DomainDrained);
+  }
+
+  #announceStop(): void {
+    this.#options.log.write(LogLevel.Info, LOG_PART, 'Planned stop begins.');
+    this.#options.board.isStopping = true;
+    this.#stoppingSinceMs = readClockMs();
+    this.#reports.send();
+    this.#sessions.forEach((session) => {
+      if (session.isReady) session.sendHeartbeat();
+    });
+    this.start();
+  }
+
+  #isStopComplete(nowMs: number): boolean {
+    const sinceMs = this.#stoppingSinceMs;
+    if (sinceMs === undefined || !this.#attempts.isIdle(nowMs)) return false;
+    const limitMs = this.#options.timing.silenceLimitMs * STOP_CONFIRM_SILENCES;
+    if (nowMs - sinceMs > limitMs) return true;
+    return [...this.#sessions].every(
+      (session) => session.echoTickMs >= sinceMs && session.bufferedBytes === 0,
+    );
+  }
+
+  #finishStop(): void {
+    this.#isClosed = true;
+    this.#reader.stop();
+    clearInterval(this.#timer);
+    [...this.#sessions].forEach((session) => session.close('stopped as planned'));
+    this.#options.log.write(LogLevel.Info, LOG_PART, 'Planned stop is complete.');
+    this.#onStopped?.();
+  }
+}
--- /dev/null
+++ b/packages/core/src/side/submissionCheck.ts
@@ -0,0 +1,37 @@
+/** Checks of a submission before it reaches the gate. */
+import { ConfigKind, DomainState } from '../config/object.js';
+import type { MessageOf, MessageType } from '../messages/message.js';
+import { RefusalReason } from '../model/reason.js';
+import type { SideBoard } from '../state/sideBoard.js';
+
+import type { AttemptRecords } from './attemptRecords.js';
+
+/** Whether the failure domain of this upstream takes no work, by this process's configuration. */
+export function isDrained(board: SideBoard): boolean {
+  const upstream = board.config.get(ConfigKind.Upstream, board.upstream);
+  const domains = [board.domain, upstream?.domain ?? board.domain];
+  return domains.some(
+    (name) => board.config.get(ConfigKind.Domain, name)?.state === DomainState.Drained,
+  );
+}
+
+/** Why this process takes no new work; undefined where it takes some. */
+export function findClosedReason(board: SideBoard): RefusalReason | undefined {
+  if (board.isStopping) return RefusalReason.ShuttingDown;
+  if (board.isLeaving) return RefusalReason.UpstreamLeaving;
+  if (isDrained(board)) return RefusalReason.DomainDrained;
+  return undefined;
+}
+
+/** What is wrong with a submission, before the gate is asked; undefined where nothing is. */
+export function checkSubmission(
+  submit: MessageOf<MessageType.Submit>,
+  board: SideBoard,
+  records: AttemptRecords,
+  nowMs: number,
+): RefusalReason | undefined {
+  if (submit.sideIncarnation !== board.incarnation) return RefusalReason.StaleIncarnation;
+  if (records.isStale(submit.echoTickMs, nowMs)) return RefusalReason.StaleSubmission;
+  if (records.isDead(submit.attemptId)) return RefusalReason.AttemptDead;
+  return findClosedReason(board);
+}
--- /dev/null
+++ b/packages/core/test/side/testEntry.ts
@@ -0,0 +1,145 @@
+/** An entry as the side process sees it: greets, beats, submits, and keeps what it hears. */
+import {
+  MessageType,
+  PROTOCOL_VERSION,
+  PeerRole,
+  type Message,
+  type MessageOf,
+} from '../../src/messages/message.js';
+import { DEFAULT_TIMING } from '../../src/model/timing.js';
+import type { SideNode } from '../../src/side/sideNode.js';
+
+import { TestLink } from './testLink.js';
+
+export const TOKEN = 'link-token';
+
+export type SubmitChanges = Partial<MessageOf<MessageType.Submit>>;
+
+export class TestEntry {
+  readonly link = new TestLink();
+
+  readonly name: string;
+
+  tickMs = 0;
+
+  sideIncarnation = '';
+
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(name: string) {
+    this.name = name;
+  }
+
+  /** Opens a link to a side process and keeps it alive. */
+  connect(node: SideNode, token = TOKEN): void {
+    node.attach(this.link);
+    this.link.receive({
+      type: MessageType.Hello,
+      protocol: PROTOCOL_VERSION,
+      role: PeerRole.Entry,
+      name: this.name,
+      incarnation: 'i',
+      token,
+      configRevision: 0,
+    });
+    this.#timer = setInterval(() => this.beat(), DEFAULT_TIMING.heartbeatMs);
+    this.readTick();
+  }
+
+  /** Stops beating, as a frozen process does. */
+  freeze(): void {
+    clearInterval(this.#timer);
+  }
+
+  beat(): void {
+    this.readTick();
+    this.link.receive({
+      type: MessageType.Heartbeat,
+      configRevision: 0,
+      tickMs: 0,
+      echoTickMs: this.tickMs,
+      isCurrent: true,
+      isStopping: false,
+    });
+  }
+
+  readTick(): void {
+    this.list(MessageType.Heartbeat).forEach((beat) => {
+      this.tickMs = beat.tickMs;
+    });
+    const [welcome] = this.list(MessageType.Welcome);
+    this.tickMs = Math.max(this.tickMs, welcome?.tickMs ?? 0);
+    this.sideIncarnation = welcome?.incarnation ?? '';
+  }
+
+  makeSubmit(attemptId: string, changes: SubmitChanges = {}): MessageOf<MessageType.Submit> {
+    this.readTick();
+    return {
+      type: MessageType.Submit,
+      attemptId,
+      sideIncarnation: this.sideIncarnation,
+      echoTickMs: this.tickMs,
+      configRevision: 1,
+      workspace: 'w',
+      className: 'c',
+      priority: 5,
+      isRepeatable: false,
+      isStream: true,
+      remainingMs: 30_000,
+      progressTimeoutMs: 10_000,
+      method: 'POST',
+      path: '/v1/completions',
+      headers: {},
+      body: new Uint8Array(2),
+      prefixHashes: [],
+      creditBytes: 262_144,
+      ...changes,
+    };
+  }
+
+  submit(attemptId: string, changes: SubmitChanges = {}): void {
+    this.link.receive(this.makeSubmit(attemptId, changes));
+  }
+
+  inquire(attemptId: string, fromOffset = 0, submitTickMs?: number): void {
+    this.link.receive({
+      type: MessageType.Inquire,
+      attemptId,
+      sideIncarnation: this.sideIncarnation,
+      fromOffset,
+      creditBytes: 262_144,
+      submitTickMs,
+    });
+  }
+
+  /** All messages of one type that have come. */
+  list<T extends MessageType>(type: T): MessageOf<T>[] {
+    return this.link.sent.filter((message): message is MessageOf<T> => message.type === type);
+  }
+
+  /** Types of the messages about one attempt, in order. */
+  listTypes(attemptId: string): MessageType[] {
+    return this.#listAbout(attemptId).map((message) => message.type);
+  }
+
+  /** Bytes of one answer as they came; throws where they do not follow each other. */
+  readAnswer(attemptId: string, fromOffset = 0): Uint8Array {
+    const pieces = this.list(MessageType.Data).filter((data) => data.attemptId === attemptId);
+    return pieces.reduce((answer, { offset, data }) => {
+      if (offset !== fromOffset + answer.length) throw new Error(`gap at ${offset}`);
+      return Uint8Array.from([...answer, ...data]);
+    }, new Uint8Array(0));
+  }
+
+  /** Reason of the refusal or failure of an attempt. */
+  readReason(attemptId: string): string | undefined {
+    const found = this.#listAbout(attemptId).find((message) => 'reason' in message);
+    return found && 'reason' in found ? found.reason : undefined;
+  }
+
+  #listAbout(attemptId: string): Message[] {
+    return this.link.sent.filter(
+      (message) => 'attemptId' in message && message.attemptId === attemptId,
+    );
+  }
+}
