--- a/packages/core/src/side/attempt.ts
+++ b/packages/core/src/side/attempt.ts
@@ -27,6 +27,9 @@
 /** Bytes that wait for credit when the engine goes on. */
 const RESUME_BYTES = 32_768;
 
+/** Longest time that a timer can wait. */
+const TIMER_LIMIT_MS = 2 ** 31 - 1;
+
 /** Largest answer, or end of one, that is kept for an attempt that may not be repeated. */
 export const KEPT_BYTES_PER_ATTEMPT = 1_048_576;
 
@@ -107,18 +110,24 @@
     return this.#delivery.heldBytes;
   }
 
+  /** Whether the answer has ended and all of it was sent to whoever follows it. */
+  get isDelivered(): boolean {
+    return this.#phase === AttemptPhase.Finished && this.#delivery.isEndSent;
+  }
+
   /** Whether somebody may still be waiting for what the attempt yields. */
   isAwaited(nowMs: number, orphanGraceMs: number): boolean {
     if (this.#phase === AttemptPhase.Running) return true;
     if (!this.session) return nowMs - this.#detachedAtMs <= orphanGraceMs;
-    return this.#phase === AttemptPhase.Finished && !this.#delivery.isEndSent;
+    return this.#phase === AttemptPhase.Finished && !this.isDelivered;
   }
 
   /** Starts the call, for an entry that follows it. */
   start(engine: Engine, session: LinkSession): void {
     const { submit } = this.#options;
     this.#delivery.attach(session, 0, submit.creditBytes);
-    this.#deadlineTimer = setTimeout(() => this.#readDeadline(), submit.remainingMs);
+    const remainingMs = Math.min(submit.remainingMs, TIMER_LIMIT_MS);
+    this.#deadlineTimer = setTimeout(() => this.abandon(RefusalReason.DeadlinePassed), remainingMs);
     this.#run = engine.start(
       {
         attemptId: this.id,
@@ -217,10 +226,6 @@
     this.#options.owner.onExit(this, EXIT_OF_FAILURE[failure.kind]);
   }
 
-  #readDeadline(): void {
-    if (this.isRepeatable) this.abandon(RefusalReason.DeadlinePassed);
-  }
-
   #cancelRun(): void {
     if (!this.#end(AttemptPhase.Lost)) return;
     this.#run?.cancel();
@@ -243,7 +248,7 @@
       attemptId: this.id,
       reason,
       outcome,
-      retryAfterMs: 0,
+      retryAfterMs: outcome === Outcome.NotRun ? this.#options.owner.chooseRetryMs() : 0,
     });
   }
 
--- a/packages/core/src/side/attemptController.ts
+++ b/packages/core/src/side/attemptController.ts
@@ -98,6 +98,10 @@
     this.#gate.noteFirstByte(attempt.pass, readClockMs());
   }
 
+  chooseRetryMs(): number {
+    return this.#gate.chooseRetryMs();
+  }
+
   onPiece(gapMs: number): void {
     this.#gate.noteStep(gapMs);
   }
--- a/packages/core/src/side/attemptOwner.ts
+++ b/packages/core/src/side/attemptOwner.ts
@@ -9,6 +9,9 @@
   /** @param gapMs time since the piece before */
   abstract onPiece(gapMs: number): void;
 
+  /** Time after which a declined attempt is worth another try. */
+  abstract chooseRetryMs(): number;
+
   /** Called once, when the engine has nothing more to do with the attempt. */
   abstract onExit(attempt: Attempt, exit: GateExit): void;
 }
--- a/packages/core/src/side/attemptRecords.ts
+++ b/packages/core/src/side/attemptRecords.ts
@@ -95,13 +95,13 @@
   markEnded(attempt: Attempt, nowMs: number): void {
     this.#ended.set(attempt, nowMs);
     if (this.#ended.size > ENDED_ATTEMPTS_KEPT) this.#forgetOldestAttempt();
-    this.#boundBytes();
   }
 
   /** Forgets what has been kept for long enough. */
   prune(nowMs: number): void {
     this.#pruneDead(nowMs);
     this.#pruneEnded(nowMs);
+    this.#boundBytes();
   }
 
   #pruneDead(nowMs: number): void {
@@ -134,11 +134,14 @@
     this.#attemptForgottenMs = Math.max(this.#attemptForgottenMs, oldest.echoTickMs);
   }
 
-  /** Discards the oldest answers first, and those that nobody follows before the others. */
+  /** Discards the oldest answers: first those that were sent whole, then those nobody follows. */
   #boundBytes(): void {
-    let heldBytes = [...this.#ended.keys()].reduce((sum, attempt) => sum + attempt.heldBytes, 0);
-    const byNeed = [...this.#ended.keys()].filter((attempt) => !attempt.session);
-    byNeed.forEach((attempt) => {
+    const ended = [...this.#ended.keys()];
+    let heldBytes = ended.reduce((sum, attempt) => sum + attempt.heldBytes, 0);
+    if (heldBytes <= KEPT_BYTES) return;
+    const delivered = ended.filter((attempt) => attempt.isDelivered);
+    const orphaned = ended.filter((attempt) => !attempt.session);
+    [...delivered, ...orphaned].forEach((attempt) => {
       if (heldBytes <= KEPT_BYTES) return;
       heldBytes -= attempt.heldBytes;
       attempt.discardAnswer();
--- a/packages/core/src/side/linkSession.ts
+++ b/packages/core/src/side/linkSession.ts
@@ -132,6 +132,7 @@
       this.#hello = message;
       this.#owner.onGreeted(this);
       this.#welcome();
+      this.#owner.onReady(this);
     }
   }
 
--- a/packages/core/src/side/sessionOwner.ts
+++ b/packages/core/src/side/sessionOwner.ts
@@ -8,6 +8,9 @@
   /** The greeting has passed its checks; `Welcome` follows when this returns. */
   abstract onGreeted(session: LinkSession): void;
 
+  /** `Welcome` has been sent. */
+  abstract onReady(session: LinkSession): void;
+
   abstract onMessage(session: LinkSession, message: Message): void;
 
   /** Called once; nothing more comes. */
--- a/packages/core/src/side/sideNode.ts
+++ b/packages/core/src/side/sideNode.ts
@@ -115,6 +115,10 @@
       .forEach((other) => other.close('replaced by a newer link'));
   }
 
+  onReady(session: LinkSession): void {
+    session.send(this.#reports.build());
+  }
+
   onMessage(session: LinkSession, message: Message): void {
     this.#dispatch(session, message);
     this.#reports.sendIfUrgent();
@@ -205,7 +209,7 @@
     const limitMs = this.#options.timing.silenceLimitMs * STOP_CONFIRM_SILENCES;
     if (nowMs - sinceMs > limitMs) return true;
     return [...this.#sessions].every(
-      (session) => session.echoTickMs >= sinceMs && session.bufferedBytes === 0,
+      (session) => session.echoTickMs > sinceMs && session.bufferedBytes === 0,
     );
   }
 
--- /dev/null
+++ b/packages/core/test/side/attempt.test.ts
@@ -0,0 +1,163 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { AttemptState, MessageType } from '../../src/messages/message.js';
+import { Outcome, RefusalReason } from '../../src/model/reason.js';
+import { DEFAULT_TIMING } from '../../src/model/timing.js';
+import { EngineFailureKind } from '../../src/ports/engine.js';
+
+import { assertAnswer } from './fakeEngine.js';
+import { withSide } from './sideFixture.js';
+import { TestEntry } from './testEntry.js';
+
+const LARGE_BYTES = 1_500_000;
+
+function readStates(entry: TestEntry): AttemptState[] {
+  return entry.list(MessageType.InquiryAnswer).map((answer) => answer.state);
+}
+
+test('an attempt that may not be repeated outlives its link and is resumed at the offset', () =>
+  withSide(async ({ clock, node, engine }, entry) => {
+    entry.submit('a1');
+    await clock.tickAsync(75);
+    const first = entry.readAnswer('a1');
+    entry.link.close('cut');
+    await clock.tickAsync(DEFAULT_TIMING.inquiryLimitMs * 2);
+    const successor = new TestEntry(entry.name);
+    successor.connect(node);
+    successor.inquire('a1', first.length);
+    const rest = successor.readAnswer('a1', first.length);
+    assertAnswer(Uint8Array.from([...first, ...rest]), 'a1', 30);
+    assert.ok(first.length > 0 && rest.length > 0);
+    assert.is(successor.list(MessageType.End)[0]?.totalBytes, 30);
+    assert.is(engine.executions.get('a1'), 1);
+  }));
+
+test('a running attempt moves to the link that inquires', () =>
+  withSide(async ({ clock, node }, entry) => {
+    entry.submit('a1');
+    await clock.tickAsync(75);
+    const other = new TestEntry('entry-2');
+    other.connect(node);
+    other.inquire('a1');
+    await clock.tickAsync(200);
+    assert.equal(readStates(other), [AttemptState.Running]);
+    assertAnswer(other.readAnswer('a1'), 'a1', 30);
+    assert.equal(entry.list(MessageType.End), []);
+  }));
+
+test('a repeatable attempt is cancelled where nobody asks for it in time', () =>
+  withSide(async ({ clock, node, engine }, entry) => {
+    engine.set({ answerBytes: LARGE_BYTES });
+    entry.submit('a1', { isRepeatable: true });
+    entry.submit('a2', { isRepeatable: true });
+    entry.link.close('cut');
+    const successor = new TestEntry(entry.name);
+    successor.connect(node);
+    successor.inquire('a2');
+    await clock.tickAsync(DEFAULT_TIMING.inquiryLimitMs + 10);
+    assert.equal(engine.cancelled, ['a1']);
+  }));
+
+test('a cancellation stops a repeatable attempt and leaves the other kind to finish', () =>
+  withSide(async ({ clock, engine }, entry) => {
+    entry.submit('a1', { isRepeatable: true });
+    entry.submit('a2');
+    ['a1', 'a2'].forEach((attemptId) =>
+      entry.link.receive({ type: MessageType.Cancel, attemptId }),
+    );
+    await clock.tickAsync(500);
+    assert.equal(engine.cancelled, ['a1']);
+    entry.inquire('a2');
+    assert.equal(readStates(entry), [AttemptState.Finished]);
+  }));
+
+test('at the deadline a repeatable attempt ends and the other kind goes on', () =>
+  withSide(async ({ clock, engine }, entry) => {
+    entry.submit('a1', { isRepeatable: true, remainingMs: 60 });
+    entry.submit('a2', { remainingMs: 60 });
+    await clock.tickAsync(500);
+    assert.equal(engine.cancelled, ['a1']);
+    assert.is(entry.readReason('a1'), RefusalReason.DeadlinePassed);
+    assertAnswer(entry.readAnswer('a2'), 'a2', 30);
+  }));
+
+test('a broken answer is never passed off as whole', () =>
+  withSide(async ({ clock, engine }, entry) => {
+    entry.submit('a1');
+    await clock.tickAsync(75);
+    engine.restart();
+    entry.inquire('a1');
+    assert.equal(entry.list(MessageType.End), []);
+    assert.is(entry.list(MessageType.Failed)[0]?.outcome, Outcome.Unknown);
+    assert.equal(readStates(entry), [AttemptState.Lost]);
+  }));
+
+[EngineFailureKind.NotSent, EngineFailureKind.Declined].forEach((kind) => {
+  test(`an attempt that the engine has not taken (${kind}) is called not run`, () =>
+    withSide(async ({ clock, engine }, entry) => {
+      engine.set({ failure: kind });
+      entry.submit('a1');
+      await clock.tickAsync(10);
+      entry.inquire('a1');
+      assert.is(entry.list(MessageType.Failed)[0]?.outcome, Outcome.NotRun);
+      assert.equal(readStates(entry), [AttemptState.Dead]);
+    }));
+});
+
+test('no byte is sent beyond the credit, and the engine is paused until there is more', () =>
+  withSide(async ({ clock, engine }, entry) => {
+    engine.set({ answerBytes: LARGE_BYTES });
+    engine.set({ pieceBytes: 10_000 });
+    entry.submit('a1', { creditBytes: 50_000 });
+    await clock.tickAsync(5_000);
+    assert.is(entry.readAnswer('a1').length, 50_000);
+    assert.is(engine.pauseCount, 1);
+    entry.link.receive({ type: MessageType.Credit, attemptId: 'a1', upToOffset: LARGE_BYTES });
+    await clock.tickAsync(5_000);
+    assertAnswer(entry.readAnswer('a1'), 'a1', LARGE_BYTES);
+  }));
+
+test('an answer above the bound that nobody follows is given up, and its attempt still ends', () =>
+  withSide(async ({ clock, engine, node }, entry) => {
+    engine.set({ answerBytes: LARGE_BYTES });
+    engine.set({ pieceBytes: 10_000 });
+    entry.submit('a1');
+    entry.link.close('cut');
+    await clock.tickAsync(5_000);
+    assert.is(engine.runningCount, 0);
+    const successor = new TestEntry(entry.name);
+    successor.connect(node);
+    successor.inquire('a1');
+    assert.equal(readStates(successor), [AttemptState.Lost]);
+  }));
+
+test('the answers kept of all attempts together are bounded, oldest given up first', () =>
+  withSide(
+    async ({ clock, engine, node }, entry) => {
+      engine.set({ answerBytes: 1_000_000 });
+      engine.set({ pieceBytes: 100_000 });
+      const ids = Array.from({ length: 10 }, (_, index) => `a${index}`);
+      ids.forEach((id) => entry.submit(id));
+      entry.link.close('cut');
+      await clock.tickAsync(3_000);
+      const successor = new TestEntry(entry.name);
+      successor.connect(node);
+      ids.forEach((id) => successor.inquire(id));
+      const finished = readStates(successor).map((state) => state === AttemptState.Finished);
+      assert.equal(finished, [false, false, ...Array.from({ length: 8 }, () => true)]);
+    },
+    { coldLimit: 10, warmLimit: 10 },
+  ));
+
+test('small pieces close to each other share a message', () =>
+  withSide(async ({ clock, engine }, entry) => {
+    engine.set({ pieceMs: 1 });
+    engine.set({ answerBytes: 600 });
+    entry.submit('a1');
+    await clock.tickAsync(500);
+    assertAnswer(entry.readAnswer('a1'), 'a1', 600);
+    assert.ok(entry.list(MessageType.Data).length <= 30);
+  }));
+
+test.run();
--- a/packages/core/test/side/fakeEngine.ts
+++ b/packages/core/test/side/fakeEngine.ts
@@ -1,4 +1,6 @@
 /** An engine in memory: counts executions, notes overruns, reports with a lag. */
+import * as assert from 'uvu/assert';
+
 import type { CacheEvent, EngineReport } from '../../src/model/report.js';
 import { Err, Ok, type Result } from '../../src/outcome.js';
 import {
@@ -35,37 +37,59 @@
   return new TextEncoder().encode(text).subarray(0, byteCount);
 }
 
-export class FakeEngine extends Engine {
-  firstByteMs = 50;
-
-  pieceMs = 20;
-
-  pieceBytes = 10;
-
-  answerBytes = 30;
+function ignore(): void {}
 
-  reportLagMs = 0;
-
-  coldLimit = 2;
-
-  warmLimit = 8;
+function failCall(events: EngineEvents, kind: EngineFailureKind): EngineRun {
+  setTimeout(() => events.onFailure({ kind, detail: kind }), 1);
+  return { cancel: ignore, pause: ignore, resume: ignore };
+}
 
-  isWarm = true;
+/** Fails where two answers differ, without printing them. */
+export function assertAnswer(actual: Uint8Array, attemptId: string, byteCount: number): void {
+  assert.is(actual.length, byteCount);
+  assert.is(Buffer.compare(actual, answerOf(attemptId, byteCount)), 0);
+}
 
+/** How the engine behaves. */
+export interface EngineSetup {
+  readonly firstByteMs: number;
+  readonly pieceMs: number;
+  readonly pieceBytes: number;
+  readonly answerBytes: number;
+  readonly reportLagMs: number;
+  readonly coldLimit: number;
+  readonly warmLimit: number;
   /** What the engine says of itself where that differs from the truth. */
-  claimsWarm: boolean | undefined;
-
-  isReportFailing = false;
-
-  isReportHanging = false;
+  readonly claimsWarm: boolean | undefined;
+  readonly isReportFailing: boolean;
+  readonly isReportHanging: boolean;
+  /** Failure that calls end with. */
+  readonly failure: EngineFailureKind | undefined;
+  /** Errors of orders by the order's number from 0 on; Ok after the last. */
+  readonly orderErrors: readonly EngineOrderErrorKind[];
+  readonly orderMs: number;
+}
 
-  /** Failure that the next calls end with. */
-  failure: EngineFailureKind | undefined;
+const DEFAULT_SETUP: EngineSetup = {
+  firstByteMs: 50,
+  pieceMs: 20,
+  pieceBytes: 10,
+  answerBytes: 30,
+  reportLagMs: 0,
+  coldLimit: 2,
+  warmLimit: 8,
+  claimsWarm: undefined,
+  isReportFailing: false,
+  isReportHanging: false,
+  failure: undefined,
+  orderErrors: [],
+  orderMs: 10,
+};
 
-  /** Order errors to answer with, first to last; Ok once they are used up. */
-  orderErrors: EngineOrderErrorKind[] = [];
+export class FakeEngine extends Engine {
+  #setup: EngineSetup = DEFAULT_SETUP;
 
-  orderMs = 10;
+  isWarm = true;
 
   readonly orders: EngineOrder[] = [];
 
@@ -94,6 +118,11 @@
     this.#note();
   }
 
+  /** Changes how the engine behaves from now on. */
+  set(changes: Partial<EngineSetup>): void {
+    this.#setup = { ...this.#setup, ...changes };
+  }
+
   get runningCount(): number {
     return this.#active.size;
   }
@@ -101,15 +130,15 @@
   start(call: EngineCall, events: EngineEvents): EngineRun {
     this.#lastCall += 1;
     const id = this.#lastCall;
-    const answer = answerOf(call.attemptId, this.answerBytes);
+    const answer = answerOf(call.attemptId, this.#setup.answerBytes);
     const active: ActiveCall = { call, events, answer, sent: 0, isPaused: false, timer: undefined };
-    if (this.failure) return this.#fail(events, this.failure);
+    if (this.#setup.failure) return failCall(events, this.#setup.failure);
     this.executions.set(call.attemptId, (this.executions.get(call.attemptId) ?? 0) + 1);
     this.#active.set(id, active);
     this.#note();
-    const bears = this.isWarm ? this.warmLimit : this.coldLimit;
+    const bears = this.isWarm ? this.#setup.warmLimit : this.#setup.coldLimit;
     if (this.#active.size > bears) this.overruns.push(performance.now());
-    const waitMs = this.isWarm ? this.firstByteMs : this.firstByteMs * COLD_FACTOR;
+    const waitMs = this.isWarm ? this.#setup.firstByteMs : this.#setup.firstByteMs * COLD_FACTOR;
     active.timer = setTimeout(() => this.#begin(id), waitMs);
     return {
       cancel: () => this.#cancel(id),
@@ -137,9 +166,9 @@
   }
 
   readReport(): Promise<Result<EngineReport, string>> {
-    if (this.isReportHanging) return new Promise(() => {});
-    if (this.isReportFailing) return Promise.resolve(Err('no answer'));
-    const atMs = performance.now() - this.reportLagMs;
+    if (this.#setup.isReportHanging) return new Promise(() => {});
+    if (this.#setup.isReportFailing) return Promise.resolve(Err('no answer'));
+    const atMs = performance.now() - this.#setup.reportLagMs;
     const seen = this.#history.filter((snapshot) => snapshot.atMs <= atMs);
     const snapshot = seen[seen.length - 1] ?? this.#history[0];
     return Promise.resolve(snapshot ? Ok(snapshot.report) : Err('nothing yet'));
@@ -153,20 +182,15 @@
   async order(
     order: EngineOrder,
   ): Promise<Result<Readonly<Record<string, unknown>>, EngineOrderError>> {
+    const number = this.orders.length;
     this.orders.push(order);
     await new Promise((resolve) => {
-      setTimeout(resolve, this.orderMs);
+      setTimeout(resolve, this.#setup.orderMs);
     });
-    const kind = this.orderErrors.shift();
+    const kind = this.#setup.orderErrors[number];
     return kind ? Err({ kind, detail: kind }) : Ok({ count: this.orders.length });
   }
 
-  #fail(events: EngineEvents, kind: EngineFailureKind): EngineRun {
-    setTimeout(() => events.onFailure({ kind, detail: kind }), 1);
-    const ignore = (): void => {};
-    return { cancel: ignore, pause: ignore, resume: ignore };
-  }
-
   #begin(id: number): void {
     const active = this.#active.get(id);
     if (!active) return;
@@ -176,17 +200,18 @@
 
   #sendPiece(id: number): void {
     const active = this.#active.get(id);
-    if (!active || active.isPaused) return;
+    if (!active) return;
     active.timer = undefined;
+    if (active.isPaused) return;
     if (active.sent >= active.answer.length) {
       this.#active.delete(id);
       this.#note();
       active.events.onEnd();
       return;
     }
-    const piece = active.answer.subarray(active.sent, active.sent + this.pieceBytes);
+    const piece = active.answer.subarray(active.sent, active.sent + this.#setup.pieceBytes);
     active.sent += piece.length;
-    active.timer = setTimeout(() => this.#sendPiece(id), this.pieceMs);
+    active.timer = setTimeout(() => this.#sendPiece(id), this.#setup.pieceMs);
     active.events.onData(piece);
   }
 
@@ -211,7 +236,7 @@
     if (!active) return;
     this.resumeCount += 1;
     active.isPaused = false;
-    if (!active.timer) active.timer = setTimeout(() => this.#sendPiece(id), this.pieceMs);
+    if (!active.timer) active.timer = setTimeout(() => this.#sendPiece(id), this.#setup.pieceMs);
   }
 
   #note(): void {
@@ -220,7 +245,7 @@
       running: this.#active.size,
       queued: 0,
       kvUsedShare: 0,
-      isWarm: this.claimsWarm ?? this.isWarm,
+      isWarm: this.#setup.claimsWarm ?? this.isWarm,
       tokensPerSecond: 0,
       models: [],
     };
--- /dev/null
+++ b/packages/core/test/side/gate.test.ts
@@ -0,0 +1,179 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { MessageType } from '../../src/messages/message.js';
+import { RefusalReason } from '../../src/model/reason.js';
+import { Warmth } from '../../src/model/report.js';
+import { DEFAULT_TIMING } from '../../src/model/timing.js';
+import { EngineFailureKind } from '../../src/ports/engine.js';
+
+import { SETTLE_MS, startNode, withSide, type SideFixture } from './sideFixture.js';
+import { TestEntry } from './testEntry.js';
+
+/** Time in which some rounds of attempts complete. */
+const ROUND_MS = 300;
+
+/** Time to the first byte of a warm engine. */
+const FIRST_BYTE_MS = 50;
+
+let lastId = 0;
+
+/** Submits more than any limit, and returns how many run then. */
+function flood({ engine }: SideFixture, entry: TestEntry): number {
+  Array.from({ length: 12 }, () => {
+    lastId += 1;
+    return entry.submit(`f${lastId}`);
+  });
+  return engine.runningCount;
+}
+
+/** Completes attempts round by round until the upstream counts as warm. */
+async function warmUp(fixture: SideFixture, entry: TestEntry): Promise<void> {
+  if (fixture.board.warmth === Warmth.Warm) return;
+  flood(fixture, entry);
+  await fixture.clock.tickAsync(ROUND_MS);
+  await warmUp(fixture, entry);
+}
+
+test('the limit stays cold while time passes and rises as attempts complete', () =>
+  withSide(async (fixture, entry) => {
+    await fixture.clock.tickAsync(60_000);
+    assert.is(fixture.board.limit, 2);
+    await warmUp(fixture, entry);
+    assert.is(flood(fixture, entry), 8);
+    assert.equal(fixture.engine.overruns, []);
+  }));
+
+test('work of all entries together counts against the limit', () =>
+  withSide(async (fixture, entry) => {
+    const other = new TestEntry('entry-2');
+    other.connect(fixture.node);
+    flood(fixture, entry);
+    assert.is(flood(fixture, other), 2);
+  }));
+
+test('attempts that complete at a fraction of the limit raise nothing', () =>
+  withSide(async (fixture, entry) => {
+    await warmUp(fixture, entry);
+    fixture.engine.set({ failure: EngineFailureKind.Declined });
+    entry.submit('declined');
+    await fixture.clock.tickAsync(10);
+    fixture.engine.set({ failure: undefined });
+    assert.is(fixture.board.limit, 4);
+    entry.submit('single');
+    await fixture.clock.tickAsync(ROUND_MS);
+    assert.is(fixture.board.limit, 4);
+  }));
+
+test('a new engine process is met with the cold limit', () =>
+  withSide(async (fixture, entry) => {
+    await warmUp(fixture, entry);
+    fixture.engine.restart();
+    fixture.engine.turn(true);
+    await fixture.clock.tickAsync(DEFAULT_TIMING.engineReportMs + 1);
+    assert.is(flood(fixture, entry), 2);
+  }));
+
+test('broken calls bring the cold limit before any report does', () =>
+  withSide(async (fixture, entry) => {
+    await warmUp(fixture, entry);
+    flood(fixture, entry);
+    fixture.engine.restart();
+    flood(fixture, entry);
+    assert.equal(fixture.engine.overruns, []);
+  }));
+
+test('an engine that calls itself cold is met with the cold limit', () =>
+  withSide(async (fixture, entry) => {
+    await warmUp(fixture, entry);
+    fixture.engine.turn(false);
+    await fixture.clock.tickAsync(DEFAULT_TIMING.engineReportMs + 1);
+    assert.is(flood(fixture, entry), 2);
+  }));
+
+test('a hanging report brings the cold limit once it is stale, until attempts complete anew', () =>
+  withSide(async (fixture, entry) => {
+    await warmUp(fixture, entry);
+    fixture.engine.set({ isReportHanging: true });
+    await fixture.clock.tickAsync(DEFAULT_TIMING.engineReportLimitMs + 500);
+    fixture.engine.set({ isReportHanging: false });
+    await fixture.clock.tickAsync(DEFAULT_TIMING.engineReportLimitMs);
+    assert.is(fixture.board.limit, 2);
+  }));
+
+test('a failed report brings the cold limit at once and the next good one takes it back', () =>
+  withSide(async (fixture, entry) => {
+    await warmUp(fixture, entry);
+    fixture.engine.set({ isReportFailing: true });
+    await fixture.clock.tickAsync(DEFAULT_TIMING.engineReportMs + 1);
+    assert.is(fixture.board.limit, 2);
+    fixture.engine.set({ isReportFailing: false });
+    await fixture.clock.tickAsync(DEFAULT_TIMING.engineReportMs + 1);
+    assert.is(fixture.board.limit, 8);
+  }));
+
+test('first bytes that come late show a cold engine that calls itself warm', () =>
+  withSide(async (fixture, entry) => {
+    await warmUp(fixture, entry);
+    fixture.engine.set({ claimsWarm: true });
+    fixture.engine.turn(false);
+    flood(fixture, entry);
+    await fixture.clock.tickAsync(FIRST_BYTE_MS * 5);
+    entry.submit('late');
+    assert.is(fixture.board.limit, 2);
+    await fixture.clock.tickAsync(20_000);
+    assert.is(flood(fixture, entry), 2);
+    await fixture.clock.tickAsync(1_000);
+    assert.is(fixture.board.limit, 2);
+  }));
+
+test('after a long pause a warm upstream is approached from the cold limit', () =>
+  withSide(async (fixture, entry) => {
+    await warmUp(fixture, entry);
+    await fixture.clock.tickAsync(11_000);
+    assert.is(flood(fixture, entry), 2);
+  }));
+
+test('nothing is let in before a report has shown what the earlier incarnation left', () =>
+  withSide(async (fixture, entry) => {
+    fixture.engine.set({ answerBytes: 3_000 });
+    fixture.engine.set({ reportLagMs: 900 });
+    flood(fixture, entry);
+    const { node, board } = startNode(fixture, 's2');
+    const successor = new TestEntry('entry-2');
+    successor.connect(node);
+    await fixture.clock.tickAsync(500);
+    assert.is(board.limit, 0);
+    await fixture.clock.tickAsync(SETTLE_MS);
+    successor.submit('a1');
+    assert.is(successor.readReason('a1'), RefusalReason.UpstreamCold);
+    assert.is(board.inFlight, 2);
+    await fixture.clock.tickAsync(10_000);
+    successor.submit('a2');
+    assert.ok(fixture.engine.executions.has('a2'));
+  }));
+
+test('a plain service needs no report, and its failures bring the limit down', () =>
+  withSide(
+    async (fixture, entry) => {
+      fixture.engine.set({ isReportHanging: true });
+      await warmUp(fixture, entry);
+      fixture.engine.set({ failure: EngineFailureKind.NotSent });
+      entry.submit('lost');
+      await fixture.clock.tickAsync(10);
+      assert.is(fixture.board.limit, 2);
+    },
+    { isPlain: true },
+  ));
+
+test('a refusal for want of room names when to come back, and limits are reported at once', () =>
+  withSide(async (fixture, entry) => {
+    flood(fixture, entry);
+    assert.ok(entry.list(MessageType.Refused).every(({ retryAfterMs }) => retryAfterMs > 0));
+    await fixture.clock.tickAsync(ROUND_MS);
+    const limits = entry.list(MessageType.Report).map(({ report }) => report.limit);
+    assert.is(limits[limits.length - 1], fixture.board.limit);
+    assert.ok(limits.includes(3));
+  }));
+
+test.run();
--- /dev/null
+++ b/packages/core/test/side/groupOrder.test.ts
@@ -0,0 +1,97 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { MessageType } from '../../src/messages/message.js';
+import { EngineOrderErrorKind } from '../../src/ports/engine.js';
+
+import { withSide } from './sideFixture.js';
+import type { TestEntry } from './testEntry.js';
+
+/** Time in which an order is answered. */
+const ORDER_MS = 20;
+
+function order(entry: TestEntry, orderId: string, fencingNumber: number): void {
+  entry.link.receive({
+    type: MessageType.GroupOrder,
+    orderId,
+    fencingNumber,
+    action: 'load',
+    params: {},
+  });
+}
+
+function readErrors(entry: TestEntry): unknown[] {
+  return entry.list(MessageType.GroupReply).map(({ isOk, result }) => (isOk ? 'ok' : result.error));
+}
+
+test('an order with an older fencing number never reaches an engine that does not check', () =>
+  withSide(async ({ clock, engine }, entry) => {
+    order(entry, 'o1', 5);
+    order(entry, 'o2', 4);
+    await clock.tickAsync(ORDER_MS);
+    assert.equal(readErrors(entry).sort(), [EngineOrderErrorKind.Fenced, 'ok']);
+    assert.equal(
+      engine.orders.map(({ orderId }) => orderId),
+      ['o1'],
+    );
+  }));
+
+test('an order that waits is dropped where a newer coordinator has come meanwhile', () =>
+  withSide(async ({ clock, engine }, entry) => {
+    order(entry, 'o1', 5);
+    order(entry, 'o2', 5);
+    order(entry, 'o3', 6);
+    await clock.tickAsync(ORDER_MS * 3);
+    assert.equal(
+      engine.orders.map(({ orderId }) => orderId),
+      ['o1', 'o3'],
+    );
+  }));
+
+test('a repeated order has one effect and the same reply, whoever is coordinator by then', () =>
+  withSide(async ({ clock, engine }, entry) => {
+    order(entry, 'o1', 5);
+    order(entry, 'o1', 5);
+    await clock.tickAsync(ORDER_MS);
+    order(entry, 'o2', 6);
+    order(entry, 'o1', 5);
+    await clock.tickAsync(ORDER_MS);
+    assert.is(engine.orders.length, 2);
+    const replies = entry.list(MessageType.GroupReply).filter(({ orderId }) => orderId === 'o1');
+    assert.equal(
+      replies.map(({ result }) => result.count),
+      [1, 1, 1],
+    );
+  }));
+
+test('an order whose answer was lost is unknown, and can be asked again by the same id', () =>
+  withSide(async ({ clock, engine }, entry) => {
+    engine.set({ orderErrors: [EngineOrderErrorKind.Unknown] });
+    order(entry, 'o1', 5);
+    await clock.tickAsync(ORDER_MS);
+    order(entry, 'o1', 5);
+    await clock.tickAsync(ORDER_MS);
+    assert.equal(readErrors(entry), [EngineOrderErrorKind.Unknown, 'ok']);
+  }));
+
+test('an order that hangs is unknown after a while, and no later one overtakes it', () =>
+  withSide(async ({ clock, engine }, entry) => {
+    engine.set({ orderMs: 60_000 });
+    order(entry, 'o1', 5);
+    order(entry, 'o2', 5);
+    await clock.tickAsync(10_000);
+    assert.equal(readErrors(entry), [EngineOrderErrorKind.Unknown, EngineOrderErrorKind.Unknown]);
+    assert.is(engine.orders.length, 1);
+  }));
+
+test('a number refused by an engine that checks is not tried again', () =>
+  withSide(async ({ clock, engine }, entry) => {
+    engine.set({ orderErrors: [EngineOrderErrorKind.Fenced] });
+    order(entry, 'o1', 5);
+    await clock.tickAsync(ORDER_MS);
+    order(entry, 'o2', 5);
+    await clock.tickAsync(ORDER_MS);
+    assert.is(engine.orders.length, 1);
+  }));
+
+test.run();
--- a/packages/core/test/side/sideFixture.ts
+++ b/packages/core/test/side/sideFixture.ts
@@ -97,7 +97,7 @@
   run: (fixture: SideFixture, entry: TestEntry) => Promise<void>,
   options: FixtureOptions = {},
 ): Promise<void> {
-  const clock = FakeTimers.install();
+  const clock = FakeTimers.install({ toNotFake: ['queueMicrotask', 'nextTick'] });
   try {
     const shared = { engine: new FakeEngine(), metrics: new CountingMetrics() };
     const fixture = { clock, ...shared, ...startNode(shared, 's1', options) };
