Prove each rule of the side process with its guard taken out, and by interleavings

Change: tests for these, and a fast-check property over submissions, late and repeated messages, new links, freezes, restarts of engine and side process, and an engine that turns cold. It checks at the fake engine: nothing overrun later than 700 ms after it turned cold, each attempt run at most once, nothing run that was called not run, bytes identical.

--- a/packages/core/test/side/fakeEngine.ts
+++ b/packages/core/test/side/fakeEngine.ts
@@ -17,6 +17,9 @@
 /** Factor by which a cold engine is slow to its first byte. */
 const COLD_FACTOR = 8;
 
+/** Time until a cancelled call has left the engine. */
+const CANCEL_MS = 5;
+
 interface Snapshot {
   readonly atMs: number;
   readonly report: EngineReport;
@@ -24,7 +27,7 @@
 
 interface ActiveCall {
   readonly call: EngineCall;
-  readonly events: EngineEvents;
+  events: EngineEvents;
   readonly answer: Uint8Array;
   sent: number;
   isPaused: boolean;
@@ -39,6 +42,8 @@
 
 function ignore(): void {}
 
+const DEAF: EngineEvents = { onHead: ignore, onData: ignore, onEnd: ignore, onFailure: ignore };
+
 function failCall(events: EngineEvents, kind: EngineFailureKind): EngineRun {
   setTimeout(() => events.onFailure({ kind, detail: kind }), 1);
   return { cancel: ignore, pause: ignore, resume: ignore };
@@ -91,12 +96,14 @@
 
   isWarm = true;
 
+  turnedColdAtMs = Number.NEGATIVE_INFINITY;
+
   readonly orders: EngineOrder[] = [];
 
   /** Executions by attempt. */
   readonly executions = new Map<string, number>();
 
-  /** Times at which a call began above what the engine bore. */
+  /** For each call that began above what the engine bore: time since it had turned cold. */
   readonly overruns: number[] = [];
 
   readonly cancelled: string[] = [];
@@ -137,7 +144,9 @@
     this.#active.set(id, active);
     this.#note();
     const bears = this.isWarm ? this.#setup.warmLimit : this.#setup.coldLimit;
-    if (this.#active.size > bears) this.overruns.push(performance.now());
+    if (this.#active.size > bears) {
+      this.overruns.push(performance.now() - this.turnedColdAtMs);
+    }
     const waitMs = this.isWarm ? this.#setup.firstByteMs : this.#setup.firstByteMs * COLD_FACTOR;
     active.timer = setTimeout(() => this.#begin(id), waitMs);
     return {
@@ -160,7 +169,19 @@
     );
   }
 
+  /** All connections break, and the engine goes on with the calls. */
+  breakConnections(): void {
+    [...this.#active.values()].forEach((active) => {
+      const { onFailure } = active.events;
+      // eslint-disable-next-line no-param-reassign -- nobody hears of this call any more
+      active.events = DEAF;
+      onFailure({ kind: EngineFailureKind.Lost, detail: 'connection broke' });
+    });
+  }
+
+  /** Becomes warm or cold; reports tell of it after their lag. */
   turn(isWarm: boolean): void {
+    if (this.isWarm && !isWarm) this.turnedColdAtMs = performance.now();
     this.isWarm = isWarm;
     this.#note();
   }
@@ -219,9 +240,11 @@
     const active = this.#active.get(id);
     if (!active) return;
     clearTimeout(active.timer);
-    this.#active.delete(id);
     this.cancelled.push(active.call.attemptId);
-    this.#note();
+    setTimeout(() => {
+      this.#active.delete(id);
+      this.#note();
+    }, CANCEL_MS);
   }
 
   #pause(id: number): void {
--- a/packages/core/test/side/gate.test.ts
+++ b/packages/core/test/side/gate.test.ts
@@ -74,15 +74,50 @@
     assert.is(flood(fixture, entry), 2);
   }));
 
-test('broken calls bring the cold limit before any report does', () =>
+test('a broken call brings the cold limit before any report does', () =>
   withSide(async (fixture, entry) => {
     await warmUp(fixture, entry);
-    flood(fixture, entry);
+    entry.submit('broken');
     fixture.engine.restart();
     flood(fixture, entry);
     assert.equal(fixture.engine.overruns, []);
   }));
 
+test('calls that go on after their connection broke count until a report shows them gone', () =>
+  withSide(async (fixture, entry) => {
+    fixture.engine.set({ answerBytes: 300, warmLimit: 2 });
+    flood(fixture, entry);
+    fixture.engine.breakConnections();
+    flood(fixture, entry);
+    await fixture.clock.tickAsync(3_000);
+    assert.is(flood(fixture, entry), 2);
+    assert.equal(fixture.engine.overruns, []);
+  }));
+
+test('a cancelled call counts until the engine has surely heard of it', () =>
+  withSide(
+    async (fixture, entry) => {
+      fixture.engine.set({ warmLimit: 2 });
+      ['c1', 'c2'].forEach((id) => entry.submit(id, { isRepeatable: true }));
+      entry.link.receive({ type: MessageType.Cancel, attemptId: 'c1' });
+      flood(fixture, entry);
+      await fixture.clock.tickAsync(ROUND_MS);
+      assert.is(flood(fixture, entry), 2);
+      assert.equal(fixture.engine.overruns, []);
+    },
+    { coldLimit: 2, warmLimit: 2 },
+  ));
+
+test('attempts from before a fall raise no limit', () =>
+  withSide(async (fixture, entry) => {
+    await warmUp(fixture, entry);
+    Array.from({ length: 7 }, (_, index) => entry.submit(`before-${index}`));
+    fixture.engine.set({ failure: EngineFailureKind.Declined });
+    entry.submit('declined');
+    await fixture.clock.tickAsync(ROUND_MS);
+    assert.is(fixture.board.limit, 4);
+  }));
+
 test('an engine that calls itself cold is met with the cold limit', () =>
   withSide(async (fixture, entry) => {
     await warmUp(fixture, entry);
@@ -153,6 +188,23 @@
     assert.ok(fixture.engine.executions.has('a2'));
   }));
 
+test('a late report does not hide work of an earlier incarnation behind newer attempts', () =>
+  withSide(
+    async (fixture, entry) => {
+      fixture.engine.set({ answerBytes: 3_000, warmLimit: 4, reportLagMs: 900 });
+      ['e1', 'e2'].forEach((id) => entry.submit(id));
+      const { node } = startNode(fixture, 's2', { coldLimit: 4, warmLimit: 4 });
+      const successor = new TestEntry('entry-2');
+      successor.connect(node);
+      await fixture.clock.tickAsync(SETTLE_MS + 500);
+      flood(fixture, successor);
+      await fixture.clock.tickAsync(DEFAULT_TIMING.engineReportMs * 2);
+      assert.is(flood(fixture, successor), 4);
+      assert.equal(fixture.engine.overruns, []);
+    },
+    { coldLimit: 4, warmLimit: 4 },
+  ));
+
 test('a plain service needs no report, and its failures bring the limit down', () =>
   withSide(
     async (fixture, entry) => {
@@ -170,7 +222,7 @@
   withSide(async (fixture, entry) => {
     flood(fixture, entry);
     assert.ok(entry.list(MessageType.Refused).every(({ retryAfterMs }) => retryAfterMs > 0));
-    await fixture.clock.tickAsync(ROUND_MS);
+    await fixture.clock.tickAsync(DEFAULT_TIMING.reportMs / 2);
     const limits = entry.list(MessageType.Report).map(({ report }) => report.limit);
     assert.is(limits[limits.length - 1], fixture.board.limit);
     assert.ok(limits.includes(3));
--- /dev/null
+++ b/packages/core/test/side/interleavings.test.ts
@@ -0,0 +1,56 @@
+import fc from 'fast-check';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { assertAnswer } from './fakeEngine.js';
+import { Interleavings, StepKind, type Step } from './interleavings.js';
+import { withSide } from './sideFixture.js';
+
+const SEED = 20_261_204;
+const RUNS = 80;
+
+/** Time in which all that is under way ends. */
+const REST_MS = 6_000;
+
+/** Lag of the engine's reports, and the time in which a cold engine must be known as such. */
+const REPORT_LAG_MS = 300;
+const NOTICE_MS = 700;
+
+const ANSWER_BYTES = 60;
+
+/** Work and time are more frequent than faults. */
+const STEP_KINDS: readonly StepKind[] = [
+  ...Array.from({ length: 6 }, () => StepKind.Submit),
+  ...Array.from({ length: 6 }, () => StepKind.Wait),
+  ...Object.values(StepKind),
+];
+
+const STEP: fc.Arbitrary<Step> = fc.record({
+  kind: fc.constantFrom(...STEP_KINDS),
+  entry: fc.integer({ min: 0, max: 1 }),
+  count: fc.integer({ min: 1, max: 6 }),
+  isRepeatable: fc.boolean(),
+  delayMs: fc.oneof(fc.integer({ min: 0, max: 300 }), fc.integer({ min: 300, max: 4_000 })),
+});
+
+test('whatever comes between: nothing overrun, run twice, run after all, lost or mixed up', () =>
+  fc.assert(
+    fc.asyncProperty(fc.array(STEP, { minLength: 5, maxLength: 40 }), (steps) =>
+      withSide(async (fixture, entry) => {
+        const { engine } = fixture;
+        engine.set({ reportLagMs: REPORT_LAG_MS, answerBytes: ANSWER_BYTES });
+        const world = new Interleavings(fixture, entry);
+        await world.play(steps, REST_MS);
+        assert.equal(
+          engine.overruns.filter((sinceColdMs) => sinceColdMs > NOTICE_MS),
+          [],
+        );
+        assert.ok([...engine.executions.values()].every((count) => count === 1));
+        world.notRun.forEach((id) => assert.not(engine.executions.has(id), `${id} has run`));
+        world.answers.forEach((answer, id) => assertAnswer(answer, id, ANSWER_BYTES));
+      }),
+    ),
+    { seed: SEED, numRuns: RUNS },
+  ));
+
+test.run();
--- /dev/null
+++ b/packages/core/test/side/interleavings.ts
@@ -0,0 +1,210 @@
+/** Plays a script of faults against side processes, and keeps what entries were told. */
+import {
+  AttemptState,
+  MessageType,
+  type Message,
+  type MessageOf,
+} from '../../src/messages/message.js';
+import { Outcome } from '../../src/model/reason.js';
+import { EngineFailureKind } from '../../src/ports/engine.js';
+
+import { startNode, type SideFixture } from './sideFixture.js';
+import { TestEntry } from './testEntry.js';
+
+/** Time for which a restarted engine takes no calls. */
+const ENGINE_DOWN_MS = 1_000;
+
+export enum StepKind {
+  Submit = 'submit',
+  /** Delivers an earlier submission a second time, on its own link. */
+  Repeat = 'repeat',
+  /** Opens a new link and asks for all that is open. */
+  Reconnect = 'reconnect',
+  Freeze = 'freeze',
+  TurnWarm = 'turn-warm',
+  TurnCold = 'turn-cold',
+  RestartEngine = 'restart-engine',
+  RestartSide = 'restart-side',
+  Wait = 'wait',
+}
+
+export interface Step {
+  readonly kind: StepKind;
+  readonly entry: number;
+  readonly count: number;
+  readonly isRepeatable: boolean;
+  /** Delay of messages, or time to wait. */
+  readonly delayMs: number;
+}
+
+interface Sent {
+  readonly submit: MessageOf<MessageType.Submit>;
+  readonly via: TestEntry;
+}
+
+export class Interleavings {
+  /** Attempts that an entry was told have not run and never will. */
+  readonly notRun = new Set<string>();
+
+  /** Answers that were ended as whole. */
+  readonly answers = new Map<string, Uint8Array>();
+
+  readonly #fixture: SideFixture;
+
+  readonly #entries: TestEntry[];
+
+  readonly #sent: Sent[] = [];
+
+  readonly #received = new Map<string, Uint8Array>();
+
+  #read = new Map<TestEntry, number>();
+
+  #incarnation = 1;
+
+  constructor(fixture: SideFixture, entry: TestEntry) {
+    this.#fixture = fixture;
+    const other = new TestEntry('entry-2');
+    other.connect(fixture.node);
+    this.#entries = [entry, other];
+  }
+
+  /** Plays the steps one after the other, then lets all come to rest. */
+  async play(steps: readonly Step[], restMs: number): Promise<void> {
+    const [step, ...rest] = steps;
+    if (step) {
+      await this.#playStep(step);
+      this.#readAll();
+      await this.play(rest, restMs);
+      return;
+    }
+    this.#entries.forEach((_, index) => this.#reconnect(index));
+    await this.#fixture.clock.tickAsync(restMs);
+    this.#readAll();
+  }
+
+  async #playStep(step: Step): Promise<void> {
+    const { clock, engine } = this.#fixture;
+    switch (step.kind) {
+      case StepKind.Submit:
+        this.#submit(step);
+        break;
+      case StepKind.Repeat:
+        this.#repeat(step);
+        break;
+      case StepKind.Reconnect:
+        this.#reconnect(step.entry);
+        break;
+      case StepKind.Freeze:
+        this.#entries[step.entry]?.freeze();
+        break;
+      case StepKind.TurnWarm:
+      case StepKind.TurnCold:
+        engine.turn(step.kind === StepKind.TurnWarm);
+        break;
+      case StepKind.RestartEngine:
+        this.#restartEngine();
+        break;
+      case StepKind.RestartSide:
+        this.#restartSide();
+        break;
+      default:
+        await clock.tickAsync(step.delayMs);
+    }
+  }
+
+  #submit({ entry, count, isRepeatable, delayMs }: Step): void {
+    const via = this.#entries[entry];
+    if (!via) return;
+    Array.from({ length: count }, () => {
+      const submit = via.makeSubmit(`a${this.#sent.length}`, { isRepeatable });
+      this.#sent.push({ submit, via });
+      return this.#deliver(via, submit, delayMs);
+    });
+  }
+
+  #repeat({ count, delayMs }: Step): void {
+    const sent = this.#sent[this.#sent.length - count];
+    if (sent) this.#deliver(sent.via, sent.submit, delayMs);
+  }
+
+  /** Messages of one link keep their order only roughly: that is harder than the real one. */
+  #deliver(via: TestEntry, message: Message, delayMs: number): void {
+    const { node } = this.#fixture;
+    setTimeout(() => {
+      if (this.#fixture.node === node) via.link.receive(message);
+    }, delayMs);
+  }
+
+  #reconnect(index: number): void {
+    const before = this.#entries[index];
+    if (!before) return;
+    this.#readNew(before);
+    before.freeze();
+    const entry = new TestEntry(before.name);
+    this.#entries[index] = entry;
+    entry.connect(this.#fixture.node);
+    this.#sent
+      .filter(({ submit, via }) => via.name === entry.name && this.#isOpen(submit.attemptId))
+      .forEach(({ submit }) => this.#inquire(entry, submit));
+  }
+
+  #inquire(entry: TestEntry, submit: MessageOf<MessageType.Submit>): void {
+    const offset = this.#received.get(submit.attemptId)?.length ?? 0;
+    entry.inquire(submit.attemptId, offset, {
+      sideIncarnation: submit.sideIncarnation,
+      submitTickMs: submit.echoTickMs,
+    });
+  }
+
+  #isOpen(attemptId: string): boolean {
+    return !this.notRun.has(attemptId) && !this.answers.has(attemptId);
+  }
+
+  #restartEngine(): void {
+    const { engine } = this.#fixture;
+    engine.set({ failure: EngineFailureKind.NotSent, isReportFailing: true });
+    engine.restart();
+    setTimeout(() => engine.set({ failure: undefined, isReportFailing: false }), ENGINE_DOWN_MS);
+  }
+
+  /** Nothing reaches the old process any more; its calls go on in the engine. */
+  #restartSide(): void {
+    this.#incarnation += 1;
+    Object.assign(this.#fixture, startNode(this.#fixture, `s${this.#incarnation}`));
+    this.#entries.forEach((_, index) => this.#reconnect(index));
+  }
+
+  #readAll(): void {
+    this.#entries.forEach((entry) => this.#readNew(entry));
+  }
+
+  #readNew(entry: TestEntry): void {
+    const from = this.#read.get(entry) ?? 0;
+    this.#read.set(entry, entry.link.sent.length);
+    entry.link.sent.slice(from).forEach((message) => this.#readMessage(message));
+  }
+
+  #readMessage(message: Message): void {
+    if (message.type === MessageType.Refused) this.notRun.add(message.attemptId);
+    if (message.type === MessageType.Failed && message.outcome === Outcome.NotRun) {
+      this.notRun.add(message.attemptId);
+    }
+    if (message.type === MessageType.InquiryAnswer && message.state === AttemptState.Dead) {
+      this.notRun.add(message.attemptId);
+    }
+    if (message.type === MessageType.Data) this.#readData(message);
+    if (message.type === MessageType.End) this.#readEnd(message);
+  }
+
+  #readData({ attemptId, offset, data }: MessageOf<MessageType.Data>): void {
+    const received = this.#received.get(attemptId) ?? new Uint8Array(0);
+    if (offset !== received.length) throw new Error(`${attemptId}: byte lost or repeated`);
+    this.#received.set(attemptId, Buffer.concat([received, data]));
+  }
+
+  #readEnd({ attemptId, totalBytes }: MessageOf<MessageType.End>): void {
+    const answer = this.#received.get(attemptId) ?? new Uint8Array(0);
+    if (answer.length !== totalBytes) throw new Error(`${attemptId}: answer not whole`);
+    this.answers.set(attemptId, answer);
+  }
+}
--- a/packages/core/test/side/linkSession.test.ts
+++ b/packages/core/test/side/linkSession.test.ts
@@ -1,7 +1,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
-import { MessageType } from '../../src/messages/message.js';
+import { AttemptState, MessageType } from '../../src/messages/message.js';
 import { DEFAULT_TIMING } from '../../src/model/timing.js';
 
 import { withSide } from './sideFixture.js';
@@ -31,10 +31,11 @@
     const successor = new TestEntry(entry.name);
     successor.connect(node);
     assert.not(entry.link.isOpen);
-    successor.inquire('a1');
     entry.link.receive(submit);
+    successor.inquire('a1');
     await clock.tickAsync(200);
     assert.is(engine.executions.size, 0);
+    assert.is(successor.list(MessageType.InquiryAnswer)[0]?.state, AttemptState.Dead);
   }));
 
 test('a silent link is closed after the limit, and one that beats stays open', () =>
--- a/packages/core/test/side/plannedStop.test.ts
+++ b/packages/core/test/side/plannedStop.test.ts
@@ -83,10 +83,12 @@
     entry.link.receive(drain);
     entry.link.receive(changeDomain({ state: 'active', version: 4 }));
     entry.link.receive(drain);
-    await fixture.clock.tickAsync(3_000);
+    await fixture.clock.tickAsync(1_900);
     entry.submit('a2');
-    assert.equal(fixture.engine.cancelled, []);
     assert.is(entry.readReason('a2'), undefined);
+    entry.link.receive(changeDomain({ state: 'drained', moveAfterMs: 2_000, version: 5 }));
+    await fixture.clock.tickAsync(1_900);
+    assert.equal(fixture.engine.cancelled, []);
   }));
 
 test('a drain heard over one entry refuses the work of another that has not heard', () =>
--- a/packages/core/test/side/submission.test.ts
+++ b/packages/core/test/side/submission.test.ts
@@ -104,8 +104,8 @@
     const { tickMs } = entry;
     await clock.tickAsync(DEFAULT_TIMING.attemptKeptMs + 2_000);
     entry.inquire('a1');
-    entry.inquire('a1', 0, tickMs);
-    entry.inquire('b1', 0, tickMs + 1);
+    entry.inquire('a1', 0, { submitTickMs: tickMs });
+    entry.inquire('b1', 0, { submitTickMs: tickMs + 1 });
     const states = entry.list(MessageType.InquiryAnswer).map((answer) => answer.state);
     assert.equal(states, [AttemptState.Lost, AttemptState.Lost, AttemptState.Dead]);
   }));
--- a/packages/core/test/side/testEntry.ts
+++ b/packages/core/test/side/testEntry.ts
@@ -14,6 +14,7 @@
 export const TOKEN = 'link-token';
 
 export type SubmitChanges = Partial<MessageOf<MessageType.Submit>>;
+export type InquiryChanges = Partial<MessageOf<MessageType.Inquire>>;
 
 export class TestEntry {
   readonly link = new TestLink();
@@ -101,14 +102,14 @@
     this.link.receive(this.makeSubmit(attemptId, changes));
   }
 
-  inquire(attemptId: string, fromOffset = 0, submitTickMs?: number): void {
+  inquire(attemptId: string, fromOffset = 0, changes: InquiryChanges = {}): void {
     this.link.receive({
       type: MessageType.Inquire,
       attemptId,
       sideIncarnation: this.sideIncarnation,
       fromOffset,
       creditBytes: 262_144,
-      submitTickMs,
+      ...changes,
     });
   }
 
@@ -125,10 +126,12 @@
   /** Bytes of one answer as they came; throws where they do not follow each other. */
   readAnswer(attemptId: string, fromOffset = 0): Uint8Array {
     const pieces = this.list(MessageType.Data).filter((data) => data.attemptId === attemptId);
-    return pieces.reduce((answer, { offset, data }) => {
-      if (offset !== fromOffset + answer.length) throw new Error(`gap at ${offset}`);
-      return Uint8Array.from([...answer, ...data]);
-    }, new Uint8Array(0));
+    let nextOffset = fromOffset;
+    pieces.forEach(({ offset, data }) => {
+      if (offset !== nextOffset) throw new Error(`gap at ${offset}`);
+      nextOffset += data.length;
+    });
+    return Buffer.concat(pieces.map(({ data }) => data));
   }
 
   /** Reason of the refusal or failure of an attempt. */
