Deliver all messages that are due on a link in memory together

Cause: each message took a timer of its own after the one before, and a timer lasts at least a millisecond: a burst of n messages arrived spread over n milliseconds, a delay that no network of the options had. Ruled out: a timer for each message at once (order would hang on the order of timers). Change: one timer delivers all that is due.

--- a/packages/link/src/memory/memoryLink.ts
+++ b/packages/link/src/memory/memoryLink.ts
@@ -59,6 +59,8 @@
 
   #closeDetail = '';
 
+  #isScheduled = false;
+
   constructor(options: MemoryLinkOptions) {
     super();
     this.#options = options;
@@ -170,18 +172,23 @@
     const last = this.#parcels[this.#parcels.length - 1];
     const dueAtMs = performance.now() + this.#options.delayMs + extraDelayMs;
     this.#parcels.push({ dueAtMs: Math.max(dueAtMs, last?.dueAtMs ?? 0), deliver });
-    if (this.#parcels.length === 1) this.#scheduleNext();
+    if (!this.#isScheduled) this.#scheduleNext();
   }
 
   #scheduleNext(): void {
     const next = this.#parcels[0];
+    this.#isScheduled = next !== undefined;
     if (!next) return;
-    setTimeout(() => this.#deliverNext(), Math.max(0, next.dueAtMs - performance.now()));
+    setTimeout(() => this.#deliverDue(), Math.max(0, next.dueAtMs - performance.now()));
   }
 
-  #deliverNext(): void {
-    const parcel = this.#parcels.shift();
+  /** Delivers all that is due: a timer of its own for each would add a millisecond to each. */
+  #deliverDue(): void {
+    const nowMs = performance.now();
+    while (this.#parcels[0] && this.#parcels[0].dueAtMs <= nowMs) {
+      const parcel = this.#parcels.shift();
+      if (!this.#isSilent) parcel?.deliver();
+    }
     this.#scheduleNext();
-    if (!this.#isSilent) parcel?.deliver();
   }
 }
