--- a/eslint.config.js
+++ b/eslint.config.js
@@ -50,6 +50,11 @@
   {
     files: ['**/*.ts'],
     languageOptions: { parserOptions: { projectService: true } },
+    rules: {
+      // The rule's typed twin knows of methods that an abstract class asks for.
+      'class-methods-use-this': 'off',
+      '@typescript-eslint/class-methods-use-this': ['error', { ignoreOverrideMethods: true }],
+    },
   },
   {
     // Tools of tests and builds are declared once, at the root of the workspace.
--- /dev/null
+++ b/packages/link/src/ws/wsDialer.ts
@@ -0,0 +1,37 @@
+/** Dials other processes over WebSockets. */
+import { WebSocket } from 'ws';
+
+import type { Link } from '@radishbay/core/ports/link.js';
+import { LinkDialer } from '@radishbay/core/ports/linkDialer.js';
+import type { Metrics } from '@radishbay/core/ports/metrics.js';
+
+import { WsLink } from './wsLink.js';
+
+/** Path under which every process of the system accepts links. */
+export const LINK_PATH = '/link';
+
+/** Longest wait for the WebSocket handshake. */
+const HANDSHAKE_TIMEOUT_MS = 2_000;
+
+/** Opens links over WebSockets. */
+export class WsDialer extends LinkDialer {
+  readonly #metrics: Metrics;
+
+  readonly #messageLimitBytes: number;
+
+  /** @param messageLimitBytes largest frame that is read */
+  constructor(metrics: Metrics, messageLimitBytes: number) {
+    super();
+    this.#metrics = metrics;
+    this.#messageLimitBytes = messageLimitBytes;
+  }
+
+  dial(address: string): Link {
+    const socket = new WebSocket(`ws://${address}${LINK_PATH}`, {
+      handshakeTimeout: HANDSHAKE_TIMEOUT_MS,
+      maxPayload: this.#messageLimitBytes,
+      perMessageDeflate: false,
+    });
+    return new WsLink(socket, this.#metrics);
+  }
+}
--- /dev/null
+++ b/packages/link/src/ws/wsListener.ts
@@ -0,0 +1,69 @@
+/** Accepts links over WebSockets. */
+import type { AddressInfo } from 'node:net';
+import { WebSocketServer } from 'ws';
+
+import type { Link } from '@radishbay/core/ports/link.js';
+import type { Metrics } from '@radishbay/core/ports/metrics.js';
+import { Err, Ok, type Result } from '@radishbay/core/outcome.js';
+
+import { LINK_PATH } from './wsDialer.js';
+import { WsLink } from './wsLink.js';
+
+export interface WsListenerOptions {
+  /** IP number to listen at. */
+  readonly host: string;
+  /** 0 lets the system choose. */
+  readonly port: number;
+  /** Largest frame that is read. */
+  readonly messageLimitBytes: number;
+  /** Links beyond this number are refused. */
+  readonly linkLimit: number;
+  readonly metrics: Metrics;
+  readonly onLink: (link: Link) => void;
+}
+
+/** A listening socket for links. */
+export class WsListener {
+  readonly #options: WsListenerOptions;
+
+  #server: WebSocketServer | undefined;
+
+  constructor(options: WsListenerOptions) {
+    this.#options = options;
+  }
+
+  /** @returns the port, or why it cannot listen */
+  start(): Promise<Result<number, string>> {
+    const { host, port, messageLimitBytes } = this.#options;
+    const server = new WebSocketServer({
+      host,
+      port,
+      path: LINK_PATH,
+      maxPayload: messageLimitBytes,
+      perMessageDeflate: false,
+    });
+    this.#server = server;
+    server.on('connection', (socket) => {
+      if (server.clients.size > this.#options.linkLimit) {
+        this.#options.metrics.count('link.limit-reached');
+        socket.terminate();
+        return;
+      }
+      this.#options.onLink(new WsLink(socket, this.#options.metrics));
+    });
+    return new Promise((resolve) => {
+      server.once('error', (error) => resolve(Err(error.message)));
+      server.once('listening', () => resolve(Ok((server.address() as AddressInfo).port)));
+    });
+  }
+
+  /** Stops listening and ends what is still connected. */
+  stop(): Promise<void> {
+    const server = this.#server;
+    if (!server) return Promise.resolve();
+    server.clients.forEach((socket) => socket.terminate());
+    return new Promise((resolve) => {
+      server.close(() => resolve());
+    });
+  }
+}
