Add the HTTP object store and the stand-in platform

Cause: entries in processes of their own need the platform over HTTP. Ruled out: one agent for calls and watches (a silent watch would hold a shared connection).

--- /dev/null
+++ b/packages/platform/src/httpObjectStore.ts
@@ -0,0 +1,232 @@
+/**
+ * The platform's object API over HTTP; the protocol is described in this package's README.
+ *
+ * Calls share kept-alive connections. Each watch has a connection of its own, as connections can go
+ * silent for good: a watch ends shortly after the time for which the platform may hold it.
+ */
+import { Agent } from 'node:http';
+
+import { Err, Ok, type Result } from '@radishbay/core/outcome.js';
+import {
+  ObjectStore,
+  StoreErrorKind,
+  type ObjectChange,
+  type ObjectList,
+  type StoredObject,
+  type StoreError,
+  type WatchBatch,
+} from '@radishbay/core/ports/objectStore.js';
+
+import { sendCall, type HttpAnswer, type HttpFailure } from './httpCall.js';
+
+/** Time beyond a watch's own bound after which its connection counts as silent. */
+const WATCH_MARGIN_MS = 1_000;
+const MAX_CONNECTIONS = 16;
+const STATUS_OK = 200;
+const STATUS_NOT_FOUND = 404;
+
+/** Statuses that prove that nothing was written. */
+const ERROR_KINDS: ReadonlyMap<number, StoreErrorKind> = new Map([
+  [400, StoreErrorKind.Invalid],
+  [401, StoreErrorKind.Invalid],
+  [403, StoreErrorKind.Invalid],
+  [404, StoreErrorKind.Conflict],
+  [409, StoreErrorKind.Conflict],
+  [410, StoreErrorKind.Compacted],
+  [413, StoreErrorKind.Invalid],
+  [429, StoreErrorKind.Throttled],
+  [503, StoreErrorKind.Unavailable],
+]);
+
+export interface HttpObjectStoreOptions {
+  /** Such as `http://127.0.0.1:7000`. */
+  readonly baseUrl: string;
+  /** Longest wait for the answer to any call but a watch. */
+  readonly callTimeoutMs: number;
+  /** Bearer token, where the platform asks for one. */
+  readonly token?: string;
+}
+
+type JsonObject = Readonly<Record<string, unknown>>;
+
+interface StoreCall {
+  readonly method: string;
+  readonly url: URL;
+  readonly body?: string;
+  /** Set on a watch only. */
+  readonly timeoutMs?: number;
+}
+
+function isJsonObject(value: unknown): value is JsonObject {
+  return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
+
+function parseJson(text: string): JsonObject | undefined {
+  try {
+    const value: unknown = JSON.parse(text);
+    return isJsonObject(value) ? value : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+function parseEntry(value: unknown): ObjectChange | undefined {
+  if (!isJsonObject(value)) return undefined;
+  const { key, version } = value;
+  if (typeof key !== 'string' || typeof version !== 'number') return undefined;
+  return { key, version, value: value.value };
+}
+
+function parseEntries(value: unknown): readonly ObjectChange[] | undefined {
+  if (!Array.isArray(value)) return undefined;
+  const entries = value.map(parseEntry);
+  const known = entries.filter((entry) => entry !== undefined);
+  return known.length === entries.length ? known : undefined;
+}
+
+function isWrite(call: StoreCall): boolean {
+  return call.method !== 'GET';
+}
+
+/** An error after which a write may have taken effect. */
+function describeLost(call: StoreCall, detail: string): StoreError {
+  const kind = isWrite(call) ? StoreErrorKind.Unknown : StoreErrorKind.Unavailable;
+  return { kind, detail };
+}
+
+function describeFailure(call: StoreCall, failure: HttpFailure): StoreError {
+  if (failure.isSent) return describeLost(call, failure.detail);
+  return { kind: StoreErrorKind.Unavailable, detail: failure.detail };
+}
+
+function describeStatus(call: StoreCall, answer: HttpAnswer): StoreError {
+  const kind = ERROR_KINDS.get(answer.status);
+  const told = parseJson(answer.text)?.detail;
+  const detail = typeof told === 'string' ? told : `status ${answer.status}`;
+  return kind === undefined ? describeLost(call, detail) : { kind, detail };
+}
+
+/** Client of the platform's object API over HTTP. */
+export class HttpObjectStore extends ObjectStore {
+  readonly #baseUrl: string;
+  readonly #callTimeoutMs: number;
+  readonly #headers: Readonly<Record<string, string>>;
+  readonly #agent = new Agent({ keepAlive: true, maxSockets: MAX_CONNECTIONS });
+
+  constructor(options: HttpObjectStoreOptions) {
+    super();
+    this.#baseUrl = options.baseUrl.replace(/\/+$/u, '');
+    this.#callTimeoutMs = options.callTimeoutMs;
+    this.#headers = {
+      'content-type': 'application/json',
+      ...(options.token === undefined ? {} : { authorization: `Bearer ${options.token}` }),
+    };
+  }
+
+  override async get(key: string): Promise<Result<StoredObject | undefined, StoreError>> {
+    const call = { method: 'GET', url: this.#formatKeyUrl(key) };
+    const answer = await this.#send(call);
+    if (answer.err) return answer;
+    if (answer.val.status === STATUS_NOT_FOUND) return Ok(undefined);
+    if (answer.val.status !== STATUS_OK) return Err(describeStatus(call, answer.val));
+    const object = parseEntry(parseJson(answer.val.text));
+    return object ? Ok(object) : Err(describeLost(call, 'answer is not an object'));
+  }
+
+  override async list(prefix: string): Promise<Result<ObjectList, StoreError>> {
+    const call = { method: 'GET', url: this.#formatUrl('/objects', { prefix }) };
+    const body = await this.#read(call);
+    if (body.err) return body;
+    const { revision } = body.val;
+    const objects = parseEntries(body.val.objects);
+    if (typeof revision !== 'number' || !objects) {
+      return Err(describeLost(call, 'answer is not a list'));
+    }
+    return Ok({ revision, objects });
+  }
+
+  override put(
+    key: string,
+    value: unknown,
+    expectedVersion: number,
+  ): Promise<Result<number, StoreError>> {
+    const url = this.#formatKeyUrl(key, { expectedVersion: String(expectedVersion) });
+    return this.#write({ method: 'PUT', url, body: JSON.stringify(value) });
+  }
+
+  override remove(key: string, expectedVersion: number): Promise<Result<number, StoreError>> {
+    const url = this.#formatKeyUrl(key, { expectedVersion: String(expectedVersion) });
+    return this.#write({ method: 'DELETE', url });
+  }
+
+  override async watch(
+    prefix: string,
+    afterRevision: number,
+    timeoutMs: number,
+  ): Promise<Result<WatchBatch, StoreError>> {
+    const query = { prefix, after: String(afterRevision), timeoutMs: String(timeoutMs) };
+    const call = { method: 'GET', url: this.#formatUrl('/watch', query), timeoutMs };
+    const body = await this.#read(call);
+    if (body.err) return body;
+    const { revision } = body.val;
+    const changes = parseEntries(body.val.changes);
+    if (typeof revision !== 'number' || !changes) {
+      return Err(describeLost(call, 'answer is not a batch of changes'));
+    }
+    return Ok({ revision, changes });
+  }
+
+  /** Closes all connections; calls in progress fail. */
+  close(): void {
+    this.#agent.destroy();
+  }
+
+  #formatUrl(path: string, query: Readonly<Record<string, string>> = {}): URL {
+    const url = new URL(`${this.#baseUrl}${path}`);
+    url.search = new URLSearchParams(query).toString();
+    return url;
+  }
+
+  #formatKeyUrl(key: string, query: Readonly<Record<string, string>> = {}): URL {
+    const path = key.split('/').map(encodeURIComponent).join('/');
+    return this.#formatUrl(`/objects/${path}`, query);
+  }
+
+  async #send(call: StoreCall): Promise<Result<HttpAnswer, StoreError>> {
+    const isWatch = call.timeoutMs !== undefined;
+    const answer = await sendCall({
+      method: call.method,
+      url: call.url,
+      headers: this.#headers,
+      body: call.body,
+      timeoutMs: isWatch ? call.timeoutMs + WATCH_MARGIN_MS : this.#callTimeoutMs,
+      agent: isWatch ? false : this.#agent,
+    });
+    if (answer.ok) return answer;
+    if (answer.val.isTimeout) this.#dropIdleConnections();
+    return Err(describeFailure(call, answer.val));
+  }
+
+  /** Where one connection has gone silent, the idle ones may have as well. */
+  #dropIdleConnections(): void {
+    Object.values(this.#agent.freeSockets).forEach((sockets) => {
+      sockets?.forEach((socket) => socket.destroy());
+    });
+  }
+
+  async #read(call: StoreCall): Promise<Result<JsonObject, StoreError>> {
+    const answer = await this.#send(call);
+    if (answer.err) return answer;
+    if (answer.val.status !== STATUS_OK) return Err(describeStatus(call, answer.val));
+    const body = parseJson(answer.val.text);
+    return body ? Ok(body) : Err(describeLost(call, 'answer is not JSON'));
+  }
+
+  async #write(call: StoreCall): Promise<Result<number, StoreError>> {
+    const body = await this.#read(call);
+    if (body.err) return body;
+    const { version } = body.val;
+    if (typeof version !== 'number') return Err(describeLost(call, 'answer names no version'));
+    return Ok(version);
+  }
+}
--- /dev/null
+++ b/packages/standin/src/platform/main.ts
@@ -0,0 +1,6 @@
+/** Runs the stand-in platform: `--port N`. */
+import { runServer } from '../http/runServer.js';
+
+import { PlatformServer } from './platformServer.js';
+
+await runServer(() => new PlatformServer());
