Read settings, serve callers and operators, call upstreams over HTTP

Cause: the daemon needs its outer faces before the roles can be composed. Ruled out: kept-alive connections for upstream calls (one closed at the moment of use leaves the outcome unknown); reading 503 of a plain service as 'not run' (the service may have done a part).

--- /dev/null
+++ b/packages/daemon/src/callers/httpCaller.ts
@@ -0,0 +1,50 @@
+/** The caller's end of one HTTP request. */
+import type http from 'node:http';
+
+import { Caller } from '@radishbay/core/ports/caller.js';
+import type { Refusal } from '@radishbay/core/model/reason.js';
+import type { HeaderMap } from '@radishbay/core/model/request.js';
+
+import { writeProblem } from './problem.js';
+
+/** Answers one HTTP request. */
+export class HttpCaller extends Caller {
+  readonly #response: http.ServerResponse;
+
+  constructor(response: http.ServerResponse) {
+    super();
+    this.#response = response;
+  }
+
+  override writeHead(status: number, headers: HeaderMap): void {
+    this.#response.writeHead(status, headers);
+    this.#response.flushHeaders();
+  }
+
+  override writeData(data: Uint8Array): boolean {
+    return this.#response.write(data);
+  }
+
+  override end(): void {
+    this.#response.end();
+  }
+
+  /** The connection is reset, so that no client takes the answer for a whole one. */
+  override abort(): void {
+    this.#response.destroy();
+  }
+
+  override refuse(refusal: Refusal): void {
+    writeProblem(this.#response, refusal);
+  }
+
+  override onDrain(listener: () => void): void {
+    this.#response.on('drain', listener);
+  }
+
+  override onGone(listener: () => void): void {
+    this.#response.once('close', () => {
+      if (!this.#response.writableFinished) listener();
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/callers/requestParser.ts
@@ -0,0 +1,130 @@
+/** Turns an HTTP request into what the entry's decisions read. */
+import type http from 'node:http';
+
+import { hashPrefixes } from '@radishbay/core/model/prefixHash.js';
+import { RefusalReason } from '@radishbay/core/model/reason.js';
+import type { CallerRequest } from '@radishbay/core/model/request.js';
+import { Err, Ok, type Result } from '@radishbay/core/outcome.js';
+
+import { pickEndToEndHeaders } from '../upstream/httpRun.js';
+
+const COMPLETIONS_PATH = '/v1/completions';
+const CHAT_COMPLETIONS_PATH = '/v1/chat/completions';
+
+/** Names the request class where the route does not decide. */
+const CLASS_HEADER = 'x-request-class';
+
+/** Time that the caller gives the request, in milliseconds. */
+const DEADLINE_HEADER = 'x-deadline-ms';
+
+const IDEMPOTENCY_HEADER = 'idempotency-key';
+const IDEMPOTENCY_KEY_LIMIT = 256;
+const BEARER = /^Bearer\s+(\S+)$/iu;
+
+/** Headers that the entry reads itself and that do not travel on. */
+const CONSUMED_HEADERS = new Set(['authorization', CLASS_HEADER, DEADLINE_HEADER, 'x-attempt-id']);
+
+export interface ParseFault {
+  readonly reason: RefusalReason;
+  readonly detail: string;
+}
+
+interface Completion {
+  readonly model: string | undefined;
+  readonly isStream: boolean;
+  readonly prompt: string;
+}
+
+const NO_COMPLETION: Completion = { model: undefined, isStream: false, prompt: '' };
+
+function isCompletionPath(path: string): boolean {
+  const route = path.split('?')[0];
+  return route === COMPLETIONS_PATH || route === CHAT_COMPLETIONS_PATH;
+}
+
+function readPrompt(body: Readonly<Record<string, unknown>>): string | undefined {
+  if (typeof body.prompt === 'string') return body.prompt;
+  if (!Array.isArray(body.messages)) return undefined;
+  return body.messages
+    .map((message: { role?: unknown; content?: unknown } | null) =>
+      [message?.role, message?.content].map(String).join(':'),
+    )
+    .join('\n');
+}
+
+function parseCompletion(body: Uint8Array): Result<Completion, ParseFault> {
+  const malformed = (detail: string) => Err({ reason: RefusalReason.MalformedRequest, detail });
+  let value: unknown;
+  try {
+    value = JSON.parse(Buffer.from(body).toString('utf8'));
+  } catch {
+    return malformed('the body is no JSON');
+  }
+  if (typeof value !== 'object' || value === null || Array.isArray(value)) {
+    return malformed('the body is no JSON object');
+  }
+  const fields = value as Readonly<Record<string, unknown>>;
+  const prompt = readPrompt(fields);
+  if (prompt === undefined) return malformed('the body has neither prompt nor messages');
+  const model = typeof fields.model === 'string' ? fields.model : undefined;
+  return Ok({ model, isStream: fields.stream === true, prompt });
+}
+
+function parseDeadline(value: string | undefined): Result<number | undefined, ParseFault> {
+  if (value === undefined) return Ok(undefined);
+  const deadlineMs = Number(value);
+  if (Number.isInteger(deadlineMs) && deadlineMs > 0) return Ok(deadlineMs);
+  const detail = `${DEADLINE_HEADER} is a whole number of milliseconds above 0`;
+  return Err({ reason: RefusalReason.BadDeadline, detail });
+}
+
+function readHeader(message: http.IncomingMessage, name: string): string | undefined {
+  const value = message.headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
+
+function readIdempotencyKey(message: http.IncomingMessage): Result<string | undefined, ParseFault> {
+  const key = readHeader(message, IDEMPOTENCY_HEADER);
+  if (key === undefined || (key.length > 0 && key.length <= IDEMPOTENCY_KEY_LIMIT)) return Ok(key);
+  const detail = `Idempotency-Key has 1 to ${IDEMPOTENCY_KEY_LIMIT} characters`;
+  return Err({ reason: RefusalReason.MalformedRequest, detail });
+}
+
+/**
+ * Parses one request.
+ *
+ * @param id unique within this incarnation of the entry
+ * @param arrivedAtMs time at which its head arrived, by the runtime's clock
+ */
+export function parseCallerRequest(
+  id: string,
+  message: http.IncomingMessage,
+  body: Uint8Array,
+  arrivedAtMs: number,
+): Result<CallerRequest, ParseFault> {
+  const deadline = parseDeadline(readHeader(message, DEADLINE_HEADER));
+  if (!deadline.ok) return deadline;
+  const key = readIdempotencyKey(message);
+  if (!key.ok) return key;
+  const path = message.url ?? '/';
+  const completion = isCompletionPath(path) ? parseCompletion(body) : Ok(NO_COMPLETION);
+  if (!completion.ok) return completion;
+
+  const token = BEARER.exec(readHeader(message, 'authorization') ?? '')?.[1];
+  const headers = Object.entries(pickEndToEndHeaders(message.headers));
+  return Ok({
+    id,
+    method: message.method ?? 'GET',
+    path,
+    headers: Object.fromEntries(headers.filter(([name]) => !CONSUMED_HEADERS.has(name))),
+    body,
+    workspaceKey: token ?? '',
+    className: readHeader(message, CLASS_HEADER),
+    deadlineMs: deadline.val,
+    idempotencyKey: key.val,
+    model: completion.val.model,
+    isStream: completion.val.isStream,
+    prefixHashes: hashPrefixes(completion.val.prompt),
+    arrivedAtMs,
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/settings/settings.ts
@@ -0,0 +1,137 @@
+/** Settings of a daemon: their fields, what is allowed, and their defaults. */
+import { z } from 'zod';
+
+import { LogLevel } from '@radishbay/core/ports/log.js';
+
+const PORT = z.number().int().min(0).max(65_535);
+const IP_NUMBER = z.union([z.ipv4(), z.ipv6()]);
+const ADDRESS = z.string().regex(/^[0-9a-f.:[\]]+:\d+$/u, 'IP number and port, 127.0.0.1:7100');
+const SPAN_MS = z.number().int().positive();
+const BYTES = z.number().int().positive();
+
+/** Shortest token that is accepted between processes and from operators. */
+const TOKEN_MIN_LENGTH = 8;
+const TOKEN = z.string().min(TOKEN_MIN_LENGTH);
+
+export enum Role {
+  Entry = 'entry',
+  Side = 'side',
+}
+
+export enum LogFormat {
+  Json = 'json',
+  Text = 'text',
+}
+
+export enum UpstreamKind {
+  Model = 'model',
+  Plain = 'plain',
+}
+
+const LISTEN = { host: IP_NUMBER.default('127.0.0.1'), port: PORT };
+
+const LOG = z.strictObject({
+  level: z.enum(LogLevel).default(LogLevel.Info),
+  format: z.enum(LogFormat).default(LogFormat.Json),
+});
+
+const METRICS = z.strictObject({
+  /** StatsD receiver; without a port nothing is sent. */
+  host: IP_NUMBER.default('127.0.0.1'),
+  port: PORT.optional(),
+  prefix: z.string().default('radishbay.'),
+});
+
+/** Every time bound may be overridden; see core/model/timing. */
+const TIMING = z
+  .strictObject({
+    heartbeatMs: SPAN_MS,
+    silenceLimitMs: SPAN_MS,
+    configLeaseMs: SPAN_MS,
+    tickLimitMs: SPAN_MS,
+    reportMs: SPAN_MS,
+    engineReportMs: SPAN_MS,
+    engineReportLimitMs: SPAN_MS,
+    watchTimeoutMs: SPAN_MS,
+    reconnectMinMs: SPAN_MS,
+    reconnectMaxMs: SPAN_MS,
+    inquiryLimitMs: SPAN_MS,
+    attemptKeptMs: SPAN_MS,
+    statusMs: SPAN_MS,
+    leaseMs: SPAN_MS,
+  })
+  .partial();
+
+const STOP = z.strictObject({
+  /** Time for the balancer to see `/readyz` fail before connections are closed. */
+  noticeMs: z.number().int().nonnegative().default(3_000),
+  /** A planned stop that takes longer than this is logged as an error, not cut short. */
+  warnAfterMs: SPAN_MS.default(60_000),
+});
+
+const BASE = {
+  name: z.string().regex(/^[a-z0-9][a-z0-9.-]{0,62}$/u, 'lower-case letters, digits, dots, dashes'),
+  domain: z.string().min(1),
+  log: LOG.prefault({}),
+  metrics: METRICS.prefault({}),
+  timing: TIMING.prefault({}),
+  stop: STOP.prefault({}),
+  /** Seed of the random numbers; for tests that replay a run. */
+  seed: z.number().int().optional(),
+};
+
+const LINKS = {
+  ...LISTEN,
+  /** Shared by all processes of the system. */
+  token: TOKEN,
+  messageLimitBytes: BYTES.default(8 * 1024 * 1024),
+  linkLimit: z.number().int().positive().default(1_024),
+};
+
+const PLATFORM = z.strictObject({
+  url: z.url({ protocol: /^http$/u }),
+  token: TOKEN.optional(),
+  callTimeoutMs: SPAN_MS.default(2_000),
+});
+
+const OPERATOR = z.strictObject({ name: z.string().min(1), token: TOKEN });
+
+export const ENTRY_SETTINGS = z.strictObject({
+  ...BASE,
+  role: z.literal(Role.Entry),
+  region: z.string().default('main'),
+  callers: z.strictObject({
+    ...LISTEN,
+    bodyLimitBytes: BYTES.default(1024 * 1024),
+    headerLimitBytes: BYTES.default(16 * 1024),
+    connectionLimit: z.number().int().positive().default(10_000),
+  }),
+  operators: z.strictObject({ ...LISTEN, accounts: z.array(OPERATOR).min(1) }),
+  links: z.strictObject({
+    ...LINKS,
+    /** Address under which other processes reach this one; needed where `host` is a wildcard. */
+    advertise: ADDRESS.optional(),
+    /** Other entries to begin with; more are learned from the platform. */
+    peers: z.array(ADDRESS).default([]),
+  }),
+  platform: PLATFORM,
+});
+
+export const SIDE_SETTINGS = z.strictObject({
+  ...BASE,
+  role: z.literal(Role.Side),
+  links: z.strictObject({ ...LINKS, advertise: ADDRESS.optional() }),
+  upstream: z.strictObject({
+    kind: z.enum(UpstreamKind),
+    url: z.url({ protocol: /^http$/u }),
+    callTimeoutMs: SPAN_MS.default(2_000),
+  }),
+  /** Where the process registers its address; without it the address in the configuration holds. */
+  platform: PLATFORM.optional(),
+});
+
+export const SETTINGS = z.discriminatedUnion('role', [ENTRY_SETTINGS, SIDE_SETTINGS]);
+
+export type EntrySettings = z.infer<typeof ENTRY_SETTINGS>;
+export type SideSettings = z.infer<typeof SIDE_SETTINGS>;
+export type Settings = z.infer<typeof SETTINGS>;
--- /dev/null
+++ b/packages/daemon/src/settings/settingsFile.ts
@@ -0,0 +1,81 @@
+/** Reads settings from YAML and reports every fault at once, with line and field. */
+import { readFile } from 'node:fs/promises';
+import { isMap, LineCounter, parseDocument, type Document } from 'yaml';
+import type { z } from 'zod';
+
+import { Err, Ok, type Result } from '@radishbay/core/outcome.js';
+
+import { SETTINGS, type Settings } from './settings.js';
+
+/** One fault of a settings file. */
+export interface SettingsFault {
+  /** Line in the file, from 1. */
+  readonly line: number;
+  readonly field: string;
+  readonly allowed: string;
+}
+
+type Path = readonly PropertyKey[];
+
+/** Offset of the key or node at a path. */
+function findStart(document: Document, path: Path): number | undefined {
+  const parent = document.getIn(path.slice(0, -1), true);
+  const last = path.at(-1);
+  const pair = isMap(parent)
+    ? parent.items.find((item) => String(item.key) === String(last))
+    : undefined;
+  const key = pair?.key as { range?: readonly number[] } | undefined;
+  const node = document.getIn(path, true) as { range?: readonly number[] } | undefined;
+  return key?.range?.[0] ?? node?.range?.[0];
+}
+
+/** Line of the innermost node on the path that the file contains. */
+function findLine(document: Document, counter: LineCounter, path: Path): number {
+  const depths = Array.from({ length: path.length + 1 }, (_, index) => path.length - index);
+  const start = depths
+    .map((depth) => findStart(document, path.slice(0, depth)))
+    .find(Number.isInteger);
+  return counter.linePos(start ?? 0).line;
+}
+
+function listIssueFields(issue: z.core.$ZodIssue): readonly { path: Path; allowed: string }[] {
+  if (issue.code !== 'unrecognized_keys') return [{ path: issue.path, allowed: issue.message }];
+  return issue.keys.map((key) => ({ path: [...issue.path, key], allowed: 'no such setting' }));
+}
+
+/**
+ * Checks the text of a settings file.
+ *
+ * @returns settings with their defaults, or all faults in the order of their lines
+ */
+export function parseSettings(text: string): Result<Settings, readonly SettingsFault[]> {
+  const counter = new LineCounter();
+  const document = parseDocument(text, { lineCounter: counter });
+  if (document.errors.length > 0) {
+    const faults = document.errors.map((error) => ({
+      line: counter.linePos(error.pos[0]).line,
+      field: '(yaml)',
+      allowed: error.message.split('\n')[0] ?? error.message,
+    }));
+    return Err(faults);
+  }
+  const parsed = SETTINGS.safeParse(document.toJS());
+  if (parsed.success) return Ok(parsed.data);
+  const faults = parsed.error.issues.flatMap(listIssueFields).map(({ path, allowed }) => ({
+    line: findLine(document, counter, path),
+    field: path.map(String).join('.') || '(settings)',
+    allowed,
+  }));
+  return Err(faults.sort((a, b) => a.line - b.line));
+}
+
+/** Reads and checks a settings file. */
+export async function readSettings(
+  file: string,
+): Promise<Result<Settings, readonly SettingsFault[]>> {
+  try {
+    return parseSettings(await readFile(file, 'utf8'));
+  } catch (error) {
+    return Err([{ line: 0, field: '(file)', allowed: `a readable file: ${String(error)}` }]);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/upstream/engineReport.ts
@@ -0,0 +1,20 @@
+/** Checks of what an engine reports over HTTP. */
+import { z } from 'zod';
+
+const COUNT = z.number().int().nonnegative();
+
+export const ENGINE_REPORT = z.object({
+  engineIncarnation: z.string(),
+  running: COUNT,
+  queued: COUNT,
+  kvUsedShare: z.number().min(0),
+  isWarm: z.boolean(),
+  tokensPerSecond: z.number().nonnegative(),
+  models: z.array(z.string()),
+});
+
+export const CACHE_EVENTS = z.object({
+  events: z.array(
+    z.object({ sequence: COUNT, isStored: z.boolean(), blockHashes: z.array(z.string()) }),
+  ),
+});
--- /dev/null
+++ b/packages/daemon/src/upstream/httpRun.ts
@@ -0,0 +1,136 @@
+/**
+ * One call of an upstream over HTTP.
+ *
+ * A call has a connection of its own: a kept-alive connection that the upstream closes at the
+ * moment of use would leave the outcome of a request unknown. Whether anything was sent is judged
+ * by the connection: before it is made, no byte has left.
+ */
+import http from 'node:http';
+
+import {
+  EngineFailureKind,
+  type EngineCall,
+  type EngineEvents,
+  type EngineRun,
+} from '@radishbay/core/ports/engine.js';
+import type { HeaderMap } from '@radishbay/core/model/request.js';
+
+/** Statuses by which a model engine says that it did not take a request on. */
+const DECLINED_STATUSES = new Set([429, 503]);
+
+/** Headers that belong to one connection (RFC 9110, 7.6.1) or that Node sets itself. */
+const HOP_HEADERS = new Set([
+  'connection',
+  'content-length',
+  'expect',
+  'host',
+  'keep-alive',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+
+/** Keeps the headers that travel end to end. */
+export function pickEndToEndHeaders(headers: http.IncomingHttpHeaders): HeaderMap {
+  const kept = Object.entries(headers).flatMap(([name, value]): [string, string][] => {
+    if (value === undefined || HOP_HEADERS.has(name)) return [];
+    return [[name, Array.isArray(value) ? value.join(', ') : value]];
+  });
+  return Object.fromEntries(kept);
+}
+
+/** A call in progress; tells exactly one end or failure unless it is cancelled. */
+export class HttpRun implements EngineRun {
+  readonly #events: EngineEvents;
+
+  readonly #isModel: boolean;
+
+  readonly #request: http.ClientRequest;
+
+  #response: http.IncomingMessage | undefined;
+
+  #isConnected = false;
+
+  #isDone = false;
+
+  /**
+   * Starts the call.
+   *
+   * @param isModel whether status 429 and 503 mean that the request was not taken on
+   */
+  constructor(url: URL, call: EngineCall, isModel: boolean, events: EngineEvents) {
+    this.#events = events;
+    this.#isModel = isModel;
+    this.#request = http.request(url, {
+      method: call.method,
+      agent: false,
+      headers: {
+        ...call.headers,
+        'content-length': String(call.body.byteLength),
+        'x-attempt-id': call.attemptId,
+        'x-priority': String(call.priority),
+      },
+    });
+    this.#request.once('socket', (socket) => {
+      socket.setNoDelay(true);
+      socket.once('connect', () => {
+        this.#isConnected = true;
+      });
+    });
+    this.#request.on('error', (error) => this.#fail(this.#lostKind, error.message));
+    this.#request.on('response', (response) => this.#readResponse(response));
+    this.#request.end(call.body);
+  }
+
+  cancel(): void {
+    this.#isDone = true;
+    this.#request.destroy();
+  }
+
+  pause(): void {
+    this.#response?.pause();
+  }
+
+  resume(): void {
+    this.#response?.resume();
+  }
+
+  get #lostKind(): EngineFailureKind {
+    return this.#isConnected ? EngineFailureKind.Lost : EngineFailureKind.NotSent;
+  }
+
+  #readResponse(response: http.IncomingMessage): void {
+    if (this.#isDone) return;
+    this.#response = response;
+    const status = response.statusCode ?? 0;
+    if (this.#isModel && DECLINED_STATUSES.has(status)) {
+      response.resume();
+      this.#fail(EngineFailureKind.Declined, `upstream answered ${status}`);
+      return;
+    }
+    this.#events.onHead(status, pickEndToEndHeaders(response.headers));
+    response.on('data', (data: Buffer) => {
+      if (!this.#isDone) this.#events.onData(data);
+    });
+    response.on('error', (error) => this.#fail(EngineFailureKind.Lost, error.message));
+    response.on('end', () => this.#finish(response.complete));
+  }
+
+  #finish(isWhole: boolean): void {
+    if (!isWhole) {
+      this.#fail(EngineFailureKind.Lost, 'answer was truncated');
+      return;
+    }
+    if (this.#isDone) return;
+    this.#isDone = true;
+    this.#events.onEnd();
+  }
+
+  #fail(kind: EngineFailureKind, detail: string): void {
+    if (this.#isDone) return;
+    this.#isDone = true;
+    this.#events.onFailure({ kind, detail });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/upstream/jsonCall.ts
@@ -0,0 +1,41 @@
+/** One bounded HTTP call with a JSON answer. */
+import type { Agent } from 'node:http';
+
+import { Err, Ok, type Result } from '@radishbay/core/outcome.js';
+import { sendCall } from '@radishbay/platform/httpCall.js';
+
+export interface JsonCall {
+  readonly url: URL;
+  readonly method: string;
+  readonly body: unknown;
+  readonly timeoutMs: number;
+  readonly agent: Agent;
+}
+
+export interface JsonReply {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+function parseJson(text: string): Result<unknown, string> {
+  try {
+    return Ok(JSON.parse(text));
+  } catch {
+    return Err('answer is no JSON');
+  }
+}
+
+/**
+ * Makes one call; the whole of it is bounded by the time limit.
+ *
+ * @returns status and decoded body, or a sentence on what went wrong
+ */
+export async function callJson(call: JsonCall): Promise<Result<JsonReply, string>> {
+  const { url, method, timeoutMs, agent } = call;
+  const body = call.body === undefined ? undefined : JSON.stringify(call.body);
+  const headers: Record<string, string> = body ? { 'content-type': 'application/json' } : {};
+  const answer = await sendCall({ url, method, headers, body, timeoutMs, agent });
+  if (!answer.ok) return Err(answer.val.detail);
+  const parsed = parseJson(answer.val.text);
+  return parsed.ok ? Ok({ status: answer.val.status, body: parsed.val }) : parsed;
+}
--- /dev/null
+++ b/packages/daemon/test/settingsFile.test.ts
@@ -0,0 +1,61 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { parseSettings } from '../src/settings/settingsFile.js';
+
+const GOOD_SIDE = `role: side
+name: worker-1
+domain: zone-a
+links:
+  host: 127.0.0.1
+  port: 7100
+  token: a-shared-token
+upstream:
+  kind: model
+  url: http://127.0.0.1:8000
+`;
+
+test('good settings get their defaults', () => {
+  const settings = parseSettings(GOOD_SIDE).unwrap();
+  assert.is(settings.log.level, 'info');
+  assert.is(settings.links.linkLimit, 1_024);
+});
+
+test('every fault is reported at once, each with its line and field', () => {
+  const text = GOOD_SIDE.replace('port: 7100', 'port: 99999')
+    .replace('kind: model', 'kind: modal')
+    .concat('colour: red\n');
+  const faults = parseSettings(text);
+  assert.ok(faults.err);
+  assert.equal(
+    faults.val.map(({ line, field }) => [line, field]),
+    [
+      [6, 'links.port'],
+      [9, 'upstream.kind'],
+      [11, 'colour'],
+    ],
+  );
+});
+
+test('an unknown key inside a section is a fault on its own line', () => {
+  const faults = parseSettings(GOOD_SIDE.replace('  port: 7100', '  port: 7100\n  prot: 7100'));
+  assert.ok(faults.err);
+  assert.equal(
+    faults.val.map(({ line, field, allowed }) => [line, field, allowed]),
+    [[7, 'links.prot', 'no such setting']],
+  );
+});
+
+test('text that is no YAML is a fault with its line', () => {
+  const faults = parseSettings('role: side\nname: [worker-1\n');
+  assert.ok(faults.err);
+  assert.ok((faults.val[0]?.line ?? 0) >= 2);
+});
+
+test('a missing role names the roles that there are', () => {
+  const faults = parseSettings('name: x\n');
+  assert.ok(faults.err);
+  assert.is(faults.val[0]?.field, 'role');
+});
+
+test.run();
