Judge an entry's right to begin new work at the moment of use

Cause: isCurrent was a flag, which a paused process would act on after its lease had lapsed. Change: EntryBoard.isCurrent also looks at a deadline that holds by the wall clock and the monotonic clock; heartbeats carry the age of an entry's proof by the platform (optional field); upstreams and peers gain optional fields (listed as leaving, region, stopping).

--- a/packages/core/src/messages/message.ts
+++ b/packages/core/src/messages/message.ts
@@ -96,6 +96,8 @@
   isCurrent: z.boolean(),
   /** Whether the sender is in a planned stop. */
   isStopping: z.boolean(),
+  /** Age of the moment up to which an entry's configuration is proved complete. */
+  confirmedAgeMs: z.number().nonnegative().optional(),
 });
 
 /** A request to run; the side process answers `Refused`, `Failed`, or `Head`, `Data` and `End`. */
--- a/packages/core/src/state/entryBoard.ts
+++ b/packages/core/src/state/entryBoard.ts
@@ -1,5 +1,6 @@
 /** The blackboard of an entry: everything its controllers read and write. */
 import { ConfigView } from '../config/configView.js';
+import type { Deadline } from '../lease/deadline.js';
 import type { SideReport } from '../model/report.js';
 import type { Link } from '../ports/link.js';
 
@@ -25,6 +26,8 @@
   /** Revision that the side process has acknowledged. */
   configRevision: number;
   isStopping: boolean;
+  /** Whether the platform's list calls the VM leaving; the list lags, so this is a hint. */
+  isListedLeaving?: boolean;
   report: SideReport | undefined;
   reportAtMs: number;
   /** Attempts of this entry in flight there. */
@@ -36,11 +39,15 @@
 /** What this entry knows of another entry. */
 export interface EntryPeerState {
   readonly name: string;
-  readonly address: string;
+  address: string;
+  /** Undefined where it is not known. */
+  region?: string | undefined;
   incarnation: string;
   link: Link | undefined;
   lastHeardAtMs: number;
   configRevision: number;
+  /** Whether the peer is in a planned stop. */
+  isStopping?: boolean;
 }
 
 /** State shared by the controllers of an entry. */
@@ -63,8 +70,10 @@
   /** Last time that the platform answered. */
   platformHeardAtMs = Number.NEGATIVE_INFINITY;
 
-  /** Whether new work may begin: the configuration is known to be recent enough. */
-  isCurrent = false;
+  /** End of the right to begin new work; undefined where the flag alone decides. */
+  currentUntil: Deadline | undefined;
+
+  #isCurrent = false;
 
   /** Whether a planned stop has begun. */
   isStopping = false;
@@ -75,4 +84,16 @@
     this.domain = domain;
     this.region = region;
   }
+
+  /**
+   * Whether new work may begin: the configuration is known to be recent enough. Judged at the
+   * moment of use, so that a process that was paused does not act on an old answer.
+   */
+  get isCurrent(): boolean {
+    return this.#isCurrent && !(this.currentUntil?.isPast ?? false);
+  }
+
+  set isCurrent(value: boolean) {
+    this.#isCurrent = value;
+  }
 }
