Follow the configuration and keep links to side processes and peers, thin

Cause: entries need the configuration in force, links and the right to begin new work. Change: PrefixFollower (list, bounded watch, back-off), ConfigFollower, ConfigFeed, ConfigLease, SideLinks, PeerLinks, and EntryMembership that composes them. Proved so far: the follower under outage, compaction and silence (6 tests pass). Links are built but not tested yet.

--- /dev/null
+++ b/packages/core/src/config/configFeed.ts
@@ -0,0 +1,102 @@
+/**
+ * The one way by which configuration reaches the blackboard.
+ *
+ * Whoever hears of a change (the platform, a peer, a side process, an order given here) hands it
+ * in; the view takes only what is newer, and listeners hear of each rise at once.
+ */
+import type { EntryBoard } from '../state/entryBoard.js';
+import { LogLevel, type Log } from '../ports/log.js';
+import type { Metrics } from '../ports/metrics.js';
+import type { ConfigChange } from './configView.js';
+
+const PART = 'config';
+
+/** Where a change was heard first. */
+export enum ConfigSource {
+  Platform = 'platform',
+  Peer = 'peer',
+  Side = 'side',
+  Order = 'order',
+}
+
+/** A rise of the revision in force. */
+export interface ConfigRise {
+  readonly fromRevision: number;
+  readonly revision: number;
+  /** Keys whose objects changed; may be empty. */
+  readonly keys: readonly string[];
+}
+
+export type RiseListener = (rise: ConfigRise) => void;
+
+export interface ConfigFeedOptions {
+  readonly board: EntryBoard;
+  readonly log: Log;
+  readonly metrics: Metrics;
+}
+
+/** Takes configuration in and announces what is new. */
+export class ConfigFeed {
+  readonly #board: EntryBoard;
+
+  readonly #log: Log;
+
+  readonly #metrics: Metrics;
+
+  readonly #listeners: RiseListener[] = [];
+
+  /** Revision of the last full set: older removals may be missing here. */
+  #fullRevision = 0;
+
+  constructor(options: ConfigFeedOptions) {
+    this.#board = options.board;
+    this.#log = options.log;
+    this.#metrics = options.metrics;
+  }
+
+  /** Names a listener for each rise, called after the view has changed. */
+  onRise(listener: RiseListener): void {
+    this.#listeners.push(listener);
+  }
+
+  /**
+   * Takes changes in.
+   *
+   * @param isFull whether the changes are all that there is at the revision
+   */
+  take(
+    source: ConfigSource,
+    changes: readonly ConfigChange[],
+    revision: number,
+    isFull: boolean,
+  ): void {
+    const { config } = this.#board;
+    const fromRevision = config.revision;
+    const keys = config.apply(changes, revision, isFull);
+    if (isFull && revision >= fromRevision) this.#fullRevision = revision;
+    this.#reportFaults(changes);
+    if (config.revision === fromRevision && keys.length === 0) return;
+    this.#metrics.count('config.rise', { source });
+    const rise = { fromRevision, revision: config.revision, keys };
+    this.#listeners.forEach((listener) => listener(rise));
+  }
+
+  /**
+   * Reads what a process lacks that has everything up to a revision.
+   *
+   * @returns changes, or a full set where removals since then may be unknown here
+   */
+  read(afterRevision: number): { isFull: boolean; changes: readonly ConfigChange[] } {
+    const isFull = afterRevision < this.#fullRevision;
+    return { isFull, changes: this.#board.config.listChanges(isFull ? 0 : afterRevision) };
+  }
+
+  #reportFaults(changes: readonly ConfigChange[]): void {
+    changes.forEach((change) => {
+      const fault = this.#board.config.faults.get(change.key)?.[0];
+      if (!fault) return;
+      this.#metrics.count('config.rejected');
+      this.#log.write(LogLevel.Error, PART, 'Rejected a bad object.', { ...fault });
+    });
+  }
+}
--- /dev/null
+++ b/packages/core/src/config/configFollower.ts
@@ -0,0 +1,61 @@
+/**
+ * Keeps the configuration up to date from the platform.
+ *
+ * Each answer proves that the configuration was complete when its call began, which renews the
+ * configuration lease from that moment. The watches are therefore short against the lease.
+ */
+import { Deadline } from '../lease/deadline.js';
+import type { ConfigLease } from '../membership/configLease.js';
+import type { Timing } from '../model/timing.js';
+import type { ObjectChange, StoredObject } from '../ports/objectStore.js';
+import type { EntryBoard } from '../state/entryBoard.js';
+import { ConfigSource, type ConfigFeed } from './configFeed.js';
+import { CONFIG_PREFIX } from './object.js';
+import { PrefixFollower, type FollowerContext } from './prefixFollower.js';
+
+/**
+ * Share of the configuration lease for which one watch waits: its proof reaches back to its
+ * beginning, and the next one needs as long again.
+ */
+const WATCH_LEASE_SHARE = 1 / 3;
+
+export interface ConfigFollowerOptions extends FollowerContext {
+  readonly board: EntryBoard;
+  readonly feed: ConfigFeed;
+  readonly lease: ConfigLease;
+  readonly timing: Timing;
+}
+
+/** Follows the `config/` objects of the platform. */
+export class ConfigFollower extends PrefixFollower {
+  readonly #options: ConfigFollowerOptions;
+
+  constructor(options: ConfigFollowerOptions) {
+    super(options, CONFIG_PREFIX);
+    this.#options = options;
+  }
+
+  protected takeList(objects: readonly StoredObject[], revision: number): void {
+    this.#options.feed.take(ConfigSource.Platform, objects, revision, true);
+  }
+
+  /** The revision of a watch also counts writes of other kinds: it rises with changes only. */
+  protected takeChanges(changes: readonly ObjectChange[]): void {
+    const revision = Math.max(...changes.map((change) => change.version));
+    this.#options.feed.take(ConfigSource.Platform, changes, revision, false);
+  }
+
+  protected chooseWatchMs(): number {
+    const { watchTimeoutMs, configLeaseMs } = this.#options.timing;
+    return Math.min(watchTimeoutMs, configLeaseMs * WATCH_LEASE_SHARE);
+  }
+
+  protected beginCall(): () => void {
+    const { board, lease, timing } = this.#options;
+    const until = Deadline.after(timing.configLeaseMs);
+    return () => {
+      board.platformHeardAtMs = Date.now();
+      lease.confirm(until);
+    };
+  }
+}
--- /dev/null
+++ b/packages/core/src/config/prefixFollower.ts
@@ -0,0 +1,156 @@
+/**
+ * Follows the objects of the platform under one prefix.
+ *
+ * Lists once, then watches by bounded long polls, one at a time. A watch that fell behind is
+ * replaced by a list. Failures are retried with jittered back-off, stretched by the pace that all
+ * callers of this process share.
+ */
+import { Backoff } from '../membership/backoff.js';
+import type { Result } from '../outcome.js';
+import { LogLevel, type Log } from '../ports/log.js';
+import type { Metrics } from '../ports/metrics.js';
+import {
+  StoreErrorKind,
+  type ObjectChange,
+  type ObjectStore,
+  type StoredObject,
+  type StoreError,
+} from '../ports/objectStore.js';
+import type { Random } from '../ports/random.js';
+import { boundCall } from './boundedCall.js';
+import type { PlatformPace } from './platformPace.js';
+
+const PART = 'platform';
+
+/** Time for a call beyond the wait that was asked for. */
+const CALL_LIMIT_MS = 1_000;
+
+/** Longest wait between calls while the platform fails. */
+const RETRY_MAX_MS = 5_000;
+
+/** Shortest wait between calls while the platform fails. */
+const RETRY_MIN_MS = 100;
+
+export interface FollowerContext {
+  readonly store: ObjectStore;
+  readonly pace: PlatformPace;
+  readonly random: Random;
+  readonly log: Log;
+  readonly metrics: Metrics;
+}
+
+/** A loop of calls that keeps a local copy of a prefix up to date. */
+export abstract class PrefixFollower {
+  readonly #context: FollowerContext;
+
+  readonly #prefix: string;
+
+  readonly #backoff: Backoff;
+
+  /** Revision up to which the watch has told all; undefined before the first list. */
+  #watchRevision: number | undefined;
+
+  #timer: NodeJS.Timeout | undefined;
+
+  #isRunning = false;
+
+  #isFailing = false;
+
+  constructor(context: FollowerContext, prefix: string) {
+    this.#context = context;
+    this.#prefix = prefix;
+    this.#backoff = new Backoff(context.random, RETRY_MIN_MS, RETRY_MAX_MS);
+  }
+
+  /** Begins to follow. */
+  start(): void {
+    if (this.#isRunning) return;
+    this.#isRunning = true;
+    this.#schedule(0);
+  }
+
+  /** Stops; the answer of a call in progress is dropped. */
+  stop(): void {
+    this.#isRunning = false;
+    clearTimeout(this.#timer);
+  }
+
+  /** Takes all objects there are at a revision. */
+  protected abstract takeList(objects: readonly StoredObject[], revision: number): void;
+
+  /** Takes changes in the order of their versions. */
+  protected abstract takeChanges(changes: readonly ObjectChange[]): void;
+
+  /** Longest time that the next watch waits. */
+  protected abstract chooseWatchMs(): number;
+
+  /**
+   * A call is about to begin.
+   *
+   * @returns what to do once it is answered and what it told has been taken in
+   */
+  protected abstract beginCall(): () => void;
+
+  #schedule(delayMs: number): void {
+    this.#timer = setTimeout(() => {
+      this.#poll().then((nextDelayMs) => {
+        if (this.#isRunning) this.#schedule(nextDelayMs);
+      });
+    }, delayMs);
+  }
+
+  /** @returns time until the next call */
+  async #poll(): Promise<number> {
+    const noteAnswer = this.beginCall();
+    const outcome = await (this.#watchRevision === undefined ? this.#list() : this.#watch());
+    if (!this.#isRunning) return 0;
+    this.#context.pace.note(outcome);
+    if (!outcome.ok) return this.#noteFailure(outcome.val);
+    noteAnswer();
+    this.#noteSuccess();
+    return 0;
+  }
+
+  async #list(): Promise<Result<unknown, StoreError>> {
+    const listed = await boundCall(this.#context.store.list(this.#prefix), CALL_LIMIT_MS);
+    if (!listed.ok || !this.#isRunning) return listed;
+    this.#watchRevision = listed.val.revision;
+    this.takeList(listed.val.objects, listed.val.revision);
+    return listed;
+  }
+
+  async #watch(): Promise<Result<unknown, StoreError>> {
+    const timeoutMs = this.chooseWatchMs();
+    const after = this.#watchRevision ?? 0;
+    const call = this.#context.store.watch(this.#prefix, after, timeoutMs);
+    const batch = await boundCall(call, timeoutMs + CALL_LIMIT_MS);
+    if (!batch.ok || !this.#isRunning) return batch;
+    this.#watchRevision = Math.max(after, batch.val.revision);
+    if (batch.val.changes.length > 0) this.takeChanges(batch.val.changes);
+    return batch;
+  }
+
+  #noteSuccess(): void {
+    this.#backoff.reset();
+    if (!this.#isFailing) return;
+    this.#isFailing = false;
+    this.#context.log.write(LogLevel.Info, PART, 'The platform answers again.', {
+      prefix: this.#prefix,
+    });
+  }
+
+  #noteFailure(error: StoreError): number {
+    const { kind, detail } = error;
+    const prefix = this.#prefix;
+    this.#context.metrics.count('platform.follow.failed', { kind, prefix });
+    if (kind === StoreErrorKind.Compacted) {
+      this.#watchRevision = undefined;
+      return 0;
+    }
+    if (!this.#isFailing) {
+      this.#isFailing = true;
+      this.#context.log.write(LogLevel.Warn, PART, 'The platform fails.', { prefix, kind, detail });
+    }
+    return this.#backoff.next() * this.#context.pace.factor;
+  }
+}
--- /dev/null
+++ b/packages/core/src/membership/configLease.ts
@@ -0,0 +1,117 @@
+/**
+ * The right of an entry to begin new work, which lapses unless its configuration is proved recent.
+ *
+ * Two proofs renew it, each from the moment to which it reaches back:
+ * - the platform answered a call that began then, or a peer has such a proof and holds nothing
+ *   newer;
+ * - a majority of the known entries, this one included, hold nothing newer: in an outage of the
+ *   platform for all, nothing can be accepted, and they go on with what they have.
+ * The lease is judged at the moment of use by {@link EntryBoard.isCurrent}.
+ */
+import { Deadline } from '../lease/deadline.js';
+import type { EntryBoard } from '../state/entryBoard.js';
+
+export interface ConfigLeaseOptions {
+  readonly board: EntryBoard;
+  /** Length of the lease from the moment to which a proof reaches back. */
+  readonly configLeaseMs: number;
+}
+
+/** What one heartbeat of a peer proves. */
+export interface PeerProof {
+  readonly peer: string;
+  readonly configRevision: number;
+  /** Age of the peer's own proof by the platform; undefined where it has none. */
+  readonly confirmedAgeMs: number | undefined;
+  /** End of a lease from the moment when this entry sent the tick that the peer echoed. */
+  readonly until: Deadline;
+}
+
+/**
+ * Number of other entries whose word is needed, so that they and this one are a majority.
+ *
+ * @param others number of other entries that are known
+ */
+export function countNeededPeers(others: number): number {
+  return Math.floor((others + 1) / 2);
+}
+
+/** Keeps {@link EntryBoard.currentUntil}. */
+export class ConfigLease {
+  readonly #board: EntryBoard;
+
+  readonly #leaseMs: number;
+
+  readonly #proofs = new Map<string, Deadline>();
+
+  /** Peers of which a majority is needed. */
+  #peers: ReadonlySet<string> = new Set();
+
+  #confirmedUntil: Deadline | undefined;
+
+  /** Whether the peers are known: who has not heard of any yet is not alone for that. */
+  #arePeersKnown = false;
+
+  constructor(options: ConfigLeaseOptions) {
+    this.#board = options.board;
+    this.#leaseMs = options.configLeaseMs;
+    this.#board.currentUntil = Deadline.after(0);
+    this.#board.isCurrent = true;
+  }
+
+  /** Age of the latest proof by the platform; undefined once the lease from it has lapsed. */
+  get confirmedAgeMs(): number | undefined {
+    const remainingMs = this.#confirmedUntil?.remainingMs ?? 0;
+    return remainingMs > 0 ? this.#leaseMs - remainingMs : undefined;
+  }
+
+  /** Takes in a proof by the platform that holds until a deadline. */
+  confirm(until: Deadline): void {
+    if (this.#confirmedUntil && !until.isAfter(this.#confirmedUntil)) return;
+    this.#confirmedUntil = until;
+    this.#update();
+  }
+
+  /**
+   * Names the peers of which a majority is needed, and judges it anew.
+   *
+   * @param isComplete whether these are all peers that this entry should have
+   */
+  setPeers(peers: ReadonlySet<string>, isComplete: boolean): void {
+    this.#peers = peers;
+    this.#arePeersKnown = isComplete;
+    [...this.#proofs.keys()]
+      .filter((peer) => !peers.has(peer))
+      .forEach((peer) => this.#proofs.delete(peer));
+    this.#update();
+  }
+
+  /** Takes in what a peer's heartbeat proves; one that holds something newer proves nothing. */
+  takePeerProof(proof: PeerProof): void {
+    if (!this.#peers.has(proof.peer)) return;
+    if (proof.configRevision > this.#board.config.revision) return;
+    const { until } = proof;
+    const held = this.#proofs.get(proof.peer);
+    if (!held || until.isAfter(held)) this.#proofs.set(proof.peer, until);
+    if (proof.confirmedAgeMs !== undefined) this.confirm(until.shift(-proof.confirmedAgeMs));
+    this.#update();
+  }
+
+  #update(): void {
+    const majorityUntil = this.#findMajorityEnd();
+    const confirmedUntil = this.#confirmedUntil ?? Deadline.after(0);
+    const isMajorityLater = majorityUntil !== undefined && majorityUntil.isAfter(confirmedUntil);
+    this.#board.currentUntil = isMajorityLater ? majorityUntil : confirmedUntil;
+  }
+
+  /** @returns deadline up to which a majority has confirmed; undefined where there is none */
+  #findMajorityEnd(): Deadline | undefined {
+    if (!this.#arePeersKnown) return undefined;
+    const needed = countNeededPeers(this.#peers.size);
+    if (needed === 0) return Deadline.after(this.#leaseMs);
+    const ends = [...this.#proofs.values()]
+      .filter((until) => !until.isPast)
+      .sort((one, other) => (one.isAfter(other) ? -1 : 1));
+    return ends[needed - 1];
+  }
+}
--- /dev/null
+++ b/packages/core/src/membership/entryMembership.ts
@@ -0,0 +1,119 @@
+/**
+ * Everything that keeps an entry in touch with the platform, the side processes and its peers.
+ *
+ * Composes the controllers of configuration and membership; holds no decisions of its own.
+ */
+import { ConfigFeed } from '../config/configFeed.js';
+import { ConfigFollower } from '../config/configFollower.js';
+import { PlatformPace } from '../config/platformPace.js';
+import type { AttemptListener } from '../entry/attemptListener.js';
+import type { Link } from '../ports/link.js';
+import type { ObjectStore } from '../ports/objectStore.js';
+import { ConfigLease } from './configLease.js';
+import type { GroupListener } from './groupListener.js';
+import type { SessionContext } from './linkSession.js';
+import { PeerLinks } from './peerLinks.js';
+import {
+  ENTRY_REGISTRY_PREFIX,
+  parseRegistration,
+  parseVmState,
+  SIDE_REGISTRY_PREFIX,
+  VM_PREFIX,
+  VmState,
+  type Registration,
+} from './registry.js';
+import { RegistryFollower } from './registryFollower.js';
+import type { ShareListener } from './shareListener.js';
+import { SideLinks } from './sideLinks.js';
+
+export interface EntryMembershipOptions extends Omit<SessionContext, 'lease'> {
+  readonly store: ObjectStore;
+  readonly attempts: AttemptListener;
+  readonly groups: GroupListener;
+  readonly shares: ShareListener;
+  /** Addresses of other entries, to start from while the platform is down. */
+  readonly seedAddresses: readonly string[];
+}
+
+/** The controllers of one entry that keep configuration and links up. */
+export class EntryMembership {
+  readonly feed: ConfigFeed;
+
+  readonly lease: ConfigLease;
+
+  readonly pace = new PlatformPace();
+
+  readonly sideLinks: SideLinks;
+
+  readonly peerLinks: PeerLinks;
+
+  readonly #configFollower: ConfigFollower;
+
+  readonly #entries: RegistryFollower<Registration>;
+
+  readonly #sides: RegistryFollower<Registration>;
+
+  readonly #vms: RegistryFollower<VmState>;
+
+  constructor(options: EntryMembershipOptions) {
+    const { board, log, metrics, timing } = options;
+    this.feed = new ConfigFeed({ board, log, metrics });
+    this.lease = new ConfigLease({ board, configLeaseMs: timing.configLeaseMs });
+    const context = { ...options, feed: this.feed, lease: this.lease, pace: this.pace };
+    this.#configFollower = new ConfigFollower(context);
+    const { watchTimeoutMs } = timing;
+    this.#entries = new RegistryFollower({
+      ...context,
+      watchTimeoutMs,
+      prefix: ENTRY_REGISTRY_PREFIX,
+      parse: parseRegistration,
+      onChange: () => this.peerLinks.reconcile(),
+    });
+    this.#sides = new RegistryFollower({
+      ...context,
+      watchTimeoutMs,
+      prefix: SIDE_REGISTRY_PREFIX,
+      parse: parseRegistration,
+      onChange: () => this.sideLinks.reconcile(),
+    });
+    this.#vms = new RegistryFollower({
+      ...context,
+      watchTimeoutMs,
+      prefix: VM_PREFIX,
+      parse: parseVmState,
+      onChange: () => this.sideLinks.reconcile(),
+    });
+    this.sideLinks = new SideLinks({
+      ...context,
+      readRegistration: (upstream) => this.#sides.objects.get(upstream),
+      isListedLeaving: (upstream) => this.#vms.objects.get(upstream) === VmState.Leaving,
+    });
+    this.peerLinks = new PeerLinks({
+      ...context,
+      readEntries: () => (this.#entries.isListed ? this.#entries.objects : undefined),
+    });
+  }
+
+  /** Begins to follow the platform and to dial. */
+  start(): void {
+    [this.#configFollower, this.#entries, this.#sides, this.#vms].forEach((follower) => {
+      follower.start();
+    });
+    this.peerLinks.start();
+    this.sideLinks.start();
+  }
+
+  /** Stops following and closes all links. */
+  stop(): void {
+    [this.#configFollower, this.#entries, this.#sides, this.#vms].forEach((follower) => {
+      follower.stop();
+    });
+    this.sideLinks.stop();
+    this.peerLinks.stop();
+  }
+
+  /** Takes a link that another entry has dialled. */
+  accept(link: Link): void {
+    this.peerLinks.accept(link);
+  }
+}
--- /dev/null
+++ b/packages/core/src/membership/peerLinks.ts
@@ -0,0 +1,206 @@
+/**
+ * Keeps links among entries: from the seed addresses at first, then from the registry.
+ *
+ * With few entries every pair has a link, dialled by the one whose name comes first. With many,
+ * each dials a few that are chosen by rendezvous hashing. A pair without a link for longer than
+ * a silence is dialled from both ends.
+ */
+import { ConfigKind } from '../config/object.js';
+import type { EntryPeerState } from '../state/entryBoard.js';
+import type { Link } from '../ports/link.js';
+import { InboundPeer } from './inboundPeer.js';
+import type { PeerContext, PeerExchange } from './peerExchange.js';
+import { PeerSession, type PeerSessionOwner } from './peerSession.js';
+import type { Registration } from './registry.js';
+import { rankMembers } from './rendezvous.js';
+
+/** Peers up to which every pair has a link. */
+const FULL_MESH_PEERS = 8;
+
+/** Peers that each entry dials beyond that. */
+const DIALLED_PEERS = 4;
+
+/** Heartbeat intervals after which this process itself must have been paused. */
+const PAUSE_INTERVALS = 2;
+
+export interface PeerLinksOptions extends PeerContext {
+  /** Addresses of entries to ask before the registry has been read. */
+  readonly seedAddresses: readonly string[];
+  /** Registered entries by name, this one included; undefined before they have been read. */
+  readonly readEntries: () => ReadonlyMap<string, Registration> | undefined;
+}
+
+function createPeer(name: string, address: string): EntryPeerState {
+  return {
+    name,
+    address,
+    incarnation: '',
+    link: undefined,
+    lastHeardAtMs: Number.NEGATIVE_INFINITY,
+    configRevision: 0,
+  };
+}
+
+/** The links of one entry to other entries. */
+export class PeerLinks implements PeerSessionOwner {
+  readonly #options: PeerLinksOptions;
+
+  readonly #sessions = new Map<string, PeerSession>();
+
+  readonly #inbound = new Set<InboundPeer>();
+
+  /** When a peer without any link had one last. */
+  readonly #unlinkedSinceMs = new Map<string, number>();
+
+  #timer: NodeJS.Timeout | undefined;
+
+  #lastBeatMs = 0;
+
+  #isRunning = false;
+
+  constructor(options: PeerLinksOptions) {
+    this.#options = options;
+    options.feed.onRise(() => this.#exchanges().forEach((exchange) => exchange.offer()));
+  }
+
+  start(): void {
+    if (this.#isRunning) return;
+    this.#isRunning = true;
+    this.#lastBeatMs = Date.now();
+    this.#timer = setInterval(() => this.#beat(), this.#options.timing.heartbeatMs);
+    this.reconcile();
+  }
+
+  stop(): void {
+    this.#isRunning = false;
+    clearInterval(this.#timer);
+    this.#sessions.forEach((session) => session.end('stopping'));
+    this.#sessions.clear();
+    [...this.#inbound].forEach((peer) => peer.close('stopping'));
+  }
+
+  /** Takes a link that another entry has dialled; its greeting is still to come. */
+  accept(link: Link): void {
+    const peer = new InboundPeer(this.#options, this, link, (closed) => {
+      this.#inbound.delete(closed);
+    });
+    this.#inbound.add(peer);
+    peer.start();
+  }
+
+  findPeer(name: string, address: string): EntryPeerState | undefined {
+    const { board } = this.#options;
+    if (name === board.name) return undefined;
+    const known = board.peers.get(name);
+    if (known) return known;
+    const peer = createPeer(name, address);
+    board.peers.set(name, peer);
+    return peer;
+  }
+
+  noteChange(name: string): void {
+    const peer = this.#options.board.peers.get(name);
+    if (!peer) return;
+    peer.link = this.#findExchange(name)?.link;
+    if (peer.link) this.#unlinkedSinceMs.delete(name);
+    else this.#unlinkedSinceMs.set(name, Date.now());
+    this.#judgePeers();
+  }
+
+  /** Compares peers and links with the registry and the seeds. */
+  reconcile(): void {
+    if (!this.#isRunning) return;
+    const entries = this.#options.readEntries();
+    if (entries) this.#takeEntries(entries);
+    const wanted = new Set(entries ? this.#chooseAddresses(entries) : this.#options.seedAddresses);
+    [...this.#sessions.entries()].forEach(([address, session]) => {
+      if (wanted.has(address) || this.#isOnlyLink(session)) return;
+      session.end('not needed');
+      this.#sessions.delete(address);
+    });
+    wanted.forEach((address) => this.#keep(address));
+    this.#judgePeers();
+  }
+
+  #takeEntries(entries: ReadonlyMap<string, Registration>): void {
+    const { board } = this.#options;
+    entries.forEach(({ address, domain }, name) => {
+      const peer = this.findPeer(name, address);
+      if (!peer) return;
+      peer.address = address;
+      peer.region = board.config.get(ConfigKind.Domain, domain)?.region;
+    });
+    [...board.peers.values()]
+      .filter((peer) => !entries.has(peer.name) && !peer.link)
+      .forEach((peer) => board.peers.delete(peer.name));
+  }
+
+  /** Addresses of the peers that this entry dials. */
+  #chooseAddresses(entries: ReadonlyMap<string, Registration>): readonly string[] {
+    const { board } = this.#options;
+    const names = [...entries.keys()].filter((name) => name !== board.name);
+    const chosen =
+      names.length <= FULL_MESH_PEERS
+        ? names.filter((name) => board.name < name || this.#isLongUnlinked(name))
+        : rankMembers(board.name, names).slice(0, DIALLED_PEERS);
+    return chosen.flatMap((name) => entries.get(name)?.address ?? []);
+  }
+
+  #isLongUnlinked(name: string): boolean {
+    if (this.#options.board.peers.get(name)?.link) return false;
+    const sinceMs = this.#unlinkedSinceMs.get(name);
+    if (sinceMs === undefined) this.#unlinkedSinceMs.set(name, Date.now());
+    return Date.now() - (sinceMs ?? Date.now()) > this.#options.timing.silenceLimitMs;
+  }
+
+  /** Whether a peer would be without a link if this session ended. */
+  #isOnlyLink(session: PeerSession): boolean {
+    const { exchange, peerName } = session;
+    if (!exchange || !peerName) return false;
+    const isInbound = [...this.#inbound].some((peer) => peer.peerName === peerName);
+    return !isInbound && this.#options.board.peers.has(peerName);
+  }
+
+  #keep(address: string): void {
+    if (this.#sessions.has(address)) return;
+    const session = new PeerSession(this.#options, this, address);
+    this.#sessions.set(address, session);
+    session.dial();
+  }
+
+  #exchanges(): readonly PeerExchange[] {
+    const sessions = [...this.#sessions.values()].map((session) => session.exchange);
+    const inbound = [...this.#inbound].map((peer) => peer.exchange);
+    return [...sessions, ...inbound].filter((exchange) => exchange !== undefined);
+  }
+
+  #findExchange(name: string): PeerExchange | undefined {
+    const ends = [...this.#sessions.values(), ...this.#inbound];
+    return ends.find((end) => end.peerName === name && end.exchange)?.exchange;
+  }
+
+  /** Tells the lease of which peers it needs a majority. */
+  #judgePeers(): void {
+    const { board, lease, seedAddresses } = this.#options;
+    const entries = this.#options.readEntries();
+    const isMesh = board.peers.size <= FULL_MESH_PEERS;
+    const peers = [...board.peers.values()].filter((peer) => isMesh || peer.link);
+    const isComplete = entries !== undefined || this.#haveSeedsAnswered(seedAddresses);
+    lease.setPeers(new Set(peers.map((peer) => peer.name)), isComplete);
+  }
+
+  #haveSeedsAnswered(seedAddresses: readonly string[]): boolean {
+    if (seedAddresses.length === 0) return false;
+    return seedAddresses.every((address) => this.#sessions.get(address)?.peerName !== undefined);
+  }
+
+  #beat(): void {
+    const nowMs = Date.now();
+    const { heartbeatMs } = this.#options.timing;
+    const isSilenceJudged = nowMs - this.#lastBeatMs <= heartbeatMs * PAUSE_INTERVALS;
+    this.#lastBeatMs = nowMs;
+    this.#sessions.forEach((session) => session.beat(nowMs, isSilenceJudged));
+    [...this.#inbound].forEach((peer) => peer.beat(nowMs, isSilenceJudged));
+    this.reconcile();
+  }
+}
--- /dev/null
+++ b/packages/core/src/membership/rendezvous.ts
@@ -0,0 +1,55 @@
+/**
+ * Rendezvous hashing (Thaler and Ravishankar, 1998): every process ranks the same members alike,
+ * and a member that comes or goes moves nothing else.
+ */
+import { xxh32 } from '@node-rs/xxhash';
+
+/** Multipliers of the finalizer of MurmurHash3, which mixes two hashes into a weight. */
+const MIX_1 = 0x85ebca6b;
+const MIX_2 = 0xc2b2ae35;
+
+/** A member with its hash, computed once for many keys. */
+export interface HashedMember {
+  readonly name: string;
+  readonly hash: number;
+}
+
+/* eslint-disable no-bitwise -- integer mixing is what a hash is made of */
+function weigh(keyHash: number, memberHash: number): number {
+  let mixed = keyHash ^ Math.imul(memberHash, MIX_2);
+  mixed = Math.imul(mixed ^ (mixed >>> 16), MIX_1);
+  mixed = Math.imul(mixed ^ (mixed >>> 13), MIX_2);
+  return (mixed ^ (mixed >>> 16)) >>> 0;
+}
+/* eslint-enable no-bitwise */
+
+/** Hashes members for {@link countBetter} and {@link rankMembers}. */
+export function hashMembers(names: readonly string[]): readonly HashedMember[] {
+  return names.map((name) => ({ name, hash: xxh32(name) }));
+}
+
+function isBetter(keyHash: number, one: HashedMember, other: HashedMember): boolean {
+  const difference = weigh(keyHash, one.hash) - weigh(keyHash, other.hash);
+  return difference > 0 || (difference === 0 && one.name < other.name);
+}
+
+/** Counts the members that rank before a member for a key. */
+export function countBetter(
+  key: HashedMember,
+  self: HashedMember,
+  members: readonly HashedMember[],
+): number {
+  return members.reduce((sum, member) => sum + Number(isBetter(key.hash, member, self)), 0);
+}
+
+/**
+ * Ranks members for a key.
+ *
+ * @returns the names, the best first
+ */
+export function rankMembers(key: string, members: readonly string[]): readonly string[] {
+  const keyHash = xxh32(key);
+  return [...hashMembers(members)]
+    .sort((one, other) => (isBetter(keyHash, one, other) ? -1 : 1))
+    .map((member) => member.name);
+}
--- /dev/null
+++ b/packages/core/src/membership/sideLink.ts
@@ -0,0 +1,161 @@
+/** The link to one upstream's side process: configuration first, then everything else. */
+import { selectForSide } from '../config/sideSelection.js';
+import { ConfigSource, type ConfigFeed, type ConfigRise } from '../config/configFeed.js';
+import type { AttemptListener } from '../entry/attemptListener.js';
+import { MessageType, PeerRole, type Message, type MessageOf } from '../messages/message.js';
+import type { Link } from '../ports/link.js';
+import { SideLinkState, type UpstreamState } from '../state/entryBoard.js';
+import type { GroupListener } from './groupListener.js';
+import { LinkSession, type SessionContext } from './linkSession.js';
+
+const PART = 'side-link';
+
+/** What the links to side processes share beyond the session. */
+export interface SideLinkContext extends SessionContext {
+  readonly feed: ConfigFeed;
+  readonly attempts: AttemptListener;
+  readonly groups: GroupListener;
+}
+
+/** Keeps the state of one upstream by its link. */
+export class SideLink extends LinkSession {
+  readonly #sides: SideLinkContext;
+
+  readonly #state: UpstreamState;
+
+  /** Revision up to which everything that concerns the side has been sent on this link. */
+  #sentRevision = 0;
+
+  #isRetired = false;
+
+  constructor(context: SideLinkContext, state: UpstreamState) {
+    super(context, PART);
+    this.#sides = context;
+    this.#state = state;
+  }
+
+  get state(): UpstreamState {
+    return this.#state;
+  }
+
+  protected get echoTickMs(): number {
+    return this.#state.tickMs;
+  }
+
+  protected get address(): string {
+    return this.#state.address;
+  }
+
+  /** Takes the upstream out of use: no new work goes there any more. */
+  retire(): void {
+    this.#isRetired = true;
+    this.#state.isStopping = true;
+  }
+
+  /** Sends what a rise changed, where it concerns this side; the rest waits for the heartbeat. */
+  pushRise(rise: ConfigRise): void {
+    const { link } = this;
+    if (!link || !this.#concerns(rise.keys)) return;
+    this.#push(link);
+  }
+
+  override beat(nowMs: number, isSilenceJudged: boolean): void {
+    const { link } = this;
+    if (link && this.#sentRevision < this.context.board.config.revision) this.#push(link);
+    super.beat(nowMs, isSilenceJudged);
+  }
+
+  protected takeWelcome(link: Link, welcome: MessageOf<MessageType.Welcome>): string | undefined {
+    if (welcome.role !== PeerRole.Side || welcome.upstream !== this.#state.name) {
+      return `the other end is ${welcome.role} ${welcome.upstream}`;
+    }
+    this.#state.link = link;
+    this.#state.linkState = SideLinkState.Open;
+    this.#state.sideIncarnation = welcome.incarnation;
+    this.#state.tickMs = welcome.tickMs;
+    this.#state.lastHeardAtMs = Date.now();
+    this.#state.configRevision = welcome.configRevision;
+    this.#state.isStopping = this.#isRetired;
+    return undefined;
+  }
+
+  protected noteOpen(): void {
+    const { link } = this;
+    if (!link) return;
+    this.#sentRevision = this.#state.configRevision;
+    this.#push(link);
+    this.#requestNewer(link);
+    this.#sides.attempts.onSideOpen(this.#state.name);
+    this.#sides.groups.onGroupSideOpen(this.#state.name);
+  }
+
+  protected noteLost(): void {
+    const { name, sideIncarnation } = this.#state;
+    this.#state.link = undefined;
+    this.#state.linkState = SideLinkState.Lost;
+    this.#state.report = undefined;
+    this.#sides.attempts.onSideLost(name, sideIncarnation);
+    this.#sides.groups.onGroupSideLost(name);
+  }
+
+  protected takeMessage(link: Link, message: Message): void {
+    this.#state.lastHeardAtMs = Date.now();
+    switch (message.type) {
+      case MessageType.Heartbeat:
+        this.#takeHeartbeat(link, message);
+        break;
+      case MessageType.Report:
+        this.#takeReport(message);
+        break;
+      case MessageType.ConfigRequest:
+        this.#sentRevision = Math.min(this.#sentRevision, message.afterRevision);
+        this.#push(link);
+        break;
+      case MessageType.ConfigObjects:
+        // A side holds a part only: its objects may be news, its revision proves nothing here.
+        this.#sides.feed.take(ConfigSource.Side, message.objects, 0, false);
+        break;
+      case MessageType.GroupReply:
+        this.#sides.groups.onGroupReply(this.#state.name, message);
+        break;
+      default:
+        this.#sides.attempts.onSideMessage(this.#state.name, message);
+    }
+  }
+
+  #takeHeartbeat(link: Link, heartbeat: MessageOf<MessageType.Heartbeat>): void {
+    this.#state.tickMs = Math.max(this.#state.tickMs, heartbeat.tickMs);
+    this.#state.configRevision = heartbeat.configRevision;
+    this.#state.isStopping = this.#isRetired || heartbeat.isStopping;
+    this.#requestNewer(link);
+  }
+
+  #takeReport(message: MessageOf<MessageType.Report>): void {
+    this.#state.report = message.report;
+    this.#state.reportAtMs = Date.now();
+    this.#state.sentSinceReport = 0;
+    this.#sides.attempts.onSideMessage(this.#state.name, message);
+  }
+
+  #requestNewer(link: Link): void {
+    const { revision } = this.context.board.config;
+    if (this.#state.configRevision <= revision) return;
+    link.send({ type: MessageType.ConfigRequest, afterRevision: revision });
+  }
+
+  #concerns(keys: readonly string[]): boolean {
+    const changes = keys.map((key) => ({ key, version: 0, value: undefined }));
+    return selectForSide(this.context.board.config, this.#state.name, changes).length > 0;
+  }
+
+  #push(link: Link): void {
+    const { config } = this.context.board;
+    const { isFull, changes } = this.#sides.feed.read(this.#sentRevision);
+    const objects = selectForSide(config, this.#state.name, changes);
+    if (objects.length === 0 && this.#sentRevision >= config.revision) return;
+    this.#sentRevision = Math.max(this.#sentRevision, config.revision);
+    const { revision } = config;
+    const sent = objects.map(({ key, version, value }) => ({ key, version, value }));
+    link.send({ type: MessageType.ConfigObjects, revision, isFull, objects: sent });
+  }
+}
--- /dev/null
+++ b/packages/core/src/membership/sideLinks.ts
@@ -0,0 +1,160 @@
+/**
+ * Keeps links to the side processes of the configured upstreams.
+ *
+ * An upstream that is configured no longer gets no new work, and its link is closed once nothing
+ * of this entry is in flight there.
+ */
+import { CONFIG_PREFIX, ConfigKind, type Upstream } from '../config/object.js';
+import { SideLinkState, type UpstreamState } from '../state/entryBoard.js';
+import type { Registration } from './registry.js';
+import { SideLink, type SideLinkContext } from './sideLink.js';
+import { chooseSubset } from './sideSubset.js';
+
+/** Spread of the first dials after a start, so that sides are not greeted all at once. */
+const DIAL_SPREAD_MS = 20;
+
+const UPSTREAM_PREFIX = `${CONFIG_PREFIX}${ConfigKind.Upstream}/`;
+
+/** Heartbeat intervals after which this process itself must have been paused. */
+const PAUSE_INTERVALS = 2;
+
+export interface SideLinksOptions extends SideLinkContext {
+  /** Address that a side process registered itself; it goes before the configured one. */
+  readonly readRegistration: (upstream: string) => Registration | undefined;
+  /** Whether the platform's list calls the VM leaving. */
+  readonly isListedLeaving: (upstream: string) => boolean;
+}
+
+function createState(upstream: Upstream, address: string): UpstreamState {
+  return {
+    name: upstream.name,
+    pool: upstream.pool,
+    domain: upstream.domain,
+    address,
+    linkState: SideLinkState.Connecting,
+    link: undefined,
+    sideIncarnation: '',
+    tickMs: 0,
+    lastHeardAtMs: 0,
+    configRevision: 0,
+    isStopping: false,
+    report: undefined,
+    reportAtMs: Number.NEGATIVE_INFINITY,
+    inFlight: 0,
+    sentSinceReport: 0,
+  };
+}
+
+/** The links of one entry to side processes. */
+export class SideLinks {
+  readonly #options: SideLinksOptions;
+
+  readonly #links = new Map<string, SideLink>();
+
+  /** Links that are kept only for what is still in flight. */
+  readonly #retired = new Set<SideLink>();
+
+  readonly #dialTimers = new Set<NodeJS.Timeout>();
+
+  #timer: NodeJS.Timeout | undefined;
+
+  #lastBeatMs = 0;
+
+  #isRunning = false;
+
+  constructor(options: SideLinksOptions) {
+    this.#options = options;
+    options.feed.onRise((rise) => {
+      if (rise.keys.some((key) => key.startsWith(UPSTREAM_PREFIX))) this.reconcile();
+      this.#links.forEach((link) => link.pushRise(rise));
+    });
+  }
+
+  /** Begins to dial and to beat. */
+  start(): void {
+    if (this.#isRunning) return;
+    this.#isRunning = true;
+    this.#lastBeatMs = Date.now();
+    this.#timer = setInterval(() => this.#beat(), this.#options.timing.heartbeatMs);
+    this.reconcile();
+  }
+
+  /** Closes all links. */
+  stop(): void {
+    this.#isRunning = false;
+    clearInterval(this.#timer);
+    this.#dialTimers.forEach((timer) => clearTimeout(timer));
+    this.#links.forEach((link) => link.end('stopping'));
+    this.#links.clear();
+  }
+
+  /** Compares the links with the configuration, the registry and the known entries. */
+  reconcile(): void {
+    if (!this.#isRunning) return;
+    const wanted = chooseSubset(this.#options.board);
+    const names = new Set(wanted.map((upstream) => upstream.name));
+    [...this.#links.values()]
+      .filter((link) => !names.has(link.state.name))
+      .forEach((link) => {
+        this.#retire(link);
+      });
+    wanted.forEach((upstream) => this.#keep(upstream));
+  }
+
+  #keep(upstream: Upstream): void {
+    const registration = this.#options.readRegistration(upstream.name);
+    const address = registration?.address ?? upstream.address;
+    const link = this.#links.get(upstream.name);
+    if (!link) {
+      this.#open(upstream, address);
+      return;
+    }
+    const { state } = link;
+    if (this.#retired.has(link)) return;
+    if (state.pool !== upstream.pool || state.domain !== upstream.domain) {
+      this.#retire(link);
+      return;
+    }
+    state.isListedLeaving = this.#options.isListedLeaving(upstream.name);
+    if (state.address === address) return;
+    state.address = address;
+    link.redial();
+  }
+
+  #open(upstream: Upstream, address: string): void {
+    const state = createState(upstream, address);
+    const link = new SideLink(this.#options, state);
+    this.#options.board.upstreams.set(upstream.name, state);
+    this.#links.set(upstream.name, link);
+    const timer = setTimeout(() => {
+      this.#dialTimers.delete(timer);
+      link.dial();
+    }, this.#options.random.next() * DIAL_SPREAD_MS);
+    this.#dialTimers.add(timer);
+  }
+
+  /** Takes an upstream out of use; the link goes once nothing is in flight there. */
+  #retire(link: SideLink): void {
+    const { state } = link;
+    link.retire();
+    this.#retired.add(link);
+    if (state.inFlight > 0 && state.link) return;
+    this.#retired.delete(link);
+    link.end('no longer configured');
+    this.#links.delete(state.name);
+    if (this.#options.board.upstreams.get(state.name) === state) {
+      this.#options.board.upstreams.delete(state.name);
+    }
+  }
+
+  #beat(): void {
+    const nowMs = Date.now();
+    const { heartbeatMs } = this.#options.timing;
+    const isSilenceJudged = nowMs - this.#lastBeatMs <= heartbeatMs * PAUSE_INTERVALS;
+    this.#lastBeatMs = nowMs;
+    this.#links.forEach((link) => link.beat(nowMs, isSilenceJudged));
+    if (this.#retired.size === 0) return;
+    this.#retired.forEach((link) => this.#retire(link));
+    this.reconcile();
+  }
+}
--- a/packages/standin/src/platform/memoryStore.ts
+++ b/packages/standin/src/platform/memoryStore.ts
@@ -123,7 +123,9 @@
   ): Promise<Outcome<WatchBatch>> {
     const apply = () => this.objects.listChanges(prefix, afterRevision);
     const first = await this.#call(StoreOperation.Watch, prefix, apply);
-    if (!first.ok || first.val.changes.length > 0) return first;
+    if (!first.ok) return first;
+    const current = apply();
+    if (!current.ok || current.val.changes.length > 0) return current;
     const isBroken = await this.#waitForChange(prefix, timeoutMs);
     if (isBroken) return this.#breakWatch();
     return apply();
--- /dev/null
+++ b/packages/standin/test/config/configFollower.test.ts
@@ -0,0 +1,131 @@
+import { install, type Clock } from '@sinonjs/fake-timers';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { ConfigFeed, ConfigSource } from '@radishbay/core/config/configFeed.js';
+import { ConfigFollower } from '@radishbay/core/config/configFollower.js';
+import { ConfigKind, DomainState, formatConfigKey } from '@radishbay/core/config/object.js';
+import { PlatformPace } from '@radishbay/core/config/platformPace.js';
+import { ConfigLease } from '@radishbay/core/membership/configLease.js';
+import { DEFAULT_TIMING } from '@radishbay/core/model/timing.js';
+import { Random } from '@radishbay/core/ports/random.js';
+import { EntryBoard } from '@radishbay/core/state/entryBoard.js';
+
+import { MemoryObjectStore } from '../../src/platform/memoryStore.js';
+import { StoreFault } from '../../src/platform/storeFault.js';
+import { RecordingLog } from '../support/recordingLog.js';
+import { RecordingMetrics } from '../support/recordingMetrics.js';
+
+const KEY = formatConfigKey(ConfigKind.Domain, 'zone-a');
+
+function createFollower() {
+  const store = new MemoryObjectStore();
+  const board = new EntryBoard('entry-a', 'one', 'zone-a', 'main');
+  const log = new RecordingLog();
+  const metrics = new RecordingMetrics();
+  const feed = new ConfigFeed({ board, log, metrics });
+  const lease = new ConfigLease({ board, configLeaseMs: DEFAULT_TIMING.configLeaseMs });
+  const follower = new ConfigFollower({
+    board,
+    feed,
+    lease,
+    store,
+    pace: new PlatformPace(),
+    random: new Random(1),
+    log,
+    metrics,
+    timing: DEFAULT_TIMING,
+  });
+  follower.start();
+  return { store, board, feed, follower };
+}
+
+function writeDomain(store: MemoryObjectStore, state: DomainState): number {
+  const version = store.objects.get(KEY)?.version ?? 0;
+  return store.objects.put(KEY, { name: 'zone-a', state }, version).unwrap();
+}
+
+function readState(board: EntryBoard): DomainState | undefined {
+  return board.config.get(ConfigKind.Domain, 'zone-a')?.state;
+}
+
+let clock: Clock;
+
+test.before.each(() => {
+  clock = install();
+});
+
+test.after.each(() => {
+  clock.uninstall();
+});
+
+test('a change reaches the blackboard by the watch, and only once', async () => {
+  const { store, board, feed } = createFollower();
+  await clock.tickAsync(50);
+  const rises: number[] = [];
+  feed.onRise((rise) => rises.push(rise.revision));
+  const version = writeDomain(store, DomainState.Drained);
+  await clock.tickAsync(50);
+  assert.is(readState(board), DomainState.Drained);
+  assert.equal(rises, [version]);
+});
+
+test('a watch that fell behind is replaced by a list, removals included', async () => {
+  const { store, board } = createFollower();
+  writeDomain(store, DomainState.Active);
+  await clock.tickAsync(50);
+  store.setFault(StoreFault.Unavailable);
+  store.objects.remove(KEY, store.objects.get(KEY)?.version ?? 0).unwrap();
+  store.objects.compact();
+  await clock.tickAsync(1_000);
+  store.setFault(StoreFault.None);
+  await clock.tickAsync(10_000);
+  assert.is(readState(board), undefined);
+});
+
+test('a connection that goes silent for good does not stop the following', async () => {
+  const { store, board } = createFollower();
+  await clock.tickAsync(50);
+  store.setFault(StoreFault.Silent);
+  await clock.tickAsync(50);
+  store.setFault(StoreFault.None);
+  writeDomain(store, DomainState.Drained);
+  await clock.tickAsync(DEFAULT_TIMING.configLeaseMs + 1_000);
+  assert.is(readState(board), DomainState.Drained);
+});
+
+test('the right to begin new work lapses without answers and returns with them', async () => {
+  const { store, board } = createFollower();
+  await clock.tickAsync(5_000);
+  assert.ok(board.isCurrent);
+  store.setFault(StoreFault.Silent);
+  await clock.tickAsync(DEFAULT_TIMING.configLeaseMs);
+  assert.not.ok(board.isCurrent);
+  store.setFault(StoreFault.None);
+  await clock.tickAsync(10_000);
+  assert.ok(board.isCurrent);
+});
+
+test('a process that was paused finds its right lapsed before anything else has run', async () => {
+  const { board } = createFollower();
+  await clock.tickAsync(500);
+  assert.ok(board.isCurrent);
+  clock.setSystemTime(Date.now() + DEFAULT_TIMING.configLeaseMs);
+  assert.not.ok(board.isCurrent);
+});
+
+test('an older version heard elsewhere changes nothing', async () => {
+  const { store, board, feed } = createFollower();
+  const old = writeDomain(store, DomainState.Active);
+  writeDomain(store, DomainState.Drained);
+  await clock.tickAsync(50);
+  feed.take(
+    ConfigSource.Peer,
+    [{ key: KEY, version: old, value: { name: 'zone-a', state: DomainState.Active } }],
+    old,
+    false,
+  );
+  assert.is(readState(board), DomainState.Drained);
+});
+
+test.run();
