--- /dev/null
+++ b/packages/standin/src/engine/engineServer.ts
@@ -0,0 +1,196 @@
+/**
+ * The model engine over HTTP; its calls and options are described in this package's README.
+ *
+ * Without its order book it knows nothing of groups: `handlers` adds kinds of orders.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+import { Ok } from '@radishbay/core/outcome.js';
+import { EngineOrderErrorKind } from '@radishbay/core/ports/engine.js';
+
+import { isJsonObject, readNumber, readString, type JsonObject } from '../http/json.js';
+import { StandinServer, readBody, readJson, writeError, writeJson } from '../http/standinServer.js';
+
+import { CompletionAnswer } from './completionAnswer.js';
+import { parseCompletion, type CompletionRequest } from './completionRequest.js';
+import { countPromptTokens, hashText } from './completionText.js';
+import { EngineFaults } from './engineFaults.js';
+import { EngineModel, SubmitError, type EngineWork } from './engineModel.js';
+import { parseEngineOptions } from './engineOptions.js';
+import { OrderBook, type OrderHandler } from './orderBook.js';
+import type { Sequence } from './sequence.js';
+
+const COMPLETION_PATH = '/v1/completions';
+const CHAT_PATH = '/v1/chat/completions';
+const BLOCK_CHARS = 256;
+const DEFAULT_PRIORITY = 5;
+
+function readHeader(request: IncomingMessage, name: string): string | undefined {
+  const value = request.headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
+
+/** Hashes of the prompt's leading blocks, each over all text up to its end. */
+function hashBlocks(prompt: string): readonly string[] {
+  const blocks = Math.floor(prompt.length / BLOCK_CHARS);
+  return Array.from({ length: blocks }, (_, index) =>
+    hashText(prompt.slice(0, (index + 1) * BLOCK_CHARS)),
+  );
+}
+
+/** The caller's own hashes where it sends them, so that both sides name blocks alike. */
+function readPrefixHashes(request: IncomingMessage, prompt: string): readonly string[] {
+  const told = readHeader(request, 'x-prefix-hashes');
+  if (told === undefined) return hashBlocks(prompt);
+  return told.split(',').filter((hash) => hash !== '');
+}
+
+/** A model engine that serves completions. */
+export class EngineServer extends StandinServer {
+  readonly model: EngineModel;
+
+  readonly #orders: OrderBook;
+
+  readonly #faults: EngineFaults;
+
+  #unnamedCount = 0;
+
+  /**
+   * @param options see {@link parseEngineOptions}
+   * @param handlers further kinds of orders
+   */
+  constructor(options: JsonObject = {}, handlers: ReadonlyMap<string, OrderHandler> = new Map()) {
+    super();
+    const parsed = parseEngineOptions(options);
+    this.model = new EngineModel(parsed);
+    this.#faults = new EngineFaults(this.model);
+    this.#orders = new OrderBook(parsed.isFencing, new Map([...this.#listHandlers(), ...handlers]));
+  }
+
+  override stop(): Promise<void> {
+    this.model.close();
+    return super.stop();
+  }
+
+  protected override async handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+    url: URL,
+  ): Promise<void> {
+    const route = `${request.method} ${url.pathname}`;
+    if (route === `POST ${COMPLETION_PATH}`) await this.#complete(request, response, false);
+    else if (route === `POST ${CHAT_PATH}`) await this.#complete(request, response, true);
+    else if (route === 'GET /load') writeJson(response, 200, this.model.readLoad());
+    else if (route === 'GET /cache-events') this.#writeCacheEvents(response, url);
+    else if (route === 'GET /record') writeJson(response, 200, this.#describeRecord());
+    else if (route === 'POST /orders') await this.#handleOrder(request, response);
+    else if (route === 'POST /faults') await this.#handleFault(request, response);
+    else writeError(response, 404, `no such call: ${route}`);
+  }
+
+  #listHandlers(): Map<string, OrderHandler> {
+    return new Map<string, OrderHandler>([
+      [
+        'load-model',
+        (params) => {
+          this.model.models.add(readString(params, 'model', 'default'));
+          return Ok({ models: [...this.model.models] });
+        },
+      ],
+      [
+        'unload-model',
+        (params) => {
+          this.model.models.delete(readString(params, 'model', 'default'));
+          return Ok({ models: [...this.model.models] });
+        },
+      ],
+    ]);
+  }
+
+  async #complete(
+    request: IncomingMessage,
+    response: ServerResponse,
+    isChat: boolean,
+  ): Promise<void> {
+    const completion = parseCompletion((await readBody(request)).toString('utf8'), isChat);
+    if (!completion) {
+      writeError(response, 400, 'the body must be a completion request');
+    } else if (!this.model.models.has(completion.model)) {
+      writeError(response, 404, `model ${completion.model} is not loaded`);
+    } else if (this.#faults.takeDecline()) {
+      writeError(response, 503, 'declined by a fault');
+    } else {
+      this.#run(request, response, completion);
+    }
+  }
+
+  #run(request: IncomingMessage, response: ServerResponse, completion: CompletionRequest): void {
+    const offset = Number(readHeader(request, 'x-resume-offset') ?? 0) || 0;
+    const answer = new CompletionAnswer(response, completion, offset);
+    const work = this.#describeWork(request, completion, answer.firstToken);
+    const isBroken = this.#faults.takeBreak();
+    const sequence = this.model.submit(work, {
+      onToken: (index) => {
+        const isReady = answer.writeToken(index);
+        if (isBroken) response.destroy();
+        return isReady;
+      },
+      onEnd: () => answer.end(),
+      onFailure: () => response.destroy(),
+    });
+    if (sequence.ok) this.#follow(response, sequence.val);
+    else if (sequence.val === SubmitError.Down) writeError(response, 503, 'restarting');
+    else response.destroy();
+  }
+
+  #follow(response: ServerResponse, sequence: Sequence): void {
+    response.on('drain', () => this.model.resume(sequence));
+    response.on('close', () => this.model.cancel(sequence));
+  }
+
+  #describeWork(
+    request: IncomingMessage,
+    completion: CompletionRequest,
+    firstToken: number,
+  ): EngineWork {
+    this.#unnamedCount += 1;
+    return {
+      attemptId: readHeader(request, 'x-attempt-id') ?? `unnamed-${this.#unnamedCount}`,
+      priority: Number(readHeader(request, 'x-priority') ?? DEFAULT_PRIORITY),
+      promptTokens: countPromptTokens(completion.prompt),
+      prefixHashes: readPrefixHashes(request, completion.prompt),
+      firstToken,
+      maxTokens: completion.maxTokens,
+    };
+  }
+
+  #writeCacheEvents(response: ServerResponse, url: URL): void {
+    const after = Number(url.searchParams.get('after') ?? 0);
+    writeJson(response, 200, { events: this.model.listCacheEvents(after) });
+  }
+
+  #describeRecord(): JsonObject {
+    return { ...this.model.record.toJson(), orders: this.#orders.orderIds };
+  }
+
+  async #handleOrder(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const body = (await readJson(request)) ?? {};
+    const orderId = readString(body, 'orderId', '');
+    const action = readString(body, 'action', '');
+    if (orderId === '' || action === '') {
+      writeError(response, 400, 'orderId and action must be given');
+      return;
+    }
+    const fencingNumber = readNumber(body, 'fencingNumber', 0);
+    const params = isJsonObject(body.params) ? body.params : {};
+    const reply = this.#orders.apply({ orderId, fencingNumber, action, params });
+    if (reply.ok) writeJson(response, 200, reply.val);
+    else writeJson(response, reply.val.kind === EngineOrderErrorKind.Fenced ? 409 : 400, reply.val);
+  }
+
+  async #handleFault(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const body = (await readJson(request)) ?? {};
+    if (this.#faults.apply(body)) writeJson(response, 200, {});
+    else writeError(response, 400, `kind must be one of ${this.#faults.kinds.join(', ')}`);
+  }
+}
--- /dev/null
+++ b/packages/standin/src/engine/main.ts
@@ -0,0 +1,6 @@
+/** Runs a model engine: `--port N --options JSON`. */
+import { runServer } from '../http/runServer.js';
+
+import { EngineServer } from './engineServer.js';
+
+await runServer((options) => new EngineServer(options));
