Serve requests from the caller to the side process, thin

Cause: the whole path needs a request path in the entry before anything else can be tried on it. The send-time checks (configuration confirmed, domain not drained, upstream not leaving, same incarnation, deadline) read the clock right before the message is handed to the link. Not in it yet: Idempotency-Key claims; the property test.

--- /dev/null
+++ b/packages/core/src/entry/requestContext.ts
@@ -0,0 +1,23 @@
+/** What the parts of the request path share within one entry. */
+import type { AdmissionPolicy } from '../limits/admissionPolicy.js';
+import type { Timing } from '../model/timing.js';
+import type { Log } from '../ports/log.js';
+import type { Metrics } from '../ports/metrics.js';
+import type { RetryPolicy } from '../retry/retryPolicy.js';
+import type { RoutingPolicy } from '../routing/routingPolicy.js';
+import type { EntryBoard } from '../state/entryBoard.js';
+
+import type { Attempt } from './attempt.js';
+
+/** Shared by all requests of an entry. */
+export interface RequestContext {
+  readonly board: EntryBoard;
+  readonly routing: RoutingPolicy;
+  readonly admission: AdmissionPolicy;
+  readonly retries: RetryPolicy;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly timing: Timing;
+  /** Attempts under way, by id. */
+  readonly attempts: Map<string, Attempt>;
+}
--- /dev/null
+++ b/packages/core/src/entry/requestController.ts
@@ -0,0 +1,219 @@
+/**
+ * The request path of an entry: takes callers' requests, and what the links say of their attempts.
+ *
+ * Messages are matched to attempts by id and upstream; what matches none is counted and dropped.
+ */
+import { LogLevel, type Log } from '../ports/log.js';
+import type { AdmissionPolicy } from '../limits/admissionPolicy.js';
+import { WorkspaceLimiter } from '../limits/workspaceLimiter.js';
+import { MessageType, type Message, type MessageOf } from '../messages/message.js';
+import type { QueryRow } from '../model/query.js';
+import { RefusalReason, type Refusal } from '../model/reason.js';
+import type { CallerRequest } from '../model/request.js';
+import type { Timing } from '../model/timing.js';
+import type { Caller } from '../ports/caller.js';
+import type { Metrics } from '../ports/metrics.js';
+import type { ObjectStore } from '../ports/objectStore.js';
+import type { Random } from '../ports/random.js';
+import { RetryPolicy } from '../retry/retryPolicy.js';
+import type { RoutingPolicy } from '../routing/routingPolicy.js';
+import { countRoom } from '../routing/upstreamState.js';
+import type { EntryBoard } from '../state/entryBoard.js';
+
+import type { Attempt } from './attempt.js';
+import { AttemptListener } from './attemptListener.js';
+import { refuseNotRun } from './refusal.js';
+import { RequestClassifier, type ClassifiedRequest } from './requestClassifier.js';
+import type { RequestContext } from './requestContext.js';
+import { RequestRun } from './requestRun.js';
+
+const LOG_PART = 'requests';
+
+/** Time after which a request refused by a stopping entry is asked to come back. */
+const STOPPING_RETRY_MS = 100;
+
+/** Time after which a request refused for want of an upstream is asked to come back. */
+const NO_UPSTREAM_RETRY_MS = 1_000;
+
+/** What the request path needs. */
+export interface RequestControllerOptions {
+  readonly board: EntryBoard;
+  readonly store: ObjectStore;
+  readonly routing: RoutingPolicy;
+  readonly admission: AdmissionPolicy;
+  readonly random: Random;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly timing: Timing;
+}
+
+/** Requests of one entry, from the caller to the links and back. */
+export class RequestController extends AttemptListener {
+  readonly #context: RequestContext;
+
+  readonly #classifier: RequestClassifier;
+
+  readonly #limiter = new WorkspaceLimiter();
+
+  readonly #runs = new Map<string, RequestRun>();
+
+  readonly #attempts = new Map<string, Attempt>();
+
+  readonly #drainWaiters: (() => void)[] = [];
+
+  #isDraining = false;
+
+  constructor(options: RequestControllerOptions) {
+    super();
+    const { board, routing, admission, random, log, metrics, timing } = options;
+    this.#classifier = new RequestClassifier(board.config);
+    this.#context = {
+      board,
+      routing,
+      admission,
+      retries: new RetryPolicy(random),
+      log,
+      metrics,
+      timing,
+      attempts: this.#attempts,
+    };
+  }
+
+  /** Attempts under way. */
+  get attemptCount(): number {
+    return this.#attempts.size;
+  }
+
+  /** Takes a caller's request; the caller hears of its end. */
+  accept(request: CallerRequest, caller: Caller): void {
+    const nowMs = Date.now();
+    const refusal = this.#findStopRefusal();
+    if (refusal) {
+      this.#refuse(caller, refusal);
+      return;
+    }
+    const classified = this.#classifier.classify(request, nowMs);
+    if (!classified.ok) this.#refuse(caller, classified.val);
+    else this.#begin(classified.val, caller, nowMs);
+  }
+
+  /** Rows of the requests under way, for operators. */
+  listInFlight(): readonly QueryRow[] {
+    const nowMs = Date.now();
+    return [...this.#runs.values()].map((run) => run.describe(nowMs));
+  }
+
+  /** Refuses new requests from now on; resolves once those in flight have ended. */
+  drain(): Promise<void> {
+    this.#isDraining = true;
+    this.#context.board.isStopping = true;
+    if (this.#runs.size === 0) return Promise.resolve();
+    this.#writeLog(LogLevel.Info, 'Waiting for requests in flight.', { count: this.#runs.size });
+    return new Promise((resolve) => {
+      this.#drainWaiters.push(resolve);
+    });
+  }
+
+  onSideOpen(upstream: string): void {
+    this.#listAttempts(upstream).forEach((attempt) => attempt.findLink());
+    this.#updateRoomOf(upstream);
+  }
+
+  onSideLost(upstream: string): void {
+    this.#listAttempts(upstream).forEach((attempt) => attempt.loseLink());
+    this.#updateRoomOf(upstream);
+  }
+
+  onSideMessage(upstream: string, message: Message): void {
+    if (message.type === MessageType.Report) this.#readReport(upstream, message);
+    else if (message.type === MessageType.CacheEvents) {
+      this.#context.routing.readCacheEvents(message);
+    } else if ('attemptId' in message) this.#readAttemptMessage(upstream, message);
+  }
+
+  #begin(classified: ClassifiedRequest, caller: Caller, nowMs: number): void {
+    const refusal = this.#findEntryRefusal(classified, nowMs);
+    if (refusal) {
+      this.#refuse(caller, refusal);
+      return;
+    }
+    this.#context.metrics.count('request.accepted');
+    this.#context.retries.noteRequest(nowMs);
+    const run = new RequestRun(this.#context, classified, caller, (done) => this.#endRun(done));
+    this.#runs.set(run.id, run);
+    run.start().catch((error: unknown) => {
+      throw error;
+    });
+  }
+
+  #findStopRefusal(): Refusal | undefined {
+    if (!this.#isDraining && !this.#context.board.isStopping) return undefined;
+    const detail = 'this entry is in a planned stop';
+    return refuseNotRun(RefusalReason.ShuttingDown, STOPPING_RETRY_MS, detail);
+  }
+
+  #findEntryRefusal(classified: ClassifiedRequest, nowMs: number): Refusal | undefined {
+    const { name } = classified.pool;
+    if (!this.#updateRoom(name)) {
+      const detail = `no upstream of pool ${name} takes work`;
+      return refuseNotRun(RefusalReason.NoUpstream, NO_UPSTREAM_RETRY_MS, detail);
+    }
+    const entryCount = this.#countEntries();
+    const waitMs = this.#limiter.take(classified.workspace, entryCount, nowMs);
+    if (waitMs === 0) return undefined;
+    const detail = `workspace ${classified.workspace.name} is over its limit`;
+    return refuseNotRun(RefusalReason.WorkspaceLimit, waitMs, detail);
+  }
+
+  #countEntries(): number {
+    const peers = [...this.#context.board.peers.values()];
+    return 1 + peers.filter((peer) => peer.link?.isOpen).length;
+  }
+
+  #refuse(caller: Caller, refusal: Refusal): void {
+    this.#context.metrics.count('request.refused', { reason: refusal.reason });
+    caller.refuse(refusal);
+  }
+
+  #endRun(run: RequestRun): void {
+    this.#runs.delete(run.id);
+    this.#updateRoom(run.pool);
+    if (this.#runs.size > 0) return;
+    this.#drainWaiters.splice(0).forEach((resolve) => resolve());
+  }
+
+  #listAttempts(upstream: string): readonly Attempt[] {
+    return [...this.#attempts.values()].filter((attempt) => attempt.upstream === upstream);
+  }
+
+  #readReport(name: string, message: MessageOf<MessageType.Report>): void {
+    const upstream = this.#context.board.upstreams.get(name);
+    if (!upstream) return;
+    upstream.report = message.report;
+    upstream.reportAtMs = Date.now();
+    upstream.sentSinceReport = 0;
+    this.#updateRoom(upstream.pool);
+  }
+
+  #readAttemptMessage(upstream: string, message: Message & { attemptId: string }): void {
+    const attempt = this.#attempts.get(message.attemptId);
+    if (attempt?.upstream === upstream) attempt.readMessage(message);
+    else this.#context.metrics.count('attempt.message-dropped', { type: message.type });
+  }
+
+  #updateRoomOf(name: string): void {
+    const upstream = this.#context.board.upstreams.get(name);
+    if (upstream) this.#updateRoom(upstream.pool);
+  }
+
+  /** @returns whether the pool has any upstream that takes work */
+  #updateRoom(pool: string): boolean {
+    const room = countRoom(this.#context.board, pool);
+    this.#context.admission.setRoom(pool, room ?? 0);
+    return room !== undefined;
+  }
+
+  #writeLog(level: LogLevel, sentence: string, fields: Record<string, number>): void {
+    this.#context.log.write(level, LOG_PART, sentence, fields);
+  }
+}
--- /dev/null
+++ b/packages/core/src/entry/submission.ts
@@ -0,0 +1,92 @@
+/** The message that submits a request, and the checks made right before it is sent. */
+import { ConfigKind, SettingName } from '../config/object.js';
+import { MessageType, type MessageOf } from '../messages/message.js';
+import { RefusalReason, type Refusal } from '../model/reason.js';
+import { findClosedReason } from '../routing/upstreamState.js';
+import type { EntryBoard, UpstreamState } from '../state/entryBoard.js';
+
+import { refuseNotRun } from './refusal.js';
+import type { ClassifiedRequest } from './requestClassifier.js';
+
+/** Share of requests that may be retried where no setting names one. */
+const DEFAULT_RETRY_SHARE = 0.1;
+
+/** Time after which a request is asked to come back while the configuration is not confirmed. */
+const STALE_RETRY_MS = 1_000;
+
+/** Time after which a request is asked to come back after an upstream has closed. */
+const CLOSED_RETRY_MS = 500;
+
+/** Where an attempt is to be made. */
+export interface AttemptTarget {
+  readonly upstream: string;
+  readonly sideIncarnation: string;
+  readonly attemptId: string;
+}
+
+/** Share of requests that may be retried now. */
+export function readRetryShare(board: EntryBoard): number {
+  const value = board.config.get(ConfigKind.Setting, SettingName.RetryShare)?.value;
+  return typeof value === 'number' ? value : DEFAULT_RETRY_SHARE;
+}
+
+/**
+ * Finds out why nothing may be sent to a target now.
+ *
+ * @param nowMs time by the runtime's clock, read right before sending
+ * @returns undefined where the attempt may be sent
+ */
+export function findSendFault(
+  board: EntryBoard,
+  classified: ClassifiedRequest,
+  target: AttemptTarget,
+  nowMs: number,
+): Refusal | undefined {
+  if (nowMs >= classified.deadlineAtMs) {
+    return refuseNotRun(RefusalReason.DeadlinePassed, 0, 'the deadline has passed');
+  }
+  if (!board.isCurrent) {
+    const detail = 'this entry has not confirmed its configuration for too long';
+    return refuseNotRun(RefusalReason.StaleConfiguration, STALE_RETRY_MS, detail);
+  }
+  const upstream = board.upstreams.get(target.upstream);
+  const reason = upstream ? findClosedReason(board, upstream) : RefusalReason.NoUpstream;
+  if (reason) return refuseNotRun(reason, CLOSED_RETRY_MS, `${target.upstream} takes no new work`);
+  if (upstream?.sideIncarnation !== target.sideIncarnation) {
+    const detail = `the side process of ${target.upstream} was replaced`;
+    return refuseNotRun(RefusalReason.StaleIncarnation, CLOSED_RETRY_MS, detail);
+  }
+  return undefined;
+}
+
+/** Builds the message that submits a request. */
+export function createSubmit(
+  board: EntryBoard,
+  classified: ClassifiedRequest,
+  target: AttemptTarget,
+  upstream: UpstreamState,
+  creditBytes: number,
+  nowMs: number,
+): MessageOf<MessageType.Submit> {
+  const { request, requestClass, workspace } = classified;
+  return {
+    type: MessageType.Submit,
+    attemptId: target.attemptId,
+    sideIncarnation: target.sideIncarnation,
+    echoTickMs: upstream.tickMs,
+    configRevision: board.config.revision,
+    workspace: workspace.name,
+    className: requestClass.name,
+    priority: requestClass.priority,
+    isRepeatable: requestClass.isRepeatable,
+    isStream: request.isStream,
+    remainingMs: classified.deadlineAtMs - nowMs,
+    progressTimeoutMs: requestClass.progressTimeoutMs,
+    method: request.method,
+    path: request.path,
+    headers: request.headers,
+    body: request.body as Uint8Array<ArrayBuffer>,
+    prefixHashes: [...request.prefixHashes],
+    creditBytes,
+  };
+}
--- /dev/null
+++ b/packages/core/src/routing/leastLoadedRouting.ts
@@ -0,0 +1,77 @@
+/**
+ * Routing to the upstream with the least load for its limit.
+ *
+ * The reported load lags behind, so it is corrected by what this entry has sent since the report.
+ */
+import { refuseNotRun } from '../entry/refusal.js';
+import { RefusalReason, type Refusal } from '../model/reason.js';
+import { Err, Ok, type Result } from '../outcome.js';
+import type { Random } from '../ports/random.js';
+import type { EntryBoard, UpstreamState } from '../state/entryBoard.js';
+
+import { RoutingPolicy, type RoutingQuery } from './routingPolicy.js';
+import { findClosedReason, readLimit, readLoad } from './upstreamState.js';
+
+/** Time after which a request that found no upstream is asked to come back. */
+const NO_UPSTREAM_RETRY_MS = 1_000;
+
+function hasModel(upstream: UpstreamState, model: string | undefined): boolean {
+  if (model === undefined) return true;
+  const models = upstream.report?.models ?? [];
+  return models.length === 0 || models.includes(model);
+}
+
+/** Chooses the least loaded upstream, at random among equals. */
+export class LeastLoadedRouting extends RoutingPolicy {
+  readonly #random: Random;
+
+  /** Order in which upstreams were last used. */
+  readonly #lastSent = new Map<string, number>();
+
+  #sequence = 0;
+
+  constructor(random: Random) {
+    super();
+    this.#random = random;
+  }
+
+  choose(board: EntryBoard, query: RoutingQuery): Result<string, Refusal> {
+    const open = [...board.upstreams.values()].filter(
+      (upstream) =>
+        upstream.pool === query.pool &&
+        !query.excludedUpstreams.has(upstream.name) &&
+        hasModel(upstream, query.model) &&
+        findClosedReason(board, upstream) === undefined,
+    );
+    const preferred = open.filter((upstream) => !query.avoidedDomains.has(upstream.domain));
+    const chosen = this.#chooseLeast(preferred.length > 0 ? preferred : open);
+    if (chosen) return Ok(chosen.name);
+    const detail = `no upstream of pool ${query.pool} takes work`;
+    return Err(refuseNotRun(RefusalReason.NoUpstream, NO_UPSTREAM_RETRY_MS, detail));
+  }
+
+  markSent(_board: EntryBoard, upstream: string): void {
+    this.#sequence += 1;
+    this.#lastSent.set(upstream, this.#sequence);
+  }
+
+  // eslint-disable-next-line class-methods-use-this -- the board's own counts are enough here
+  markEnded(): void {}
+
+  // eslint-disable-next-line class-methods-use-this -- load alone decides here
+  readCacheEvents(): void {}
+
+  /** Among equals it is the one that this entry has not used for longest. */
+  #chooseLeast(candidates: readonly UpstreamState[]): UpstreamState | undefined {
+    const shares = candidates.map((upstream) => (readLoad(upstream) + 1) / readLimit(upstream));
+    const least = Math.min(...shares);
+    const equals = candidates.filter((_, index) => shares[index] === least);
+    const fresh = equals.filter((upstream) => !this.#lastSent.has(upstream.name));
+    if (fresh.length > 0) return fresh[this.#random.nextInt(fresh.length)];
+    return equals.sort((a, b) => this.#readLastSent(a) - this.#readLastSent(b))[0];
+  }
+
+  #readLastSent(upstream: UpstreamState): number {
+    return this.#lastSent.get(upstream.name) ?? 0;
+  }
+}
--- /dev/null
+++ b/packages/core/src/routing/upstreamState.ts
@@ -0,0 +1,69 @@
+/** What the board says of an upstream: whether it takes work, its load and its limit. */
+import { ConfigKind, DomainState } from '../config/object.js';
+import { RefusalReason } from '../model/reason.js';
+import { SideLinkState, type EntryBoard, type UpstreamState } from '../state/entryBoard.js';
+
+/** Limit assumed of an upstream that has not reported yet. */
+const UNREPORTED_LIMIT = 1;
+
+/** Attempts that the upstream lets in at once, as last reported. */
+export function readLimit(upstream: UpstreamState): number {
+  return upstream.report?.limit ?? UNREPORTED_LIMIT;
+}
+
+/** Attempts expected there now, from all entries as far as this one knows. */
+export function readLoad(upstream: UpstreamState): number {
+  const reported = (upstream.report?.inFlight ?? 0) + upstream.sentSinceReport;
+  return Math.max(reported, upstream.inFlight);
+}
+
+/** Counts an attempt that was sent to an upstream. */
+export function countSent(board: EntryBoard, name: string): void {
+  const upstream = board.upstreams.get(name);
+  if (!upstream) return;
+  upstream.inFlight += 1;
+  upstream.sentSinceReport += 1;
+}
+
+/** Counts an attempt at an upstream that has ended. */
+export function countEnded(board: EntryBoard, name: string): void {
+  const upstream = board.upstreams.get(name);
+  if (!upstream) return;
+  upstream.inFlight = Math.max(0, upstream.inFlight - 1);
+}
+
+/**
+ * Finds out why an upstream takes no new work.
+ *
+ * @returns undefined where it takes work
+ */
+export function findClosedReason(
+  board: EntryBoard,
+  upstream: UpstreamState,
+): RefusalReason | undefined {
+  const domain = board.config.get(ConfigKind.Domain, upstream.domain);
+  if (!domain || domain.state === DomainState.Drained) return RefusalReason.DomainDrained;
+  if (!board.config.get(ConfigKind.Upstream, upstream.name)) return RefusalReason.UpstreamLeaving;
+  if (upstream.isStopping) return RefusalReason.UpstreamLeaving;
+  if (upstream.report?.isLeaving) return RefusalReason.UpstreamLeaving;
+  if (upstream.report?.isDrained) return RefusalReason.DomainDrained;
+  if (upstream.linkState !== SideLinkState.Open) return RefusalReason.NoUpstream;
+  if (!upstream.link?.isOpen) return RefusalReason.NoUpstream;
+  return undefined;
+}
+
+/**
+ * Counts the attempts that this entry can have in flight in a pool.
+ *
+ * @returns undefined where the pool has no upstream that takes work
+ */
+export function countRoom(board: EntryBoard, pool: string): number | undefined {
+  const open = [...board.upstreams.values()].filter(
+    (upstream) => upstream.pool === pool && findClosedReason(board, upstream) === undefined,
+  );
+  if (open.length === 0) return undefined;
+  return open.reduce((room, upstream) => {
+    const others = Math.max(0, readLoad(upstream) - upstream.inFlight);
+    return room + Math.max(0, readLimit(upstream) - others);
+  }, 0);
+}
--- /dev/null
+++ b/packages/core/test/entry/fakeCaller.ts
@@ -0,0 +1,61 @@
+/** A caller that keeps what it is given. */
+import type { Refusal } from '../../src/model/reason.js';
+import { Caller } from '../../src/ports/caller.js';
+
+/** Records one answer; the test can make it slow or hang up. */
+export class FakeCaller extends Caller {
+  status = 0;
+
+  text = '';
+
+  isSlow = false;
+
+  /** Calls that end the answer, in order: one for a sound request. */
+  readonly ends: string[] = [];
+
+  refusal: Refusal | undefined;
+
+  #onDrain: (() => void) | undefined;
+
+  #onGone: (() => void) | undefined;
+
+  writeHead(status: number): void {
+    this.status = status;
+  }
+
+  writeData(data: Uint8Array): boolean {
+    this.text += new TextDecoder().decode(data);
+    return !this.isSlow;
+  }
+
+  end(): void {
+    this.ends.push('end');
+  }
+
+  abort(refusal: Refusal): void {
+    this.ends.push('abort');
+    this.refusal = refusal;
+  }
+
+  refuse(refusal: Refusal): void {
+    this.ends.push('refuse');
+    this.refusal = refusal;
+  }
+
+  onDrain(listener: () => void): void {
+    this.#onDrain = listener;
+  }
+
+  onGone(listener: () => void): void {
+    this.#onGone = listener;
+  }
+
+  drain(): void {
+    this.isSlow = false;
+    this.#onDrain?.();
+  }
+
+  hangUp(): void {
+    this.#onGone?.();
+  }
+}
--- /dev/null
+++ b/packages/core/test/entry/fakeLink.ts
@@ -0,0 +1,23 @@
+/** The entry's end of a link; what it sends waits until the test delivers it. */
+import type { Message } from '../../src/messages/message.js';
+import { Link } from '../../src/ports/link.js';
+
+/** Link whose messages the test moves by hand. */
+export class FakeLink extends Link {
+  isOpen = true;
+
+  readonly bufferedBytes = 0;
+
+  outbox: Message[] = [];
+
+  send(message: Message): void {
+    if (this.isOpen) this.outbox.push(message);
+  }
+
+  close(): void {
+    this.isOpen = false;
+  }
+
+  // eslint-disable-next-line class-methods-use-this -- the test hands messages over itself
+  listen(): void {}
+}
--- /dev/null
+++ b/packages/core/test/entry/fakeSide.ts
@@ -0,0 +1,156 @@
+/**
+ * A side process with its upstream, reduced to the protocol: it counts executions by request.
+ *
+ * Each execution's answer names the attempt, so that mixed answers show.
+ */
+import {
+  AttemptState,
+  MessageType,
+  type Message,
+  type MessageOf,
+} from '../../src/messages/message.js';
+import { RefusalReason } from '../../src/model/reason.js';
+
+/** Bytes of answer in one message. */
+const CHUNK_BYTES = 8;
+
+interface Execution {
+  readonly answer: Uint8Array;
+  readonly isRepeatable: boolean;
+  hasHead: boolean;
+  sentBytes: number;
+  isEnded: boolean;
+  creditOffset: number;
+}
+
+/** What one side process does with messages. */
+export class FakeSide {
+  readonly upstream: string;
+
+  incarnation: string;
+
+  /** Refuses submissions with this reason while it is set. */
+  gateReason: RefusalReason | undefined;
+
+  /** Executions at the upstream by the body of the request; outlives the side process. */
+  readonly executions = new Map<string, number>();
+
+  #attempts = new Map<string, Execution>();
+
+  #dead = new Set<string>();
+
+  #starts = 1;
+
+  constructor(upstream: string) {
+    this.upstream = upstream;
+    this.incarnation = `${upstream}-1`;
+  }
+
+  /** Starts the side process anew: it remembers nothing. */
+  restart(): void {
+    this.#starts += 1;
+    this.incarnation = `${this.upstream}-${this.#starts}`;
+    this.#attempts = new Map();
+    this.#dead = new Set();
+  }
+
+  /** Whole answer of an attempt. */
+  static answerOf(attemptId: string, body: string): string {
+    return `${attemptId} answers ${body} ${'.'.repeat(20)}`;
+  }
+
+  /** Takes a message in and returns the replies. */
+  receive(message: Message): Message[] {
+    if (message.type === MessageType.Submit) return this.#submit(message);
+    if (message.type === MessageType.Inquire) return this.#inquire(message);
+    if (message.type === MessageType.Cancel) this.#cancel(message.attemptId);
+    if (message.type === MessageType.Credit) this.#credit(message);
+    return [];
+  }
+
+  /** Attempts that have not ended. */
+  listRunning(): string[] {
+    return [...this.#attempts].filter(([, run]) => !run.isEnded).map(([id]) => id);
+  }
+
+  /** Takes the next step of each running answer: its head, a piece of it, or its end. */
+  step(): Message[] {
+    return this.listRunning().flatMap((id) => this.#step(id));
+  }
+
+  /** Sends all that is left of the running answers. */
+  finish(): Message[] {
+    const messages = this.step();
+    return messages.length === 0 ? [] : [...messages, ...this.finish()];
+  }
+
+  #submit(message: MessageOf<MessageType.Submit>): Message[] {
+    const { attemptId } = message;
+    if (message.sideIncarnation !== this.incarnation) {
+      return [this.#refuse(attemptId, RefusalReason.StaleIncarnation)];
+    }
+    if (this.#dead.has(attemptId)) return [this.#refuse(attemptId, RefusalReason.AttemptDead)];
+    if (this.#attempts.has(attemptId)) return [];
+    if (this.gateReason) return [this.#refuse(attemptId, this.gateReason)];
+    const body = new TextDecoder().decode(message.body);
+    this.executions.set(body, (this.executions.get(body) ?? 0) + 1);
+    this.#attempts.set(attemptId, {
+      answer: new TextEncoder().encode(FakeSide.answerOf(attemptId, body)),
+      isRepeatable: message.isRepeatable,
+      hasHead: false,
+      sentBytes: 0,
+      isEnded: false,
+      creditOffset: message.creditBytes,
+    });
+    return [];
+  }
+
+  // eslint-disable-next-line class-methods-use-this -- reads like its neighbours
+  #refuse(attemptId: string, reason: RefusalReason): Message {
+    return { type: MessageType.Refused, attemptId, reason, retryAfterMs: 40 };
+  }
+
+  #inquire(message: MessageOf<MessageType.Inquire>): Message[] {
+    const { attemptId, fromOffset, creditBytes } = message;
+    if (message.sideIncarnation !== this.incarnation) {
+      return [{ type: MessageType.InquiryAnswer, attemptId, state: AttemptState.Lost }];
+    }
+    const run = this.#attempts.get(attemptId);
+    if (!run) {
+      this.#dead.add(attemptId);
+      return [{ type: MessageType.InquiryAnswer, attemptId, state: AttemptState.Dead }];
+    }
+    const state = run.isEnded ? AttemptState.Finished : AttemptState.Running;
+    Object.assign(run, { sentBytes: fromOffset, hasHead: false, isEnded: false });
+    run.creditOffset = fromOffset + creditBytes;
+    return [{ type: MessageType.InquiryAnswer, attemptId, state }];
+  }
+
+  #cancel(attemptId: string): void {
+    if (this.#attempts.get(attemptId)?.isRepeatable) this.#attempts.delete(attemptId);
+  }
+
+  #credit(message: MessageOf<MessageType.Credit>): void {
+    const run = this.#attempts.get(message.attemptId);
+    if (run) run.creditOffset = Math.max(run.creditOffset, message.upToOffset);
+  }
+
+  #step(attemptId: string): Message[] {
+    const run = this.#attempts.get(attemptId);
+    if (!run) return [];
+    if (!run.hasHead) {
+      run.hasHead = true;
+      return [{ type: MessageType.Head, attemptId, status: 200, headers: {} }];
+    }
+    if (run.sentBytes === run.answer.length) {
+      run.isEnded = true;
+      return [{ type: MessageType.End, attemptId, totalBytes: run.answer.length }];
+    }
+    const end = Math.min(run.sentBytes + CHUNK_BYTES, run.answer.length, run.creditOffset);
+    const data = run.answer.slice(run.sentBytes, end);
+    if (data.length === 0) return [];
+    const offset = run.sentBytes;
+    run.sentBytes = end;
+    return [{ type: MessageType.Data, attemptId, offset, data }];
+  }
+}
--- /dev/null
+++ b/packages/core/test/entry/requestController.test.ts
@@ -0,0 +1,90 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { Outcome, RefusalReason } from '../../src/model/reason.js';
+
+import { DRAFT_DEADLINE_MS } from './entryFixture.js';
+import { scenario } from './scenario.js';
+
+const SWAP = { path: '/v1/swaps/7' };
+
+scenario('a caller gets the whole answer to its own request', async (entry, clock) => {
+  const caller = entry.request();
+  await clock.tickAsync(0);
+  entry.deliver();
+  entry.finishAll();
+  assert.is(caller.status, 200);
+  assert.is(caller.text, `entry-1.i1.1.1 answers entry-1/1 ${'.'.repeat(20)}`);
+  assert.equal(caller.ends, ['end']);
+});
+
+scenario('an entry whose configuration is not confirmed sends nothing', async (entry, clock) => {
+  Object.assign(entry.board, { isCurrent: false });
+  const caller = entry.request();
+  await clock.tickAsync(0);
+  assert.is(caller.refusal?.reason, RefusalReason.StaleConfiguration);
+  assert.is(caller.refusal?.outcome, Outcome.NotRun);
+  assert.equal([...entry.takeOutbox('worker-a'), ...entry.takeOutbox('worker-b')], []);
+});
+
+scenario('a drained domain gets no new work', async (entry, clock) => {
+  entry.applyConfig([['domain', { name: 'zone-a', state: 'drained' }]]);
+  const callers = [entry.request(), entry.request(), entry.request()];
+  await clock.tickAsync(0);
+  assert.equal(entry.takeOutbox('worker-a'), []);
+  entry.deliver();
+  entry.finishAll();
+  callers.forEach((caller) => assert.equal(caller.ends, ['end']));
+});
+
+scenario('a request that a gate refuses runs at another upstream', async (entry, clock) => {
+  entry.sides.forEach((side) => Object.assign(side, { gateReason: RefusalReason.UpstreamFull }));
+  const caller = entry.request(SWAP);
+  await clock.tickAsync(0);
+  entry.deliver();
+  entry.sides.forEach((side) => Object.assign(side, { gateReason: undefined }));
+  await clock.tickAsync(200);
+  entry.deliver();
+  entry.finishAll();
+  assert.equal(caller.ends, ['end']);
+  assert.is(entry.countExecutions('entry-1/1'), 1);
+  assert.is(entry.counts.get('request.retried refused-by-side'), 2);
+});
+
+scenario('a request ends at its deadline and is not called not run', async (entry, clock) => {
+  const caller = entry.request(SWAP);
+  await clock.tickAsync(0);
+  entry.deliver();
+  await clock.tickAsync(DRAFT_DEADLINE_MS);
+  assert.equal(caller.ends, ['refuse']);
+  assert.is(caller.refusal?.outcome, Outcome.Unknown);
+});
+
+scenario('a caller that hangs up cancels the work', async (entry, clock) => {
+  const caller = entry.request();
+  await clock.tickAsync(0);
+  entry.deliver();
+  caller.hangUp();
+  entry.deliver();
+  assert.equal(
+    [...entry.sides.values()].flatMap((side) => side.listRunning()),
+    [],
+  );
+});
+
+scenario(
+  'a stopping entry refuses new requests and finishes those in flight',
+  async (entry, clock) => {
+    const first = entry.request();
+    await clock.tickAsync(0);
+    const drained = entry.controller.drain();
+    const second = entry.request();
+    entry.deliver();
+    entry.finishAll();
+    await drained;
+    assert.is(second.refusal?.reason, RefusalReason.ShuttingDown);
+    assert.equal(first.ends, ['end']);
+  },
+);
+
+test.run();
--- /dev/null
+++ b/packages/core/test/entry/scenario.ts
@@ -0,0 +1,32 @@
+/** Runs a test body under the fake clock and checks that it leaves nothing behind. */
+import { install } from '@sinonjs/fake-timers';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { EntryFixture } from './entryFixture.js';
+
+export type TestClock = ReturnType<typeof install>;
+
+function checkClean(entry: EntryFixture, clock: TestClock): void {
+  assert.equal(entry.controller.listInFlight(), [], 'no request is left');
+  assert.is(entry.controller.attemptCount, 0, 'no attempt is left');
+  entry.board.upstreams.forEach((upstream) => assert.is(upstream.inFlight, 0));
+  assert.is(clock.countTimers(), 0, 'no timer is left');
+}
+
+/** Declares a test of one entry. */
+export function scenario(
+  name: string,
+  body: (entry: EntryFixture, clock: TestClock) => Promise<void>,
+): void {
+  test(name, async () => {
+    const clock = install({ toNotFake: ['nextTick', 'queueMicrotask'] });
+    try {
+      const entry = new EntryFixture();
+      await body(entry, clock);
+      checkClean(entry, clock);
+    } finally {
+      clock.uninstall();
+    }
+  });
+}
