Serve requests through real processes: entry, side process, upstream

Ruled out: answering ready before any upstream is linked (a trial refused the first request of a new entry with no-upstream, not run, 12 ms after its start).

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -66,6 +66,11 @@
       ],
     },
   },
+  {
+    // A command decides the status with which its process ends.
+    files: ['packages/*/src/main.ts'],
+    rules: { 'n/no-process-exit': 'off' },
+  },
   {
     // Scripts run before any build: they need no type information and may block.
     files: ['**/*.js', '**/*.mjs'],
--- /dev/null
+++ b/packages/core/src/entry/entryNode.ts
@@ -0,0 +1,128 @@
+/**
+ * One entry without I/O: composes the controllers around the blackboard.
+ *
+ * The daemon feeds it callers, links and the platform; a harness feeds it the same under a fake
+ * clock.
+ */
+import { ConfigKind } from '../config/object.js';
+import { QueueAdmission } from '../limits/queueAdmission.js';
+import { EntryMembership } from '../membership/entryMembership.js';
+import type { CallerRequest } from '../model/request.js';
+import type { Timing } from '../model/timing.js';
+import type { Caller } from '../ports/caller.js';
+import type { Link } from '../ports/link.js';
+import type { LinkDialer } from '../ports/linkDialer.js';
+import type { Log } from '../ports/log.js';
+import type { Metrics } from '../ports/metrics.js';
+import type { ObjectStore } from '../ports/objectStore.js';
+import type { Random } from '../ports/random.js';
+import { LeastLoadedRouting } from '../routing/leastLoadedRouting.js';
+import type { EntryBoard } from '../state/entryBoard.js';
+
+import { RequestController } from './requestController.js';
+
+export interface EntryNodeOptions {
+  readonly board: EntryBoard;
+  readonly store: ObjectStore;
+  readonly dialer: LinkDialer;
+  readonly random: Random;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly timing: Timing;
+  /** Shared by all processes of the system; never logged. */
+  readonly linkToken: string;
+  /** IP number and port at which other processes reach this entry. */
+  readonly address: string;
+  /** Addresses of other entries to begin with. */
+  readonly seedAddresses: readonly string[];
+}
+
+/** Longest time for which a new entry waits for an upstream of each pool. */
+const SETTLE_LIMIT_MS = 5_000;
+
+/** An entry. */
+export class EntryNode {
+  readonly #board: EntryBoard;
+
+  readonly #requests: RequestController;
+
+  readonly #membership: EntryMembership;
+
+  #startedAtMs = 0;
+
+  #hasSettled = false;
+
+  constructor(options: EntryNodeOptions) {
+    this.#board = options.board;
+    this.#requests = new RequestController({
+      ...options,
+      routing: new LeastLoadedRouting(options.random),
+      admission: new QueueAdmission(),
+    });
+    this.#membership = new EntryMembership({
+      ...options,
+      token: options.linkToken,
+      attempts: this.#requests,
+      groups: {
+        onGroupSideOpen: () => {},
+        onGroupSideLost: () => {},
+        onGroupReply: () => {},
+      },
+      shares: { onShareMessage: () => {} },
+    });
+  }
+
+  /** Begins to follow the platform and to dial. */
+  start(): void {
+    this.#startedAtMs = Date.now();
+    this.#membership.start();
+  }
+
+  /**
+   * Whether the balancer may send requests here: current, not in a planned stop, and past the first
+   * look for upstreams.
+   */
+  isReady(): boolean {
+    if (this.#board.isStopping || !this.#board.isCurrent) return false;
+    return this.#board.config.revision > 0 && this.#isSettled();
+  }
+
+  /** Takes a caller's request; the caller hears of its end. */
+  accept(request: CallerRequest, caller: Caller): void {
+    this.#requests.accept(request, caller);
+  }
+
+  /** Takes a link that another entry has dialled. */
+  attachPeer(link: Link): void {
+    this.#membership.accept(link);
+  }
+
+  /** Lets the balancer know that a planned stop begins; requests are still served. */
+  beginStop(): void {
+    this.#board.isStopping = true;
+  }
+
+  /** Refuses new requests; resolves once those in flight have ended. */
+  drain(): Promise<void> {
+    return this.#requests.drain();
+  }
+
+  /** Stops following the platform and closes all links. */
+  stop(): void {
+    this.#membership.stop();
+  }
+
+  /** Latched, so that a pool that is lost later does not take this entry out for the others. */
+  #isSettled(): boolean {
+    if (this.#hasSettled) return true;
+    this.#hasSettled = Date.now() - this.#startedAtMs > SETTLE_LIMIT_MS || this.#isEachPoolOpen();
+    return this.#hasSettled;
+  }
+
+  #isEachPoolOpen(): boolean {
+    const upstreams = [...this.#board.upstreams.values()];
+    const open = upstreams.filter(({ report }) => report !== undefined);
+    const pools = new Set(open.map(({ pool }) => pool));
+    return this.#board.config.list(ConfigKind.Pool).every(({ name }) => pools.has(name));
+  }
+}
--- a/packages/core/src/routing/leastLoadedRouting.ts
+++ b/packages/core/src/routing/leastLoadedRouting.ts
@@ -55,10 +55,8 @@
     this.#lastSent.set(upstream, this.#sequence);
   }
 
-  // eslint-disable-next-line class-methods-use-this -- the board's own counts are enough here
   markEnded(): void {}
 
-  // eslint-disable-next-line class-methods-use-this -- load alone decides here
   readCacheEvents(): void {}
 
   /** Among equals it is the one that this entry has not used for longest. */
--- a/packages/core/test/entry/fakeLink.ts
+++ b/packages/core/test/entry/fakeLink.ts
@@ -18,6 +18,5 @@
     this.isOpen = false;
   }
 
-  // eslint-disable-next-line class-methods-use-this -- the test hands messages over itself
   listen(): void {}
 }
--- a/packages/core/test/entry/fakeSide.ts
+++ b/packages/core/test/entry/fakeSide.ts
@@ -105,7 +105,6 @@
     return [];
   }
 
-  // eslint-disable-next-line class-methods-use-this -- reads like its neighbours
   #refuse(attemptId: string, reason: RefusalReason): Message {
     return { type: MessageType.Refused, attemptId, reason, retryAfterMs: 40 };
   }
--- a/packages/core/test/side/fakeEngine.ts
+++ b/packages/core/test/side/fakeEngine.ts
@@ -145,7 +145,6 @@
     return Promise.resolve(snapshot ? Ok(snapshot.report) : Err('nothing yet'));
   }
 
-  // eslint-disable-next-line class-methods-use-this -- no cache here
   readCacheEvents(): Promise<Result<readonly CacheEvent[], string>> {
     return Promise.resolve(Ok([]));
   }
--- /dev/null
+++ b/packages/daemon/src/roles/entryDaemon.ts
@@ -0,0 +1,97 @@
+/** A daemon in the entry role: callers, operators, and links to side processes and peers. */
+import { EntryNode } from '@radishbay/core/entry/entryNode.js';
+import { LogLevel } from '@radishbay/core/ports/log.js';
+import { Random } from '@radishbay/core/ports/random.js';
+import { EntryBoard } from '@radishbay/core/state/entryBoard.js';
+import { Err, Ok, type Result } from '@radishbay/core/outcome.js';
+import { WsDialer } from '@radishbay/link/ws/wsDialer.js';
+import { WsListener } from '@radishbay/link/ws/wsListener.js';
+import { HttpObjectStore } from '@radishbay/platform/httpObjectStore.js';
+
+import { CallerServer } from '../callers/callerServer.js';
+import type { Instruments } from '../observe/instruments.js';
+import type { EntrySettings } from '../settings/settings.js';
+
+import { Daemon } from './daemon.js';
+import { createIncarnation, createSeed } from './incarnation.js';
+
+const PART = 'entry';
+
+function wait(spanMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, spanMs);
+  });
+}
+
+/** One entry. */
+export class EntryDaemon extends Daemon {
+  readonly #settings: EntrySettings;
+
+  readonly #instruments: Instruments;
+
+  readonly #node: EntryNode;
+
+  readonly #callers: CallerServer;
+
+  readonly #listener: WsListener;
+
+  constructor(settings: EntrySettings, instruments: Instruments) {
+    super();
+    this.#settings = settings;
+    this.#instruments = instruments;
+    const { log, metrics } = instruments;
+    this.#node = new EntryNode({
+      board: new EntryBoard(settings.name, createIncarnation(), settings.domain, settings.region),
+      store: new HttpObjectStore({
+        baseUrl: settings.platform.url,
+        callTimeoutMs: settings.platform.callTimeoutMs,
+        ...(settings.platform.token ? { token: settings.platform.token } : {}),
+      }),
+      dialer: new WsDialer(metrics, settings.links.messageLimitBytes),
+      random: new Random(settings.seed ?? createSeed()),
+      log,
+      metrics,
+      timing: settings.timing,
+      linkToken: settings.links.token,
+      address: settings.links.advertise ?? `${settings.links.host}:${settings.links.port}`,
+      seedAddresses: settings.links.peers,
+    });
+    this.#callers = new CallerServer({
+      ...settings.callers,
+      metrics,
+      accept: (request, caller) => this.#node.accept(request, caller),
+      isReady: () => this.#node.isReady(),
+    });
+    this.#listener = new WsListener({
+      host: settings.links.host,
+      port: settings.links.port,
+      messageLimitBytes: settings.links.messageLimitBytes,
+      linkLimit: settings.links.linkLimit,
+      metrics,
+      onLink: (link) => this.#node.attachPeer(link),
+    });
+  }
+
+  override async start(): Promise<Result<void, string>> {
+    const links = await this.#listener.start();
+    if (!links.ok) return Err(`links: ${links.val}`);
+    this.#node.start();
+    const callers = await this.#callers.start();
+    if (!callers.ok) return Err(`callers: ${callers.val}`);
+    this.#instruments.log.write(LogLevel.Info, PART, 'Entry is up.', {
+      callersPort: callers.val,
+      linksPort: links.val,
+    });
+    return Ok(undefined);
+  }
+
+  /** The balancer is told first; requests that still come meanwhile are served. */
+  override async stop(): Promise<void> {
+    this.#node.beginStop();
+    this.#callers.beginClose();
+    await wait(this.#settings.stop.noticeMs);
+    await Promise.all([this.#node.drain(), this.#callers.stop()]);
+    this.#node.stop();
+    await this.#listener.stop();
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/roles/sideDaemon.ts
@@ -0,0 +1,73 @@
+/** A daemon in the side role: the gate in front of the upstream on its VM. */
+import { LogLevel } from '@radishbay/core/ports/log.js';
+import { Random } from '@radishbay/core/ports/random.js';
+import { SideNode } from '@radishbay/core/side/sideNode.js';
+import { SideBoard } from '@radishbay/core/state/sideBoard.js';
+import { Err, Ok, type Result } from '@radishbay/core/outcome.js';
+import { WsListener } from '@radishbay/link/ws/wsListener.js';
+
+import type { Instruments } from '../observe/instruments.js';
+import { UpstreamKind, type SideSettings } from '../settings/settings.js';
+import { HttpEngine } from '../upstream/httpEngine.js';
+
+import { Daemon } from './daemon.js';
+import { createIncarnation, createSeed } from './incarnation.js';
+
+const PART = 'side';
+
+/** One side process. */
+export class SideDaemon extends Daemon {
+  readonly #settings: SideSettings;
+
+  readonly #instruments: Instruments;
+
+  readonly #node: SideNode;
+
+  readonly #listener: WsListener;
+
+  constructor(settings: SideSettings, instruments: Instruments) {
+    super();
+    this.#settings = settings;
+    this.#instruments = instruments;
+    const { links, upstream } = settings;
+    const isPlain = upstream.kind === UpstreamKind.Plain;
+    this.#node = new SideNode({
+      board: new SideBoard(settings.name, createIncarnation(), settings.domain),
+      engine: new HttpEngine({
+        url: upstream.url,
+        isModel: !isPlain,
+        callTimeoutMs: upstream.callTimeoutMs,
+      }),
+      random: new Random(settings.seed ?? createSeed()),
+      log: instruments.log,
+      metrics: instruments.metrics,
+      timing: settings.timing,
+      linkToken: links.token,
+      isPlain,
+    });
+    this.#listener = new WsListener({
+      host: links.host,
+      port: links.port,
+      messageLimitBytes: links.messageLimitBytes,
+      linkLimit: links.linkLimit,
+      metrics: instruments.metrics,
+      onLink: (link) => this.#node.attach(link),
+    });
+  }
+
+  override async start(): Promise<Result<void, string>> {
+    const port = await this.#listener.start();
+    if (!port.ok) return Err(`links: ${port.val}`);
+    this.#node.start();
+    this.#instruments.log.write(LogLevel.Info, PART, 'Side process is up.', {
+      upstream: this.#settings.name,
+      port: port.val,
+    });
+    return Ok(undefined);
+  }
+
+  override async stop(): Promise<void> {
+    await this.#node.stop();
+    await this.#listener.stop();
+  }
+}
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -1,6 +1,7 @@
 /** Settings of a daemon: their fields, what is allowed, and their defaults. */
 import { z } from 'zod';
 
+import { DEFAULT_TIMING } from '@radishbay/core/model/timing.js';
 import { LogLevel } from '@radishbay/core/ports/log.js';
 
 const PORT = z.number().int().min(0).max(65_535);
@@ -43,24 +44,22 @@
 });
 
 /** Every time bound may be overridden; see core/model/timing. */
-const TIMING = z
-  .strictObject({
-    heartbeatMs: SPAN_MS,
-    silenceLimitMs: SPAN_MS,
-    configLeaseMs: SPAN_MS,
-    tickLimitMs: SPAN_MS,
-    reportMs: SPAN_MS,
-    engineReportMs: SPAN_MS,
-    engineReportLimitMs: SPAN_MS,
-    watchTimeoutMs: SPAN_MS,
-    reconnectMinMs: SPAN_MS,
-    reconnectMaxMs: SPAN_MS,
-    inquiryLimitMs: SPAN_MS,
-    attemptKeptMs: SPAN_MS,
-    statusMs: SPAN_MS,
-    leaseMs: SPAN_MS,
-  })
-  .partial();
+const TIMING = z.strictObject({
+  heartbeatMs: SPAN_MS.default(DEFAULT_TIMING.heartbeatMs),
+  silenceLimitMs: SPAN_MS.default(DEFAULT_TIMING.silenceLimitMs),
+  configLeaseMs: SPAN_MS.default(DEFAULT_TIMING.configLeaseMs),
+  tickLimitMs: SPAN_MS.default(DEFAULT_TIMING.tickLimitMs),
+  reportMs: SPAN_MS.default(DEFAULT_TIMING.reportMs),
+  engineReportMs: SPAN_MS.default(DEFAULT_TIMING.engineReportMs),
+  engineReportLimitMs: SPAN_MS.default(DEFAULT_TIMING.engineReportLimitMs),
+  watchTimeoutMs: SPAN_MS.default(DEFAULT_TIMING.watchTimeoutMs),
+  reconnectMinMs: SPAN_MS.default(DEFAULT_TIMING.reconnectMinMs),
+  reconnectMaxMs: SPAN_MS.default(DEFAULT_TIMING.reconnectMaxMs),
+  inquiryLimitMs: SPAN_MS.default(DEFAULT_TIMING.inquiryLimitMs),
+  attemptKeptMs: SPAN_MS.default(DEFAULT_TIMING.attemptKeptMs),
+  statusMs: SPAN_MS.default(DEFAULT_TIMING.statusMs),
+  leaseMs: SPAN_MS.default(DEFAULT_TIMING.leaseMs),
+});
 
 const STOP = z.strictObject({
   /** Time for the balancer to see `/readyz` fail before connections are closed. */
--- a/packages/standin/src/demo/checkList.ts
+++ b/packages/standin/src/demo/checkList.ts
@@ -1,5 +1,10 @@
 /** What a run has shown, line by line, and whether all of it was right. */
 
+/** Writes the title of a part. */
+export function writeTitle(title: string): void {
+  process.stdout.write(`\n${title}\n`);
+}
+
 /** Collects checks and prints each as it is made. */
 export class CheckList {
   #failed = 0;
@@ -21,9 +26,4 @@
     const detail = isRight || !seen ? '' : ` (seen: ${seen})`;
     process.stdout.write(`  ${isRight ? 'right' : 'WRONG'}  ${sentence}${detail}\n`);
   }
-
-  /** Begins a part. */
-  begin(title: string): void {
-    process.stdout.write(`\n${title}\n`);
-  }
 }
--- a/packages/standin/src/demo/story.ts
+++ b/packages/standin/src/demo/story.ts
@@ -7,7 +7,7 @@
 import type { Fleet } from '../fleet/fleet.js';
 import { callHttp, readJson } from '../fleet/httpCall.js';
 
-import type { CheckList } from './checkList.js';
+import { writeTitle, type CheckList } from './checkList.js';
 import { runOperatorCommand } from './operatorCommand.js';
 
 const CHOIR_KEY = 'choir-key-0001';
@@ -68,7 +68,7 @@
   }
 
   async #streamCompletion(): Promise<void> {
-    this.#checks.begin('A choir director asks for bell assignments (streamed completion)');
+    writeTitle('A choir director asks for bell assignments (streamed completion)');
     const prompt = 'Suggest bell assignments for twelve ringers.';
     const answer = await callHttp({
       method: 'POST',
@@ -82,7 +82,7 @@
   }
 
   async #confirmSwap(): Promise<void> {
-    this.#checks.begin('Two choirs confirm a swap, and repeat it through the other entry');
+    writeTitle('Two choirs confirm a swap, and repeat it through the other entry');
     const body = { requestId: 'swap-17', from: 'choir-1', to: 'choir-2' };
     const headers = { ...bearer(OFFICERS_KEY), 'idempotency-key': 'swap-17' };
     const answers = await [0, 1].reduce<Promise<string[]>>(async (before, index) => {
@@ -114,7 +114,7 @@
   }
 
   async #refuse(): Promise<void> {
-    this.#checks.begin('Somebody without a key asks');
+    writeTitle('Somebody without a key asks');
     const answer = await callHttp({
       method: 'POST',
       url: `${this.#entryUrl(0)}/swaps`,
@@ -127,7 +127,7 @@
   }
 
   async #drainAndRestore(): Promise<void> {
-    this.#checks.begin(`An operator drains ${DRAINED_DOMAIN} and restores it`);
+    writeTitle(`An operator drains ${DRAINED_DOMAIN} and restores it`);
     const wait = ['--wait', '--wait-ms', WAIT_ORDER_MS];
     const drain = await runOperatorCommand(this.#fleet, [
       'order',
--- a/packages/standin/src/fleet/fleet.ts
+++ b/packages/standin/src/fleet/fleet.ts
@@ -8,7 +8,7 @@
 import { HttpObjectStore } from '@radishbay/platform/httpObjectStore.js';
 
 import { ChildProgram } from './childProgram.js';
-import { listObjects, type FleetPlan, type PlannedUpstream } from './fleetPlan.js';
+import { listObjects, SAMPLE_MODEL, type FleetPlan, type PlannedUpstream } from './fleetPlan.js';
 import { callHttp } from './httpCall.js';
 import { findFreePorts } from './portPool.js';
 import { SettingsWriter } from './settingsWriter.js';
@@ -173,7 +173,9 @@
 
   async #startUpstream(upstream: PlannedUpstream): Promise<void> {
     const kind = upstream.isPlain ? 'plain' : 'engine';
-    const options = upstream.isPlain ? {} : (this.#options.engineOptions ?? {});
+    const options = upstream.isPlain
+      ? {}
+      : { models: [SAMPLE_MODEL], coldLimit: upstream.coldLimit, ...this.#options.engineOptions };
     const url = await this.#startStandin(`engine-${upstream.name}`, kind, options);
     this.#engineUrls.set(upstream.name, url);
     const [port] = await findFreePorts(1);
