Add the load of other entries to the entry's view of an upstream

Cause: an ended attempt gave room only with the next report, as the reported load still counted it. Change: an optional field for what the report says of other entries alone. Nothing else in the shared types changes.

--- a/packages/core/src/state/entryBoard.ts
+++ b/packages/core/src/state/entryBoard.ts
@@ -31,6 +31,8 @@
   inFlight: number;
   /** Attempts sent there since the last report. */
   sentSinceReport: number;
+  /** Attempts of other entries there by the last report; missing before the first. */
+  othersInFlight?: number;
 }
 
 /** What this entry knows of another entry. */
