Run requests at most once across lost links, entries and callers' retries

Cause: the thin path gave a request up, or would have run it twice, when a link, a side process or an entry was lost between submission and answer. Change: an attempt whose link is lost is asked for on the new link from the caller's offset; one unknown to its side process counts as not run only while that process, by its own clock, could not have forgotten it yet. A key is claimed by conditional create before the first attempt and updated before each further one; a claim found is resolved by replay, inquiry or take-over. Admission works by position in a start-time fair queue; a full queue turns away the newest request of the workspace that takes up most. Refusals at gates are bounded for each request and do not draw on the retry budget. Ruled out: trusting "never seen" without a bound on age: an entry thawed after the side process had dropped the finished attempt would have run it again.

--- a/packages/core/src/entry/attempt.ts
+++ b/packages/core/src/entry/attempt.ts
@@ -42,16 +42,22 @@
   readonly relay: AnswerRelay;
   /** Sends on the link that the upstream has now; dropped where there is none. */
   readonly send: (message: Message) => void;
+  /** Whether the side process, if it knew the attempt, would still remember it. */
+  readonly isRemembered: () => boolean;
+  /** Hears that the answer goes on after the link was lost. */
+  readonly onResume: () => void;
   readonly onEnd: (end: AttemptEnd) => void;
 }
 
-/** Reasons by which a gate puts work off; the upstream has spent nothing on it. */
+/** Reasons by which work is put off before it costs anything. */
 const GATE_REASONS: ReadonlySet<RefusalReason> = new Set([
   RefusalReason.UpstreamFull,
   RefusalReason.UpstreamCold,
   RefusalReason.UpstreamLeaving,
   RefusalReason.DomainDrained,
   RefusalReason.ShuttingDown,
+  RefusalReason.NoUpstream,
+  RefusalReason.StaleIncarnation,
 ]);
 
 /** Whether a refusal says that an upstream takes no work now, rather than that something failed. */
@@ -78,6 +84,9 @@
   /** Whether the upstream has answered: from then on it has run. */
   #hasAnswered = false;
 
+  /** Whether the link was lost and the answer does not go on yet. */
+  #isDetached = false;
+
   #progressTimer: NodeJS.Timeout | undefined;
 
   #inquiryTimer: NodeJS.Timeout | undefined;
@@ -119,6 +128,7 @@
   loseLink(): void {
     if (this.#phase === AttemptPhase.Ended) return;
     this.#phase = AttemptPhase.Detached;
+    this.#isDetached = true;
     clearTimeout(this.#progressTimer);
     this.#armInquiry();
   }
@@ -171,8 +181,10 @@
     else this.#follow();
   }
 
+  /** That it is unknown there proves nothing where it could have been forgotten. */
   #endDead(): void {
-    if (this.#hasAnswered) this.#endUnknown(RefusalReason.OutcomeUnknown);
+    const isProof = !this.#hasAnswered && this.#options.isRemembered();
+    if (!isProof) this.#endUnknown(RefusalReason.OutcomeUnknown);
     else this.#end(Outcome.NotRun, RefusalReason.LinkLost, RetryReason.LinkLostNotRun, 0);
   }
 
@@ -181,6 +193,8 @@
   }
 
   #follow(): void {
+    if (this.#isDetached) this.#options.onResume();
+    this.#isDetached = false;
     this.#phase = AttemptPhase.Running;
     clearTimeout(this.#inquiryTimer);
     this.#inquiryTimer = undefined;
--- a/packages/core/src/entry/requestContext.ts
+++ b/packages/core/src/entry/requestContext.ts
@@ -1,4 +1,5 @@
 /** What the parts of the request path share within one entry. */
+import type { ClaimKeeper } from '../claims/claimKeeper.js';
 import type { AdmissionPolicy } from '../limits/admissionPolicy.js';
 import type { Timing } from '../model/timing.js';
 import type { Log } from '../ports/log.js';
@@ -15,6 +16,7 @@
   readonly routing: RoutingPolicy;
   readonly admission: AdmissionPolicy;
   readonly retries: RetryPolicy;
+  readonly claims: ClaimKeeper;
   readonly log: Log;
   readonly metrics: Metrics;
   readonly timing: Timing;
--- a/packages/core/src/entry/requestController.ts
+++ b/packages/core/src/entry/requestController.ts
@@ -3,6 +3,7 @@
  *
  * Messages are matched to attempts by id and upstream; what matches none is counted and dropped.
  */
+import { ClaimKeeper } from '../claims/claimKeeper.js';
 import { LogLevel, type Log } from '../ports/log.js';
 import type { AdmissionPolicy } from '../limits/admissionPolicy.js';
 import { WorkspaceLimiter } from '../limits/workspaceLimiter.js';
@@ -17,7 +18,7 @@
 import type { Random } from '../ports/random.js';
 import { RetryPolicy } from '../retry/retryPolicy.js';
 import type { RoutingPolicy } from '../routing/routingPolicy.js';
-import { countRoom } from '../routing/upstreamState.js';
+import { countRoom, takeReport } from '../routing/upstreamState.js';
 import type { EntryBoard } from '../state/entryBoard.js';
 
 import type { Attempt } from './attempt.js';
@@ -51,6 +52,8 @@
 export class RequestController extends AttemptListener {
   readonly #context: RequestContext;
 
+  readonly #claims: ClaimKeeper;
+
   readonly #classifier: RequestClassifier;
 
   readonly #limiter = new WorkspaceLimiter();
@@ -65,12 +68,14 @@
 
   constructor(options: RequestControllerOptions) {
     super();
+    this.#claims = new ClaimKeeper(options.store);
     const { board, routing, admission, random, log, metrics, timing } = options;
     this.#classifier = new RequestClassifier(board.config);
     this.#context = {
       board,
       routing,
       admission,
+      claims: this.#claims,
       retries: new RetryPolicy(random),
       log,
       metrics,
@@ -104,14 +109,11 @@
   }
 
   /** Refuses new requests from now on; resolves once those in flight have ended. */
-  drain(): Promise<void> {
+  async drain(): Promise<void> {
     this.#isDraining = true;
     this.#context.board.isStopping = true;
-    if (this.#runs.size === 0) return Promise.resolve();
-    this.#writeLog(LogLevel.Info, 'Waiting for requests in flight.', { count: this.#runs.size });
-    return new Promise((resolve) => {
-      this.#drainWaiters.push(resolve);
-    });
+    await this.#waitForRuns();
+    await this.#claims.settle();
   }
 
   onSideOpen(upstream: string): void {
@@ -141,8 +143,14 @@
     this.#context.retries.noteRequest(nowMs);
     const run = new RequestRun(this.#context, classified, caller, (done) => this.#endRun(done));
     this.#runs.set(run.id, run);
-    run.start().catch((error: unknown) => {
-      throw error;
+    run.start();
+  }
+
+  #waitForRuns(): Promise<void> {
+    if (this.#runs.size === 0) return Promise.resolve();
+    this.#writeLog(LogLevel.Info, 'Waiting for requests in flight.', { count: this.#runs.size });
+    return new Promise((resolve) => {
+      this.#drainWaiters.push(resolve);
     });
   }
 
@@ -189,9 +197,7 @@
   #readReport(name: string, message: MessageOf<MessageType.Report>): void {
     const upstream = this.#context.board.upstreams.get(name);
     if (!upstream) return;
-    upstream.report = message.report;
-    upstream.reportAtMs = Date.now();
-    upstream.sentSinceReport = 0;
+    takeReport(upstream, message.report, Date.now());
     this.#updateRoom(upstream.pool);
   }
 
--- a/packages/core/src/entry/requestRun.ts
+++ b/packages/core/src/entry/requestRun.ts
@@ -3,22 +3,36 @@
  *
  * It ends exactly once, by the whole answer or by a refusal, and at the latest at its deadline.
  */
+import { AnswerRecorder } from '../claims/answerRecorder.js';
+import { formatClaimKey, hashRequest, type KeptAnswer } from '../claims/claimRecord.js';
+import { ClaimSession, ClaimStepKind, type ClaimStep } from '../claims/claimSession.js';
 import type { AdmissionPermit } from '../limits/admissionPolicy.js';
-import { Outcome, RefusalReason, type Refusal } from '../model/reason.js';
 import type { QueryRow } from '../model/query.js';
+import { Outcome, RefusalReason, RetryReason, type Refusal } from '../model/reason.js';
 import type { Caller } from '../ports/caller.js';
+import { LogLevel } from '../ports/log.js';
+import { RetryLedger } from '../retry/retryLedger.js';
 import type { RoutingQuery } from '../routing/routingPolicy.js';
-import { countEnded, countSent } from '../routing/upstreamState.js';
 
 import { AnswerRelay } from './answerRelay.js';
-import { Attempt, isGateReason, type AttemptEnd } from './attempt.js';
+import { isGateReason, type Attempt, type AttemptEnd } from './attempt.js';
+import { AttemptLauncher } from './attemptLauncher.js';
 import { refuseNotRun } from './refusal.js';
 import type { ClassifiedRequest } from './requestClassifier.js';
 import type { RequestContext } from './requestContext.js';
-import { createSubmit, findSendFault, readRetryShare, type AttemptTarget } from './submission.js';
+import { readRetryShare, type AttemptTarget } from './submission.js';
 
-/** Time after which a request of unknown outcome is asked to come back. */
-const UNKNOWN_RETRY_MS = 1_000;
+const LOG_PART = 'requests';
+
+/** Time after which a request that was given up is asked to come back. */
+const GIVEN_UP_RETRY_MS = 1_000;
+
+/** An attempt that ended without an answer, or was not even sent. */
+type FailedEnd = AttemptEnd & { readonly outcome: Outcome.NotRun | Outcome.Unknown };
+
+function isFailed(end: AttemptEnd): end is FailedEnd {
+  return end.outcome !== Outcome.Answered;
+}
 
 /** One request from its acceptance to its end. */
 export class RequestRun {
@@ -30,13 +44,18 @@
 
   readonly #relay: AnswerRelay;
 
+  readonly #launcher: AttemptLauncher;
+
+  readonly #ledger: RetryLedger;
+
   readonly #onDone: (run: RequestRun) => void;
 
   readonly #abort = new AbortController();
 
-  readonly #excludedUpstreams = new Set<string>();
+  /** Where the request came with a key and may run only once. */
+  #claim: ClaimSession | undefined;
 
-  readonly #avoidedDomains = new Set<string>();
+  #recorder: AnswerRecorder | undefined;
 
   #permit: AdmissionPermit | undefined;
 
@@ -46,13 +65,6 @@
 
   #attemptNumber = 0;
 
-  #gateRefusals = 0;
-
-  #retries = 0;
-
-  /** Whether an attempt that is over may have run. */
-  #mayHaveRun = false;
-
   #isEnded = false;
 
   #deadlineTimer: NodeJS.Timeout | undefined;
@@ -69,17 +81,21 @@
     this.#context = context;
     this.#classified = classified;
     this.#onDone = onDone;
-    this.#relay = new AnswerRelay(caller);
+    this.#ledger = new RetryLedger(context.retries);
+    this.#relay = new AnswerRelay(this.#openClaim(caller));
+    const onEnd = (end: AttemptEnd) => this.#readEnd(end);
+    this.#launcher = new AttemptLauncher(context, classified, this.#relay, onEnd);
     caller.onGone(() => this.#leaveCaller());
   }
 
+  /** Name of the pool that the request is for. */
   get pool(): string {
     return this.#classified.pool.name;
   }
 
   /** Row for operators. */
   describe(nowMs: number): QueryRow {
-    const { request, requestClass, workspace } = this.#classified;
+    const { request, requestClass, workspace, deadlineAtMs } = this.#classified;
     return {
       id: this.id,
       workspace: workspace.name,
@@ -89,54 +105,65 @@
       phase: this.#attempt?.phase ?? 'waiting',
       attempts: this.#attemptNumber,
       ageMs: nowMs - request.arrivedAtMs,
-      remainingMs: this.#classified.deadlineAtMs - nowMs,
+      remainingMs: deadlineAtMs - nowMs,
     };
   }
 
   /** Starts the request; it ends by itself. */
   async start(): Promise<void> {
-    const { deadlineAtMs, requestClass, workspace } = this.#classified;
+    const { deadlineAtMs, requestClass, workspace, pool } = this.#classified;
     this.#deadlineTimer = setTimeout(() => this.#readDeadline(), deadlineAtMs - Date.now());
     const turn = await this.#context.admission.enter({
       requestId: this.id,
-      pool: this.pool,
+      pool: pool.name,
+      className: requestClass.name,
       workspace: workspace.name,
       weight: workspace.weight,
       priority: requestClass.priority,
       deadlineAtMs,
-      queueLimit: this.#classified.pool.queueLimit,
+      queueLimit: pool.queueLimit,
       signal: this.#abort.signal,
     });
-    if (!turn.ok) this.#refuse(turn.val);
-    else if (this.#isEnded) turn.val.release();
-    else this.#useTurn(turn.val);
-  }
-
-  #useTurn(permit: AdmissionPermit): void {
-    this.#permit = permit;
+    if (!turn.ok) {
+      this.#refuse(turn.val);
+      return;
+    }
+    if (this.#isEnded) {
+      turn.val.release();
+      return;
+    }
+    this.#permit = turn.val;
     this.#permitAtMs = Date.now();
     this.#tryUpstream(0);
   }
 
+  #openClaim(caller: Caller): Caller {
+    const { request, requestClass, workspace } = this.#classified;
+    if (requestClass.isRepeatable || request.idempotencyKey === undefined) return caller;
+    const key = formatClaimKey(workspace.name, request.idempotencyKey);
+    this.#claim = new ClaimSession(this.#context.claims, key);
+    this.#recorder = new AnswerRecorder(caller);
+    return this.#recorder;
+  }
+
   /** @param hintMs time after which the last upstream may take the request */
   #tryUpstream(hintMs: number): void {
     if (this.#isEnded) return;
-    const nowMs = Date.now();
-    const choice = this.#context.routing.choose(this.#context.board, this.#createQuery(), nowMs);
-    if (choice.ok) this.#send(choice.val);
-    else if (this.#excludedUpstreams.size > 0) this.#tryLater(hintMs, choice.val);
-    else this.#refuse(choice.val);
+    const query = this.#createQuery();
+    const choice = this.#context.routing.choose(this.#context.board, query, Date.now());
+    if (!choice.ok) this.#tryLater(hintMs, choice.val);
+    else if (this.#claim) this.#sendClaimed(this.#claim, this.#createTarget(choice.val));
+    else this.#submit(this.#createTarget(choice.val));
   }
 
   /** Tries again where the request was refused before, unless the deadline comes first. */
   #tryLater(hintMs: number, refusal: Refusal): void {
-    const tries = this.#gateRefusals + this.#retries;
-    const delayMs = this.#context.retries.chooseDelayMs(tries, hintMs);
-    if (Date.now() + delayMs >= this.#classified.deadlineAtMs) {
+    const hasRefusals = this.#ledger.excludedUpstreams.size > 0;
+    const delayMs = this.#ledger.restart(hintMs);
+    if (!hasRefusals || Date.now() + delayMs >= this.#classified.deadlineAtMs) {
       this.#refuse({ ...refusal, retryAfterMs: Math.max(refusal.retryAfterMs, hintMs) });
       return;
     }
-    this.#excludedUpstreams.clear();
     this.#retryTimer = setTimeout(() => this.#tryUpstream(0), delayMs);
   }
 
@@ -146,129 +173,120 @@
       pool: this.pool,
       model: request.model,
       prefixHashes: request.prefixHashes,
-      excludedUpstreams: this.#excludedUpstreams,
-      avoidedDomains: this.#avoidedDomains,
+      excludedUpstreams: this.#ledger.excludedUpstreams,
+      avoidedDomains: this.#ledger.avoidedDomains,
       remainingMs: deadlineAtMs - Date.now(),
       isRepeatable: requestClass.isRepeatable,
     };
   }
 
-  #createTarget(upstream: string): AttemptTarget {
+  #createTarget(name: string): AttemptTarget {
     const { board } = this.#context;
+    const upstream = board.upstreams.get(name);
     this.#attemptNumber += 1;
     return {
-      upstream,
-      sideIncarnation: board.upstreams.get(upstream)?.sideIncarnation ?? '',
+      upstream: name,
+      sideIncarnation: upstream?.sideIncarnation ?? '',
       attemptId: `${board.name}.${board.incarnation}.${this.id}.${this.#attemptNumber}`,
+      sideTickMs: upstream?.tickMs ?? 0,
     };
   }
 
-  #send(upstreamName: string): void {
-    const { board, routing } = this.#context;
-    const target = this.#createTarget(upstreamName);
-    const attempt = this.#createAttempt(target);
-    const nowMs = Date.now();
-    const fault = findSendFault(board, this.#classified, target, nowMs);
-    const upstream = board.upstreams.get(upstreamName);
-    if (fault || !upstream?.link) {
-      attempt.leave();
-      this.#refuse(fault ?? refuseNotRun(RefusalReason.NoUpstream, 0, 'the upstream is gone'));
-      return;
-    }
-    const { creditBytes } = this.#relay;
-    this.#follow(attempt);
-    countSent(board, upstreamName);
-    routing.markSent(board, upstreamName, this.#createQuery());
-    upstream.link.send(createSubmit(board, this.#classified, target, upstream, creditBytes, nowMs));
-    attempt.watchSubmitted();
+  async #sendClaimed(claim: ClaimSession, target: AttemptTarget): Promise<void> {
+    const step = await claim.secure({
+      ...target,
+      requestHash: hashRequest(this.#classified.request),
+      entry: this.#context.board.name,
+      claimedAtMs: Date.now(),
+    });
+    if (!this.#isEnded) this.#followClaim(step, target);
+    else if (step.kind === ClaimStepKind.Held) claim.release();
   }
 
-  #createAttempt(target: AttemptTarget): Attempt {
-    const { board, timing } = this.#context;
-    const { requestClass } = this.#classified;
-    return new Attempt({
-      id: target.attemptId,
-      upstream: target.upstream,
-      domain: board.upstreams.get(target.upstream)?.domain ?? '',
-      sideIncarnation: target.sideIncarnation,
-      isRepeatable: requestClass.isRepeatable,
-      progressTimeoutMs: requestClass.progressTimeoutMs,
-      inquiryLimitMs: timing.inquiryLimitMs,
-      reconnectGraceMs: timing.heartbeatMs,
-      relay: this.#relay,
-      send: (message) => board.upstreams.get(target.upstream)?.link?.send(message),
-      onEnd: (end) => this.#readEnd(end),
-    });
+  #followClaim(step: ClaimStep, target: AttemptTarget): void {
+    if (step.kind === ClaimStepKind.Held) this.#submit(target);
+    else if (step.kind === ClaimStepKind.Replay) this.#replay(step.answer);
+    else if (step.kind === ClaimStepKind.Refused) this.#refuse(step.refusal);
+    else this.#adopt(step.record);
   }
 
-  #follow(attempt: Attempt): void {
-    this.#attempt = attempt;
-    this.#context.attempts.set(attempt.id, attempt);
+  #submit(target: AttemptTarget): void {
+    const sent = this.#launcher.submit(target, this.#createQuery());
+    if (sent.ok) this.#attempt = sent.val;
+    else if (isGateReason(sent.val.reason)) this.#skip(target, sent.val);
+    else this.#refuse(sent.val);
+  }
+
+  /** Goes on elsewhere where the upstream has closed since it was chosen. */
+  #skip(target: AttemptTarget, refusal: Refusal): void {
+    const { reason, retryAfterMs } = refusal;
+    const isDrained = reason === RefusalReason.DomainDrained;
+    const retryReason = isDrained ? RetryReason.DomainDrained : RetryReason.RefusedBySide;
+    const domain = this.#context.board.upstreams.get(target.upstream)?.domain ?? '';
+    const end: FailedEnd = { outcome: Outcome.NotRun, reason, retryReason, retryAfterMs };
+    this.#retryOrRefuse(target.upstream, domain, end);
+  }
+
+  #adopt(target: AttemptTarget): void {
+    const adopted = this.#launcher.adopt(target);
+    if (adopted.ok) this.#attempt = adopted.val;
+    else this.#refuse(adopted.val);
+  }
+
+  #replay(answer: KeptAnswer): void {
+    const body = Buffer.from(answer.bodyBase64, 'base64');
+    this.#relay.takeHead(answer.status, answer.headers);
+    this.#relay.takeData(0, body);
+    this.#relay.takeEnd(body.length);
+    this.#context.metrics.count('request.replayed');
+    this.#finish();
   }
 
   /** Forgets the attempt under way, whatever became of it. */
   #dropAttempt(): Attempt | undefined {
     const attempt = this.#attempt;
-    if (!attempt) return undefined;
     this.#attempt = undefined;
-    this.#context.attempts.delete(attempt.id);
-    countEnded(this.#context.board, attempt.upstream);
-    this.#context.routing.markEnded(this.#context.board, attempt.upstream);
+    if (attempt) this.#launcher.forget(attempt);
     return attempt;
   }
 
   #readEnd(end: AttemptEnd): void {
     const attempt = this.#dropAttempt();
     if (!attempt) return;
-    if (end.outcome === Outcome.Answered) {
-      this.#finish();
+    if (isFailed(end)) {
+      this.#retryOrRefuse(attempt.upstream, attempt.domain, end);
       return;
     }
-    this.#mayHaveRun ||= end.outcome === Outcome.Unknown;
-    this.#retryOrRefuse(attempt, end, end.outcome);
-  }
-
-  #retryOrRefuse(
-    attempt: Attempt,
-    end: AttemptEnd,
-    outcome: Outcome.NotRun | Outcome.Unknown,
-  ): void {
-    const isGateRefusal = outcome === Outcome.NotRun && isGateReason(end.reason);
-    if (isGateRefusal) this.#gateRefusals += 1;
-    const decision = this.#context.retries.decide(
-      {
-        outcome,
-        isRepeatable: this.#classified.requestClass.isRepeatable,
-        isCommitted: this.#relay.isCommitted,
-        isGateRefusal,
-        gateRefusals: this.#gateRefusals,
-        retries: this.#retries,
-        share: readRetryShare(this.#context.board),
-      },
-      Date.now(),
-    );
-    if (!decision.ok) this.#giveUp(end, decision.val);
-    else this.#retry(attempt, end, isGateRefusal);
+    this.#claim?.finish(this.#recorder?.answer);
+    this.#observeService();
+    this.#finish();
   }
 
-  #retry(attempt: Attempt, end: AttemptEnd, isGateRefusal: boolean): void {
-    this.#context.metrics.count('request.retried', { reason: end.retryReason });
-    this.#excludedUpstreams.add(attempt.upstream);
-    if (!isGateRefusal) {
-      this.#retries += 1;
-      this.#avoidedDomains.add(attempt.domain);
+  #retryOrRefuse(upstream: string, domain: string, end: FailedEnd): void {
+    const { outcome, reason, retryReason, retryAfterMs } = end;
+    const { isRepeatable } = this.#classified.requestClass;
+    const { isCommitted } = this.#relay;
+    const isGateRefusal = outcome === Outcome.NotRun && isGateReason(reason);
+    const failed = { upstream, domain, outcome, isRepeatable, isCommitted, isGateRefusal };
+    const share = readRetryShare(this.#context.board);
+    const decision = this.#ledger.decide(failed, share, Date.now());
+    if (!decision.ok) {
+      this.#giveUp(end, decision.val);
+      return;
     }
-    this.#tryUpstream(end.retryAfterMs);
+    this.#context.metrics.count('request.retried', { reason: retryReason });
+    this.#tryUpstream(retryAfterMs);
   }
 
-  #giveUp(end: AttemptEnd, why: RefusalReason): void {
+  #giveUp(end: FailedEnd, why: RefusalReason): void {
     const isSpent = why === RefusalReason.RetryBudgetSpent;
     const reason = isSpent ? why : end.reason;
-    const retryAfterMs = Math.max(end.retryAfterMs, UNKNOWN_RETRY_MS);
+    const retryAfterMs = Math.max(end.retryAfterMs, GIVEN_UP_RETRY_MS);
     this.#refuse(refuseNotRun(reason, retryAfterMs, `the last attempt ended with ${end.reason}`));
   }
 
   #readDeadline(): void {
+    if (this.#attempt) this.#observeService();
     const detail = 'the deadline has passed before the answer was whole';
     this.#refuse(refuseNotRun(RefusalReason.DeadlinePassed, 0, detail));
   }
@@ -276,23 +294,40 @@
   /** Ends the request with a refusal, as not run only where that holds for all its attempts. */
   #refuse(refusal: Refusal): void {
     if (this.#isEnded) return;
-    this.#mayHaveRun ||= this.#attempt !== undefined;
-    this.#cancelAttempt();
-    const outcome = this.#mayHaveRun ? Outcome.Unknown : refusal.outcome;
-    this.#context.metrics.count('request.refused', { reason: refusal.reason });
+    const mayHaveRun = this.#ledger.mayHaveRun || this.#attempt !== undefined;
+    const outcome = mayHaveRun ? Outcome.Unknown : refusal.outcome;
+    this.#dropAttempt()?.cancel();
+    if (outcome === Outcome.NotRun) this.#claim?.release();
+    this.#report({ ...refusal, outcome });
     this.#relay.refuse({ ...refusal, outcome });
     this.#finish();
   }
 
+  #report(refusal: Refusal): void {
+    const { reason, outcome } = refusal;
+    this.#context.metrics.count('request.refused', { reason });
+    const level = outcome === Outcome.Unknown ? LogLevel.Warn : LogLevel.Info;
+    const workspace = this.#classified.workspace.name;
+    const fields = { id: this.id, workspace, reason, outcome };
+    this.#context.log.write(level, LOG_PART, 'A request ended without an answer.', fields);
+  }
+
+  /** A claimed request goes on without its caller, who may come back for the answer. */
   #leaveCaller(): void {
     if (this.#isEnded) return;
+    if (this.#recorder && this.#attempt) {
+      this.#recorder.detach();
+      return;
+    }
     this.#context.metrics.count('request.refused', { reason: RefusalReason.CallerGone });
-    this.#cancelAttempt();
+    this.#dropAttempt()?.cancel();
     this.#finish();
   }
 
-  #cancelAttempt(): void {
-    this.#dropAttempt()?.cancel();
+  #observeService(): void {
+    const { pool, requestClass } = this.#classified;
+    const serviceMs = Date.now() - this.#permitAtMs;
+    this.#context.admission.observeService(pool.name, requestClass.name, serviceMs);
   }
 
   #finish(): void {
@@ -301,11 +336,7 @@
     clearTimeout(this.#deadlineTimer);
     clearTimeout(this.#retryTimer);
     this.#abort.abort();
-    if (this.#permit) {
-      const serviceMs = Date.now() - this.#permitAtMs;
-      this.#context.admission.observeService(this.pool, serviceMs);
-      this.#permit.release();
-    }
+    this.#permit?.release();
     this.#onDone(this);
   }
 }
--- a/packages/core/src/entry/submission.ts
+++ b/packages/core/src/entry/submission.ts
@@ -2,7 +2,9 @@
 import { ConfigKind, SettingName } from '../config/object.js';
 import { MessageType, type MessageOf } from '../messages/message.js';
 import { RefusalReason, type Refusal } from '../model/reason.js';
+import { Err, Ok, type Result } from '../outcome.js';
 import { findClosedReason } from '../routing/upstreamState.js';
+import type { Link } from '../ports/link.js';
 import type { EntryBoard, UpstreamState } from '../state/entryBoard.js';
 
 import { refuseNotRun } from './refusal.js';
@@ -22,6 +24,14 @@
   readonly upstream: string;
   readonly sideIncarnation: string;
   readonly attemptId: string;
+  /** Clock of the side process when the target was chosen. */
+  readonly sideTickMs: number;
+}
+
+/** What a submission is handed to. */
+export interface OpenTarget {
+  readonly upstream: UpstreamState;
+  readonly link: Link;
 }
 
 /** Share of requests that may be retried now. */
@@ -31,32 +41,35 @@
 }
 
 /**
- * Finds out why nothing may be sent to a target now.
+ * Finds out whether an attempt may be sent to a target now.
  *
  * @param nowMs time by the runtime's clock, read right before sending
- * @returns undefined where the attempt may be sent
+ * @returns the link to send on, or why nothing may be sent
  */
-export function findSendFault(
+export function checkTarget(
   board: EntryBoard,
   classified: ClassifiedRequest,
   target: AttemptTarget,
   nowMs: number,
-): Refusal | undefined {
+): Result<OpenTarget, Refusal> {
   if (nowMs >= classified.deadlineAtMs) {
-    return refuseNotRun(RefusalReason.DeadlinePassed, 0, 'the deadline has passed');
+    return Err(refuseNotRun(RefusalReason.DeadlinePassed, 0, 'the deadline has passed'));
   }
   if (!board.isCurrent) {
     const detail = 'this entry has not confirmed its configuration for too long';
-    return refuseNotRun(RefusalReason.StaleConfiguration, STALE_RETRY_MS, detail);
+    return Err(refuseNotRun(RefusalReason.StaleConfiguration, STALE_RETRY_MS, detail));
   }
   const upstream = board.upstreams.get(target.upstream);
-  const reason = upstream ? findClosedReason(board, upstream) : RefusalReason.NoUpstream;
-  if (reason) return refuseNotRun(reason, CLOSED_RETRY_MS, `${target.upstream} takes no new work`);
-  if (upstream?.sideIncarnation !== target.sideIncarnation) {
+  const reason = upstream && findClosedReason(board, upstream);
+  if (!upstream?.link || reason) {
+    const detail = `${target.upstream} takes no new work`;
+    return Err(refuseNotRun(reason ?? RefusalReason.NoUpstream, CLOSED_RETRY_MS, detail));
+  }
+  if (upstream.sideIncarnation !== target.sideIncarnation) {
     const detail = `the side process of ${target.upstream} was replaced`;
-    return refuseNotRun(RefusalReason.StaleIncarnation, CLOSED_RETRY_MS, detail);
+    return Err(refuseNotRun(RefusalReason.StaleIncarnation, CLOSED_RETRY_MS, detail));
   }
-  return undefined;
+  return Ok({ upstream, link: upstream.link });
 }
 
 /** Builds the message that submits a request. */
--- a/packages/core/src/limits/admissionPolicy.ts
+++ b/packages/core/src/limits/admissionPolicy.ts
@@ -6,6 +6,7 @@
 export interface AdmissionTicket {
   readonly requestId: string;
   readonly pool: string;
+  readonly className: string;
   readonly workspace: string;
   /** Share of the workspace against others of the same priority. */
   readonly weight: number;
@@ -43,6 +44,6 @@
   /** Requests waiting for a pool. */
   abstract countWaiting(pool: string): number;
 
-  /** Tells how long a request of the pool held its permit. */
-  abstract observeService(pool: string, serviceMs: number): void;
+  /** Tells how long a request held its permit until its answer was whole or its time was up. */
+  abstract observeService(pool: string, className: string, serviceMs: number): void;
 }
--- /dev/null
+++ b/packages/core/src/limits/poolQueue.ts
@@ -0,0 +1,121 @@
+/**
+ * The requests of one pool: those that wait, and those that are in flight.
+ *
+ * The pool's room is the concurrency of a p-queue; a request keeps its place until it releases it.
+ */
+import PQueue from 'p-queue';
+
+import { Err, Ok, type Result } from '../outcome.js';
+import type { Refusal } from '../model/reason.js';
+
+import type { AdmissionPermit, AdmissionTicket } from './admissionPolicy.js';
+import { FairQueue, type FairQueueOptions } from './fairQueue.js';
+
+/** Weight of the newest service time in the smoothed one. */
+const SMOOTHING = 0.1;
+
+type Turn = Result<AdmissionPermit, Refusal>;
+
+/** Makes p-queue use a queue that can also be asked for positions. */
+function createQueueClass(queue: FairQueue): new () => FairQueue {
+  return function useQueue() {
+    return queue;
+  } as unknown as new () => FairQueue;
+}
+
+/** Queue and measured rates of one pool. */
+export class PoolQueue {
+  readonly #waiting = new FairQueue();
+
+  readonly #queue: PQueue<FairQueue, FairQueueOptions>;
+
+  /** Ways to turn waiting requests away, by id. */
+  readonly #dismissals = new Map<string, (refusal: Refusal) => void>();
+
+  /** Smoothed service times by class. */
+  readonly #serviceMs = new Map<string, number>();
+
+  /** Smoothed service time of all classes; 0 before the first. */
+  #poolServiceMs = 0;
+
+  #room = 0;
+
+  constructor() {
+    const queueClass = createQueueClass(this.#waiting);
+    this.#queue = new PQueue<FairQueue, FairQueueOptions>({ queueClass, autoStart: false });
+  }
+
+  /** Requests that wait. */
+  get size(): number {
+    return this.#waiting.size;
+  }
+
+  /** Changes how many requests may be in flight. */
+  setRoom(room: number): void {
+    if (room === this.#room) return;
+    this.#room = room;
+    if (room < 1) {
+      this.#queue.pause();
+      return;
+    }
+    this.#queue.concurrency = room;
+    this.#queue.start();
+  }
+
+  /** Takes the time in for which a request held its place. */
+  observeService(className: string, serviceMs: number): void {
+    const smooth = (oldMs: number) => oldMs + SMOOTHING * (serviceMs - oldMs);
+    this.#poolServiceMs = smooth(this.#poolServiceMs || serviceMs);
+    this.#serviceMs.set(className, smooth(this.#serviceMs.get(className) ?? serviceMs));
+  }
+
+  /** Expected time until the turn of a new request; 0 where a place is free for it. */
+  estimateWaitMs(ticket: AdmissionTicket): number {
+    const freePlaces = this.#room - this.#queue.pending;
+    const turns = this.#waiting.countAhead(ticket) + 1 - freePlaces;
+    return turns <= 0 ? 0 : (turns * this.#poolServiceMs) / Math.max(1, this.#room);
+  }
+
+  /** Expected time of service of a class; 0 before the first was seen. */
+  readServiceMs(className: string): number {
+    return this.#serviceMs.get(className) ?? 0;
+  }
+
+  /**
+   * Turns a waiting request away to make place for a new one with a better claim.
+   *
+   * @returns whether one was turned away
+   */
+  makePlace(ticket: AdmissionTicket, refusal: Refusal): boolean {
+    const victim = this.#waiting.findVictim(ticket);
+    const dismiss = victim === undefined ? undefined : this.#dismissals.get(victim);
+    dismiss?.(refusal);
+    return dismiss !== undefined;
+  }
+
+  /** Waits for the turn of a request, until it is turned away or its signal says that it left. */
+  wait(ticket: AdmissionTicket, left: Refusal): Promise<Turn> {
+    const { requestId: id, workspace, weight, priority } = ticket;
+    const abort = new AbortController();
+    return new Promise((resolve) => {
+      const dismiss = (refusal: Refusal) => {
+        resolve(Err(refusal));
+        abort.abort();
+      };
+      this.#dismissals.set(id, dismiss);
+      ticket.signal.addEventListener('abort', () => dismiss(left), { once: true });
+      const hold = () => this.#hold(id, (permit) => resolve(Ok(permit)));
+      const { signal } = abort;
+      this.#queue.add(hold, { id, workspace, weight, priority, signal }).catch(() => {
+        this.#dismissals.delete(id);
+      });
+    });
+  }
+
+  #hold(id: string, onTurn: (permit: AdmissionPermit) => void): Promise<void> {
+    this.#dismissals.delete(id);
+    return new Promise((release) => {
+      onTurn({ release });
+    });
+  }
+}
--- a/packages/core/src/limits/queueAdmission.ts
+++ b/packages/core/src/limits/queueAdmission.ts
@@ -1,49 +1,21 @@
 /**
- * Admission by one p-queue for each pool.
+ * Admission by one queue for each pool.
  *
- * The room of a pool is the queue's concurrency; a request holds its place until it has ended. How
- * long a request would wait is worked out from the measured service time and the room.
+ * A request that finds a free place is let in whatever the measured rates say: that is how they are
+ * measured anew after they were bad. One that has to wait is refused at once where its turn and its
+ * service would come too late.
  */
-import PQueue from 'p-queue';
-
 import { refuseNotRun } from '../entry/refusal.js';
 import { RefusalReason, type Refusal } from '../model/reason.js';
-import { Err, Ok, type Result } from '../outcome.js';
+import { Err, type Result } from '../outcome.js';
 
 import { AdmissionPolicy, type AdmissionPermit, type AdmissionTicket } from './admissionPolicy.js';
-import { FairQueue, type FairQueueOptions } from './fairQueue.js';
-
-/** Weight of the newest service time in the smoothed one. */
-const SMOOTHING = 0.1;
+import { PoolQueue } from './poolQueue.js';
 
 /** Shortest time after which a refused request is asked to come back. */
 const RETRY_AFTER_MIN_MS = 100;
 
-interface PoolQueue {
-  readonly queue: PQueue<FairQueue, FairQueueOptions>;
-  room: number;
-  /** Smoothed time for which a permit is held; 0 before the first. */
-  serviceMs: number;
-}
-
-/** Time until the turn of a request that would wait behind all others. */
-function estimateWaitMs(pool: PoolQueue): number {
-  const freePlaces = pool.room - pool.queue.pending;
-  const ahead = pool.queue.size - freePlaces + 1;
-  return ahead <= 0 ? 0 : (ahead * pool.serviceMs) / Math.max(1, pool.room);
-}
-function findRefusal(ticket: AdmissionTicket, pool: PoolQueue): Refusal | undefined {
-  const waitMs = estimateWaitMs(pool);
-  const retryAfterMs = Math.max(RETRY_AFTER_MIN_MS, Math.ceil(waitMs));
-  if (pool.queue.size >= ticket.queueLimit) {
-    return refuseNotRun(RefusalReason.QueueFull, retryAfterMs, 'the queue of the pool is full');
-  }
-  if (Date.now() + waitMs + pool.serviceMs > ticket.deadlineAtMs) {
-    const detail = 'by the measured rates the deadline cannot be met';
-    return refuseNotRun(RefusalReason.DeadlineUnreachable, retryAfterMs, detail);
-  }
-  return undefined;
-}
+const LEFT = refuseNotRun(RefusalReason.CallerGone, 0, 'the request left before its turn');
 
 /** Lets requests in as their pools have room. */
 export class QueueAdmission extends AdmissionPolicy {
@@ -51,51 +23,37 @@
 
   enter(ticket: AdmissionTicket): Promise<Result<AdmissionPermit, Refusal>> {
     const pool = this.#openPool(ticket.pool);
-    const refusal = findRefusal(ticket, pool);
-    if (refusal) return Promise.resolve(Err(refusal));
-    return new Promise((resolve) => {
-      const hold = () =>
-        new Promise<void>((release) => {
-          resolve(Ok({ release }));
-        });
-      const { workspace, weight, priority, signal } = ticket;
-      pool.queue.add(hold, { workspace, weight, priority, signal }).catch(() => {
-        const detail = 'the request left before its turn';
-        resolve(Err(refuseNotRun(RefusalReason.CallerGone, 0, detail)));
-      });
-    });
+    const waitMs = pool.estimateWaitMs(ticket);
+    const endsAtMs = Date.now() + waitMs + pool.readServiceMs(ticket.className);
+    const retryAfterMs = Math.max(RETRY_AFTER_MIN_MS, Math.ceil(waitMs));
+    if (waitMs > 0 && endsAtMs > ticket.deadlineAtMs) {
+      const detail = 'by the measured rates the deadline cannot be met';
+      const refusal = refuseNotRun(RefusalReason.DeadlineUnreachable, retryAfterMs, detail);
+      return Promise.resolve(Err(refusal));
+    }
+    const full = refuseNotRun(RefusalReason.QueueFull, retryAfterMs, 'the queue is full');
+    if (pool.size >= ticket.queueLimit && !pool.makePlace(ticket, full)) {
+      return Promise.resolve(Err(full));
+    }
+    return pool.wait(ticket, LEFT);
   }
 
-  setRoom(poolName: string, room: number): void {
-    const pool = this.#openPool(poolName);
-    if (pool.room === room) return;
-    pool.room = room;
-    if (room < 1) {
-      pool.queue.pause();
-      return;
-    }
-    pool.queue.concurrency = room;
-    pool.queue.start();
+  setRoom(pool: string, room: number): void {
+    this.#openPool(pool).setRoom(room);
   }
 
   countWaiting(pool: string): number {
-    return this.#pools.get(pool)?.queue.size ?? 0;
+    return this.#pools.get(pool)?.size ?? 0;
   }
 
-  observeService(poolName: string, serviceMs: number): void {
-    const pool = this.#openPool(poolName);
-    if (pool.serviceMs === 0) pool.serviceMs = serviceMs;
-    pool.serviceMs += SMOOTHING * (serviceMs - pool.serviceMs);
+  observeService(pool: string, className: string, serviceMs: number): void {
+    this.#openPool(pool).observeService(className, serviceMs);
   }
 
   #openPool(name: string): PoolQueue {
     const known = this.#pools.get(name);
     if (known) return known;
-    const queue = new PQueue<FairQueue, FairQueueOptions>({
-      queueClass: FairQueue,
-      autoStart: false,
-    });
-    const pool = { queue, room: 0, serviceMs: 0 };
+    const pool = new PoolQueue();
     this.#pools.set(name, pool);
     return pool;
   }
--- a/packages/core/src/retry/retryPolicy.ts
+++ b/packages/core/src/retry/retryPolicy.ts
@@ -17,20 +17,17 @@
 
 const BACKOFF_MAX_MS = 1_000;
 
+/** Doublings after which the backoff is at its longest whatever it began with. */
+const BACKOFF_DOUBLINGS_MAX = 10;
+
 /** How an attempt ended, as far as it matters for a retry. */
 export interface RetryQuery {
   readonly outcome: Outcome.NotRun | Outcome.Unknown;
   readonly isRepeatable: boolean;
   /** Whether the caller has been given part of an answer. */
   readonly isCommitted: boolean;
-  /** Whether the gate of a side process refused it. */
+  /** Whether the upstream takes no work now, rather than that something failed. */
   readonly isGateRefusal: boolean;
-  /** Refusals at gates of this request so far, this one included. */
-  readonly gateRefusals: number;
-  /** Other retries of this request so far. */
-  readonly retries: number;
-  /** Share of requests that may be retried. */
-  readonly share: number;
 }
 
 /** Retry decisions of one entry. */
@@ -51,17 +48,23 @@
   /**
    * Decides on a retry and takes it from the budget.
    *
+   * @param gateRefusals refusals at gates of this request so far
+   * @param share share of requests that may be retried
    * @param nowMs time by the runtime's clock
    * @returns nothing where the request may be tried again, else why not
    */
-  decide(query: RetryQuery, nowMs: number): Result<void, RefusalReason> {
+  decide(
+    query: RetryQuery,
+    gateRefusals: number,
+    share: number,
+    nowMs: number,
+  ): Result<void, RefusalReason> {
     const isSafe = query.outcome === Outcome.NotRun || query.isRepeatable;
     if (!isSafe || query.isCommitted) return Err(RefusalReason.OutcomeUnknown);
     if (query.isGateRefusal) {
-      if (query.gateRefusals < GATE_REFUSAL_LIMIT) return Ok(undefined);
-      return Err(RefusalReason.UpstreamFull);
+      return gateRefusals < GATE_REFUSAL_LIMIT ? Ok(undefined) : Err(RefusalReason.UpstreamFull);
     }
-    if (this.#budget.take(query.share, nowMs)) return Ok(undefined);
+    if (this.#budget.take(share, nowMs)) return Ok(undefined);
     return Err(RefusalReason.RetryBudgetSpent);
   }
 
@@ -72,7 +75,7 @@
    * @param hintMs time that the upstream asked for; 0 where it named none
    */
   chooseDelayMs(tries: number, hintMs: number): number {
-    const exponentialMs = BACKOFF_MIN_MS * 2 ** Math.min(tries, 10);
+    const exponentialMs = BACKOFF_MIN_MS * 2 ** Math.min(tries, BACKOFF_DOUBLINGS_MAX);
     const baseMs = Math.min(BACKOFF_MAX_MS, Math.max(exponentialMs, hintMs));
     return Math.ceil(baseMs * (0.5 + this.#random.next()));
   }
--- a/packages/core/src/routing/upstreamState.ts
+++ b/packages/core/src/routing/upstreamState.ts
@@ -1,6 +1,7 @@
 /** What the board says of an upstream: whether it takes work, its load and its limit. */
 import { ConfigKind, DomainState } from '../config/object.js';
 import { RefusalReason } from '../model/reason.js';
+import type { SideReport } from '../model/report.js';
 import { SideLinkState, type EntryBoard, type UpstreamState } from '../state/entryBoard.js';
 
 /** Limit assumed of an upstream that has not reported yet. */
@@ -11,10 +12,20 @@
   return upstream.report?.limit ?? UNREPORTED_LIMIT;
 }
 
-/** Attempts expected there now, from all entries as far as this one knows. */
+/** Attempts expected there now: those of other entries as last reported, and this entry's own. */
 export function readLoad(upstream: UpstreamState): number {
-  const reported = (upstream.report?.inFlight ?? 0) + upstream.sentSinceReport;
-  return Math.max(reported, upstream.inFlight);
+  return (upstream.othersInFlight ?? 0) + upstream.inFlight;
+}
+
+/**
+ * Takes a report in.
+ *
+ * What this entry has in flight is taken out of the reported load, and counted by itself from then
+ * on: the end of an attempt gives room at once, not with the next report.
+ */
+export function takeReport(upstream: UpstreamState, report: SideReport, nowMs: number): void {
+  const othersInFlight = Math.max(0, report.inFlight - upstream.inFlight);
+  Object.assign(upstream, { report, reportAtMs: nowMs, sentSinceReport: 0, othersInFlight });
 }
 
 /** Counts an attempt that was sent to an upstream. */
@@ -63,7 +74,7 @@
   );
   if (open.length === 0) return undefined;
   return open.reduce((room, upstream) => {
-    const others = Math.max(0, readLoad(upstream) - upstream.inFlight);
+    const others = upstream.othersInFlight ?? 0;
     return room + Math.max(0, readLimit(upstream) - others);
   }, 0);
 }
--- a/packages/core/test/entry/entryFixture.ts
+++ b/packages/core/test/entry/entryFixture.ts
@@ -127,6 +127,12 @@
     this.controller.onSideLost(name);
   }
 
+  /** Stops the process: its links close and it hears nothing more. */
+  kill(): void {
+    this.links.forEach((link) => link.close());
+    this.links.clear();
+  }
+
   report(name: string, changes: Partial<SideReport> = {}): void {
     const report = createReport(name, changes);
     const message = { type: MessageType.Report, report: { ...report, models: [...report.models] } };
@@ -177,9 +183,18 @@
 
   /** Lets all running executions answer, and delivers that. */
   finishAll(): void {
-    this.sides.forEach((side, name) => this.hear(name, side.finish()));
+    this.sides.forEach((side, name) => this.hear(name, side.finish(this.board.name)));
+  }
+
+  /** Name of the upstream that the entry has sent its last submissions to. */
+  get target(): string {
+    const found = [...this.links].find(([, link]) =>
+      link.outbox.some((message) => message.type === MessageType.Submit),
+    );
+    return found?.[0] ?? '';
   }
 
+  /** Executions of a request at all upstreams. */
   countExecutions(body: string): number {
     return [...this.sides.values()].reduce(
       (sum, side) => sum + (side.executions.get(body) ?? 0),
@@ -188,7 +203,7 @@
   }
 
   #receive(name: string, message: Message): Message[] {
-    return this.sides.get(name)?.receive(message) ?? [];
+    return this.sides.get(name)?.receive(message, this.board.name) ?? [];
   }
 
   #addUpstream(name: string, domain: string): void {
--- a/packages/core/test/entry/fakeSide.ts
+++ b/packages/core/test/entry/fakeSide.ts
@@ -15,6 +15,8 @@
 const CHUNK_BYTES = 8;
 
 interface Execution {
+  /** Entry whose link the answer goes to. */
+  owner: string;
   readonly answer: Uint8Array;
   readonly isRepeatable: boolean;
   hasHead: boolean;
@@ -59,32 +61,37 @@
     return `${attemptId} answers ${body} ${'.'.repeat(20)}`;
   }
 
-  /** Takes a message in and returns the replies. */
-  receive(message: Message): Message[] {
-    if (message.type === MessageType.Submit) return this.#submit(message);
-    if (message.type === MessageType.Inquire) return this.#inquire(message);
+  /**
+   * Takes a message in and returns the replies.
+   *
+   * @param owner entry that sent it
+   */
+  receive(message: Message, owner: string): Message[] {
+    if (message.type === MessageType.Submit) return this.#submit(message, owner);
+    if (message.type === MessageType.Inquire) return this.#inquire(message, owner);
     if (message.type === MessageType.Cancel) this.#cancel(message.attemptId);
     if (message.type === MessageType.Credit) this.#credit(message);
     return [];
   }
 
-  /** Attempts that have not ended. */
-  listRunning(): string[] {
-    return [...this.#attempts].filter(([, run]) => !run.isEnded).map(([id]) => id);
+  /** Attempts of an entry that have not ended. */
+  listRunning(owner: string): string[] {
+    const running = [...this.#attempts].filter(([, run]) => !run.isEnded && run.owner === owner);
+    return running.map(([id]) => id);
   }
 
-  /** Takes the next step of each running answer: its head, a piece of it, or its end. */
-  step(): Message[] {
-    return this.listRunning().flatMap((id) => this.#step(id));
+  /** Takes the next step of an entry's running answers: a head, a piece or an end. */
+  step(owner: string): Message[] {
+    return this.listRunning(owner).flatMap((id) => this.#step(id));
   }
 
-  /** Sends all that is left of the running answers. */
-  finish(): Message[] {
-    const messages = this.step();
-    return messages.length === 0 ? [] : [...messages, ...this.finish()];
+  /** Sends all that is left of an entry's running answers. */
+  finish(owner: string): Message[] {
+    const messages = this.step(owner);
+    return messages.length === 0 ? [] : [...messages, ...this.finish(owner)];
   }
 
-  #submit(message: MessageOf<MessageType.Submit>): Message[] {
+  #submit(message: MessageOf<MessageType.Submit>, owner: string): Message[] {
     const { attemptId } = message;
     if (message.sideIncarnation !== this.incarnation) {
       return [this.#refuse(attemptId, RefusalReason.StaleIncarnation)];
@@ -95,6 +102,7 @@
     const body = new TextDecoder().decode(message.body);
     this.executions.set(body, (this.executions.get(body) ?? 0) + 1);
     this.#attempts.set(attemptId, {
+      owner,
       answer: new TextEncoder().encode(FakeSide.answerOf(attemptId, body)),
       isRepeatable: message.isRepeatable,
       hasHead: false,
@@ -110,7 +118,7 @@
     return { type: MessageType.Refused, attemptId, reason, retryAfterMs: 40 };
   }
 
-  #inquire(message: MessageOf<MessageType.Inquire>): Message[] {
+  #inquire(message: MessageOf<MessageType.Inquire>, owner: string): Message[] {
     const { attemptId, fromOffset, creditBytes } = message;
     if (message.sideIncarnation !== this.incarnation) {
       return [{ type: MessageType.InquiryAnswer, attemptId, state: AttemptState.Lost }];
@@ -121,7 +129,7 @@
       return [{ type: MessageType.InquiryAnswer, attemptId, state: AttemptState.Dead }];
     }
     const state = run.isEnded ? AttemptState.Finished : AttemptState.Running;
-    Object.assign(run, { sentBytes: fromOffset, hasHead: false, isEnded: false });
+    Object.assign(run, { owner, sentBytes: fromOffset, hasHead: false, isEnded: false });
     run.creditOffset = fromOffset + creditBytes;
     return [{ type: MessageType.InquiryAnswer, attemptId, state }];
   }
--- a/packages/core/test/entry/requestController.test.ts
+++ b/packages/core/test/entry/requestController.test.ts
@@ -67,7 +67,7 @@
   caller.hangUp();
   entry.deliver();
   assert.equal(
-    [...entry.sides.values()].flatMap((side) => side.listRunning()),
+    [...entry.sides.values()].flatMap((side) => side.listRunning('entry-1')),
     [],
   );
 });
--- a/packages/core/test/entry/scenario.ts
+++ b/packages/core/test/entry/scenario.ts
@@ -24,6 +24,7 @@
     try {
       const entry = new EntryFixture();
       await body(entry, clock);
+      await clock.tickAsync(0);
       checkClean(entry, clock);
     } finally {
       clock.uninstall();
