Add the operators' command line

Cause: operators need to ask, order and read back, by hand and by script. Change: radishbay ask and order on yargs, tables or JSON, exit codes that tell refused, accepted, not reached and unknown apart; the client chooses the order's id, so that a lost answer is read back. Ruled out: giving an order to the next entry when its answer was lost (it may take effect twice).

--- /dev/null
+++ b/packages/client/bin/radishbay.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/src/main.js';
--- /dev/null
+++ b/packages/client/src/globalOptions.ts
@@ -0,0 +1,96 @@
+/** Options that every command takes. */
+import { randomUUID } from 'node:crypto';
+
+import type { Argv } from 'yargs';
+
+import { OperatorApi } from './operatorApi.js';
+
+const DEFAULT_TIMEOUT_MS = 3_000;
+const DEFAULT_WAIT_MS = 10_000;
+const POLL_MS = 200;
+const NO_ENTRY = 'name an entry by --entry or RADISHBAY_ENTRY';
+
+/** Environment that stands in for options. */
+export type Environment = Readonly<Record<string, string | undefined>>;
+
+export interface GlobalOptions {
+  readonly entry: readonly string[];
+  readonly token: string;
+  readonly json: boolean;
+  readonly timeoutMs: number;
+}
+
+export interface WaitArguments {
+  readonly wait: boolean;
+  readonly waitMs: number;
+  readonly pollMs: number;
+}
+
+function splitList(text: string | undefined): string[] {
+  return (text ?? '').split(',').filter((part) => part !== '');
+}
+
+/** Declares the options of every command. */
+export function declareGlobalOptions(parser: Argv, environment: Environment): Argv<GlobalOptions> {
+  return parser
+    .option('entry', {
+      type: 'string',
+      array: true,
+      requiresArg: true,
+      nargs: 1,
+      describe: 'URL of an entry; may be repeated (or RADISHBAY_ENTRY, separated by commas)',
+      default: splitList(environment.RADISHBAY_ENTRY),
+      defaultDescription: 'RADISHBAY_ENTRY',
+    })
+    .option('token', {
+      type: 'string',
+      describe: 'operator token (or RADISHBAY_TOKEN)',
+      default: environment.RADISHBAY_TOKEN ?? '',
+      defaultDescription: 'RADISHBAY_TOKEN',
+    })
+    .option('json', { type: 'boolean', describe: 'JSON for scripts', default: false })
+    .option('timeout-ms', {
+      type: 'number',
+      describe: 'longest wait for one entry',
+      default: DEFAULT_TIMEOUT_MS,
+    })
+    .check((options) => {
+      if (options.help) return true;
+      if (options.entry.length === 0) throw new Error(NO_ENTRY);
+      const malformed = options.entry.find((entry) => !URL.canParse(entry));
+      if (malformed !== undefined) throw new Error(`--entry is not a URL: ${malformed}`);
+      if (!(options['timeout-ms'] > 0)) throw new Error('--timeout-ms must be positive');
+      return true;
+    }) as unknown as Argv<GlobalOptions>;
+}
+
+/** Declares the options by which a command waits for an order. */
+export function declareWaitOptions<T>(parser: Argv<T>): Argv<T & WaitArguments> {
+  return parser
+    .option('wait', {
+      type: 'boolean',
+      describe: 'wait until the order is in force everywhere',
+      default: false,
+    })
+    .option('wait-ms', {
+      type: 'number',
+      describe: 'longest time to wait',
+      default: DEFAULT_WAIT_MS,
+    })
+    .option('poll-ms', {
+      type: 'number',
+      hidden: true,
+      default: POLL_MS,
+    }) as unknown as Argv<T & WaitArguments>;
+}
+
+/** Makes the client of the entries that the options name. */
+export function createApi(options: GlobalOptions): OperatorApi {
+  const { entry: entries, token, timeoutMs } = options;
+  return new OperatorApi({ entries, token, timeoutMs });
+}
+
+/** Makes an id for a new order. */
+export function createOrderId(): string {
+  return randomUUID();
+}
