--- a/packages/core/test/entry/fakeSide.ts
+++ b/packages/core/test/entry/fakeSide.ts
@@ -25,6 +25,10 @@
   creditOffset: number;
 }
 
+function refuse(attemptId: string, reason: RefusalReason): Message {
+  return { type: MessageType.Refused, attemptId, reason, retryAfterMs: 40 };
+}
+
 /** What one side process does with messages. */
 export class FakeSide {
   readonly upstream: string;
@@ -94,11 +98,11 @@
   #submit(message: MessageOf<MessageType.Submit>, owner: string): Message[] {
     const { attemptId } = message;
     if (message.sideIncarnation !== this.incarnation) {
-      return [this.#refuse(attemptId, RefusalReason.StaleIncarnation)];
+      return [refuse(attemptId, RefusalReason.StaleIncarnation)];
     }
-    if (this.#dead.has(attemptId)) return [this.#refuse(attemptId, RefusalReason.AttemptDead)];
+    if (this.#dead.has(attemptId)) return [refuse(attemptId, RefusalReason.AttemptDead)];
     if (this.#attempts.has(attemptId)) return [];
-    if (this.gateReason) return [this.#refuse(attemptId, this.gateReason)];
+    if (this.gateReason) return [refuse(attemptId, this.gateReason)];
     const body = new TextDecoder().decode(message.body);
     this.executions.set(body, (this.executions.get(body) ?? 0) + 1);
     this.#attempts.set(attemptId, {
@@ -113,10 +117,6 @@
     return [];
   }
 
-  #refuse(attemptId: string, reason: RefusalReason): Message {
-    return { type: MessageType.Refused, attemptId, reason, retryAfterMs: 40 };
-  }
-
   #inquire(message: MessageOf<MessageType.Inquire>, owner: string): Message[] {
     const { attemptId, fromOffset, creditBytes } = message;
     if (message.sideIncarnation !== this.incarnation) {
