--- a/packages/core/src/entry/entryNode.ts
+++ b/packages/core/src/entry/entryNode.ts
@@ -87,6 +87,11 @@
     return this.#board.config.revision > 0 && this.#isSettled();
   }
 
+  /** Requests that have not had their final answer. */
+  get inFlightCount(): number {
+    return this.#requests.listInFlight().length;
+  }
+
   /** Takes a caller's request; the caller hears of its end. */
   accept(request: CallerRequest, caller: Caller): void {
     this.#requests.accept(request, caller);
--- a/packages/standin/src/matrix/fake/eventLog.ts
+++ b/packages/standin/src/matrix/fake/eventLog.ts
@@ -1,12 +1,22 @@
 /** The numbered events of a run at the interfaces: messages, platform calls, engine calls. */
 
+import { SimProcess } from '../process/simProcess.js';
+
+/** Interface at which an event happens. */
+export enum EventKind {
+  Link = 'link',
+  Store = 'store',
+  Engine = 'engine',
+}
+
 export interface NumberedEvent {
   readonly number: number;
   readonly atMs: number;
-  /** Process or upstream at which it happens. */
+  /** Name of the process that makes the call; empty for the harness. */
+  readonly caller: string;
+  /** Address, upstream or key that the call is made to. */
   readonly place: string;
-  /** Interface: link, store or engine. */
-  readonly kind: string;
+  readonly kind: EventKind;
   readonly detail: string;
 }
 
@@ -29,9 +39,16 @@
     this.#listener = listener;
   }
 
-  note(place: string, kind: string, detail: string): NumberedEvent | undefined {
+  note(place: string, kind: EventKind, detail: string): NumberedEvent | undefined {
     if (!this.isCounting) return undefined;
-    const event = { number: this.#events.length + 1, atMs: Date.now(), place, kind, detail };
+    const event = {
+      number: this.#events.length + 1,
+      atMs: Date.now(),
+      caller: SimProcess.caller?.name ?? '',
+      place,
+      kind,
+      detail,
+    };
     this.#events.push(event);
     this.#listener?.(event);
     return event;
--- a/packages/standin/src/matrix/fake/memoryCaller.ts
+++ b/packages/standin/src/matrix/fake/memoryCaller.ts
@@ -44,11 +44,18 @@
     return this.#endedAtMs;
   }
 
-  /** The connection breaks, as when the entry dies. */
+  /** The caller hangs up. */
   hangUp(): void {
+    if (this.#end !== CallerEnd.Waiting) return;
+    this.#finish(CallerEnd.Aborted);
     this.#gone?.();
   }
 
+  /** The connection breaks as its entry dies: the caller sees that the answer is not whole. */
+  breakOff(): void {
+    if (this.#end === CallerEnd.Waiting) this.#finish(CallerEnd.Aborted);
+  }
+
   override writeHead(status: number): void {
     this.#status = status;
   }
--- a/packages/standin/src/matrix/fake/memoryEngine.ts
+++ b/packages/standin/src/matrix/fake/memoryEngine.ts
@@ -15,8 +15,11 @@
 import type { CacheEvent, EngineReport } from '@radishbay/core/model/report.js';
 import { Err, Ok, type Result } from '@radishbay/core/outcome.js';
 
-import type { EventLog } from './eventLog.js';
+import type { SimProcess } from '../process/simProcess.js';
+
 import { formatAnswer } from './answerText.js';
+import { EngineConnection } from './engineConnection.js';
+import { EventKind, type EventLog } from './eventLog.js';
 
 const CHUNKS = 4;
 const CHUNK_MS = 120;
@@ -96,6 +99,11 @@
     return !this.#isTurnedCold;
   }
 
+  /** The upstream as a side process calls it; its calls end with the process. */
+  connect(process: SimProcess): Engine {
+    return new EngineConnection(this, process);
+  }
+
   /** Turns cold without a notice; what is in flight stays. */
   turnCold(): void {
     this.#isTurnedCold = true;
@@ -111,7 +119,7 @@
   }
 
   override start(call: EngineCall, events: EngineEvents): EngineRun {
-    this.#options.events.note(this.name, 'engine', `start ${call.attemptId}`);
+    this.#options.events.note(this.name, EventKind.Engine, `start ${call.attemptId}`);
     const execution: Execution = {
       attemptId: call.attemptId,
       tag: call.headers[TAG_HEADER] ?? '',
--- a/packages/standin/src/matrix/process/processLink.ts
+++ b/packages/standin/src/matrix/process/processLink.ts
@@ -26,7 +26,7 @@
   }
 
   override send(message: Message): void {
-    SimProcess.outside(() => this.#inner.send(message));
+    this.#owner.call(() => this.#inner.send(message));
   }
 
   override close(detail: string): void {
--- a/packages/standin/src/matrix/process/processStore.ts
+++ b/packages/standin/src/matrix/process/processStore.ts
@@ -8,7 +8,7 @@
 } from '@radishbay/core/ports/objectStore.js';
 import type { Result } from '@radishbay/core/outcome.js';
 
-import { SimProcess } from './simProcess.js';
+import type { SimProcess } from './simProcess.js';
 
 /** A store whose answers belong to a process; effects happen whatever becomes of it. */
 export class ProcessStore extends ObjectStore {
@@ -52,7 +52,7 @@
 
   #call<T>(action: () => Promise<T>): Promise<T> {
     return new Promise((resolve) => {
-      SimProcess.outside(() => {
+      this.#owner.call(() => {
         action().then(
           (value) => this.#owner.post(() => resolve(value)),
           () => {},
--- a/packages/standin/src/matrix/process/simProcess.ts
+++ b/packages/standin/src/matrix/process/simProcess.ts
@@ -16,6 +16,8 @@
 
 /** One process. */
 export class SimProcess {
+  static #caller: SimProcess | undefined;
+
   readonly name: string;
 
   #state = ProcessState.Running;
@@ -39,6 +41,22 @@
     return CONTEXT.exit(action);
   }
 
+  /** Runs a call at an interface: outside of the process, but known as its doing. */
+  call<T>(action: () => T): T {
+    const before = SimProcess.#caller;
+    SimProcess.#caller = this;
+    try {
+      return CONTEXT.exit(action);
+    } finally {
+      SimProcess.#caller = before;
+    }
+  }
+
+  /** The process that makes the call at an interface that is being handled now. */
+  static get caller(): SimProcess | undefined {
+    return SimProcess.#caller;
+  }
+
   get state(): ProcessState {
     return this.#state;
   }
--- /dev/null
+++ b/packages/standin/src/matrix/scenario/scenario.ts
@@ -0,0 +1,24 @@
+/** What a scenario has in common: how it acts on a fleet, and what must hold besides. */
+import { planSampleFleet, type FleetPlan } from '../../fleet/fleetPlan.js';
+import type { World } from '../world.js';
+
+const ENTRIES = 2;
+const MODELS_PER_DOMAIN = 1;
+
+/** One scenario of the fault matrix. */
+export abstract class Scenario {
+  abstract readonly name: string;
+
+  /** The fleet that it runs on. */
+  plan(): FleetPlan {
+    return planSampleFleet(ENTRIES, MODELS_PER_DOMAIN);
+  }
+
+  /** Sends requests and orders; must not wait for what a fault may prevent. */
+  abstract act(world: World): Promise<void>;
+
+  /** @returns sentences on what did not hold beyond the invariants of all scenarios */
+  judge(_world: World): readonly string[] {
+    return [];
+  }
+}
