--- a/packages/standin/src/engine/completionRequest.ts
+++ b/packages/standin/src/engine/completionRequest.ts
@@ -18,10 +18,10 @@
   readonly isStream: boolean;
 }
 
-/** Joins the messages of a chat to one prompt. */
+/** Joins the messages of a chat to one prompt, as the entry does for its prefix hashes. */
 export function formatChatPrompt(messages: readonly JsonObject[]): string {
   const lines = messages.map(
-    (message) => `${readString(message, 'role', 'user')}: ${readString(message, 'content', '')}`,
+    (message) => `${readString(message, 'role', 'user')}:${readString(message, 'content', '')}`,
   );
   return lines.join('\n');
 }
--- a/packages/standin/src/engine/engineServer.ts
+++ b/packages/standin/src/engine/engineServer.ts
@@ -5,6 +5,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
+import { hashPrefixes } from '@radishbay/core/model/prefixHash.js';
 import { Ok } from '@radishbay/core/outcome.js';
 import { EngineOrderErrorKind } from '@radishbay/core/ports/engine.js';
 
@@ -13,7 +14,7 @@
 
 import { CompletionAnswer } from './completionAnswer.js';
 import { parseCompletion, type CompletionRequest } from './completionRequest.js';
-import { countPromptTokens, hashText } from './completionText.js';
+import { countPromptTokens } from './completionText.js';
 import { EngineFaults } from './engineFaults.js';
 import { EngineModel, SubmitError, type EngineWork } from './engineModel.js';
 import { parseEngineOptions } from './engineOptions.js';
@@ -22,7 +23,6 @@
 
 const COMPLETION_PATH = '/v1/completions';
 const CHAT_PATH = '/v1/chat/completions';
-const BLOCK_CHARS = 256;
 const DEFAULT_PRIORITY = 5;
 
 function readHeader(request: IncomingMessage, name: string): string | undefined {
@@ -30,21 +30,6 @@
   return Array.isArray(value) ? value[0] : value;
 }
 
-/** Hashes of the prompt's leading blocks, each over all text up to its end. */
-function hashBlocks(prompt: string): readonly string[] {
-  const blocks = Math.floor(prompt.length / BLOCK_CHARS);
-  return Array.from({ length: blocks }, (_, index) =>
-    hashText(prompt.slice(0, (index + 1) * BLOCK_CHARS)),
-  );
-}
-
-/** The caller's own hashes where it sends them, so that both sides name blocks alike. */
-function readPrefixHashes(request: IncomingMessage, prompt: string): readonly string[] {
-  const told = readHeader(request, 'x-prefix-hashes');
-  if (told === undefined) return hashBlocks(prompt);
-  return told.split(',').filter((hash) => hash !== '');
-}
-
 /** A model engine that serves completions. */
 export class EngineServer extends StandinServer {
   readonly model: EngineModel;
@@ -158,7 +143,7 @@
       attemptId: readHeader(request, 'x-attempt-id') ?? `unnamed-${this.#unnamedCount}`,
       priority: Number(readHeader(request, 'x-priority') ?? DEFAULT_PRIORITY),
       promptTokens: countPromptTokens(completion.prompt),
-      prefixHashes: readPrefixHashes(request, completion.prompt),
+      prefixHashes: hashPrefixes(completion.prompt),
       firstToken,
       maxTokens: completion.maxTokens,
     };
--- a/packages/standin/test/engineServer.test.ts
+++ b/packages/standin/test/engineServer.test.ts
@@ -1,5 +1,6 @@
 import { request, type ClientRequest } from 'node:http';
 
+import { PREFIX_BLOCK_CHARS, hashPrefixes } from '@radishbay/core/model/prefixHash.js';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
@@ -142,17 +143,18 @@
 test('cache events are numbered, and the gap asked for is there', async (context) => {
   await startEngine(context, { isWarmAtStart: true, cacheEventLagMs: 0, cacheGapEvery: 2 });
   const url = `${context.baseUrl}/v1/completions`;
-  await postJson(url, { prompt: 'a' }, { 'x-prefix-hashes': 'h1' });
-  await postJson(url, { prompt: 'a' }, { 'x-prefix-hashes': 'h2' });
-  await postJson(url, { prompt: 'a' }, { 'x-prefix-hashes': 'h3' });
+  const prompts = ['a', 'b', 'c'].map((letter) => letter.repeat(PREFIX_BLOCK_CHARS));
+  await postJson(url, { prompt: prompts[0] });
+  await postJson(url, { prompt: prompts[1] });
+  await postJson(url, { prompt: prompts[2] });
   const { events } = (await getJson(`${context.baseUrl}/cache-events?after=0`)) as {
     events: { sequence: number; blockHashes: string[] }[];
   };
   assert.equal(
     events.map(({ sequence, blockHashes }) => [sequence, ...blockHashes]),
     [
-      [1, 'h1'],
-      [3, 'h3'],
+      [1, ...hashPrefixes(prompts[0] ?? '')],
+      [3, ...hashPrefixes(prompts[2] ?? '')],
     ],
   );
 });
