--- a/packages/standin/test/engineServer.test.ts
+++ b/packages/standin/test/engineServer.test.ts
@@ -122,6 +122,27 @@
   assert.is(answer.status, 503);
 });
 
+test('a request that is declined by a fault has not run', async (context) => {
+  await startEngine(context, { isWarmAtStart: true });
+  await postJson(`${context.baseUrl}/faults`, { kind: 'decline-next', count: 1 });
+  const answer = await postJson(`${context.baseUrl}/v1/completions`, { prompt: 'a' });
+  assert.is(answer.status, 503);
+  assert.equal((await getJson(`${context.baseUrl}/record`)).executions, {});
+});
+
+test('a request that is failed by a fault has run and breaks off', async (context) => {
+  await startEngine(context, { isWarmAtStart: true });
+  await postJson(`${context.baseUrl}/faults`, { kind: 'fail-next', count: 1 });
+  const headers = { 'x-attempt-id': 'a' };
+  const body = { prompt: 'a', stream: true };
+  const answer = await send('POST', `${context.baseUrl}/v1/completions`, body, headers);
+  assert.ok(answer.err && answer.val.isSent);
+  const { executions } = (await getJson(`${context.baseUrl}/record`)) as {
+    executions: Record<string, { started: number }>;
+  };
+  assert.is(executions.a?.started, 1);
+});
+
 test('an engine that checks fencing refuses an older number', async (context) => {
   await startEngine(context, { isFencing: true });
   const order = { action: 'load-model', params: { model: 'm' } };
--- a/packages/standin/test/platformServer.test.ts
+++ b/packages/standin/test/platformServer.test.ts
@@ -108,6 +108,35 @@
   assert.is((await store.get('k')).unwrap()?.value, 1);
 });
 
+test('an outage without a count lasts until it is ended', async ({ store, baseUrl }) => {
+  await postJson(`${baseUrl}/faults`, { kind: 'down' });
+  const first = await store.get('k');
+  const second = await store.get('k');
+  await postJson(`${baseUrl}/faults`, { kind: 'none' });
+  assert.equal([first.ok, second.ok, (await store.get('k')).ok], [false, false, true]);
+});
+
+test('an outage breaks off a waiting watch', async ({ store, baseUrl }) => {
+  const watch = store.watch('a/', 0, 60_000);
+  const waitForWatch = async (): Promise<void> => {
+    if ((await getJson(`${baseUrl}/counts`)).watch !== 1) await waitForWatch();
+  };
+  await waitForWatch();
+  await postJson(`${baseUrl}/faults`, { kind: 'down' });
+  const batch = await watch;
+  assert.is(batch.err && batch.val.kind, StoreErrorKind.Unavailable);
+});
+
+test('a write that comes late is unknown, and takes effect after the answer', async (context) => {
+  const { store, baseUrl } = context;
+  await postJson(`${baseUrl}/faults`, { kind: 'late-effect', count: 1 });
+  const write = await store.put('k', 1, 0);
+  assert.is(write.err && write.val.kind, StoreErrorKind.Unknown);
+  assert.is((await store.get('k')).unwrap(), undefined);
+  const batch = await store.watch('k', 0, 60_000);
+  assert.is(batch.unwrap().changes[0]?.value, 1);
+});
+
 test('a write over a silent connection is unknown', async () => {
   const silent = await startSilentServer();
   const store = new HttpObjectStore({ baseUrl: silent.baseUrl, callTimeoutMs: 50 });
