Register entries, write their status, prove links among nodes

Cause: an entry that is in no registry can't be counted by an order's read-back, and links were built but untested. Change: StatusWriter and OwnedObject; an entry begins no work on the platform's word before it is registered, and counts on no majority while the registry does not name it; a peer is forgotten only once its registration was removed. Test nodes on one fake clock that can be frozen, cut and killed (support/), with real side processes.

--- a/packages/core/src/membership/configLease.ts
+++ b/packages/core/src/membership/configLease.ts
@@ -49,6 +49,9 @@
 
   #confirmedUntil: Deadline | undefined;
 
+  /** Whether orders can be read back from this entry: without that the platform proves nothing. */
+  #isRegistered = false;
+
   /** Whether the peers are known: who has not heard of any yet is not alone for that. */
   #arePeersKnown = false;
 
@@ -72,6 +75,12 @@
     this.#update();
   }
 
+  /** Notes that this incarnation stands in the registry. */
+  noteRegistered(): void {
+    this.#isRegistered = true;
+    this.#update();
+  }
+
   /**
    * Names the peers of which a majority is needed, and judges it anew.
    *
@@ -98,10 +107,10 @@
   }
 
   #update(): void {
-    const majorityUntil = this.#findMajorityEnd();
-    const confirmedUntil = this.#confirmedUntil ?? Deadline.after(0);
-    const isMajorityLater = majorityUntil !== undefined && majorityUntil.isAfter(confirmedUntil);
-    this.#board.currentUntil = isMajorityLater ? majorityUntil : confirmedUntil;
+    const confirmedUntil = this.#isRegistered ? this.#confirmedUntil : undefined;
+    const ends = [confirmedUntil, this.#findMajorityEnd()].filter((end) => end !== undefined);
+    const [latest] = ends.sort((one, other) => (one.isAfter(other) ? -1 : 1));
+    this.#board.currentUntil = latest ?? Deadline.after(0);
   }
 
   /** @returns deadline up to which a majority has confirmed; undefined where there is none */
--- a/packages/core/src/membership/entryMembership.ts
+++ b/packages/core/src/membership/entryMembership.ts
@@ -25,13 +25,16 @@
 import { RegistryFollower } from './registryFollower.js';
 import type { ShareListener } from './shareListener.js';
 import { SideLinks } from './sideLinks.js';
+import { StatusWriter } from './statusWriter.js';
 
 export interface EntryMembershipOptions extends Omit<SessionContext, 'lease'> {
   readonly store: ObjectStore;
   readonly attempts: AttemptListener;
   readonly groups: GroupListener;
   readonly shares: ShareListener;
-  /** Addresses of other entries, to start from while the platform is down. */
+  /** Address at which other entries reach this one. */
+  readonly ownAddress: string;
+  /** Addresses of entries, to start from while the platform is down. */
   readonly seedAddresses: readonly string[];
 }
 
@@ -47,6 +50,8 @@
 
   readonly peerLinks: PeerLinks;
 
+  readonly #status: StatusWriter;
+
   readonly #configFollower: ConfigFollower;
 
   readonly #entries: RegistryFollower<Registration>;
@@ -59,7 +64,15 @@
     const { board, log, metrics, timing } = options;
     this.feed = new ConfigFeed({ board, log, metrics });
     this.lease = new ConfigLease({ board, configLeaseMs: timing.configLeaseMs });
-    const context = { ...options, feed: this.feed, lease: this.lease, pace: this.pace };
+    const seedAddresses = options.seedAddresses.filter((seed) => seed !== options.ownAddress);
+    const context = {
+      ...options,
+      seedAddresses,
+      feed: this.feed,
+      lease: this.lease,
+      pace: this.pace,
+    };
+    this.#status = new StatusWriter(context);
     this.#configFollower = new ConfigFollower(context);
     const { watchTimeoutMs } = timing;
     this.#entries = new RegistryFollower({
@@ -99,6 +112,7 @@
     [this.#configFollower, this.#entries, this.#sides, this.#vms].forEach((follower) => {
       follower.start();
     });
+    this.#status.start();
     this.peerLinks.start();
     this.sideLinks.start();
   }
@@ -108,10 +122,17 @@
     [this.#configFollower, this.#entries, this.#sides, this.#vms].forEach((follower) => {
       follower.stop();
     });
+    this.#status.stop();
     this.sideLinks.stop();
     this.peerLinks.stop();
   }
 
+  /** Ends a planned stop: takes this entry out of the registry, then closes everything. */
+  async leave(): Promise<void> {
+    await this.#status.unregister();
+    this.stop();
+  }
+
   /** Takes a link that another entry has dialled. */
   accept(link: Link): void {
     this.peerLinks.accept(link);
--- a/packages/core/src/membership/peerLinks.ts
+++ b/packages/core/src/membership/peerLinks.ts
@@ -20,6 +20,9 @@
 /** Peers that each entry dials beyond that. */
 const DIALLED_PEERS = 4;
 
+/** Time without a link after which a peer is forgotten that was never registered. */
+const FORGET_UNREGISTERED_MS = 600_000;
+
 /** Heartbeat intervals after which this process itself must have been paused. */
 const PAUSE_INTERVALS = 2;
 
@@ -49,6 +52,9 @@
 
   readonly #inbound = new Set<InboundPeer>();
 
+  /** Peers that were in the registry. */
+  readonly #registered = new Set<string>();
+
   /** When a peer without any link had one last. */
   readonly #unlinkedSinceMs = new Map<string, number>();
 
@@ -131,8 +137,21 @@
       peer.region = board.config.get(ConfigKind.Domain, domain)?.region;
     });
     [...board.peers.values()]
-      .filter((peer) => !entries.has(peer.name) && !peer.link)
-      .forEach((peer) => board.peers.delete(peer.name));
+      .filter((peer) => !entries.has(peer.name) && !peer.link && this.#isForgettable(peer.name))
+      .forEach((peer) => this.#forget(peer.name));
+    entries.forEach((_, name) => this.#registered.add(name));
+  }
+
+  /** A peer may be forgotten once its registration was removed, or if it never had one for long. */
+  #isForgettable(name: string): boolean {
+    const unlinkedMs = Date.now() - (this.#unlinkedSinceMs.get(name) ?? Date.now());
+    return this.#registered.has(name) || unlinkedMs > FORGET_UNREGISTERED_MS;
+  }
+
+  #forget(name: string): void {
+    this.#options.board.peers.delete(name);
+    this.#registered.delete(name);
+    this.#unlinkedSinceMs.delete(name);
   }
 
   /** Addresses of the peers that this entry dials. */
@@ -185,7 +204,7 @@
     const entries = this.#options.readEntries();
     const isMesh = board.peers.size <= FULL_MESH_PEERS;
     const peers = [...board.peers.values()].filter((peer) => isMesh || peer.link);
-    const isComplete = entries !== undefined || this.#haveSeedsAnswered(seedAddresses);
+    const isComplete = entries ? entries.has(board.name) : this.#haveSeedsAnswered(seedAddresses);
     lease.setPeers(new Set(peers.map((peer) => peer.name)), isComplete);
   }
 
--- /dev/null
+++ b/packages/core/src/membership/statusWriter.ts
@@ -0,0 +1,140 @@
+/**
+ * Registers this entry in the platform and keeps its status there.
+ *
+ * The status is written when it has changed, and now and then as a sign of life; the more entries
+ * there are, the longer the interval, so that the platform's rate of writes holds for the fleet.
+ */
+import type { PlatformPace } from '../config/platformPace.js';
+import type { Timing } from '../model/timing.js';
+import { LogLevel, type Log } from '../ports/log.js';
+import type { Metrics } from '../ports/metrics.js';
+import type { ObjectStore } from '../ports/objectStore.js';
+import type { Random } from '../ports/random.js';
+import type { EntryBoard } from '../state/entryBoard.js';
+import type { ConfigLease } from './configLease.js';
+import { describeEntry, ENTRY_STATUS_PREFIX } from './entryStatus.js';
+import { OwnedObject } from './ownedObject.js';
+import { ENTRY_REGISTRY_PREFIX, type Registration } from './registry.js';
+
+const PART = 'status';
+
+/** Status writes a second that all entries together may make. */
+const FLEET_WRITES_PER_SECOND = 50;
+
+/** Intervals after which an unchanged status is written all the same. */
+const REFRESH_INTERVALS = 10;
+
+/** Part of an interval by which it varies, so that entries do not write together. */
+const JITTER_SHARE = 0.2;
+
+export interface StatusWriterOptions {
+  readonly board: EntryBoard;
+  readonly lease: ConfigLease;
+  readonly store: ObjectStore;
+  readonly pace: PlatformPace;
+  readonly random: Random;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly timing: Timing;
+  /** Address at which other entries reach this one. */
+  readonly ownAddress: string;
+}
+
+/** Writes `registry/entry/NAME` and `status/entry/NAME`. */
+export class StatusWriter {
+  readonly #options: StatusWriterOptions;
+
+  readonly #registration: OwnedObject;
+
+  readonly #status: OwnedObject;
+
+  #timer: NodeJS.Timeout | undefined;
+
+  #isRunning = false;
+
+  #isRegistered = false;
+
+  #lastText = '';
+
+  #unchangedCount = 0;
+
+  constructor(options: StatusWriterOptions) {
+    const { store, pace, board } = options;
+    this.#options = options;
+    const own = (prefix: string) => new OwnedObject({ store, pace, key: prefix + board.name });
+    this.#registration = own(ENTRY_REGISTRY_PREFIX);
+    this.#status = own(ENTRY_STATUS_PREFIX);
+  }
+
+  start(): void {
+    if (this.#isRunning) return;
+    this.#isRunning = true;
+    this.#schedule(0);
+  }
+
+  /** Stops writing; what stands in the platform stays. */
+  stop(): void {
+    this.#isRunning = false;
+    clearTimeout(this.#timer);
+  }
+
+  /**
+   * Takes this entry out of the registry at the end of a planned stop, so that no majority counts
+   * on it any more.
+   */
+  async unregister(): Promise<void> {
+    this.stop();
+    await this.#registration.remove();
+    await this.#status.remove();
+  }
+
+  /** Time between two writes of this entry, by the number of entries and the platform's pace. */
+  get intervalMs(): number {
+    const { board, pace, timing } = this.#options;
+    const shareMs = ((board.peers.size + 1) * 1_000) / FLEET_WRITES_PER_SECOND;
+    return Math.max(timing.statusMs, shareMs) * pace.factor;
+  }
+
+  #schedule(delayMs: number): void {
+    this.#timer = setTimeout(() => {
+      this.#write().then(() => {
+        if (this.#isRunning) this.#schedule(this.#chooseDelay());
+      });
+    }, delayMs);
+  }
+
+  #chooseDelay(): number {
+    const jitter = 1 + (this.#options.random.next() - 0.5) * 2 * JITTER_SHARE;
+    return this.intervalMs * jitter;
+  }
+
+  async #write(): Promise<void> {
+    if (!this.#isRegistered) await this.#register();
+    if (this.#isRegistered && this.#isRunning) await this.#writeStatus();
+  }
+
+  async #register(): Promise<void> {
+    const { board, lease, log, metrics, ownAddress } = this.#options;
+    const { incarnation, domain } = board;
+    const registration: Registration = { address: ownAddress, incarnation, domain };
+    const written = await this.#registration.write(registration);
+    if (!written.ok) {
+      metrics.count('status.register.failed', { kind: written.val.kind });
+      return;
+    }
+    this.#isRegistered = true;
+    lease.noteRegistered();
+    log.write(LogLevel.Info, PART, 'Registered this entry.', { address: ownAddress });
+  }
+
+  async #writeStatus(): Promise<void> {
+    const { board, timing, metrics } = this.#options;
+    const status = describeEntry(board, timing, Date.now());
+    const text = JSON.stringify(status);
+    this.#unchangedCount = text === this.#lastText ? this.#unchangedCount + 1 : 0;
+    if (this.#unchangedCount % REFRESH_INTERVALS !== 0) return;
+    const written = await this.#status.write(status);
+    this.#lastText = written.ok ? text : '';
+    if (!written.ok) metrics.count('status.write.failed', { kind: written.val.kind });
+  }
+}
--- a/packages/standin/test/config/configFollower.test.ts
+++ b/packages/standin/test/config/configFollower.test.ts
@@ -8,23 +8,24 @@
 import { PlatformPace } from '@radishbay/core/config/platformPace.js';
 import { ConfigLease } from '@radishbay/core/membership/configLease.js';
 import { DEFAULT_TIMING } from '@radishbay/core/model/timing.js';
+import { CountingMetrics } from '@radishbay/core/ports/countingMetrics.js';
 import { Random } from '@radishbay/core/ports/random.js';
+import { SilentLog } from '@radishbay/core/ports/silentLog.js';
 import { EntryBoard } from '@radishbay/core/state/entryBoard.js';
 
 import { MemoryObjectStore } from '../../src/platform/memoryStore.js';
 import { StoreFault } from '../../src/platform/storeFault.js';
-import { RecordingLog } from '../support/recordingLog.js';
-import { RecordingMetrics } from '../support/recordingMetrics.js';
 
 const KEY = formatConfigKey(ConfigKind.Domain, 'zone-a');
 
 function createFollower() {
   const store = new MemoryObjectStore();
   const board = new EntryBoard('entry-a', 'one', 'zone-a', 'main');
-  const log = new RecordingLog();
-  const metrics = new RecordingMetrics();
+  const log = new SilentLog();
+  const metrics = new CountingMetrics();
   const feed = new ConfigFeed({ board, log, metrics });
   const lease = new ConfigLease({ board, configLeaseMs: DEFAULT_TIMING.configLeaseMs });
+  lease.noteRegistered();
   const follower = new ConfigFollower({
     board,
     feed,
--- /dev/null
+++ b/packages/standin/test/support/testNetwork.ts
@@ -0,0 +1,81 @@
+import type { Link } from '@radishbay/core/ports/link.js';
+import { LinkDialer } from '@radishbay/core/ports/linkDialer.js';
+import { DELIVERED, FateKind, type Fate } from '@radishbay/link/memory/linkFaults.js';
+
+import { implement } from './implement.js';
+import type { NodeClock } from './nodeClock.js';
+import { NodeLink } from './nodeLink.js';
+
+const DELAY_MS = 1;
+
+interface Listener {
+  readonly node: string;
+  readonly accept: (link: Link) => void;
+}
+
+/** Links between named nodes; the path between two of them can be cut without a word. */
+export class TestNetwork {
+  readonly #clock: NodeClock;
+
+  readonly #listeners = new Map<string, Listener>();
+
+  readonly #cuts = new Set<string>();
+
+  constructor(clock: NodeClock) {
+    this.#clock = clock;
+  }
+
+  listen(node: string, address: string, accept: (link: Link) => void): void {
+    this.#listeners.set(address, { node, accept });
+  }
+
+  unlisten(address: string): void {
+    this.#listeners.delete(address);
+  }
+
+  /** Loses all messages between two nodes from now on; neither hears a close. */
+  cut(one: string, other: string): void {
+    this.#cuts.add([one, other].sort().join(' '));
+  }
+
+  heal(one: string, other: string): void {
+    this.#cuts.delete([one, other].sort().join(' '));
+  }
+
+  isCut(one: string, other: string): boolean {
+    return this.#cuts.has([one, other].sort().join(' '));
+  }
+
+  /** Opens a link from a node to an address. */
+  dial(node: string, address: string): Link {
+    const listener = this.#listeners.get(address);
+    const decide = (): Fate =>
+      listener && this.isCut(node, listener.node)
+        ? { kind: FateKind.Drop, extraDelayMs: 0 }
+        : DELIVERED;
+    const near = new NodeLink(this.#clock, node, { delayMs: DELAY_MS, decide });
+    if (!listener) {
+      this.#clock.outside(() => setTimeout(() => near.end('refused'), DELAY_MS));
+      return near;
+    }
+    const far = new NodeLink(this.#clock, listener.node, { delayMs: DELAY_MS, decide });
+    near.join(far);
+    far.join(near);
+    this.#clock.outside(() => setTimeout(() => this.#connect(node, listener, near, far), DELAY_MS));
+    return near;
+  }
+
+  /** Makes the dialler of one node. */
+  createDialer(node: string): LinkDialer {
+    return implement(LinkDialer, { dial: (address) => this.dial(node, address) });
+  }
+
+  #connect(node: string, listener: Listener, near: NodeLink, far: NodeLink): void {
+    if (this.isCut(node, listener.node)) return;
+    this.#clock.run(listener.node, () => {
+      far.open();
+      listener.accept(far);
+      near.open();
+    });
+  }
+}
