--- a/packages/core/src/membership/entryMembership.ts
+++ b/packages/core/src/membership/entryMembership.ts
@@ -33,7 +33,7 @@
   readonly groups: GroupListener;
   readonly shares: ShareListener;
   /** Address at which other entries reach this one. */
-  readonly ownAddress: string;
+  readonly address: string;
   /** Addresses of entries, to start from while the platform is down. */
   readonly seedAddresses: readonly string[];
 }
@@ -64,7 +64,7 @@
     const { board, log, metrics, timing } = options;
     this.feed = new ConfigFeed({ board, log, metrics });
     this.lease = new ConfigLease({ board, configLeaseMs: timing.configLeaseMs });
-    const seedAddresses = options.seedAddresses.filter((seed) => seed !== options.ownAddress);
+    const seedAddresses = options.seedAddresses.filter((seed) => seed !== options.address);
     const context = {
       ...options,
       seedAddresses,
--- a/packages/core/src/membership/statusWriter.ts
+++ b/packages/core/src/membership/statusWriter.ts
@@ -37,7 +37,7 @@
   readonly metrics: Metrics;
   readonly timing: Timing;
   /** Address at which other entries reach this one. */
-  readonly ownAddress: string;
+  readonly address: string;
 }
 
 /** Writes `registry/entry/NAME` and `status/entry/NAME`. */
@@ -114,9 +114,9 @@
   }
 
   async #register(): Promise<void> {
-    const { board, lease, log, metrics, ownAddress } = this.#options;
+    const { board, lease, log, metrics, address } = this.#options;
     const { incarnation, domain } = board;
-    const registration: Registration = { address: ownAddress, incarnation, domain };
+    const registration: Registration = { address, incarnation, domain };
     const written = await this.#registration.write(registration);
     if (!written.ok) {
       metrics.count('status.register.failed', { kind: written.val.kind });
@@ -124,7 +124,7 @@
     }
     this.#isRegistered = true;
     lease.noteRegistered();
-    log.write(LogLevel.Info, PART, 'Registered this entry.', { address: ownAddress });
+    log.write(LogLevel.Info, PART, 'Registered this entry.', { address });
   }
 
   async #writeStatus(): Promise<void> {
--- a/packages/standin/test/support/testEntry.ts
+++ b/packages/standin/test/support/testEntry.ts
@@ -62,7 +62,7 @@
       metrics: this.metrics,
       timing: options.timing,
       token: 'secret',
-      ownAddress: address,
+      address,
       seedAddresses: options.seedAddresses,
       attempts: implement(AttemptListener, {
         onSideOpen: NOTHING,
