Take operators' orders and read them back

Cause: operators need orders that are accepted once, refused clearly, and never said to be in force too early. Ruled out: a hold in memory while the platform is down, since the entries that keep it can all be replaced, and an accepted configuration must not revert; such orders are refused as not taken. Ruled out: settling a lost answer by reading, since the write may still take effect after the read; the same conditional write is repeated instead, so that at most one takes effect. Objects ahead of the revision are pushed to peers and sides at once.

--- a/packages/core/src/membership/peerExchange.ts
+++ b/packages/core/src/membership/peerExchange.ts
@@ -2,7 +2,7 @@
  * What two entries tell each other on one link, whoever dialled it: heartbeats that prove how
  * recent their configurations are, and the configuration itself.
  */
-import { ConfigSource, type ConfigFeed } from '../config/configFeed.js';
+import { ConfigSource, type ConfigFeed, type ConfigRise } from '../config/configFeed.js';
 import { MessageType, type Message, type MessageOf } from '../messages/message.js';
 import type { Link } from '../ports/link.js';
 import type { EntryPeerState } from '../state/entryBoard.js';
@@ -54,8 +54,26 @@
     this.#ticks.note(tickMs);
   }
 
-  /** Tells the other end of the revision in force. */
-  offer(): void {
+  /**
+   * Tells the other end of a rise. Objects that are ahead of the revision, such as an order given
+   * here, are sent themselves: the revision that the other end could ask for does not cover them.
+   */
+  announce(rise: ConfigRise): void {
+    if (rise.revision > rise.fromRevision) this.#offer();
+    else this.#sendAhead(rise.keys);
+  }
+
+  #sendAhead(keys: readonly string[]): void {
+    const { config } = this.#context.board;
+    const objects = config
+      .listChanges(config.revision)
+      .filter(({ key }) => keys.includes(key))
+      .map(({ key, version, value }) => ({ key, version, value }));
+    if (objects.length === 0) return;
+    this.#link.send({ type: MessageType.ConfigObjects, revision: 0, isFull: false, objects });
+  }
+
+  #offer(): void {
     const { revision } = this.#context.board.config;
     if (this.#peer.configRevision >= revision) return;
     this.#link.send({ type: MessageType.ConfigOffer, revision });
--- a/packages/core/src/membership/peerLinks.ts
+++ b/packages/core/src/membership/peerLinks.ts
@@ -15,10 +15,10 @@
 import { rankMembers } from './rendezvous.js';
 
 /** Peers up to which every pair has a link. */
-const FULL_MESH_PEERS = 8;
+export const FULL_MESH_PEERS = 8;
 
 /** Peers that each entry dials beyond that. */
-const DIALLED_PEERS = 4;
+export const DIALLED_PEERS = 4;
 
 /** Time without a link after which a peer is forgotten that was never registered. */
 const FORGET_UNREGISTERED_MS = 600_000;
@@ -66,7 +66,7 @@
 
   constructor(options: PeerLinksOptions) {
     this.#options = options;
-    options.feed.onRise(() => this.#exchanges().forEach((exchange) => exchange.offer()));
+    options.feed.onRise((rise) => this.#exchanges().forEach((exchange) => exchange.announce(rise)));
   }
 
   start(): void {
--- /dev/null
+++ b/packages/core/src/orders/drainGuard.ts
@@ -0,0 +1,98 @@
+/**
+ * Keeps two operators from taking out the last failure domains together.
+ *
+ * Drains of different domains change different objects, so neither would conflict. Each therefore
+ * first writes its intent to one shared object, conditional on what it judged by: of two drains at
+ * once, the second judges anew and sees the first.
+ */
+import { z } from 'zod';
+
+import { boundCall } from '../config/boundedCall.js';
+import { CONFIG_PREFIX, ConfigKind, DomainState, parseConfigKey } from '../config/object.js';
+import { Err, Ok, type Result } from '../outcome.js';
+import { VERSION_ABSENT, type ObjectStore, type StoreError } from '../ports/objectStore.js';
+
+const GUARD_KEY = 'orders-guard/drain';
+
+const DOMAIN_PREFIX = `${CONFIG_PREFIX}${ConfigKind.Domain}/`;
+
+/** Time for which the intent of an order counts whose drain is not seen yet. */
+const INTENT_VALID_MS = 30_000;
+
+/** Time after which a call counts as lost. */
+const CALL_LIMIT_MS = 1_500;
+
+const GUARD = z.object({
+  intents: z.array(
+    z.object({
+      domain: z.string(),
+      orderId: z.string(),
+      /** Version of the domain that the order was given against. */
+      fromVersion: z.number(),
+      atMs: z.number(),
+    }),
+  ),
+});
+
+type Intent = z.infer<typeof GUARD>['intents'][number];
+
+/** What a drain is judged by. */
+export interface DrainView {
+  readonly guardVersion: number;
+  readonly intents: readonly Intent[];
+  /** Domains that are drained, or about to be. */
+  readonly drained: ReadonlySet<string>;
+  readonly domains: readonly string[];
+}
+
+function readState(value: unknown): unknown {
+  return typeof value === 'object' && value !== null && 'state' in value ? value.state : undefined;
+}
+
+/** Reads and writes the intents of drains. */
+export class DrainGuard {
+  readonly #store: ObjectStore;
+
+  constructor(store: ObjectStore) {
+    this.#store = store;
+  }
+
+  /** Reads what a drain is to be judged by, from the platform itself. */
+  async read(): Promise<Result<DrainView, StoreError>> {
+    const guard = await boundCall(this.#store.get(GUARD_KEY), CALL_LIMIT_MS);
+    if (!guard.ok) return guard;
+    const listed = await boundCall(this.#store.list(DOMAIN_PREFIX), CALL_LIMIT_MS);
+    if (!listed.ok) return listed;
+    const { objects } = listed.val;
+    const versions = new Map(objects.map(({ key, version }) => [key, version]));
+    const intents = (GUARD.safeParse(guard.val?.value).data?.intents ?? []).filter(
+      (intent) =>
+        versions.get(DOMAIN_PREFIX + intent.domain) === intent.fromVersion &&
+        Date.now() - intent.atMs < INTENT_VALID_MS,
+    );
+    const drained = objects
+      .filter(({ value }) => readState(value) === DomainState.Drained)
+      .map(({ key }) => parseConfigKey(key)?.name ?? '');
+    return Ok({
+      guardVersion: guard.val?.version ?? VERSION_ABSENT,
+      intents,
+      drained: new Set([...drained, ...intents.map(({ domain }) => domain)]),
+      domains: objects.map(({ key }) => parseConfigKey(key)?.name ?? ''),
+    });
+  }
+
+  /** Writes the intent of a drain, if nothing has changed since the view was read. */
+  async claim(
+    view: DrainView,
+    domain: string,
+    orderId: string,
+    fromVersion: number,
+  ): Promise<Result<number, StoreError>> {
+    const intent = { domain, orderId, fromVersion, atMs: Date.now() };
+    const others = view.intents.filter((one) => one.domain !== domain);
+    const value = { intents: [...others, intent] };
+    const written = this.#store.put(GUARD_KEY, value, view.guardVersion);
+    const outcome = await boundCall(written, CALL_LIMIT_MS);
+    return outcome.ok ? outcome : Err(outcome.val);
+  }
+}
--- /dev/null
+++ b/packages/core/src/orders/forceJudge.ts
@@ -0,0 +1,169 @@
+/**
+ * Judges whether a version is in force everywhere.
+ *
+ * Only entries begin work. So a version is in force once each entry has confirmed it, or can no
+ * longer be current without it:
+ * - its proofs by the platform end one configuration lease after the version was accepted;
+ * - its proofs by peers need a majority, and a majority that includes a process with the version
+ *   proves nothing older. As long as the missing entries are too few to be such a majority among
+ *   themselves, their leases end one lease after that was seen here.
+ * What they sent before that is refused by the side processes after the tick limit.
+ */
+import type { EntryBoard } from '../state/entryBoard.js';
+import { Deadline } from '../lease/deadline.js';
+import { countNeededPeers } from '../membership/configLease.js';
+import { describeEntry, type EntryStatus } from '../membership/entryStatus.js';
+import { FULL_MESH_PEERS, DIALLED_PEERS } from '../membership/peerLinks.js';
+import type { Registration } from '../membership/registry.js';
+import type { MissingProcess } from '../model/order.js';
+import type { Timing } from '../model/timing.js';
+
+/** Allowance for clocks that run at different rates. */
+const CLOCK_MARGIN_MS = 100;
+
+/** Versions for which waiting times are remembered. */
+const WAITS_KEPT = 1_000;
+
+/** What the platform tells of the entries. */
+export interface FleetView {
+  readonly registrations: ReadonlyMap<string, Registration>;
+  readonly statuses: ReadonlyMap<string, EntryStatus>;
+}
+
+/** What a judgement found. */
+export interface ForceJudgement {
+  readonly isInForce: boolean;
+  readonly inForceOn: number;
+  readonly of: number;
+  readonly missing: readonly MissingProcess[];
+}
+
+/** One entry as far as it is known. */
+interface EntryView {
+  readonly name: string;
+  readonly revision: number;
+  readonly sidesRevision: number;
+  readonly sidesBehind: EntryStatus['sidesBehind'];
+  readonly isHeard: boolean;
+}
+
+export interface ForceJudgeOptions {
+  readonly board: EntryBoard;
+  readonly timing: Timing;
+}
+
+/** Fewest peers whose word makes a majority for any one entry. */
+function countNeeded(entryCount: number): number {
+  const peers = entryCount - 1;
+  return countNeededPeers(peers <= FULL_MESH_PEERS ? peers : DIALLED_PEERS);
+}
+
+function listSidesBehind(
+  entries: readonly EntryView[],
+  version: number,
+): readonly MissingProcess[] {
+  const behind = entries.filter(
+    (entry) => entry.revision >= version && entry.sidesRevision < version,
+  );
+  const whys = new Map<string, string>();
+  behind.forEach((entry) => {
+    if (entry.sidesBehind.length === 0) {
+      whys.set(`side processes of ${entry.name}`, 'not confirmed yet');
+    }
+    entry.sidesBehind.forEach(({ name, why }) => whys.set(name, why));
+  });
+  return [...whys.entries()].map(([process, why]) => ({ process, why }));
+}
+
+/** Remembers since when the entries that miss a version cannot act on an older one for long. */
+export class ForceJudge {
+  readonly #board: EntryBoard;
+
+  readonly #timing: Timing;
+
+  /** End of the waits by version, for missing entries and for side processes. */
+  readonly #waits = new Map<string, Deadline>();
+
+  constructor(options: ForceJudgeOptions) {
+    this.#board = options.board;
+    this.#timing = options.timing;
+  }
+
+  /** Judges a version that has been accepted. */
+  judge(version: number, fleet: FleetView): ForceJudgement {
+    const entries = this.#listEntries(fleet);
+    const missingEntries = entries.filter((entry) => entry.revision < version);
+    const sides = listSidesBehind(entries, version);
+    const missing = [...missingEntries.map((entry) => this.#describe(entry)), ...sides];
+    const of = entries.length + this.#board.upstreams.size;
+    return {
+      isInForce: this.#isInForce(version, entries.length, missingEntries.length, sides.length > 0),
+      inForceOn: of - missing.length,
+      of,
+      missing,
+    };
+  }
+
+  #isInForce(
+    version: number,
+    entryCount: number,
+    missingCount: number,
+    areSidesBehind: boolean,
+  ): boolean {
+    const { configLeaseMs, tickLimitMs } = this.#timing;
+    if (missingCount === 0) {
+      if (!areSidesBehind) return true;
+      return this.#hasWaited(`sides ${version}`, tickLimitMs + CLOCK_MARGIN_MS);
+    }
+    const othersMax = missingCount - 1;
+    if (othersMax >= countNeeded(entryCount)) return false;
+    return this.#hasWaited(`entries ${version}`, configLeaseMs + tickLimitMs + CLOCK_MARGIN_MS);
+  }
+
+  #hasWaited(key: string, spanMs: number): boolean {
+    const end = this.#waits.get(key);
+    if (end) return end.isPast;
+    this.#waits.set(key, Deadline.after(spanMs));
+    if (this.#waits.size > WAITS_KEPT) {
+      const [oldest] = this.#waits.keys();
+      if (oldest !== undefined) this.#waits.delete(oldest);
+    }
+    return false;
+  }
+
+  #listEntries(fleet: FleetView): readonly EntryView[] {
+    const names = new Set([
+      this.#board.name,
+      ...fleet.registrations.keys(),
+      ...this.#board.peers.keys(),
+    ]);
+    return [...names].map((name) => this.#view(name, fleet));
+  }
+
+  #view(name: string, fleet: FleetView): EntryView {
+    if (name === this.#board.name) {
+      const own = describeEntry(this.#board, this.#timing, Date.now());
+      return { ...own, name, revision: own.appliedRevision, isHeard: true };
+    }
+    const incarnation = fleet.registrations.get(name)?.incarnation;
+    const written = fleet.statuses.get(name);
+    const status = written?.incarnation === incarnation ? written : undefined;
+    const peer = this.#board.peers.get(name);
+    const isSamePeer =
+      peer?.link !== undefined && peer.incarnation === (incarnation ?? peer.incarnation);
+    const heardRevision = isSamePeer ? peer.configRevision : 0;
+    return {
+      name,
+      revision: Math.max(status?.appliedRevision ?? 0, heardRevision),
+      sidesRevision: status?.sidesRevision ?? 0,
+      sidesBehind: status?.sidesBehind ?? [],
+      isHeard: isSamePeer,
+    };
+  }
+
+  #describe(entry: EntryView): MissingProcess {
+    const revision = entry.revision > 0 ? `at revision ${entry.revision}` : 'no status';
+    const heard = entry.isHeard ? 'heard' : `not heard by ${this.#board.name}`;
+    return { process: entry.name, why: `${revision}, ${heard}` };
+  }
+}
--- /dev/null
+++ b/packages/core/src/orders/orderDesk.ts
@@ -0,0 +1,276 @@
+/**
+ * Takes operators' orders and reads them back.
+ *
+ * An order is accepted when the conditional write of its object has taken effect in the platform.
+ * While the platform is down, orders are refused as not taken: a hold kept in memory could be lost
+ * with the entries that hold it, and an accepted configuration never reverts.
+ */
+import { boundCall } from '../config/boundedCall.js';
+import { ConfigSource, type ConfigFeed } from '../config/configFeed.js';
+import type { PlatformPace } from '../config/platformPace.js';
+import { Deadline } from '../lease/deadline.js';
+import { Backoff } from '../membership/backoff.js';
+import {
+  OrderAction,
+  OrderErrorKind,
+  type DomainForecast,
+  type OperatorOrder,
+  type OrderError,
+  type OrderReceipt,
+  type OrderStatus,
+} from '../model/order.js';
+import type { Timing } from '../model/timing.js';
+import { Err, Ok, type Result } from '../outcome.js';
+import { LogLevel, type Log } from '../ports/log.js';
+import type { Metrics } from '../ports/metrics.js';
+import {
+  VERSION_ABSENT,
+  type ObjectStore,
+  type StoredObject,
+  type StoreError,
+} from '../ports/objectStore.js';
+import type { Random } from '../ports/random.js';
+import type { EntryBoard } from '../state/entryBoard.js';
+import { DrainCheck } from './drainCheck.js';
+import type { OrderHandler } from './orderHandler.js';
+import { planOrder, type OrderPlan } from './orderPlan.js';
+import {
+  addMark,
+  createRecord,
+  isSameOrder,
+  ORDER_PREFIX,
+  parseOrderRecord,
+  readMarks,
+  type OrderRecord,
+} from './orderRecord.js';
+import { OrderReader } from './orderReader.js';
+import { traceOrder } from './readBack.js';
+import { SettledWriter, WriteOutcome, type SettledWrite } from './settledWrite.js';
+
+const PART = 'orders';
+
+/** Time within which an order is accepted, refused, or said to be unknown. */
+const ORDER_LIMIT_MS = 8_000;
+
+/** Time after which a call counts as lost. */
+const CALL_LIMIT_MS = 1_500;
+
+const RETRY_MIN_MS = 50;
+
+const RETRY_MAX_MS = 1_000;
+
+export interface OrderDeskOptions {
+  readonly board: EntryBoard;
+  readonly feed: ConfigFeed;
+  readonly store: ObjectStore;
+  readonly pace: PlatformPace;
+  readonly random: Random;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly timing: Timing;
+  /** For orders that change no configuration object. */
+  readonly handlers: ReadonlyMap<OrderAction, OrderHandler>;
+}
+
+/** An order on its way. */
+interface OpenOrder {
+  readonly id: string;
+  readonly order: OperatorOrder;
+  readonly plan: OrderPlan;
+  readonly until: Deadline;
+}
+
+/** The record of an order as it stands in the platform. */
+interface StoredRecord {
+  readonly record: OrderRecord;
+  readonly version: number;
+}
+
+/** What an operator hears of a write that did not go through. */
+const ERROR_KINDS: Record<WriteOutcome, OrderErrorKind> = {
+  [WriteOutcome.Written]: OrderErrorKind.Unknown,
+  [WriteOutcome.Lost]: OrderErrorKind.Conflict,
+  [WriteOutcome.NotWritten]: OrderErrorKind.PlatformUnavailable,
+  [WriteOutcome.Unknown]: OrderErrorKind.Unknown,
+  [WriteOutcome.Invalid]: OrderErrorKind.Invalid,
+};
+
+type Given = Result<OrderReceipt, OrderError>;
+
+function describeWinner(current: StoredObject | undefined): string {
+  const mark = readMarks(current?.value).slice(-1)[0];
+  if (!current) return 'the object was removed';
+  if (!mark) return `version ${current.version} was written outside of orders`;
+  return `${mark.action} by ${mark.by} came first (order ${mark.id}, version ${current.version})`;
+}
+
+function refuseConflict(orderId: string, current: StoredObject | undefined): Given {
+  return Err({ kind: OrderErrorKind.Conflict, detail: describeWinner(current), orderId });
+}
+
+function refuseWrite(written: SettledWrite, orderId: string): Result<never, OrderError> {
+  return Err({ kind: ERROR_KINDS[written.outcome], detail: written.detail, orderId });
+}
+
+function refuseRead(error: StoreError, orderId: string): Result<never, OrderError> {
+  const detail = `${error.kind}: ${error.detail}`;
+  return Err({ kind: OrderErrorKind.PlatformUnavailable, detail, orderId });
+}
+
+/** Desk for the orders of one entry's operators. */
+export class OrderDesk {
+  readonly #options: OrderDeskOptions;
+
+  readonly #writer: SettledWriter;
+
+  readonly #reader: OrderReader;
+
+  readonly #drainCheck: DrainCheck;
+
+  #lastOrder = 0;
+
+  constructor(options: OrderDeskOptions) {
+    const { store, pace, random, board } = options;
+    this.#options = options;
+    const backoff = () => new Backoff(random, RETRY_MIN_MS, RETRY_MAX_MS);
+    this.#writer = new SettledWriter({ store, pace, backoff });
+    this.#reader = new OrderReader(options);
+    this.#drainCheck = new DrainCheck({ board, store });
+  }
+
+  /**
+   * Gives an order.
+   *
+   * @param orderId chosen by the client, so that it can read the order back or repeat it
+   * @returns the receipt once the order is accepted
+   */
+  async give(order: OperatorOrder, orderId = this.#createId()): Promise<Given> {
+    const handler = this.#options.handlers.get(order.action);
+    const given = await (handler ? handler.give(order, orderId) : this.#give(order, orderId));
+    const { action, target, by } = order;
+    const result = given.ok ? 'accepted' : given.val.kind;
+    this.#options.metrics.count('order.given', { action, result });
+    const fields = { orderId, action, target, by, result };
+    this.#options.log.write(LogLevel.Info, PART, 'Took an order.', fields);
+    return given;
+  }
+
+  /** Reads back what became of an order. */
+  read(orderId: string): Promise<Result<OrderStatus, OrderError>> {
+    return this.#reader.read(orderId);
+  }
+
+  #createId(): string {
+    this.#lastOrder += 1;
+    const { name, incarnation } = this.#options.board;
+    return `${name}-${incarnation}-${this.#lastOrder}`;
+  }
+
+  async #give(order: OperatorOrder, id: string): Promise<Given> {
+    const plan = planOrder(order, this.#options.board.config);
+    if (!plan.ok) return Err({ kind: OrderErrorKind.Invalid, detail: plan.val, orderId: id });
+    const open = { id, order, plan: plan.val, until: Deadline.after(ORDER_LIMIT_MS) };
+    const current = await this.#call(this.#options.store.get(plan.val.key));
+    if (!current.ok) return refuseRead(current.val, id);
+    const recorded = await this.#writeRecord(open, current.val?.version ?? VERSION_ABSENT);
+    if (!recorded.ok) return recorded;
+    return this.#carryOut(open, recorded.val, current.val);
+  }
+
+  /** Writes the record, or finds that of the same order given before. */
+  async #writeRecord(
+    open: OpenOrder,
+    fromVersion: number,
+  ): Promise<Result<StoredRecord, OrderError>> {
+    const { id, order, plan, until } = open;
+    const record = createRecord(id, order, plan.key, fromVersion, this.#createId());
+    const written = await this.#writer.write(
+      {
+        key: ORDER_PREFIX + id,
+        value: record,
+        expectedVersion: VERSION_ABSENT,
+        findOwn: (current) =>
+          parseOrderRecord(current?.value)?.nonce === record.nonce ? current?.version : undefined,
+      },
+      until,
+    );
+    const { version } = written;
+    if (written.outcome === WriteOutcome.Written) return Ok({ record, version });
+    if (written.outcome !== WriteOutcome.Lost) return refuseWrite(written, id);
+    const earlier = parseOrderRecord(written.current?.value);
+    if (earlier && isSameOrder(earlier, order)) {
+      return Ok({ record: earlier, version: written.current?.version ?? VERSION_ABSENT });
+    }
+    const detail = `order ${id} was given before, and was another one`;
+    return Err({ kind: OrderErrorKind.Conflict, detail, orderId: id });
+  }
+
+  async #carryOut(
+    open: OpenOrder,
+    recorded: StoredRecord,
+    current: StoredObject | undefined,
+  ): Promise<Given> {
+    const { id, order, plan, until } = open;
+    const { record } = recorded;
+    const isRemoval = order.action === OrderAction.RemoveObject;
+    const earlier = traceOrder(record, current, isRemoval);
+    if (earlier.version > 0) return Ok({ orderId: id, version: earlier.version, forecast: [] });
+    const version = current?.version ?? VERSION_ABSENT;
+    if (version !== record.fromVersion) return refuseConflict(id, current);
+    const next = plan.apply(current?.value as Readonly<Record<string, unknown>> | undefined);
+    if (!next.ok) return Err({ kind: OrderErrorKind.Invalid, detail: next.val, orderId: id });
+    const checked = await this.#drainCheck.check(order, id, version);
+    if (!checked.ok) return checked;
+    const value = next.val && addMark(next.val, record);
+    const written = await this.#writer.write(
+      {
+        key: plan.key,
+        value,
+        expectedVersion: version,
+        findOwn: (object, revision) =>
+          isRemoval && !object ? revision : traceOrder(record, object, false).version || undefined,
+      },
+      until,
+    );
+    return this.#settle(open, recorded, value, written, checked.val);
+  }
+
+  async #settle(
+    open: OpenOrder,
+    recorded: StoredRecord,
+    value: object | undefined,
+    written: SettledWrite,
+    forecast: readonly DomainForecast[],
+  ): Promise<Given> {
+    const { id, plan } = open;
+    const { outcome, version, current } = written;
+    if (outcome === WriteOutcome.Lost) return refuseConflict(id, current);
+    if (outcome !== WriteOutcome.Written) return refuseWrite(written, id);
+    // The revision is left as it is: what else was written meanwhile is not known here yet.
+    this.#options.feed.take(ConfigSource.Order, [{ key: plan.key, version, value }], 0, false);
+    await this.#noteVersion(open, recorded, version);
+    return Ok({ orderId: id, version, forecast });
+  }
+
+  /** Adds the version to the record, so that it outlives the marks; the order stands without it. */
+  async #noteVersion(open: OpenOrder, recorded: StoredRecord, version: number): Promise<void> {
+    const written = await this.#writer.write(
+      {
+        key: ORDER_PREFIX + open.id,
+        value: { ...recorded.record, version },
+        expectedVersion: recorded.version,
+        findOwn: (current) =>
+          parseOrderRecord(current?.value)?.version === version ? current?.version : undefined,
+      },
+      open.until,
+    );
+    if (written.outcome === WriteOutcome.Written) return;
+    this.#options.metrics.count('order.version.unwritten', { outcome: written.outcome });
+  }
+
+  async #call<T>(call: Promise<Result<T, StoreError>>): Promise<Result<T, StoreError>> {
+    const answer = await boundCall(call, CALL_LIMIT_MS);
+    this.#options.pace.note(answer);
+    return answer;
+  }
+}
--- /dev/null
+++ b/packages/core/src/orders/orderPlan.ts
@@ -0,0 +1,176 @@
+/** Turns an order into the change of one configuration object, checked against what is allowed. */
+import { z } from 'zod';
+
+import type { ConfigView } from '../config/configView.js';
+import {
+  ConfigKind,
+  DomainState,
+  formatConfigKey,
+  parseConfigKey,
+  parseConfigObject,
+  SettingName,
+} from '../config/object.js';
+import { OrderAction, type OperatorOrder } from '../model/order.js';
+import { Err, Ok, type Result } from '../outcome.js';
+import { findReferenceFault, listReferrers } from './reference.js';
+
+/** Target of pause and resume that means all groups. */
+export const ALL_GROUPS = 'all';
+
+/** An object as stored, as far as plans look into it. */
+type StoredValue = Readonly<Record<string, unknown>>;
+
+/** The change of one object that carries an order out. */
+export interface OrderPlan {
+  readonly key: string;
+  /** Makes the new value of the object; undefined removes it. */
+  readonly apply: (current: StoredValue | undefined) => Result<object | undefined, string>;
+}
+
+type Planned = Result<OrderPlan, string>;
+
+const DRAIN_PARAMS = z.strictObject({ moveAfterMs: z.number().int().nonnegative().default(0) });
+
+const NO_PARAMS = z.strictObject({});
+
+const PUT_PARAMS = z.strictObject({ object: z.record(z.string(), z.unknown()) });
+
+const SETTING_VALUES: Record<SettingName, z.ZodType<number | boolean>> = {
+  [SettingName.RebalancePaused]: z.boolean(),
+  [SettingName.WeightBytesPerSecond]: z.number().positive(),
+  [SettingName.RetryShare]: z.number().min(0).max(1),
+};
+
+/** Checks the parameters of an order; the error names the parameter and what is allowed. */
+function checkParams<T>(schema: z.ZodType<T>, order: OperatorOrder): Result<T, string> {
+  const parsed = schema.safeParse(order.params);
+  if (parsed.success) return Ok(parsed.data);
+  const faults = parsed.error.issues.map(
+    (issue) => `${issue.path.join('.') || 'params'}: ${issue.message}`,
+  );
+  return Err(`${order.action} ${order.target}: ${faults.join('; ')}`);
+}
+
+/** Checks a new value as the object that it is to become. */
+function check(key: string, value: StoredValue): Result<object | undefined, string> {
+  const id = parseConfigKey(key);
+  if (!id) return Err(`${key} is not the key of a configuration object`);
+  const parsed = parseConfigObject(id.kind, id.name, value);
+  if (parsed.ok) return Ok(value);
+  const faults = parsed.val.map((fault) => `${fault.field}: ${fault.allowed}`);
+  return Err(`${key}: ${faults.join('; ')}`);
+}
+
+/** Plans a change of some fields of an object that must exist. */
+function planFields(key: string, fields: StoredValue): Planned {
+  const apply: OrderPlan['apply'] = (current) =>
+    current ? check(key, { ...current, ...fields }) : Err(`${key} does not exist`);
+  return Ok({ key, apply });
+}
+
+function planDomain(order: OperatorOrder, state: DomainState): Planned {
+  const key = formatConfigKey(ConfigKind.Domain, order.target);
+  if (state === DomainState.Active) {
+    const params = checkParams(NO_PARAMS, order);
+    return params.ok ? planFields(key, { state }) : params;
+  }
+  const params = checkParams(DRAIN_PARAMS, order);
+  return params.ok ? planFields(key, { state, moveAfterMs: params.val.moveAfterMs }) : params;
+}
+
+function planSetting(order: OperatorOrder): Planned {
+  const name = Object.values(SettingName).find((value) => String(value) === order.target);
+  if (!name) {
+    const allowed = Object.values(SettingName).join(', ');
+    return Err(`${order.target} is no setting; allowed are ${allowed}`);
+  }
+  const params = checkParams(z.strictObject({ value: SETTING_VALUES[name] }), order);
+  if (!params.ok) return params;
+  const key = formatConfigKey(ConfigKind.Setting, name);
+  const { value } = params.val;
+  return Ok({ key, apply: (current) => check(key, { ...current, name, value }) });
+}
+
+function planPause(order: OperatorOrder, isPaused: boolean): Planned {
+  const params = checkParams(NO_PARAMS, order);
+  if (!params.ok) return params;
+  if (order.target !== ALL_GROUPS) {
+    const key = formatConfigKey(ConfigKind.Group, order.target);
+    return planFields(key, { isRebalancePaused: isPaused });
+  }
+  const name = SettingName.RebalancePaused;
+  const key = formatConfigKey(ConfigKind.Setting, name);
+  return Ok({ key, apply: (current) => check(key, { ...current, name, value: isPaused }) });
+}
+
+/** Reads `KIND/NAME`. */
+function parseTarget(order: OperatorOrder): Result<{ kind: ConfigKind; name: string }, string> {
+  const id = parseConfigKey(`config/${order.target}`);
+  if (id) return Ok(id);
+  const kinds = Object.values(ConfigKind).join(', ');
+  return Err(`${order.target} is no KIND/NAME; kinds are ${kinds}`);
+}
+
+/** A domain's state changes by drain and restore only, which look at the load first. */
+function checkDomainState(current: StoredValue | undefined, next: StoredValue): string | undefined {
+  const state = next.state ?? DomainState.Active;
+  if (!current || state === (current.state ?? DomainState.Active)) return undefined;
+  return 'state: changed by drain-domain and restore-domain only';
+}
+
+function planPut(order: OperatorOrder, config: ConfigView): Planned {
+  const target = parseTarget(order);
+  if (!target.ok) return target;
+  const params = checkParams(PUT_PARAMS, order);
+  if (!params.ok) return params;
+  const { kind, name } = target.val;
+  const key = formatConfigKey(kind, name);
+  const value = { ...params.val.object, name };
+  const fault = findReferenceFault(config, kind, value);
+  if (fault) return Err(`${key}: ${fault}`);
+  const apply: OrderPlan['apply'] = (current) => {
+    const stateFault = kind === ConfigKind.Domain ? checkDomainState(current, value) : undefined;
+    if (stateFault) return Err(`${key}: ${stateFault}`);
+    return check(key, { ...value, orders: current?.orders ?? [] });
+  };
+  return Ok({ key, apply });
+}
+
+function planRemove(order: OperatorOrder, config: ConfigView): Planned {
+  const target = parseTarget(order);
+  if (!target.ok) return target;
+  const params = checkParams(NO_PARAMS, order);
+  if (!params.ok) return params;
+  const { kind, name } = target.val;
+  const key = formatConfigKey(kind, name);
+  const referrers = listReferrers(config, kind, name);
+  if (referrers.length > 0) return Err(`${key} is still used by ${referrers.join(', ')}`);
+  return Ok({ key, apply: (current) => (current ? Ok(undefined) : Err(`${key} does not exist`)) });
+}
+
+/**
+ * Plans an order.
+ *
+ * @param config what this entry has in force, to check references
+ * @returns the change, or a sentence that names object, field and what is allowed
+ */
+export function planOrder(order: OperatorOrder, config: ConfigView): Planned {
+  switch (order.action) {
+    case OrderAction.DrainDomain:
+      return planDomain(order, DomainState.Drained);
+    case OrderAction.RestoreDomain:
+      return planDomain(order, DomainState.Active);
+    case OrderAction.ChangeSetting:
+      return planSetting(order);
+    case OrderAction.PutObject:
+      return planPut(order, config);
+    case OrderAction.RemoveObject:
+      return planRemove(order, config);
+    case OrderAction.PauseRebalance:
+      return planPause(order, true);
+    case OrderAction.ResumeRebalance:
+      return planPause(order, false);
+    default:
+      return Err(`${order.action} changes no object`);
+  }
+}
--- /dev/null
+++ b/packages/core/src/orders/orderReader.ts
@@ -0,0 +1,116 @@
+/** Reads back what became of an order: accepted, in force on how many, superseded. */
+import { boundCall } from '../config/boundedCall.js';
+import type { PlatformPace } from '../config/platformPace.js';
+import { ENTRY_STATUS_PREFIX, parseEntryStatus } from '../membership/entryStatus.js';
+import { ENTRY_REGISTRY_PREFIX, parseRegistration } from '../membership/registry.js';
+import {
+  OrderAction,
+  OrderErrorKind,
+  OrderState,
+  type OrderError,
+  type OrderStatus,
+} from '../model/order.js';
+import type { Timing } from '../model/timing.js';
+import { Err, Ok, type Result } from '../outcome.js';
+import type { ObjectStore, StoredObject, StoreError } from '../ports/objectStore.js';
+import type { EntryBoard } from '../state/entryBoard.js';
+import { ForceJudge, type FleetView } from './forceJudge.js';
+import { ORDER_PREFIX, parseOrderRecord, type OrderRecord } from './orderRecord.js';
+import { OrderTrace, traceOrder } from './readBack.js';
+
+/** Time after which a call counts as lost. */
+const CALL_LIMIT_MS = 1_500;
+
+export interface OrderReaderOptions {
+  readonly board: EntryBoard;
+  readonly store: ObjectStore;
+  readonly pace: PlatformPace;
+  readonly timing: Timing;
+}
+
+type Read = Result<OrderStatus, OrderError>;
+
+function refuseRead(error: StoreError, orderId: string): Read {
+  const detail = `${error.kind}: ${error.detail}`;
+  return Err({ kind: OrderErrorKind.PlatformUnavailable, detail, orderId });
+}
+
+/** Parses the values under a prefix; what is not as it should be is left out. */
+function parseAll<T>(
+  objects: readonly StoredObject[],
+  prefix: string,
+  parse: (value: unknown) => T | undefined,
+): ReadonlyMap<string, T> {
+  const parsed = new Map<string, T>();
+  objects.forEach(({ key, value }) => {
+    const one = parse(value);
+    if (one !== undefined) parsed.set(key.slice(prefix.length), one);
+  });
+  return parsed;
+}
+
+/** Reads orders back. */
+export class OrderReader {
+  readonly #options: OrderReaderOptions;
+
+  readonly #judge: ForceJudge;
+
+  constructor(options: OrderReaderOptions) {
+    this.#options = options;
+    this.#judge = new ForceJudge(options);
+  }
+
+  /** Reads back what became of an order. */
+  async read(orderId: string): Promise<Read> {
+    const { store } = this.#options;
+    const stored = await this.#call(store.get(ORDER_PREFIX + orderId));
+    if (!stored.ok) return refuseRead(stored.val, orderId);
+    const record = parseOrderRecord(stored.val?.value);
+    if (!record) return Err({ kind: OrderErrorKind.NotFound, detail: 'no such order', orderId });
+    const object = await this.#call(store.get(record.key));
+    if (!object.ok) return refuseRead(object.val, orderId);
+    const fleet = await this.#readFleet();
+    if (!fleet.ok) return refuseRead(fleet.val, orderId);
+    return this.#describe(record, object.val, fleet.val);
+  }
+
+  #describe(record: OrderRecord, object: StoredObject | undefined, fleet: FleetView): Read {
+    const { id, action, target, by, fromVersion } = record;
+    const { trace, version } = traceOrder(record, object, action === OrderAction.RemoveObject);
+    const base = { orderId: id, action, target, by, version, fromVersion };
+    if (trace === OrderTrace.Open) {
+      const detail = 'the order has not taken effect so far; give it once more with the same id';
+      return Err({ kind: OrderErrorKind.Unknown, detail, orderId: id });
+    }
+    if (trace === OrderTrace.Dead) {
+      return Ok({ ...base, state: OrderState.NotFound, inForceOn: 0, of: 0, missing: [] });
+    }
+    const { isInForce, ...judged } = this.#judge.judge(version, fleet);
+    const standing = isInForce ? OrderState.InForce : OrderState.Accepted;
+    const state = trace === OrderTrace.Superseded ? OrderState.Superseded : standing;
+    return Ok({ ...base, ...judged, state });
+  }
+
+  async #readFleet(): Promise<Result<FleetView, StoreError>> {
+    const { store } = this.#options;
+    const [registered, written] = await Promise.all([
+      this.#call(store.list(ENTRY_REGISTRY_PREFIX)),
+      this.#call(store.list(ENTRY_STATUS_PREFIX)),
+    ]);
+    if (!registered.ok) return registered;
+    if (!written.ok) return written;
+    const registrations = parseAll(
+      registered.val.objects,
+      ENTRY_REGISTRY_PREFIX,
+      parseRegistration,
+    );
+    const statuses = parseAll(written.val.objects, ENTRY_STATUS_PREFIX, parseEntryStatus);
+    return Ok({ registrations, statuses });
+  }
+
+  async #call<T>(call: Promise<Result<T, StoreError>>): Promise<Result<T, StoreError>> {
+    const answer = await boundCall(call, CALL_LIMIT_MS);
+    this.#options.pace.note(answer);
+    return answer;
+  }
+}
--- /dev/null
+++ b/packages/core/src/orders/readBack.ts
@@ -0,0 +1,59 @@
+/** Finds out from an order's record and its object what became of the order. */
+import type { StoredObject } from '../ports/objectStore.js';
+import { ORDER_MARKS_KEPT } from '../config/object.js';
+import { readMarks, type OrderRecord } from './orderRecord.js';
+
+export enum OrderTrace {
+  /** The object still stands as the order left it. */
+  Standing = 'standing',
+  /** It took effect, and a later write changed the object. */
+  Superseded = 'superseded',
+  /** It did not take effect and never will. */
+  Dead = 'dead',
+  /** It has not taken effect, or its trace is gone. */
+  Open = 'open',
+}
+
+export interface TraceResult {
+  readonly trace: OrderTrace;
+  /** Version that has the order in it; 0 where it took no effect. */
+  readonly version: number;
+}
+
+function traceRemoval(record: OrderRecord, object: StoredObject | undefined): TraceResult {
+  if (record.version === undefined) {
+    const isLater = object !== undefined && object.version > record.fromVersion;
+    return { trace: isLater ? OrderTrace.Dead : OrderTrace.Open, version: 0 };
+  }
+  const trace = object ? OrderTrace.Superseded : OrderTrace.Standing;
+  return { trace, version: record.version };
+}
+
+/**
+ * Traces an order.
+ *
+ * @param object what stands under the order's key now
+ * @param isRemoval whether the order removes the object
+ */
+export function traceOrder(
+  record: OrderRecord,
+  object: StoredObject | undefined,
+  isRemoval: boolean,
+): TraceResult {
+  if (isRemoval) return traceRemoval(record, object);
+  const marks = readMarks(object?.value);
+  const index = marks.findIndex((mark) => mark.id === record.id);
+  const next = marks[index + 1];
+  if (index >= 0 && object) {
+    if (!next) return { trace: OrderTrace.Standing, version: record.version ?? object.version };
+    return { trace: OrderTrace.Superseded, version: record.version ?? next.fromVersion };
+  }
+  if (record.version !== undefined) {
+    return { trace: OrderTrace.Superseded, version: record.version };
+  }
+  const isMoved = (object?.version ?? 0) > record.fromVersion;
+  const [oldest] = marks;
+  const isPruned =
+    marks.length >= ORDER_MARKS_KEPT && (oldest?.fromVersion ?? 0) > record.fromVersion;
+  return { trace: isMoved && !isPruned ? OrderTrace.Dead : OrderTrace.Open, version: 0 };
+}
--- /dev/null
+++ b/packages/core/src/orders/settledWrite.ts
@@ -0,0 +1,139 @@
+/**
+ * A conditional write whose outcome is settled also where answers are lost.
+ *
+ * The same write is repeated until the platform has answered one of them: as it is conditional on
+ * one version, at most one of them takes effect. A conflict is then looked into, since the winner
+ * may have been an earlier one of these. Reading alone would not do: a write whose answer was lost
+ * may still take effect after the read.
+ */
+import { boundCall } from '../config/boundedCall.js';
+import type { PlatformPace } from '../config/platformPace.js';
+import type { Deadline } from '../lease/deadline.js';
+import type { Backoff } from '../membership/backoff.js';
+import type { Result } from '../outcome.js';
+import {
+  StoreErrorKind,
+  type ObjectStore,
+  type StoredObject,
+  type StoreError,
+} from '../ports/objectStore.js';
+
+/** Time after which a call counts as lost. */
+const CALL_LIMIT_MS = 1_500;
+
+export enum WriteOutcome {
+  Written = 'written',
+  /** Another write came first; this one took no effect and never will. */
+  Lost = 'lost',
+  /** Nothing was written, and nothing is on its way. */
+  NotWritten = 'not-written',
+  /** It may have taken effect, or may still. */
+  Unknown = 'unknown',
+  /** The platform refuses the value. */
+  Invalid = 'invalid',
+}
+
+export interface SettledWrite {
+  readonly outcome: WriteOutcome;
+  /** Version of the object with this write in it, where written. */
+  readonly version: number;
+  /** What stands in the platform, where another write came first. */
+  readonly current: StoredObject | undefined;
+  readonly detail: string;
+}
+
+/** One conditional write. */
+export interface WriteIntent {
+  readonly key: string;
+  /** Undefined removes the object. */
+  readonly value: object | undefined;
+  readonly expectedVersion: number;
+  /** Finds this write in what stands in the platform; its version, or undefined. */
+  readonly findOwn: (current: StoredObject | undefined, revision: number) => number | undefined;
+}
+
+export interface SettledWriterOptions {
+  readonly store: ObjectStore;
+  readonly pace: PlatformPace;
+  readonly backoff: () => Backoff;
+}
+
+function settle(
+  outcome: WriteOutcome,
+  version: number,
+  detail: string,
+  current?: StoredObject,
+): SettledWrite {
+  return { outcome, version, current, detail };
+}
+
+function wait(spanMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, spanMs);
+  });
+}
+
+/** Writes and settles. */
+export class SettledWriter {
+  readonly #options: SettledWriterOptions;
+
+  constructor(options: SettledWriterOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Writes once, trying until a deadline.
+   *
+   * @param until end of the attempts; the outcome is unknown if no answer came by then
+   */
+  async write(intent: WriteIntent, until: Deadline): Promise<SettledWrite> {
+    return this.#attempt(intent, until, this.#options.backoff(), false);
+  }
+
+  async #attempt(
+    intent: WriteIntent,
+    until: Deadline,
+    backoff: Backoff,
+    mayBeUnderWay: boolean,
+  ): Promise<SettledWrite> {
+    const answer = await this.#call(this.#send(intent));
+    if (answer.ok) return settle(WriteOutcome.Written, answer.val, '');
+    const { kind, detail } = answer.val;
+    if (kind === StoreErrorKind.Invalid) return settle(WriteOutcome.Invalid, 0, detail);
+    if (kind === StoreErrorKind.Conflict) {
+      const settled = await this.#lookInto(intent);
+      if (settled) return settled;
+    }
+    const isUnderWay = mayBeUnderWay || kind === StoreErrorKind.Unknown;
+    const delayMs = backoff.next() * this.#options.pace.factor;
+    if (until.remainingMs <= delayMs) {
+      const isOpen = isUnderWay || kind === StoreErrorKind.Conflict;
+      return settle(isOpen ? WriteOutcome.Unknown : WriteOutcome.NotWritten, 0, detail);
+    }
+    await wait(delayMs);
+    return this.#attempt(intent, until, backoff, isUnderWay);
+  }
+
+  /** @returns undefined where the platform did not tell what stands there */
+  async #lookInto(intent: WriteIntent): Promise<SettledWrite | undefined> {
+    const listed = await this.#call(this.#options.store.list(intent.key));
+    if (!listed.ok) return undefined;
+    const { objects, revision } = listed.val;
+    const current = objects.find((object) => object.key === intent.key);
+    const version = intent.findOwn(current, revision);
+    if (version !== undefined) return settle(WriteOutcome.Written, version, '', current);
+    return settle(WriteOutcome.Lost, 0, `${intent.key} was changed by another write`, current);
+  }
+
+  #send(intent: WriteIntent): Promise<Result<number, StoreError>> {
+    const { key, value, expectedVersion } = intent;
+    const { store } = this.#options;
+    return value ? store.put(key, value, expectedVersion) : store.remove(key, expectedVersion);
+  }
+
+  async #call<T>(call: Promise<Result<T, StoreError>>): Promise<Result<T, StoreError>> {
+    const answer = await boundCall(call, CALL_LIMIT_MS);
+    this.#options.pace.note(answer);
+    return answer;
+  }
+}
--- a/packages/standin/test/support/testEntry.ts
+++ b/packages/standin/test/support/testEntry.ts
@@ -3,7 +3,16 @@
 import { GroupListener } from '@radishbay/core/membership/groupListener.js';
 import { ShareListener } from '@radishbay/core/membership/shareListener.js';
 import { MessageType } from '@radishbay/core/messages/message.js';
+import {
+  OrderAction,
+  type OperatorOrder,
+  type OrderError,
+  type OrderReceipt,
+  type OrderStatus,
+} from '@radishbay/core/model/order.js';
 import type { Timing } from '@radishbay/core/model/timing.js';
+import { OrderDesk } from '@radishbay/core/orders/orderDesk.js';
+import type { Result } from '@radishbay/core/outcome.js';
 import { CountingMetrics } from '@radishbay/core/ports/countingMetrics.js';
 import { Random } from '@radishbay/core/ports/random.js';
 import { SilentLog } from '@radishbay/core/ports/silentLog.js';
@@ -19,6 +28,14 @@
 /** Interval at which each entry tries to begin work at every upstream. */
 const PROBE_MS = 100;
 
+const ORDER: OperatorOrder = {
+  action: OrderAction.DrainDomain,
+  target: 'zone-b',
+  params: {},
+  isForced: false,
+  by: 'amina',
+};
+
 const NOTHING = () => {};
 
 export interface TestEntryOptions {
@@ -42,10 +59,14 @@
 
   readonly membership: EntryMembership;
 
+  readonly desk: OrderDesk;
+
   readonly metrics = new CountingMetrics();
 
   readonly node: string;
 
+  readonly #clock: NodeClock;
+
   #lastAttempt = 0;
 
   constructor(options: TestEntryOptions) {
@@ -53,14 +74,17 @@
     this.node = node;
     this.board = new EntryBoard(name, node, 'zone-a', 'main');
     this.store = options.platform.connect(name);
-    this.membership = new EntryMembership({
+    const context = {
       board: this.board,
       store: new NodeStore(clock, node, this.store),
-      dialer: network.createDialer(node),
       random: new Random(options.seed),
       log: new SilentLog(),
       metrics: this.metrics,
       timing: options.timing,
+    };
+    this.membership = new EntryMembership({
+      ...context,
+      dialer: network.createDialer(node),
       token: 'secret',
       address,
       seedAddresses: options.seedAddresses,
@@ -78,6 +102,9 @@
         onShareMessage: NOTHING,
       }),
     });
+    const { feed, pace } = this.membership;
+    this.desk = new OrderDesk({ ...context, feed, pace, handlers: new Map() });
+    this.#clock = clock;
     network.listen(node, address, (link) => this.membership.accept(link));
     clock.run(node, () => {
       this.membership.start();
@@ -85,6 +112,25 @@
     });
   }
 
+  /** Gives an order here. */
+  give(order: Partial<OperatorOrder>, orderId?: string): Promise<Result<OrderReceipt, OrderError>> {
+    const whole = { ...ORDER, ...order };
+    return new Promise((resolve) => {
+      this.#clock.run(this.node, () => {
+        this.desk.give(whole, orderId).then(resolve);
+      });
+    });
+  }
+
+  /** Reads an order back here. */
+  read(orderId: string): Promise<Result<OrderStatus, OrderError>> {
+    return new Promise((resolve) => {
+      this.#clock.run(this.node, () => {
+        this.desk.read(orderId).then(resolve);
+      });
+    });
+  }
+
   #probe(): void {
     const { board } = this;
     board.upstreams.forEach((upstream) => {
