--- a/packages/core/src/routing/leastLoadedRouting.ts
+++ b/packages/core/src/routing/leastLoadedRouting.ts
@@ -35,7 +35,7 @@
     this.#random = random;
   }
 
-  choose(board: EntryBoard, query: RoutingQuery): Result<string, Refusal> {
+  override choose(board: EntryBoard, query: RoutingQuery): Result<string, Refusal> {
     const open = [...board.upstreams.values()].filter(
       (upstream) =>
         upstream.pool === query.pool &&
@@ -50,14 +50,14 @@
     return Err(refuseNotRun(RefusalReason.NoUpstream, NO_UPSTREAM_RETRY_MS, detail));
   }
 
-  markSent(_board: EntryBoard, upstream: string): void {
+  override markSent(_board: EntryBoard, upstream: string): void {
     this.#sequence += 1;
     this.#lastSent.set(upstream, this.#sequence);
   }
 
-  markEnded(): void {}
+  override markEnded(): void {}
 
-  readCacheEvents(): void {}
+  override readCacheEvents(): void {}
 
   /** Among equals it is the one that this entry has not used for longest. */
   #chooseLeast(candidates: readonly UpstreamState[]): UpstreamState | undefined {
--- a/packages/core/test/side/fakeEngine.ts
+++ b/packages/core/test/side/fakeEngine.ts
@@ -174,7 +174,7 @@
     return Promise.resolve(snapshot ? Ok(snapshot.report) : Err('nothing yet'));
   }
 
-  readCacheEvents(): Promise<Result<readonly CacheEvent[], string>> {
+  override readCacheEvents(): Promise<Result<readonly CacheEvent[], string>> {
     return Promise.resolve(Ok([]));
   }
 
