--- a/packages/core/src/entry/entryNode.ts
+++ b/packages/core/src/entry/entryNode.ts
@@ -7,8 +7,13 @@
 import { ConfigKind } from '../config/object.js';
 import { QueueAdmission } from '../limits/queueAdmission.js';
 import { EntryMembership } from '../membership/entryMembership.js';
+import type { OperatorOrder, OrderError, OrderReceipt, OrderStatus } from '../model/order.js';
+import type { QueryKind, QueryRow } from '../model/query.js';
 import type { CallerRequest } from '../model/request.js';
 import type { Timing } from '../model/timing.js';
+import { OrderDesk } from '../orders/orderDesk.js';
+import { QueryDesk } from '../orders/queryDesk.js';
+import type { Result } from '../outcome.js';
 import type { Caller } from '../ports/caller.js';
 import type { Link } from '../ports/link.js';
 import type { LinkDialer } from '../ports/linkDialer.js';
@@ -48,6 +53,10 @@
 
   readonly #membership: EntryMembership;
 
+  readonly #orders: OrderDesk;
+
+  readonly #queries: QueryDesk;
+
   #startedAtMs = 0;
 
   #hasSettled = false;
@@ -70,6 +79,16 @@
       },
       shares: { onShareMessage: () => {} },
     });
+    this.#orders = new OrderDesk({
+      ...options,
+      feed: this.#membership.feed,
+      pace: this.#membership.pace,
+      handlers: new Map(),
+    });
+    this.#queries = new QueryDesk({
+      board: options.board,
+      listRequests: () => this.#requests.listInFlight(),
+    });
   }
 
   /** Begins to follow the platform and to dial. */
@@ -102,6 +121,28 @@
     this.#membership.accept(link);
   }
 
+  /** Answers an operator's query. */
+  query(kind: QueryKind, filter: Readonly<Record<string, string>>): readonly QueryRow[] {
+    return this.#queries.query(kind, filter);
+  }
+
+  /**
+   * Takes an operator's order.
+   *
+   * @param orderId chosen by the client, so that a lost answer can be read back
+   */
+  give(
+    order: OperatorOrder,
+    orderId: string | undefined,
+  ): Promise<Result<OrderReceipt, OrderError>> {
+    return this.#orders.give(order, orderId);
+  }
+
+  /** Reads back what became of an order. */
+  read(orderId: string): Promise<Result<OrderStatus, OrderError>> {
+    return this.#orders.read(orderId);
+  }
+
   /** Lets the balancer know that a planned stop begins; requests are still served. */
   beginStop(): void {
     this.#board.isStopping = true;
--- a/packages/daemon/src/roles/entryDaemon.ts
+++ b/packages/daemon/src/roles/entryDaemon.ts
@@ -10,6 +10,7 @@
 
 import { CallerServer } from '../callers/callerServer.js';
 import type { Instruments } from '../observe/instruments.js';
+import { OperatorServer } from '../operators/operatorServer.js';
 import type { EntrySettings } from '../settings/settings.js';
 
 import { Daemon } from './daemon.js';
@@ -33,6 +34,8 @@
 
   readonly #callers: CallerServer;
 
+  readonly #operators: OperatorServer;
+
   readonly #listener: WsListener;
 
   constructor(settings: EntrySettings, instruments: Instruments) {
@@ -62,6 +65,7 @@
       accept: (request, caller) => this.#node.accept(request, caller),
       isReady: () => this.#node.isReady(),
     });
+    this.#operators = new OperatorServer({ ...settings.operators, metrics, desk: this.#node });
     this.#listener = new WsListener({
       host: settings.links.host,
       port: settings.links.port,
@@ -75,11 +79,14 @@
   override async start(): Promise<Result<void, string>> {
     const links = await this.#listener.start();
     if (!links.ok) return Err(`links: ${links.val}`);
+    const operators = await this.#operators.start();
+    if (!operators.ok) return Err(`operators: ${operators.val}`);
     this.#node.start();
     const callers = await this.#callers.start();
     if (!callers.ok) return Err(`callers: ${callers.val}`);
     this.#instruments.log.write(LogLevel.Info, PART, 'Entry is up.', {
       callersPort: callers.val,
+      operatorsPort: operators.val,
       linksPort: links.val,
     });
     return Ok(undefined);
@@ -91,6 +98,7 @@
     this.#callers.beginClose();
     await wait(this.#settings.stop.noticeMs);
     await Promise.all([this.#node.drain(), this.#callers.stop()]);
+    await this.#operators.stop();
     this.#node.stop();
     await this.#listener.stop();
   }
--- a/packages/standin/src/matrix/fake/engineConnection.ts
+++ b/packages/standin/src/matrix/fake/engineConnection.ts
@@ -63,7 +63,10 @@
   #call<T>(action: () => Promise<T>): Promise<T> {
     return new Promise((resolve) => {
       this.#owner.call(() => {
-        action().then((value) => this.#owner.post(() => resolve(value)), () => {});
+        action().then(
+          (value) => this.#owner.post(() => resolve(value)),
+          () => {},
+        );
       });
     });
   }
--- a/packages/standin/src/matrix/fake/observedFaults.ts
+++ b/packages/standin/src/matrix/fake/observedFaults.ts
@@ -1,6 +1,11 @@
 /** Turns numbered events of links into the fates that a cell asks for. */
 import { MessageType } from '@radishbay/core/messages/message.js';
-import { DELIVERED, LinkFaults, type Fate, type LinkEvent } from '@radishbay/link/memory/linkFaults.js';
+import {
+  DELIVERED,
+  LinkFaults,
+  type Fate,
+  type LinkEvent,
+} from '@radishbay/link/memory/linkFaults.js';
 
 import { EventKind, type EventLog } from './eventLog.js';
 
