Let the model engine take orders for adapters, roles and KV cache

Change: orders for them, each with one effect by its id; an attempt with imported KV cache computes only the rest of its prompt. The transfer costs no time yet.

--- a/packages/standin/src/engine/engineModel.ts
+++ b/packages/standin/src/engine/engineModel.ts
@@ -10,6 +10,7 @@
 import { Err, Ok, type Result } from '@radishbay/core/outcome.js';
 
 import { Batch } from './batch.js';
+import { EngineInventory } from './engineInventory.js';
 import type { EngineOptions } from './engineOptions.js';
 import { EngineRecord } from './engineRecord.js';
 import { Lagged } from './lagged.js';
@@ -37,9 +38,17 @@
   FellOver = 'fell-over',
 }
 
-/** Load report with the time of a step, which model engines add to it. */
+/** Load report with what model engines add to it. */
 export interface ModelReport extends EngineReport {
+  /** Time of the last step. */
   readonly stepMs: number;
+  readonly adapters: readonly string[];
+  readonly role: string;
+}
+
+/** Tokens of a request in the KV cache. */
+function countTokens(sequence: Sequence, work: EngineWork): number {
+  return work.promptTokens + sequence.tokenCount;
 }
 
 /** A model engine. */
@@ -58,8 +67,7 @@
 
   readonly record = new EngineRecord();
 
-  /** Models loaded. */
-  readonly models: Set<string>;
+  readonly inventory: EngineInventory;
 
   #incarnation: string = randomUUID();
 
@@ -83,7 +91,7 @@
 
   constructor(options: EngineOptions) {
     this.#options = options;
-    this.models = new Set(options.models);
+    this.inventory = new EngineInventory(options.models);
     this.#batch = new Batch(options.costs, (sequence) => this.#complete(sequence));
     this.#cache = new PrefixCache(options.cache);
     this.#isWarm = options.isWarmAtStart;
@@ -166,6 +174,12 @@
     setTimeout(() => this.#comeUp(), this.#options.restartMs).unref();
   }
 
+  /** @returns tokens in the KV cache of an attempt, or undefined where it is not in flight */
+  exportKv(attemptId: string): number | undefined {
+    const found = [...this.#work].find(([, work]) => work.attemptId === attemptId);
+    return found && countTokens(...found);
+  }
+
   /** The load as it was a while ago. */
   readLoad(): ModelReport {
     return this.#load.read(Date.now());
@@ -187,11 +201,9 @@
   }
 
   #start(work: EngineWork, events: SequenceEvents): Sequence {
-    const heldBlocks = this.#cache.use(work.prefixHashes, Date.now());
-    const heldShare = heldBlocks / Math.max(1, work.prefixHashes.length);
     const spec = {
       priority: work.priority,
-      prefillTokens: work.promptTokens * (1 - heldShare) + work.firstToken,
+      prefillTokens: this.#countPrefill(work),
       firstToken: work.firstToken,
       maxTokens: work.maxTokens,
     };
@@ -200,6 +212,14 @@
     return sequence;
   }
 
+  /** Tokens to compute before the first one of the answer. */
+  #countPrefill(work: EngineWork): number {
+    const heldBlocks = this.#cache.use(work.prefixHashes, Date.now());
+    const heldShare = heldBlocks / Math.max(1, work.prefixHashes.length);
+    const missingTokens = work.promptTokens * (1 - heldShare) + work.firstToken;
+    return Math.max(0, missingTokens - this.inventory.takeKv(work.attemptId));
+  }
+
   #complete(sequence: Sequence): void {
     const work = this.#work.get(sequence);
     if (work) this.record.count(work.attemptId, 'completed');
@@ -231,6 +251,7 @@
   #comeUp(): void {
     this.#incarnation = randomUUID();
     this.#cache.clear();
+    this.inventory.clearKv();
     this.turnCold(0);
     this.#isUp = true;
   }
@@ -253,15 +274,15 @@
       kvUsedShare: Math.min(1, this.#countKvTokens() / this.#options.kvTokens),
       isWarm: this.#isWarm || this.#isClaimingWarm,
       tokensPerSecond: (newTokens / REPORT_EVERY_MS) * MS_PER_SECOND,
-      models: [...this.models],
+      models: [...this.inventory.models],
       stepMs: this.#batch.lastStepMs,
+      adapters: [...this.inventory.adapters],
+      role: this.inventory.role,
     };
   }
 
   #countKvTokens(): number {
-    const tokens = [...this.#work].map(
-      ([sequence, work]) => work.promptTokens + sequence.tokenCount,
-    );
+    const tokens = [...this.#work].map(([sequence, work]) => countTokens(sequence, work));
     return tokens.reduce((sum, count) => sum + count, 0);
   }
 }
--- a/packages/standin/src/engine/engineServer.ts
+++ b/packages/standin/src/engine/engineServer.ts
@@ -1,12 +1,11 @@
 /**
  * The model engine over HTTP; its calls and options are described in this package's README.
  *
- * Without its order book it knows nothing of groups: `handlers` adds kinds of orders.
+ * It knows nothing of groups: `handlers` adds kinds of orders.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import { hashPrefixes } from '@radishbay/core/model/prefixHash.js';
-import { Ok } from '@radishbay/core/outcome.js';
 import { EngineOrderErrorKind } from '@radishbay/core/ports/engine.js';
 
 import { isJsonObject, readNumber, readString, type JsonObject } from '../http/json.js';
@@ -17,6 +16,7 @@
 import { countPromptTokens } from './completionText.js';
 import { EngineFaults } from './engineFaults.js';
 import { EngineModel, SubmitError, type EngineWork } from './engineModel.js';
+import { listEngineOrders } from './engineOrders.js';
 import { parseEngineOptions } from './engineOptions.js';
 import { OrderBook, type OrderHandler } from './orderBook.js';
 import type { Sequence } from './sequence.js';
@@ -49,7 +49,10 @@
     const parsed = parseEngineOptions(options);
     this.model = new EngineModel(parsed);
     this.#faults = new EngineFaults(this.model);
-    this.#orders = new OrderBook(parsed.isFencing, new Map([...this.#listHandlers(), ...handlers]));
+    this.#orders = new OrderBook(
+      parsed.isFencing,
+      new Map([...listEngineOrders(this.model), ...handlers]),
+    );
   }
 
   override stop(): Promise<void> {
@@ -73,25 +76,6 @@
     else writeError(response, 404, `no such call: ${route}`);
   }
 
-  #listHandlers(): Map<string, OrderHandler> {
-    return new Map<string, OrderHandler>([
-      [
-        'load-model',
-        (params) => {
-          this.model.models.add(readString(params, 'model', 'default'));
-          return Ok({ models: [...this.model.models] });
-        },
-      ],
-      [
-        'unload-model',
-        (params) => {
-          this.model.models.delete(readString(params, 'model', 'default'));
-          return Ok({ models: [...this.model.models] });
-        },
-      ],
-    ]);
-  }
-
   async #complete(
     request: IncomingMessage,
     response: ServerResponse,
@@ -100,7 +84,7 @@
     const completion = parseCompletion((await readBody(request)).toString('utf8'), isChat);
     if (!completion) {
       writeError(response, 400, 'the body must be a completion request');
-    } else if (!this.model.models.has(completion.model)) {
+    } else if (!this.model.inventory.models.has(completion.model)) {
       writeError(response, 404, `model ${completion.model} is not loaded`);
     } else if (this.#faults.takeDecline()) {
       writeError(response, 503, 'declined by a fault');
--- a/packages/standin/test/engineModel.test.ts
+++ b/packages/standin/test/engineModel.test.ts
@@ -94,6 +94,14 @@
   assert.ok(second.isEnded);
 });
 
+test('an attempt with imported KV cache computes only the rest of its prompt', ({ clock }) => {
+  const model = createModel({ prefillPerTokenMs: 1 });
+  model.inventory.importKv('moved', 100);
+  const probe = submit(model, { attemptId: 'moved', promptTokens: 100, maxTokens: 1 });
+  clock.tick(STEP_MS);
+  assert.ok(probe.isEnded);
+});
+
 test('the request with the lowest priority number runs first', ({ clock }) => {
   const model = createModel({ maxRunning: 1 });
   submit(model, { maxTokens: 1 });
--- a/packages/standin/test/engineServer.test.ts
+++ b/packages/standin/test/engineServer.test.ts
@@ -161,6 +161,22 @@
   assert.is(late.status, 200);
 });
 
+test('an order has one effect and the same reply however often it comes', async (context) => {
+  await startEngine(context, {});
+  const url = `${context.baseUrl}/orders`;
+  const order = { orderId: 'o', action: 'load-adapter', params: { adapter: 'x' } };
+  const first = await postJson(url, order);
+  await postJson(url, { orderId: 'p', action: 'unload-adapter', params: { adapter: 'x' } });
+  assert.is((await postJson(url, order)).text, first.text);
+  assert.is(context.engine.model.inventory.adapters.size, 0);
+});
+
+test('KV cache is exported of requests in flight only', async (context) => {
+  await startEngine(context, { isWarmAtStart: true });
+  const order = { orderId: 'o', action: 'export-kv', params: { attemptId: 'gone' } };
+  assert.is((await postJson(`${context.baseUrl}/orders`, order)).status, 400);
+});
+
 test('cache events are numbered, and the gap asked for is there', async (context) => {
   await startEngine(context, { isWarmAtStart: true, cacheEventLagMs: 0, cacheGapEvery: 2 });
   const url = `${context.baseUrl}/v1/completions`;
