--- a/packages/client/src/orderCommand.ts
+++ b/packages/client/src/orderCommand.ts
@@ -165,7 +165,7 @@
 
 function declareShow(parser: Argv, output: Output, finish: Finish): Argv {
   return parser.command(
-    'show <id>',
+    ['show <id>', '$0'],
     'read an order back',
     (own) => declareWaitOptions(own),
     async (options) => {
@@ -184,6 +184,6 @@
   return parser.command('order', 'give an order, or read one back', (own) => {
     const plain = own as unknown as Argv;
     COMMANDS.forEach((command) => declareGiving(plain, command, output, finish));
-    return declareShow(plain, output, finish).demandCommand(1, 'name an order');
+    return declareShow(plain, output, finish);
   });
 }
--- a/packages/client/test/commandLine.test.ts
+++ b/packages/client/test/commandLine.test.ts
@@ -156,4 +156,15 @@
   assert.is(exitCode, ExitCode.Superseded);
 });
 
+test('an order is read back by its id alone', async () => {
+  const { exitCode } = await run(['order', 'o1'], [statusOf(OrderState.InForce)]);
+  assert.is(exitCode, ExitCode.Done);
+});
+
+test('a misspelt order is a usage error', async () => {
+  const { exitCode, entry } = await run(['order', 'drian', 'zone-a'], [RECEIPT]);
+  assert.is(exitCode, ExitCode.Usage);
+  assert.is(entry.calls.length, 0);
+});
+
 test.run();
--- a/packages/standin/test/platformServer.test.ts
+++ b/packages/standin/test/platformServer.test.ts
@@ -8,6 +8,7 @@
 
 import { PlatformServer } from '../src/platform/platformServer.js';
 
+import { ForgetfulProxy } from './forgetfulProxy.js';
 import { getJson, postJson } from './httpClient.js';
 
 interface Context {
@@ -153,6 +154,19 @@
   assert.is(batch.err && batch.val.kind, StoreErrorKind.Unavailable);
 });
 
+test('after one silent connection the other idle ones are not trusted either', async (context) => {
+  const proxy = new ForgetfulProxy(Number(new URL(context.baseUrl).port));
+  const store = new HttpObjectStore({ baseUrl: await proxy.start(), callTimeoutMs: 1_000 });
+  await Promise.all([store.get('a'), store.get('b')]);
+  assert.is(proxy.count, 2);
+  proxy.silence();
+  const first = await store.get('a');
+  const second = await store.get('a');
+  store.close();
+  proxy.stop();
+  assert.equal([first.ok, second.ok], [false, true]);
+});
+
 test('a write to a port where nobody listens is proved not done', async ({ server, store }) => {
   await server.stop();
   const write = await store.put('k', 1, 0);
