--- a/packages/core/test/entry/fakeLink.ts
+++ b/packages/core/test/entry/fakeLink.ts
@@ -10,13 +10,13 @@
 
   outbox: Message[] = [];
 
-  send(message: Message): void {
+  override send(message: Message): void {
     if (this.isOpen) this.outbox.push(message);
   }
 
-  close(): void {
+  override close(): void {
     this.isOpen = false;
   }
 
-  listen(): void {}
+  override listen(): void {}
 }
