Put objects under the parameter that entries read, show forecasts before a wait

Cause: order put sent its object as value while the entries read object: every put was refused, seen by running the commands against a real fleet. An order that is waited for shows its forecast first.

--- a/packages/client/src/orderCommand.ts
+++ b/packages/client/src/orderCommand.ts
@@ -106,7 +106,7 @@
     description: 'create or replace a configuration object, KIND/NAME',
     declare: (parser) => checkObjectName(declareFile(parser)),
     build: async ({ object, file }) =>
-      buildOrder(OrderAction.PutObject, object, { value: await readYaml(String(file)) }),
+      buildOrder(OrderAction.PutObject, object, { object: await readYaml(String(file)) }),
   },
   {
     usage: 'remove <object>',
--- a/packages/client/src/orderDesk.ts
+++ b/packages/client/src/orderDesk.ts
@@ -34,6 +34,11 @@
   return `${head}${progress}${formatTable(status.missing.map((missing) => ({ ...missing })))}`;
 }
 
+/** What was read back, with the forecast of the receipt where the order was just given. */
+interface FollowedStatus extends OrderStatus {
+  readonly forecast?: readonly DomainForecast[];
+}
+
 export interface OrderDeskOptions {
   readonly isJson: boolean;
   /** Undefined where the order's coming into force is not waited for. */
@@ -98,14 +103,15 @@
 
   /** Follows an accepted order: where it cannot be read back, it is still accepted. */
   async #follow(receipt: OrderReceipt): Promise<ExitCode> {
+    if (!this.#options.isJson) this.#writeReceipt(receipt);
     const status = await this.#read(receipt.orderId);
-    if (status.ok) return this.#writeStatus(status.val);
+    if (status.ok) return this.#writeStatus({ ...status.val, forecast: receipt.forecast });
     this.#output.writeError(`not read back: ${status.val.detail}\n`);
-    this.#writeReceipt(receipt);
+    if (this.#options.isJson) this.#writeReceipt(receipt);
     return ExitCode.Accepted;
   }
 
-  #writeStatus(status: OrderStatus): ExitCode {
+  #writeStatus(status: FollowedStatus): ExitCode {
     const text = this.#options.isJson ? `${JSON.stringify(status)}\n` : describeStatus(status);
     this.#output.write(text);
     return EXIT_CODES[status.state];
--- a/packages/client/test/commandLine.test.ts
+++ b/packages/client/test/commandLine.test.ts
@@ -96,6 +96,13 @@
   assert.is(entry.calls.length, 3);
 });
 
+test('the forecast is shown before the wait', async () => {
+  const forecast = [{ domain: 'zone-b', pool: 'p', loadBefore: 1, loadAfter: 2, limit: 4 }];
+  const receipt = { status: 202, body: { orderId: 'o1', version: 7, forecast } };
+  const { text } = await run([...DRAIN, '--wait'], [receipt, statusOf(OrderState.InForce)]);
+  assert.ok(text.indexOf('loadAfter') < text.indexOf('in-force'), text);
+});
+
 test('waiting ends at its bound with the order still accepted', async () => {
   const answers = [RECEIPT, statusOf(OrderState.Accepted)];
   const words = [...DRAIN, '--wait', '--wait-ms', '3', '--poll-ms', '1'];
