Clean the matrix by the linter

Cause: the matrix went in with five complaints of the linter; it had not been run over it. Change: the fleet of a scenario is a field, what it judges is abstract, names shadow nothing.

--- a/packages/standin/src/matrix/cell.ts
+++ b/packages/standin/src/matrix/cell.ts
@@ -55,7 +55,7 @@
   seed: number,
   faults: readonly PlacedFault[],
 ): Promise<CellResult> {
-  const world = new World(scenario.plan(), seed);
+  const world = new World(scenario.plan, seed);
   try {
     await world.start();
     let applied = 0;
--- a/packages/standin/src/matrix/main.ts
+++ b/packages/standin/src/matrix/main.ts
@@ -1,8 +1,8 @@
 /**
  * The fault matrix: every fault at every numbered event of every scenario, and pairs by sample.
  *
- * `--scenario NAME`, `--seed N`, `--pairs N` narrow or widen it; `--replay EVENT:FAULT[,...]` runs one
- * cell and prints its events.
+ * `--scenario NAME`, `--seed N` and `--pairs N` narrow or widen it. `--replay EVENT:FAULT[,...]` runs
+ * a single cell and prints its events.
  */
 import { Random } from '@radishbay/core/ports/random.js';
 
@@ -57,8 +57,8 @@
   faults: readonly PlacedFault[],
   result: CellResult,
 ): void {
-  const replay = `--scenario ${scenario.name} --seed ${seed} --replay ${formatFaults(faults)}`;
-  process.stdout.write(`VIOLATED npm run matrix -- ${replay}\n`);
+  const words = `--scenario ${scenario.name} --seed ${seed} --replay ${formatFaults(faults)}`;
+  process.stdout.write(`VIOLATED npm run matrix -- ${words}\n`);
   result.violations.forEach((sentence) => process.stdout.write(`    ${sentence}\n`));
 }
 
--- a/packages/standin/src/matrix/scenario/requestScenario.ts
+++ b/packages/standin/src/matrix/scenario/requestScenario.ts
@@ -28,6 +28,10 @@
     const second = world.send('entry-2', this.#request);
     await world.clock.advanceUntil(() => second.caller.outcome !== CallerEnd.Waiting, LIMIT_MS);
   }
+
+  override judge(): readonly string[] {
+    return [];
+  }
 }
 
 /** A streamed completion: repeatable. */
--- a/packages/standin/src/matrix/scenario/scenario.ts
+++ b/packages/standin/src/matrix/scenario/scenario.ts
@@ -10,15 +10,11 @@
   abstract readonly name: string;
 
   /** The fleet that it runs on. */
-  plan(): FleetPlan {
-    return planSampleFleet(ENTRIES, MODELS_PER_DOMAIN);
-  }
+  readonly plan: FleetPlan = planSampleFleet(ENTRIES, MODELS_PER_DOMAIN);
 
   /** Sends requests and orders; must not wait for what a fault may prevent. */
   abstract act(world: World): Promise<void>;
 
   /** @returns sentences on what did not hold beyond the invariants of all scenarios */
-  judge(_world: World): readonly string[] {
-    return [];
-  }
+  abstract judge(world: World): readonly string[];
 }
--- a/packages/standin/src/matrix/world.ts
+++ b/packages/standin/src/matrix/world.ts
@@ -26,7 +26,7 @@
 import { ProcessLink } from './process/processLink.js';
 import { ProcessStore } from './process/processStore.js';
 import { SimClock } from './process/simClock.js';
-import { SimProcess } from './process/simProcess.js';
+import { ProcessState, SimProcess } from './process/simProcess.js';
 
 const START_MS = 1_700_000_000_000;
 const NETWORK_DELAY_MS = 1;
@@ -140,7 +140,9 @@
 
   /** Whether every live entry is ready and linked to every live side process. */
   isSettled(): boolean {
-    const sides = [...this.sides.values()].filter(({ process }) => process.state === 'RUNNING');
+    const sides = [...this.sides.values()].filter(
+      ({ process }) => process.state === ProcessState.Running,
+    );
     return [...this.entries.values()].every(({ node, board }) => {
       const isLinked = sides.every(({ name }) => board.upstreams.get(name)?.report !== undefined);
       return node.isReady() && isLinked;
