--- a/packages/client/src/orderCommand.ts
+++ b/packages/client/src/orderCommand.ts
@@ -106,7 +106,7 @@
     description: 'create or replace a configuration object, KIND/NAME',
     declare: (parser) => checkObjectName(declareFile(parser)),
     build: async ({ object, file }) =>
-      buildOrder(OrderAction.PutObject, object, { value: await readYaml(String(file)) }),
+      buildOrder(OrderAction.PutObject, object, { object: await readYaml(String(file)) }),
   },
   {
     usage: 'remove <object>',
@@ -165,7 +165,7 @@
 
 function declareShow(parser: Argv, output: Output, finish: Finish): Argv {
   return parser.command(
-    'show <id>',
+    ['show <id>', '$0'],
     'read an order back',
     (own) => declareWaitOptions(own),
     async (options) => {
@@ -184,6 +184,6 @@
   return parser.command('order', 'give an order, or read one back', (own) => {
     const plain = own as unknown as Argv;
     COMMANDS.forEach((command) => declareGiving(plain, command, output, finish));
-    return declareShow(plain, output, finish).demandCommand(1, 'name an order');
+    return declareShow(plain, output, finish);
   });
 }
--- a/packages/client/test/commandLine.test.ts
+++ b/packages/client/test/commandLine.test.ts
@@ -96,6 +96,13 @@
   assert.is(entry.calls.length, 3);
 });
 
+test('the forecast is shown before the wait', async () => {
+  const forecast = [{ domain: 'zone-b', pool: 'p', loadBefore: 1, loadAfter: 2, limit: 4 }];
+  const receipt = { status: 202, body: { orderId: 'o1', version: 7, forecast } };
+  const { text } = await run([...DRAIN, '--wait'], [receipt, statusOf(OrderState.InForce)]);
+  assert.ok(text.indexOf('loadAfter') < text.indexOf('in-force'), text);
+});
+
 test('waiting ends at its bound with the order still accepted', async () => {
   const answers = [RECEIPT, statusOf(OrderState.Accepted)];
   const words = [...DRAIN, '--wait', '--wait-ms', '3', '--poll-ms', '1'];
@@ -156,4 +163,15 @@
   assert.is(exitCode, ExitCode.Superseded);
 });
 
+test('an order is read back by its id alone', async () => {
+  const { exitCode } = await run(['order', 'o1'], [statusOf(OrderState.InForce)]);
+  assert.is(exitCode, ExitCode.Done);
+});
+
+test('a misspelt order is a usage error', async () => {
+  const { exitCode, entry } = await run(['order', 'drian', 'zone-a'], [RECEIPT]);
+  assert.is(exitCode, ExitCode.Usage);
+  assert.is(entry.calls.length, 0);
+});
+
 test.run();
--- a/packages/standin/src/caller/openLoopCaller.ts
+++ b/packages/standin/src/caller/openLoopCaller.ts
@@ -16,9 +16,6 @@
 
 const MS_PER_SECOND = 1_000;
 
-/** First draws of a small seed lie close to 1 whatever the seed, so they are left out. */
-const SKIPPED_DRAWS = 64;
-
 export interface OpenLoopOptions {
   /** Addresses that take turns, as behind a balancer. */
   readonly baseUrls: readonly string[];
@@ -77,7 +74,6 @@
   constructor(options: OpenLoopOptions) {
     this.#options = options;
     this.#random = new Random(options.seed);
-    Array.from({ length: SKIPPED_DRAWS }, () => this.#random.next());
   }
 
   /** Makes all calls and waits for the last of them. */
