--- a/packages/core/src/limits/admissionPolicy.ts
+++ b/packages/core/src/limits/admissionPolicy.ts
@@ -44,6 +44,9 @@
   /** Requests waiting for a pool. */
   abstract countWaiting(pool: string): number;
 
+  /** Requests of a pool that hold a permit. */
+  abstract countInFlight(pool: string): number;
+
   /** Tells how long a request held its permit until its answer was whole or its time was up. */
   abstract observeService(pool: string, className: string, serviceMs: number): void;
 }
--- a/packages/core/src/limits/poolQueue.ts
+++ b/packages/core/src/limits/poolQueue.ts
@@ -50,6 +50,11 @@
     return this.#waiting.size;
   }
 
+  /** Requests that hold a permit. */
+  get inFlight(): number {
+    return this.#queue.pending;
+  }
+
   /** Changes how many requests may be in flight. */
   setRoom(room: number): void {
     if (room === this.#room) return;
@@ -102,9 +107,13 @@
         resolve(Err(refusal));
         abort.abort();
       };
+      const leave = () => dismiss(left);
+      const hold = () => {
+        ticket.signal.removeEventListener('abort', leave);
+        return this.#hold(id, (permit) => resolve(Ok(permit)));
+      };
       this.#dismissals.set(id, dismiss);
-      ticket.signal.addEventListener('abort', () => dismiss(left), { once: true });
-      const hold = () => this.#hold(id, (permit) => resolve(Ok(permit)));
+      ticket.signal.addEventListener('abort', leave, { once: true });
       const { signal } = abort;
       this.#queue.add(hold, { id, workspace, weight, priority, signal }).catch(() => {
         this.#dismissals.delete(id);
--- a/packages/core/src/limits/queueAdmission.ts
+++ b/packages/core/src/limits/queueAdmission.ts
@@ -46,6 +46,10 @@
     return this.#pools.get(pool)?.size ?? 0;
   }
 
+  countInFlight(pool: string): number {
+    return this.#pools.get(pool)?.inFlight ?? 0;
+  }
+
   observeService(pool: string, className: string, serviceMs: number): void {
     this.#openPool(pool).observeService(className, serviceMs);
   }
--- a/packages/core/test/claims/claims.test.ts
+++ b/packages/core/test/claims/claims.test.ts
@@ -97,6 +97,15 @@
   refused.forEach((caller) => assert.is(caller.refusal?.outcome, Outcome.Unknown));
 });
 
+scenario('a key that is under way at the same entry is in use', async (entry, clock) => {
+  const first = await swap(entry, clock);
+  const second = await swap(entry, clock);
+  entry.finishAll();
+  checkAnswered(first);
+  assert.is(second.refusal?.reason, RefusalReason.KeyInUse);
+  assert.is(second.refusal?.outcome, Outcome.Unknown);
+});
+
 scenario('another request under the same key is refused', async (entry, clock) => {
   await swap(entry, clock);
   entry.finishAll();
--- a/packages/core/test/entry/entryFixture.ts
+++ b/packages/core/test/entry/entryFixture.ts
@@ -18,8 +18,6 @@
 
 export const KEY = 'key-of-choir';
 
-export const DRAFT_DEADLINE_MS = 20_000;
-
 /** Name and domain of each upstream of the fixture. */
 const UPSTREAMS: readonly (readonly [string, string])[] = [
   ['worker-a', 'zone-a'],
@@ -35,7 +33,7 @@
   return [
     ['pool', { name: 'drafting', kind: 'model', queueLimit: 50 }],
     ['workspace', workspace],
-    ['class', { ...draft, deadlineMs: DRAFT_DEADLINE_MS, progressTimeoutMs: 4000 }],
+    ['class', { ...draft, deadlineMs: 20_000, progressTimeoutMs: 4000 }],
     ['class', { ...swap, deadlineMs: 20_000, progressTimeoutMs: 4000 }],
     ...UPSTREAMS.map(([, domain]) => ['domain', { name: domain }] as const),
     ...UPSTREAMS.map(([name, domain]) => ['upstream', { name, domain, ...limits }] as const),
@@ -58,6 +56,8 @@
 
   readonly counts = new Map<string, number>();
 
+  readonly admission = new QueueAdmission();
+
   readonly controller: RequestController;
 
   readonly sides: ReadonlyMap<string, FakeSide>;
@@ -87,7 +87,7 @@
       board: this.board,
       store: this.store,
       routing: new LeastLoadedRouting(random),
-      admission: new QueueAdmission(),
+      admission: this.admission,
       random,
       log,
       metrics,
@@ -196,10 +196,8 @@
 
   /** Executions of a request at all upstreams. */
   countExecutions(body: string): number {
-    return [...this.sides.values()].reduce(
-      (sum, side) => sum + (side.executions.get(body) ?? 0),
-      0,
-    );
+    const executions = [...this.sides.values()].flatMap((side) => side.executions);
+    return executions.filter((execution) => execution.body === body).length;
   }
 
   #receive(name: string, message: Message): Message[] {
--- a/packages/core/test/entry/fakeSide.ts
+++ b/packages/core/test/entry/fakeSide.ts
@@ -1,7 +1,7 @@
 /**
  * A side process with its upstream, reduced to the protocol: it counts executions by request.
  *
- * Each execution's answer names the attempt, so that mixed answers show.
+ * Each execution's answer names the attempt at both ends, so that mixed answers show.
  */
 import {
   AttemptState,
@@ -34,8 +34,8 @@
   /** Refuses submissions with this reason while it is set. */
   gateReason: RefusalReason | undefined;
 
-  /** Executions at the upstream by the body of the request; outlives the side process. */
-  readonly executions = new Map<string, number>();
+  /** Executions at the upstream, whatever became of the side process: attempt and body. */
+  readonly executions: { readonly attemptId: string; readonly body: string }[] = [];
 
   #attempts = new Map<string, Execution>();
 
@@ -58,7 +58,7 @@
 
   /** Whole answer of an attempt. */
   static answerOf(attemptId: string, body: string): string {
-    return `${attemptId} answers ${body} ${'.'.repeat(20)}`;
+    return `${attemptId} answers ${body}, says ${attemptId}`;
   }
 
   /**
@@ -98,9 +98,12 @@
     }
     if (this.#dead.has(attemptId)) return [this.#refuse(attemptId, RefusalReason.AttemptDead)];
     if (this.#attempts.has(attemptId)) return [];
-    if (this.gateReason) return [this.#refuse(attemptId, this.gateReason)];
+    if (this.gateReason) {
+      this.#dead.add(attemptId);
+      return [this.#refuse(attemptId, this.gateReason)];
+    }
     const body = new TextDecoder().decode(message.body);
-    this.executions.set(body, (this.executions.get(body) ?? 0) + 1);
+    this.executions.push({ attemptId, body });
     this.#attempts.set(attemptId, {
       owner,
       answer: new TextEncoder().encode(FakeSide.answerOf(attemptId, body)),
--- a/packages/core/test/entry/linkLoss.test.ts
+++ b/packages/core/test/entry/linkLoss.test.ts
@@ -1,7 +1,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
-import { MessageType } from '../../src/messages/message.js';
+import { AttemptState, MessageType } from '../../src/messages/message.js';
 import { Outcome, RefusalReason } from '../../src/model/reason.js';
 import { DEFAULT_TIMING } from '../../src/model/timing.js';
 
@@ -170,6 +170,34 @@
   checkWhole(caller);
 });
 
+scenario('an answer without its last bytes is not passed off as whole', async (entry, clock) => {
+  const caller = await submit(entry, clock);
+  const { target } = entry;
+  entry.deliver();
+  const messages = entry.sides.get(target)?.finish(entry.board.name) ?? [];
+  entry.hear(target, [...messages.slice(0, -2), ...messages.slice(-1)]);
+  assert.equal(caller.ends, []);
+  entry.deliver();
+  entry.finishAll();
+  checkWhole(caller);
+});
+
+scenario('a side process that contradicts its own answer proves nothing', async (entry, clock) => {
+  const caller = await submit(entry, clock, SWAP);
+  const { target } = entry;
+  entry.deliver();
+  relaySteps(entry, 2);
+  const attemptId = 'entry-1.i1.1.1';
+  const reason = RefusalReason.UpstreamFull;
+  entry.hear(target, [{ type: MessageType.Refused, attemptId, reason, retryAfterMs: 0 }]);
+  assert.equal(caller.ends, []);
+  cutAndReopen(entry, target);
+  const state = AttemptState.Dead;
+  entry.hear(target, [{ type: MessageType.InquiryAnswer, attemptId, state }]);
+  assert.equal(caller.ends, ['abort']);
+  assert.is(caller.refusal?.outcome, Outcome.Unknown);
+});
+
 scenario('a repeated message gives the caller no byte twice', async (entry, clock) => {
   const caller = await submit(entry, clock);
   const { target } = entry;
@@ -215,6 +243,13 @@
   caller.isSlow = true;
   relaySteps(entry, 2);
   assert.equal(entry.takeOutbox(target), []);
+  cutAndReopen(entry, target);
+  const [inquiry] = entry.takeOutbox(target);
+  assert.is(inquiry?.type === MessageType.Inquire && inquiry.creditBytes, 0);
+  const attemptId = 'entry-1.i1.1.1';
+  const state = AttemptState.Running;
+  entry.hear(target, [{ type: MessageType.InquiryAnswer, attemptId, state }]);
+  assert.equal(entry.takeOutbox(target), []);
   caller.drain();
   assert.is(entry.takeOutbox(target)[0]?.type, MessageType.Credit);
   entry.finishAll();
--- a/packages/core/test/entry/requestController.test.ts
+++ b/packages/core/test/entry/requestController.test.ts
@@ -3,7 +3,7 @@
 
 import { Outcome, RefusalReason } from '../../src/model/reason.js';
 
-import { DRAFT_DEADLINE_MS } from './entryFixture.js';
+import { FakeSide } from './fakeSide.js';
 import { scenario } from './scenario.js';
 
 const SWAP = { path: '/v1/swaps/7' };
@@ -14,7 +14,7 @@
   entry.deliver();
   entry.finishAll();
   assert.is(caller.status, 200);
-  assert.is(caller.text, `entry-1.i1.1.1 answers entry-1/1 ${'.'.repeat(20)}`);
+  assert.is(caller.text, FakeSide.answerOf('entry-1.i1.1.1', 'entry-1/1'));
   assert.equal(caller.ends, ['end']);
 });
 
@@ -52,10 +52,10 @@
 });
 
 scenario('a request ends at its deadline and is not called not run', async (entry, clock) => {
-  const caller = entry.request(SWAP);
+  const caller = entry.request({ ...SWAP, deadlineMs: 1_000 });
   await clock.tickAsync(0);
   entry.deliver();
-  await clock.tickAsync(DRAFT_DEADLINE_MS);
+  await clock.tickAsync(1_000);
   assert.equal(caller.ends, ['refuse']);
   assert.is(caller.refusal?.outcome, Outcome.Unknown);
 });
--- a/packages/core/test/entry/scenario.ts
+++ b/packages/core/test/entry/scenario.ts
@@ -7,11 +7,13 @@
 
 export type TestClock = ReturnType<typeof install>;
 
-function checkClean(entry: EntryFixture, clock: TestClock): void {
+/** Checks that an entry has forgotten all its requests. */
+export function checkIdle(entry: EntryFixture): void {
   assert.equal(entry.controller.listInFlight(), [], 'no request is left');
   assert.is(entry.controller.attemptCount, 0, 'no attempt is left');
   entry.board.upstreams.forEach((upstream) => assert.is(upstream.inFlight, 0));
-  assert.is(clock.countTimers(), 0, 'no timer is left');
+  assert.is(entry.admission.countInFlight('drafting'), 0, 'no permit is left');
+  assert.is(entry.admission.countWaiting('drafting'), 0, 'nobody waits');
 }
 
 /** Declares a test of one entry. */
@@ -25,7 +27,8 @@
       const entry = new EntryFixture();
       await body(entry, clock);
       await clock.tickAsync(0);
-      checkClean(entry, clock);
+      checkIdle(entry);
+      assert.is(clock.countTimers(), 0, 'no timer is left');
     } finally {
       clock.uninstall();
     }
