--- /dev/null
+++ b/packages/core/src/lease/lease.ts
@@ -0,0 +1,233 @@
+/**
+ * A lease with a fencing number, on the platform's conditional updates.
+ *
+ * No two processes compare clocks. The holder counts from the start of its last renewal that took
+ * effect; a contender counts from the moment at which it saw a version, and takes over when that
+ * version has stood for the whole lease and a margin. As a contender sees a renewal only after it
+ * began, the holder's time is over first.
+ *
+ * The fencing number rises with each holder. It is read at the moment of use, so a holder that was
+ * paused gets none; what it sent before is refused by receivers that have seen a higher number.
+ */
+import { boundCall } from '../config/boundedCall.js';
+import type { PlatformPace } from '../config/platformPace.js';
+import type { Result } from '../outcome.js';
+import { LogLevel, type Log } from '../ports/log.js';
+import type { Metrics } from '../ports/metrics.js';
+import { VERSION_ABSENT, type ObjectStore, type StoreError } from '../ports/objectStore.js';
+import type { Random } from '../ports/random.js';
+import { Deadline } from './deadline.js';
+import { FREE_HOLDER, parseLeaseRecord, type LeaseRecord } from './leaseRecord.js';
+
+const PART = 'lease';
+
+/** Share of the lease after which the holder renews it, and a candidate looks at it. */
+const RENEW_SHARE = 1 / 3;
+
+/** Share of the lease by which the holder stops early and a contender waits longer. */
+const MARGIN_SHARE = 0.1;
+
+/** Intervals between two looks of a process that is no candidate. */
+const IDLE_INTERVALS = 10;
+
+/** Part of an interval by which it varies. */
+const JITTER_SHARE = 0.2;
+
+export interface LeaseOptions {
+  readonly store: ObjectStore;
+  readonly pace: PlatformPace;
+  readonly random: Random;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  /** Key of the lease object. */
+  readonly key: string;
+  /** Name and incarnation of this process. */
+  readonly holder: string;
+  readonly leaseMs: number;
+  /** Whether this process should take the lease when it is free. */
+  readonly isCandidate: () => boolean;
+}
+
+/** The lease object as it was last seen. */
+interface Seen {
+  readonly version: number;
+  readonly record: LeaseRecord | undefined;
+  /** Moment at which this version has stood for a whole lease. */
+  readonly lapse: Deadline;
+}
+
+function isFree(seen: Seen): boolean {
+  if (!seen.record || seen.record.holder === FREE_HOLDER) return true;
+  return seen.lapse.isPast;
+}
+
+/** One process's part in a lease. */
+export class Lease {
+  readonly #options: LeaseOptions;
+
+  #seen: Seen | undefined;
+
+  /** What the earliest write entitles to whose outcome is not known yet. */
+  #openSpan: Deadline | undefined;
+
+  #held: { readonly fencingNumber: number; readonly until: Deadline } | undefined;
+
+  #timer: NodeJS.Timeout | undefined;
+
+  #isRunning = false;
+
+  constructor(options: LeaseOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Fencing number for an order that is given now.
+   *
+   * @returns undefined where the lease is not held by this process's own clock
+   */
+  get fencingNumber(): number | undefined {
+    if (!this.#held || this.#held.until.isPast) return undefined;
+    return this.#held.fencingNumber;
+  }
+
+  start(): void {
+    if (this.#isRunning) return;
+    this.#isRunning = true;
+    this.#schedule(0);
+  }
+
+  /** Stops, and frees the lease for others where it is held. */
+  async stop(): Promise<void> {
+    this.#isRunning = false;
+    clearTimeout(this.#timer);
+    const { fencingNumber } = this;
+    this.#held = undefined;
+    if (fencingNumber === undefined || !this.#seen) return;
+    await this.#put({ holder: FREE_HOLDER, fencingNumber }, this.#seen.version);
+  }
+
+  #schedule(delayMs: number): void {
+    this.#timer = setTimeout(() => {
+      this.#step().then(() => {
+        if (this.#isRunning) this.#schedule(this.#chooseDelay());
+      });
+    }, delayMs);
+  }
+
+  #chooseDelay(): number {
+    const { leaseMs, random, pace, isCandidate } = this.#options;
+    const isActive = this.#held !== undefined || isCandidate();
+    const intervalMs = leaseMs * RENEW_SHARE * (isActive ? 1 : IDLE_INTERVALS * pace.factor);
+    return intervalMs * (1 - random.next() * JITTER_SHARE);
+  }
+
+  async #step(): Promise<void> {
+    const wasHeld = this.#held !== undefined;
+    if (this.#held?.until.isPast) this.#held = undefined;
+    if (this.#held && this.#seen) await this.#renew(this.#held.fencingNumber, this.#seen.version);
+    else await this.#contend();
+    if (wasHeld && !this.#held) this.#noteLoss();
+  }
+
+  async #renew(fencingNumber: number, version: number): Promise<void> {
+    const record = { holder: this.#options.holder, fencingNumber };
+    const held = await this.#claim(record, version);
+    if (held === undefined) this.#held = undefined;
+  }
+
+  /**
+   * Writes the record and finds out whether it stands.
+   *
+   * @returns false where that is not known yet; undefined where another process holds the lease
+   */
+  async #claim(record: LeaseRecord, version: number): Promise<boolean | undefined> {
+    const span = this.#startSpan();
+    this.#openSpan ??= span;
+    const written = await this.#put(record, version);
+    if (written.ok) {
+      this.#hold(record, written.val, span);
+      return true;
+    }
+    // It may have taken effect all the same, or an earlier one has: the earliest span counts.
+    const seen = await this.#look();
+    if (!seen || seen.version === version) return false;
+    if (!this.#isOwn(seen.record, record.fencingNumber)) {
+      this.#openSpan = undefined;
+      return undefined;
+    }
+    this.#hold(record, seen.version, this.#openSpan);
+    return true;
+  }
+
+  async #contend(): Promise<void> {
+    const seen = await this.#look();
+    if (!seen || !this.#options.isCandidate() || !isFree(seen)) return;
+    const fencingNumber = await this.#chooseFencingNumber(seen);
+    if (fencingNumber === undefined) return;
+    const record = { holder: this.#options.holder, fencingNumber };
+    if (await this.#claim(record, seen.version)) this.#noteTaken(fencingNumber);
+  }
+
+  /** One more than the last; where the object is gone, more than any number can have been. */
+  async #chooseFencingNumber(seen: Seen): Promise<number | undefined> {
+    if (seen.record) return seen.record.fencingNumber + 1;
+    const listed = await this.#bound(this.#options.store.list(this.#options.key));
+    return listed.ok ? listed.val.revision + 1 : undefined;
+  }
+
+  #noteTaken(fencingNumber: number): void {
+    const { key, log, metrics } = this.#options;
+    metrics.count('lease.taken', { key });
+    log.write(LogLevel.Info, PART, 'Took a lease.', { key, fencingNumber });
+  }
+
+  #hold(record: LeaseRecord, version: number, until: Deadline): void {
+    this.#seen = { version, record, lapse: this.#startWait() };
+    this.#held = { fencingNumber: record.fencingNumber, until };
+    this.#openSpan = undefined;
+  }
+
+  #noteLoss(): void {
+    const { key, log, metrics } = this.#options;
+    metrics.count('lease.lost', { key });
+    log.write(LogLevel.Warn, PART, 'Lost a lease.', { key });
+  }
+
+  #isOwn(record: LeaseRecord | undefined, fencingNumber: number): boolean {
+    return record?.holder === this.#options.holder && record.fencingNumber === fencingNumber;
+  }
+
+  /** Span for which a renewal that begins now entitles. */
+  #startSpan(): Deadline {
+    return Deadline.after(this.#options.leaseMs * (1 - MARGIN_SHARE));
+  }
+
+  /** Span for which a version that is seen now must stand before it counts as lapsed. */
+  #startWait(): Deadline {
+    return Deadline.after(this.#options.leaseMs * (1 + MARGIN_SHARE));
+  }
+
+  /** Reads the lease object; the wait goes on where the version is the one seen before. */
+  async #look(): Promise<Seen | undefined> {
+    const { store, key } = this.#options;
+    const read = await this.#bound(store.get(key));
+    if (!read.ok) return undefined;
+    const version = read.val?.version ?? VERSION_ABSENT;
+    if (this.#seen?.version === version) return this.#seen;
+    const record = parseLeaseRecord(read.val?.value);
+    this.#seen = { version, record, lapse: this.#startWait() };
+    return this.#seen;
+  }
+
+  #put(record: LeaseRecord, version: number): Promise<Result<number, StoreError>> {
+    const { store, key } = this.#options;
+    return this.#bound(store.put(key, record, version));
+  }
+
+  async #bound<T>(call: Promise<Result<T, StoreError>>): Promise<Result<T, StoreError>> {
+    const { leaseMs, pace } = this.#options;
+    const outcome = await boundCall(call, leaseMs * RENEW_SHARE);
+    pace.note(outcome);
+    return outcome;
+  }
+}
