--- a/packages/standin/test/engineServer.test.ts
+++ b/packages/standin/test/engineServer.test.ts
@@ -1,5 +1,6 @@
 import { request, type ClientRequest } from 'node:http';
 
+import { PREFIX_BLOCK_CHARS, hashPrefixes } from '@radishbay/core/model/prefixHash.js';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
@@ -121,6 +122,27 @@
   assert.is(answer.status, 503);
 });
 
+test('a request that is declined by a fault has not run', async (context) => {
+  await startEngine(context, { isWarmAtStart: true });
+  await postJson(`${context.baseUrl}/faults`, { kind: 'decline-next', count: 1 });
+  const answer = await postJson(`${context.baseUrl}/v1/completions`, { prompt: 'a' });
+  assert.is(answer.status, 503);
+  assert.equal((await getJson(`${context.baseUrl}/record`)).executions, {});
+});
+
+test('a request that is failed by a fault has run and breaks off', async (context) => {
+  await startEngine(context, { isWarmAtStart: true });
+  await postJson(`${context.baseUrl}/faults`, { kind: 'fail-next', count: 1 });
+  const headers = { 'x-attempt-id': 'a' };
+  const body = { prompt: 'a', stream: true };
+  const answer = await send('POST', `${context.baseUrl}/v1/completions`, body, headers);
+  assert.ok(answer.err && answer.val.isSent);
+  const { executions } = (await getJson(`${context.baseUrl}/record`)) as {
+    executions: Record<string, { started: number }>;
+  };
+  assert.is(executions.a?.started, 1);
+});
+
 test('an engine that checks fencing refuses an older number', async (context) => {
   await startEngine(context, { isFencing: true });
   const order = { action: 'load-model', params: { model: 'm' } };
@@ -142,17 +164,18 @@
 test('cache events are numbered, and the gap asked for is there', async (context) => {
   await startEngine(context, { isWarmAtStart: true, cacheEventLagMs: 0, cacheGapEvery: 2 });
   const url = `${context.baseUrl}/v1/completions`;
-  await postJson(url, { prompt: 'a' }, { 'x-prefix-hashes': 'h1' });
-  await postJson(url, { prompt: 'a' }, { 'x-prefix-hashes': 'h2' });
-  await postJson(url, { prompt: 'a' }, { 'x-prefix-hashes': 'h3' });
+  const prompts = ['a', 'b', 'c'].map((letter) => letter.repeat(PREFIX_BLOCK_CHARS));
+  await postJson(url, { prompt: prompts[0] });
+  await postJson(url, { prompt: prompts[1] });
+  await postJson(url, { prompt: prompts[2] });
   const { events } = (await getJson(`${context.baseUrl}/cache-events?after=0`)) as {
     events: { sequence: number; blockHashes: string[] }[];
   };
   assert.equal(
     events.map(({ sequence, blockHashes }) => [sequence, ...blockHashes]),
     [
-      [1, 'h1'],
-      [3, 'h3'],
+      [1, ...hashPrefixes(prompts[0] ?? '')],
+      [3, ...hashPrefixes(prompts[2] ?? '')],
     ],
   );
 });
