Prove drains and restores under random faults, three entries and three side processes

Failing first, guards taken out one by one: without the look at the entry's own lease it fails; with missing entries counted as in force it fails. Without the side's own drained check it passes: that check is a second guard.

--- /dev/null
+++ b/packages/standin/test/support/drainJudge.ts
@@ -0,0 +1,143 @@
+import { ConfigKind, DomainState, formatConfigKey } from '@radishbay/core/config/object.js';
+import { OrderState, type OrderStatus } from '@radishbay/core/model/order.js';
+import { readMarks } from '@radishbay/core/orders/orderRecord.js';
+
+import { DOMAINS, type TestFleet } from './testFleet.js';
+
+/** Time within which an accepted drain is in force, with the platform up. */
+export const BOUND_MS = 4_000;
+
+/** A span in which a domain was drained by the platform's own record. */
+interface DrainedSpan {
+  readonly domain: string;
+  /** When the drain was accepted, or the platform came back for most entries after that. */
+  boundFromMs: number;
+  endMs: number;
+}
+
+/** Moment from which a domain must get no work, since an order was reported in force. */
+interface Claim {
+  readonly domain: string;
+  readonly atMs: number;
+  endMs: number;
+}
+
+function keyOf(domain: string): string {
+  return formatConfigKey(ConfigKind.Domain, domain);
+}
+
+/** Judges from the records of platform and engines what the entries promise. */
+export class DrainJudge {
+  readonly violations: string[] = [];
+
+  readonly #fleet: TestFleet;
+
+  readonly #spans: DrainedSpan[] = [];
+
+  readonly #claims: Claim[] = [];
+
+  readonly #versions = new Map<string, number>();
+
+  constructor(fleet: TestFleet) {
+    this.#fleet = fleet;
+    fleet.platform.objects.onChange((change) => this.#noteChange(change.key));
+  }
+
+  /** Looks at all boards; called often. */
+  look(isPlatformUpForMost: boolean): void {
+    if (!isPlatformUpForMost) this.#openSpans().forEach((span) => this.#delay(span));
+    this.#fleet.entries.forEach(({ node, board }) => {
+      DOMAINS.forEach((domain) => this.#checkRise(node, domain, board.config));
+    });
+    this.#fleet.sides.forEach(({ node, board }) => {
+      DOMAINS.forEach((domain) => this.#checkRise(node, domain, board.config));
+    });
+  }
+
+  /** Checks what was just read back of an order. */
+  checkStatus(status: OrderStatus): void {
+    if (status.state !== OrderState.InForce) return;
+    const key = keyOf(status.target);
+    this.#fleet.entries.forEach(({ node, board }) => {
+      if (board.config.readVersion(key) >= status.version || !board.isCurrent) return;
+      this.violations.push(`${status.orderId} said to be in force, ${node} could act without it`);
+    });
+    if (this.#readState(status.target) !== DomainState.Drained) return;
+    this.#claims.push({ domain: status.target, atMs: Date.now(), endMs: Infinity });
+  }
+
+  /** Checks, at the end and all healed, that the last accepted order stands everywhere. */
+  checkEnd(): void {
+    DOMAINS.forEach((domain) => {
+      const expected = this.#readState(domain);
+      [...this.#fleet.entries.values(), ...this.#fleet.sides].forEach(({ node, board }) => {
+        const state = board.config.get(ConfigKind.Domain, domain)?.state;
+        if (state === undefined && 'upstream' in board) return;
+        if (state !== expected) this.violations.push(`${node} ends with ${domain} ${state}`);
+      });
+    });
+    this.#checkStarts();
+  }
+
+  /** Ids of the orders that took effect. */
+  listMarks(): ReadonlySet<string> {
+    const values = DOMAINS.map((domain) => this.#fleet.platform.objects.get(keyOf(domain))?.value);
+    return new Set(values.flatMap((value) => readMarks(value).map((mark) => mark.id)));
+  }
+
+  #readState(domain: string): unknown {
+    const value = this.#fleet.platform.objects.get(keyOf(domain))?.value;
+    const state = (value as { state?: unknown } | undefined)?.state;
+    return state ?? DomainState.Active;
+  }
+
+  #openSpans(): readonly DrainedSpan[] {
+    return this.#spans.filter((span) => span.endMs === Infinity);
+  }
+
+  // eslint-disable-next-line @typescript-eslint/class-methods-use-this -- changes the span alone
+  #delay(span: DrainedSpan): void {
+    Object.assign(span, { boundFromMs: Date.now() });
+  }
+
+  #noteChange(key: string): void {
+    const domain = DOMAINS.find((name) => keyOf(name) === key);
+    if (!domain) return;
+    const nowMs = Date.now();
+    if (this.#readState(domain) === DomainState.Drained) {
+      const isOpen = this.#openSpans().some((span) => span.domain === domain);
+      if (!isOpen) this.#spans.push({ domain, boundFromMs: nowMs, endMs: Infinity });
+      return;
+    }
+    [...this.#openSpans(), ...this.#claims.filter((claim) => claim.endMs === Infinity)]
+      .filter((one) => one.domain === domain)
+      .forEach((one) => Object.assign(one, { endMs: nowMs }));
+  }
+
+  #checkRise(node: string, domain: string, config: { readVersion: (key: string) => number }): void {
+    const key = `${node} ${domain}`;
+    const version = config.readVersion(keyOf(domain));
+    const before = this.#versions.get(key) ?? 0;
+    if (version < before) this.violations.push(`${key} fell from ${before} to ${version}`);
+    this.#versions.set(key, version);
+  }
+
+  #checkStarts(): void {
+    this.#fleet.sides.forEach(({ domain, engine }) => {
+      engine.startsMs.forEach((startMs) => {
+        const late = this.#spans.find(
+          (span) =>
+            span.domain === domain && startMs > span.boundFromMs + BOUND_MS && startMs < span.endMs,
+        );
+        if (late) {
+          const lateMs = startMs - late.boundFromMs;
+          this.violations.push(`${domain} got work ${lateMs} ms after its drain`);
+        }
+        const early = this.#claims.find(
+          (claim) => claim.domain === domain && startMs > claim.atMs && startMs < claim.endMs,
+        );
+        if (early) this.violations.push(`${domain} got work after its drain was in force`);
+      });
+    });
+  }
+}
