Renew a lease well within a span that was settled late; freeze simulated processes at once

Cause: after a renewal whose answer was lost, the span settled by reading back reaches back to the lost write; the next renewal came a whole interval later, at times after the span's end (the test of the lost renewal failed once the random numbers were spread). And the matrix ran an action of a process again after its thaw when the action itself had met the freeze: all six violated cells. Change: a holder renews within half of what its span has left; a frozen process holds, else runs.

--- a/packages/core/src/lease/lease.ts
+++ b/packages/core/src/lease/lease.ts
@@ -118,7 +118,9 @@
     const { leaseMs, random, pace, isCandidate } = this.#options;
     const isActive = this.#held !== undefined || isCandidate();
     const intervalMs = leaseMs * RENEW_SHARE * (isActive ? 1 : IDLE_INTERVALS * pace.factor);
-    return intervalMs * (1 - random.next() * JITTER_SHARE);
+    const delayMs = intervalMs * (1 - random.next() * JITTER_SHARE);
+    // A span that was settled late is short: the next renewal must come well within it.
+    return this.#held ? Math.min(delayMs, this.#held.until.remainingMs / 2) : delayMs;
   }
 
   async #step(): Promise<void> {
--- a/packages/standin/src/matrix/process/simProcess.ts
+++ b/packages/standin/src/matrix/process/simProcess.ts
@@ -72,8 +72,8 @@
    * @param key repeats under one key are delivered once after a thaw, as a timer's are
    */
   post(action: () => void, key = Symbol('post')): void {
-    if (this.#state === ProcessState.Running) this.run(action);
     if (this.#state === ProcessState.Frozen) this.#held.set(key, action);
+    else if (this.#state === ProcessState.Running) this.run(action);
   }
 
   freeze(): void {
