Renew a lease sooner when little of it is left

Cause: after renewals with lost answers a holder found out late that one had taken effect, and waited the usual third of a lease, longer than what was left; it lost the lease with the platform up again. Ruled out: the fault itself lasting too long (2.5 s of a lease of 6 s). Change: the holder waits a third of the time that is left, at least 200 ms.

--- a/packages/core/src/lease/lease.ts
+++ b/packages/core/src/lease/lease.ts
@@ -21,9 +21,12 @@
 
 const PART = 'lease';
 
-/** Share of the lease after which the holder renews it, and a candidate looks at it. */
+/** Share of the time left after which the holder renews, and of the lease for a candidate. */
 const RENEW_SHARE = 1 / 3;
 
+/** Shortest time between two calls. */
+const INTERVAL_MIN_MS = 200;
+
 /** Share of the lease by which the holder stops early and a contender waits longer. */
 const MARGIN_SHARE = 0.1;
 
@@ -117,8 +120,9 @@
   #chooseDelay(): number {
     const { leaseMs, random, pace, isCandidate } = this.#options;
     const isActive = this.#held !== undefined || isCandidate();
-    const intervalMs = leaseMs * RENEW_SHARE * (isActive ? 1 : IDLE_INTERVALS * pace.factor);
-    return intervalMs * (1 - random.next() * JITTER_SHARE);
+    const spanMs = this.#held ? this.#held.until.remainingMs : leaseMs;
+    const intervalMs = spanMs * RENEW_SHARE * (isActive ? 1 : IDLE_INTERVALS * pace.factor);
+    return Math.max(INTERVAL_MIN_MS, intervalMs) * (1 - random.next() * JITTER_SHARE);
   }
 
   async #step(): Promise<void> {
