--- /dev/null
+++ b/packages/core/src/groups/holdWatch.ts
@@ -0,0 +1,103 @@
+/**
+ * Runs in a rank's side process and ends a hold that nobody ends.
+ *
+ * A rank that has been held too long starts a ballot of its own over all ranks, without the
+ * platform. Ranks wait a random time first, so that one of them mostly recovers alone; where two
+ * do, the higher ballot wins.
+ */
+import type { Metrics } from '../ports/metrics.js';
+import type { Random } from '../ports/random.js';
+
+import { maxBallot, nextBallot, NO_BALLOT, type Ballot } from './ballot.js';
+import { MapSwitch } from './mapSwitch.js';
+import type { RankControl } from './rankControl.js';
+import type { RankGuard } from './rankGuard.js';
+import { RankAction } from './rankOrder.js';
+
+/** Times that recovery repeats an unanswered order. */
+const RETRIES = 1;
+
+export interface HoldWatchOptions {
+  /** Incarnation of the side process. */
+  readonly incarnation: string;
+  /** A hold this long has been forsaken; it exceeds any switch without faults. */
+  readonly holdLimitMs: number;
+}
+
+/** Recovers a group that is held for too long. */
+export class HoldWatch {
+  readonly #guard: RankGuard;
+
+  readonly #switch: MapSwitch;
+
+  readonly #options: HoldWatchOptions;
+
+  readonly #random: Random;
+
+  readonly #metrics: Metrics;
+
+  #heldSinceMs: number | undefined;
+
+  #waitMs: number;
+
+  #seen: Ballot = NO_BALLOT;
+
+  #isBusy = false;
+
+  constructor(
+    guard: RankGuard,
+    control: RankControl,
+    options: HoldWatchOptions,
+    random: Random,
+    metrics: Metrics,
+  ) {
+    this.#guard = guard;
+    this.#switch = new MapSwitch(control, { retries: RETRIES, mayOrder: () => true });
+    this.#options = options;
+    this.#random = random;
+    this.#metrics = metrics;
+    this.#waitMs = this.#drawWait();
+  }
+
+  /**
+   * Looks at the rank, and recovers the group where that is due. Called at an interval; calls
+   * during a recovery do nothing.
+   */
+  async step(nowMs: number): Promise<void> {
+    if (this.#isBusy) return;
+    this.#isBusy = true;
+    await this.#look(nowMs);
+    this.#isBusy = false;
+  }
+
+  async #look(nowMs: number): Promise<void> {
+    const state = await this.#guard.handle({ action: RankAction.Read });
+    if (!state.ok) return;
+    this.#seen = maxBallot(this.#seen, state.val.promised);
+    if (!state.val.isHeld) {
+      this.#heldSinceMs = undefined;
+      return;
+    }
+    this.#heldSinceMs ??= nowMs;
+    if (nowMs - this.#heldSinceMs < this.#waitMs) return;
+    await this.#recover();
+  }
+
+  async #recover(): Promise<void> {
+    const ballot = nextBallot(this.#seen, this.#options.incarnation);
+    if (!ballot) return;
+    this.#seen = ballot;
+    this.#metrics.count('groups.recovery');
+    const outcome = await this.#switch.run(ballot);
+    if (!outcome.ok) {
+      this.#seen = maxBallot(this.#seen, outcome.val.promised);
+      this.#metrics.count('groups.recovery_failed', { reason: outcome.val.kind });
+    }
+    this.#waitMs = this.#drawWait();
+    this.#heldSinceMs = undefined;
+  }
+
+  #drawWait(): number {
+    return this.#options.holdLimitMs * (1 + this.#random.next());
+  }
+}
--- /dev/null
+++ b/packages/core/test/groups/guardBench.ts
@@ -0,0 +1,70 @@
+/** A rank guard with a scripted engine, under the fake clock. */
+import FakeTimers from '@sinonjs/fake-timers';
+
+import type { Ballot } from '../../src/groups/ballot.js';
+import { RankGuard } from '../../src/groups/rankGuard.js';
+import {
+  RankAction,
+  RankErrorKind,
+  type RankAnswer,
+  type RankOrder,
+} from '../../src/groups/rankOrder.js';
+import { CountingMetrics } from './countingMetrics.js';
+import { ScriptedEngine } from './scriptedEngine.js';
+
+export const START_WAIT_MS = 200;
+
+export function ballotOf(attempt: number, proposer = 'entry-1'): Ballot {
+  return { fencingNumber: 1, attempt, proposer };
+}
+
+export class GuardBench {
+  readonly clock = FakeTimers.install({ now: 0, toFake: ['setTimeout', 'clearTimeout', 'Date'] });
+
+  readonly engine = new ScriptedEngine();
+
+  readonly guard = new RankGuard(
+    this.engine,
+    { incarnation: 'side.1', engineOrderLimitMs: START_WAIT_MS },
+    new CountingMetrics(),
+  );
+
+  /** Passes the wait after the start. */
+  async warm(): Promise<this> {
+    await this.clock.tickAsync(START_WAIT_MS);
+    return this;
+  }
+
+  order(order: RankOrder): Promise<RankAnswer> {
+    return this.guard.handle(order);
+  }
+
+  hold(ballot: Ballot): Promise<RankAnswer> {
+    return this.order({ action: RankAction.Hold, ballot });
+  }
+
+  bound(
+    action: RankAction.Switch | RankAction.Release,
+    ballot: Ballot,
+    mapVersion: number,
+    incarnation = 'side.1',
+  ): Promise<RankAnswer> {
+    return this.order({ action, ballot, incarnation, mapVersion });
+  }
+
+  /** Actions that the engine was ordered to take, readings left out. */
+  get effects(): readonly string[] {
+    return this.engine.orders
+      .map((order) => order.action)
+      .filter((action) => action !== String(RankAction.Read));
+  }
+
+  close(): void {
+    this.clock.uninstall();
+  }
+}
+
+/** Kind of the error, or undefined where the order was carried out. */
+export function kindOf(answer: RankAnswer): RankErrorKind | undefined {
+  return answer.ok ? undefined : answer.val.kind;
+}
--- /dev/null
+++ b/packages/core/test/groups/scriptedEngine.ts
@@ -0,0 +1,59 @@
+/** An engine of one rank that obeys at once, or leaves orders unanswered. */
+import { RankAction, type RankReading } from '../../src/groups/rankOrder.js';
+import { Err, Ok, type Result } from '../../src/outcome.js';
+import {
+  EngineOrderErrorKind,
+  type EngineOrder,
+  type EngineOrderError,
+} from '../../src/ports/engine.js';
+
+/** Holds versions 1 and 2, and version 1 is in force. */
+export class ScriptedEngine {
+  reading: RankReading = {
+    mapVersion: 1,
+    availableVersions: [1, 2],
+    isHeld: false,
+    fencingNumber: 0,
+    steps: 0,
+  };
+
+  readonly orders: EngineOrder[] = [];
+
+  /** Orders that stay unanswered from now on. */
+  unanswered = 0;
+
+  /** Changes what the engine says of itself. */
+  set(change: Partial<RankReading>): void {
+    this.reading = { ...this.reading, ...change };
+  }
+
+  /** Leaves the next orders unanswered. */
+  silence(orders: number): void {
+    this.unanswered = orders;
+  }
+
+  order(order: EngineOrder): Promise<Result<Readonly<Record<string, unknown>>, EngineOrderError>> {
+    this.orders.push(order);
+    if (this.unanswered > 0) {
+      this.unanswered -= 1;
+      return Promise.resolve(Err({ kind: EngineOrderErrorKind.Unknown, detail: 'lost' }));
+    }
+    if (
+      order.action !== String(RankAction.Read) &&
+      order.fencingNumber < this.reading.fencingNumber
+    ) {
+      return Promise.resolve(Err({ kind: EngineOrderErrorKind.Fenced, detail: 'old' }));
+    }
+    this.#apply(order);
+    return Promise.resolve(Ok({ ...this.reading }));
+  }
+
+  #apply(order: EngineOrder): void {
+    const { action, params } = order;
+    if (action === String(RankAction.Hold)) this.set({ isHeld: true });
+    if (action === String(RankAction.Release)) this.set({ isHeld: false });
+    if (action === String(RankAction.Switch)) {
+      this.set({ mapVersion: Number(params.mapVersion) });
+    }
+  }
+}
