Put faults on orders and planned stops in the matrix

Ruled out: numbering every step of the background traffic there (thousands of cells that the request scenarios have already).

--- a/packages/standin/src/matrix/cell.ts
+++ b/packages/standin/src/matrix/cell.ts
@@ -1,6 +1,6 @@
 /** One run of a scenario with faults at numbered events, and its judgement. */
 import { applyFault, isPossible, type FaultKind } from './fault.js';
-import type { NumberedEvent } from './fake/eventLog.js';
+import { EventKind, type NumberedEvent } from './fake/eventLog.js';
 import { CallerEnd } from './fake/memoryCaller.js';
 import { judgeLeftovers, judgeRequests } from './judge.js';
 import type { Scenario } from './scenario/scenario.js';
@@ -8,6 +8,8 @@
 
 /** Time for everything to come back after the last fault. */
 const RECOVERY_MS = 30_000;
+/** Interfaces of an order's way: requests' executions have scenarios of their own. */
+const ORDER_KINDS = new Set([EventKind.Link, EventKind.Store]);
 const PROBE_LIMIT_MS = 20_000;
 
 /** A fault at an event; events are numbered from 1. */
@@ -58,13 +60,14 @@
   const world = new World(scenario.plan, seed);
   try {
     await world.start();
-    let applied = 0;
+    world.faults.steps = scenario.steps;
+    if (scenario.steps) world.events.kinds = ORDER_KINDS;
     world.events.listen((event) => {
       const placed = faults.filter((fault) => fault.event === event.number);
       placed
         .filter((fault) => isPossible(world, fault.kind, event))
         .forEach((fault) => {
-          applied += 1;
+          world.faultCount += 1;
           applyFault(world, fault.kind, event);
         });
     });
@@ -81,7 +84,12 @@
       ...judgeLeftovers(world),
     ];
     const { events } = world.events;
-    return { events, isApplied: applied === faults.length, violations, ends: countEnds(world) };
+    return {
+      events,
+      isApplied: world.faultCount === faults.length,
+      violations,
+      ends: countEnds(world),
+    };
   } finally {
     world.dispose();
   }
--- a/packages/standin/src/matrix/fake/eventLog.ts
+++ b/packages/standin/src/matrix/fake/eventLog.ts
@@ -31,6 +31,9 @@
   /** Events are numbered only while a scenario acts. */
   isCounting = false;
 
+  /** Interfaces whose events are numbered. */
+  kinds: ReadonlySet<EventKind> = new Set(Object.values(EventKind));
+
   get events(): readonly NumberedEvent[] {
     return this.#events;
   }
@@ -40,7 +43,7 @@
   }
 
   note(place: string, kind: EventKind, detail: string): NumberedEvent | undefined {
-    if (!this.isCounting) return undefined;
+    if (!this.isCounting || !this.kinds.has(kind)) return undefined;
     const event = {
       number: this.#events.length + 1,
       atMs: Date.now(),
--- a/packages/standin/src/matrix/fake/observedFaults.ts
+++ b/packages/standin/src/matrix/fake/observedFaults.ts
@@ -23,6 +23,9 @@
 
   #nextFate: Fate | undefined;
 
+  /** Messages that are numbered; undefined where all but the periodic ones are. */
+  steps: ReadonlySet<MessageType> | undefined;
+
   constructor(events: EventLog) {
     super();
     this.#events = events;
@@ -34,7 +37,8 @@
   }
 
   override decide(event: LinkEvent): Fate {
-    if (BACKGROUND.has(event.message.type)) return DELIVERED;
+    const { type } = event.message;
+    if (BACKGROUND.has(type) || this.steps?.has(type) === false) return DELIVERED;
     this.#nextFate = undefined;
     this.#events.note(event.address, EventKind.Link, describeEvent(event));
     return this.#nextFate ?? DELIVERED;
--- a/packages/standin/src/matrix/fault.ts
+++ b/packages/standin/src/matrix/fault.ts
@@ -4,6 +4,7 @@
 import { StoreFault } from '../platform/storeFault.js';
 
 import { EventKind, type NumberedEvent } from './fake/eventLog.js';
+import { SimProcess } from './process/simProcess.js';
 import type { World } from './world.js';
 
 export enum FaultKind {
@@ -26,6 +27,7 @@
   UpstreamCold = 'upstream-cold',
   UpstreamRestarted = 'upstream-restarted',
   UpstreamLeaving = 'upstream-leaving',
+  SecondOrder = 'second-order',
 }
 
 /** How long a frozen process stays frozen. */
@@ -83,13 +85,15 @@
     case FaultKind.UpstreamRestarted:
     case FaultKind.UpstreamLeaving:
       return findUpstream(world, event) !== undefined;
+    case FaultKind.SecondOrder:
+      return world.secondOrder !== undefined;
     default:
       return true;
   }
 }
 
 function harnessTimer(action: () => void, spanMs: number): void {
-  setTimeout(action, spanMs);
+  SimProcess.outside(() => setTimeout(action, spanMs));
 }
 
 function killEntry(world: World, name: string): void {
@@ -122,6 +126,15 @@
   if (kind === FaultKind.UpstreamLeaving) side.process.post(() => side.node.markLeaving());
 }
 
+/** Another operator gives an order through the last entry at this very moment. */
+function giveSecondOrder(world: World): void {
+  const order = world.secondOrder;
+  const entry = [...world.entries.values()].at(-1);
+  if (!order || !entry) return;
+  const { process, node } = entry;
+  harnessTimer(() => process.post(() => node.give(order, 'second-order')), 0);
+}
+
 /** Puts a fault at the event that is being numbered now. */
 export function applyFault(world: World, kind: FaultKind, event: NumberedEvent): void {
   const fate = LINK_FATES.get(kind);
@@ -130,6 +143,7 @@
   if (storeFault) world.setStoreFault(storeFault);
   if (kind === FaultKind.PlatformDown) world.breakPlatform(StoreFault.Unavailable, OUTAGE_MS);
   if (kind === FaultKind.PlatformSlow) world.slowPlatform(SLOW_STORE_MS, OUTAGE_MS);
+  if (kind === FaultKind.SecondOrder) giveSecondOrder(world);
   const entry = findEntry(world, event);
   const isEntryFault = kind === FaultKind.EntryKilled || kind === FaultKind.EntryFrozen;
   if (entry && isEntryFault) applyToEntry(world, kind, entry);
--- a/packages/standin/src/matrix/scenario/scenario.ts
+++ b/packages/standin/src/matrix/scenario/scenario.ts
@@ -1,4 +1,6 @@
 /** What a scenario has in common: how it acts on a fleet, and what must hold besides. */
+import type { MessageType } from '@radishbay/core/messages/message.js';
+
 import { planSampleFleet, type FleetPlan } from '../../fleet/fleetPlan.js';
 import type { World } from '../world.js';
 
@@ -12,6 +14,9 @@
   /** The fleet that it runs on. */
   readonly plan: FleetPlan = planSampleFleet(ENTRIES, MODELS_PER_DOMAIN);
 
+  /** Messages that are numbered; undefined where all but the periodic ones are. */
+  readonly steps: ReadonlySet<MessageType> | undefined = undefined;
+
   /** Sends requests and orders; must not wait for what a fault may prevent. */
   abstract act(world: World): Promise<void>;
 
--- a/packages/standin/src/matrix/world.ts
+++ b/packages/standin/src/matrix/world.ts
@@ -5,6 +5,7 @@
  * engine call is a numbered event at which a fault can be put.
  */
 import { EntryNode } from '@radishbay/core/entry/entryNode.js';
+import type { OperatorOrder } from '@radishbay/core/model/order.js';
 import { DEFAULT_TIMING } from '@radishbay/core/model/timing.js';
 import { CountingMetrics } from '@radishbay/core/ports/countingMetrics.js';
 import { Random } from '@radishbay/core/ports/random.js';
@@ -18,6 +19,7 @@
 import { MemoryObjectStore } from '../platform/memoryStore.js';
 import { StoreFault, StoreOperation, type StoreCall } from '../platform/storeFault.js';
 
+import { Balancer } from './fake/balancer.js';
 import { EventKind, EventLog } from './fake/eventLog.js';
 import { MemoryCaller } from './fake/memoryCaller.js';
 import { MemoryEngine, TAG_HEADER, type Execution } from './fake/memoryEngine.js';
@@ -99,6 +101,14 @@
 
   readonly sent: SentRequest[] = [];
 
+  readonly balancer = new Balancer();
+
+  /** What a second operator orders, where a scenario has one. */
+  readonly secondOrder: OperatorOrder | undefined = undefined;
+
+  /** Faults that have been put on this run. */
+  faultCount = 0;
+
   readonly #network = new MemoryDialer({ delayMs: NETWORK_DELAY_MS, faults: this.faults });
 
   readonly #random: Random;
@@ -176,9 +186,11 @@
       process.post(() => handle.node.attachPeer(new ProcessLink(link, process))),
     );
     process.onDeath(() => this.#network.stopListening(addressOfEntry(name)));
+    process.onDeath(() => this.balancer.remove(name));
     process.onDeath(() => this.#hangUpOn(name));
     process.run(() => handle.node.start());
     this.entries.set(name, handle);
+    this.balancer.add(name);
     return handle;
   }
 
