Serve while a stop is announced, and tell inquiries when the attempt was sent

Cause: the entry refused requests from the moment that the balancer was told of a planned stop, before the balancer had turned away; and a side process that has forgotten attempts answers Lost to inquiries that do not name a tick, so that no submission lost with its link was proved not run any more. Change: only drain() refuses; Inquire names the tick heard before the submission. Proof: the test of a stopping entry and the fake side process, which answers Lost without a tick, fail without the two changes.

--- a/packages/core/src/entry/attempt.ts
+++ b/packages/core/src/entry/attempt.ts
@@ -33,6 +33,8 @@
   readonly upstream: string;
   readonly domain: string;
   readonly sideIncarnation: string;
+  /** Clock of the side process, heard no later than the submission. */
+  readonly sideTickMs: number;
   readonly isRepeatable: boolean;
   readonly progressTimeoutMs: number;
   /** Longest wait for the answer to an inquiry. */
@@ -121,6 +123,7 @@
       sideIncarnation: this.sideIncarnation,
       fromOffset: this.#relay.deliveredBytes,
       creditBytes: this.#relay.creditBytes,
+      submitTickMs: this.#options.sideTickMs,
     });
   }
 
--- a/packages/core/src/entry/attemptLauncher.ts
+++ b/packages/core/src/entry/attemptLauncher.ts
@@ -93,6 +93,7 @@
       upstream: target.upstream,
       domain: board.upstreams.get(target.upstream)?.domain ?? '',
       sideIncarnation: target.sideIncarnation,
+      sideTickMs: target.sideTickMs,
       isRepeatable: requestClass.isRepeatable,
       progressTimeoutMs: requestClass.progressTimeoutMs,
       inquiryLimitMs: timing.inquiryLimitMs,
--- a/packages/core/src/entry/refusal.ts
+++ b/packages/core/src/entry/refusal.ts
@@ -1,5 +1,11 @@
-/** Short ways to build refusals. */
+/** Short ways to build and report refusals. */
 import { Outcome, type Refusal, type RefusalReason } from '../model/reason.js';
+import { LogLevel } from '../ports/log.js';
+
+import type { ClassifiedRequest } from './requestClassifier.js';
+import type { RequestContext } from './requestContext.js';
+
+const LOG_PART = 'requests';
 
 /** A refusal of a request of which no byte has reached an upstream. */
 export function refuseNotRun(reason: RefusalReason, retryAfterMs: number, detail: string): Refusal {
@@ -14,3 +20,15 @@
 ): Refusal {
   return { reason, outcome: Outcome.Unknown, retryAfterMs, detail };
 }
+
+/** Counts and logs the refusal of a request; one of unknown outcome needs a person's look. */
+export function reportRefusal(
+  context: RequestContext,
+  { request, workspace }: ClassifiedRequest,
+  { reason, outcome }: Refusal,
+): void {
+  context.metrics.count('request.refused', { reason });
+  const level = outcome === Outcome.Unknown ? LogLevel.Warn : LogLevel.Info;
+  const fields = { id: request.id, workspace: workspace.name, reason, outcome };
+  context.log.write(level, LOG_PART, 'A request ended without an answer.', fields);
+}
--- a/packages/core/src/entry/requestController.ts
+++ b/packages/core/src/entry/requestController.ts
@@ -155,7 +155,7 @@
   }
 
   #findStopRefusal(): Refusal | undefined {
-    if (!this.#isDraining && !this.#context.board.isStopping) return undefined;
+    if (!this.#isDraining) return undefined;
     const detail = 'this entry is in a planned stop';
     return refuseNotRun(RefusalReason.ShuttingDown, STOPPING_RETRY_MS, detail);
   }
--- a/packages/core/src/entry/requestRun.ts
+++ b/packages/core/src/entry/requestRun.ts
@@ -3,26 +3,23 @@
  *
  * It ends exactly once, by the whole answer or by a refusal, and at the latest at its deadline.
  */
-import { AnswerRecorder } from '../claims/answerRecorder.js';
-import { formatClaimKey, hashRequest, type KeptAnswer } from '../claims/claimRecord.js';
-import { ClaimSession, ClaimStepKind, type ClaimStep } from '../claims/claimSession.js';
+import type { KeptAnswer } from '../claims/claimRecord.js';
+import { ClaimStepKind, type ClaimStep } from '../claims/claimSession.js';
+import { needsClaim, RequestClaim } from '../claims/requestClaim.js';
 import type { AdmissionPermit } from '../limits/admissionPolicy.js';
 import type { QueryRow } from '../model/query.js';
 import { Outcome, RefusalReason, RetryReason, type Refusal } from '../model/reason.js';
 import type { Caller } from '../ports/caller.js';
-import { LogLevel } from '../ports/log.js';
 import { RetryLedger } from '../retry/retryLedger.js';
 import type { RoutingQuery } from '../routing/routingPolicy.js';
 
 import { AnswerRelay } from './answerRelay.js';
 import { isGateReason, type Attempt, type AttemptEnd } from './attempt.js';
 import { AttemptLauncher } from './attemptLauncher.js';
-import { refuseNotRun } from './refusal.js';
+import { refuseNotRun, reportRefusal } from './refusal.js';
 import type { ClassifiedRequest } from './requestClassifier.js';
 import type { RequestContext } from './requestContext.js';
-import { readRetryShare, type AttemptTarget } from './submission.js';
-
-const LOG_PART = 'requests';
+import { createQuery, createTarget, readRetryShare, type AttemptTarget } from './submission.js';
 
 /** Time after which a request that was given up is asked to come back. */
 const GIVEN_UP_RETRY_MS = 1_000;
@@ -53,9 +50,7 @@
   readonly #abort = new AbortController();
 
   /** Where the request came with a key and may run only once. */
-  #claim: ClaimSession | undefined;
-
-  #recorder: AnswerRecorder | undefined;
+  readonly #claim: RequestClaim | undefined;
 
   #permit: AdmissionPermit | undefined;
 
@@ -82,7 +77,10 @@
     this.#classified = classified;
     this.#onDone = onDone;
     this.#ledger = new RetryLedger(context.retries);
-    this.#relay = new AnswerRelay(this.#openClaim(caller));
+    if (needsClaim(classified)) {
+      this.#claim = new RequestClaim(context.claims, classified, caller, context.board.name);
+    }
+    this.#relay = new AnswerRelay(this.#claim?.recorder ?? caller);
     const onEnd = (end: AttemptEnd) => this.#readEnd(end);
     this.#launcher = new AttemptLauncher(context, classified, this.#relay, onEnd);
     caller.onGone(() => this.#leaveCaller());
@@ -137,15 +135,6 @@
     this.#tryUpstream(0);
   }
 
-  #openClaim(caller: Caller): Caller {
-    const { request, requestClass, workspace } = this.#classified;
-    if (requestClass.isRepeatable || request.idempotencyKey === undefined) return caller;
-    const key = formatClaimKey(workspace.name, request.idempotencyKey);
-    this.#claim = new ClaimSession(this.#context.claims, key);
-    this.#recorder = new AnswerRecorder(caller);
-    return this.#recorder;
-  }
-
   /** @param hintMs time after which the last upstream may take the request */
   #tryUpstream(hintMs: number): void {
     if (this.#isEnded) return;
@@ -168,37 +157,16 @@
   }
 
   #createQuery(): RoutingQuery {
-    const { request, requestClass, deadlineAtMs } = this.#classified;
-    return {
-      pool: this.pool,
-      model: request.model,
-      prefixHashes: request.prefixHashes,
-      excludedUpstreams: this.#ledger.excludedUpstreams,
-      avoidedDomains: this.#ledger.avoidedDomains,
-      remainingMs: deadlineAtMs - Date.now(),
-      isRepeatable: requestClass.isRepeatable,
-    };
+    return createQuery(this.#classified, this.#ledger, Date.now());
   }
 
-  #createTarget(name: string): AttemptTarget {
-    const { board } = this.#context;
-    const upstream = board.upstreams.get(name);
+  #createTarget(upstream: string): AttemptTarget {
     this.#attemptNumber += 1;
-    return {
-      upstream: name,
-      sideIncarnation: upstream?.sideIncarnation ?? '',
-      attemptId: `${board.name}.${board.incarnation}.${this.id}.${this.#attemptNumber}`,
-      sideTickMs: upstream?.tickMs ?? 0,
-    };
+    return createTarget(this.#context.board, upstream, `${this.id}.${this.#attemptNumber}`);
   }
 
-  async #sendClaimed(claim: ClaimSession, target: AttemptTarget): Promise<void> {
-    const step = await claim.secure({
-      ...target,
-      requestHash: hashRequest(this.#classified.request),
-      entry: this.#context.board.name,
-      claimedAtMs: Date.now(),
-    });
+  async #sendClaimed(claim: RequestClaim, target: AttemptTarget): Promise<void> {
+    const step = await claim.secure(target);
     if (!this.#isEnded) this.#followClaim(step, target);
     else if (step.kind === ClaimStepKind.Held) claim.release();
   }
@@ -257,7 +225,7 @@
       this.#retryOrRefuse(attempt.upstream, attempt.domain, end);
       return;
     }
-    this.#claim?.finish(this.#recorder?.answer);
+    this.#claim?.finish();
     this.#observeService();
     this.#finish();
   }
@@ -298,25 +266,16 @@
     const outcome = mayHaveRun ? Outcome.Unknown : refusal.outcome;
     this.#dropAttempt()?.cancel();
     if (outcome === Outcome.NotRun) this.#claim?.release();
-    this.#report({ ...refusal, outcome });
+    reportRefusal(this.#context, this.#classified, { ...refusal, outcome });
     this.#relay.refuse({ ...refusal, outcome });
     this.#finish();
   }
 
-  #report(refusal: Refusal): void {
-    const { reason, outcome } = refusal;
-    this.#context.metrics.count('request.refused', { reason });
-    const level = outcome === Outcome.Unknown ? LogLevel.Warn : LogLevel.Info;
-    const workspace = this.#classified.workspace.name;
-    const fields = { id: this.id, workspace, reason, outcome };
-    this.#context.log.write(level, LOG_PART, 'A request ended without an answer.', fields);
-  }
-
   /** A claimed request goes on without its caller, who may come back for the answer. */
   #leaveCaller(): void {
     if (this.#isEnded) return;
-    if (this.#recorder && this.#attempt) {
-      this.#recorder.detach();
+    if (this.#claim && this.#attempt) {
+      this.#claim.recorder.detach();
       return;
     }
     this.#context.metrics.count('request.refused', { reason: RefusalReason.CallerGone });
--- a/packages/core/src/entry/submission.ts
+++ b/packages/core/src/entry/submission.ts
@@ -3,6 +3,8 @@
 import { MessageType, type MessageOf } from '../messages/message.js';
 import { RefusalReason, type Refusal } from '../model/reason.js';
 import { Err, Ok, type Result } from '../outcome.js';
+import type { RetryLedger } from '../retry/retryLedger.js';
+import type { RoutingQuery } from '../routing/routingPolicy.js';
 import { findClosedReason } from '../routing/upstreamState.js';
 import type { Link } from '../ports/link.js';
 import type { EntryBoard, UpstreamState } from '../state/entryBoard.js';
@@ -72,6 +74,38 @@
   return Ok({ upstream, link: upstream.link });
 }
 
+/** Builds what routing is asked for a request. */
+export function createQuery(
+  { request, requestClass, pool, deadlineAtMs }: ClassifiedRequest,
+  ledger: RetryLedger,
+  nowMs: number,
+): RoutingQuery {
+  return {
+    pool: pool.name,
+    model: request.model,
+    prefixHashes: request.prefixHashes,
+    excludedUpstreams: ledger.excludedUpstreams,
+    avoidedDomains: ledger.avoidedDomains,
+    remainingMs: deadlineAtMs - nowMs,
+    isRepeatable: requestClass.isRepeatable,
+  };
+}
+
+/**
+ * Builds the target of an attempt at an upstream as it is now.
+ *
+ * @param number unique within this entry's incarnation
+ */
+export function createTarget(board: EntryBoard, name: string, number: string): AttemptTarget {
+  const upstream = board.upstreams.get(name);
+  return {
+    upstream: name,
+    sideIncarnation: upstream?.sideIncarnation ?? '',
+    attemptId: `${board.name}.${board.incarnation}.${number}`,
+    sideTickMs: upstream?.tickMs ?? 0,
+  };
+}
+
 /** Builds the message that submits a request. */
 export function createSubmit(
   board: EntryBoard,
--- a/packages/core/test/entry/fakeSide.ts
+++ b/packages/core/test/entry/fakeSide.ts
@@ -126,6 +126,9 @@
       return [{ type: MessageType.InquiryAnswer, attemptId, state: AttemptState.Lost }];
     }
     const run = this.#attempts.get(attemptId);
+    if (!run && message.submitTickMs === undefined) {
+      return [{ type: MessageType.InquiryAnswer, attemptId, state: AttemptState.Lost }];
+    }
     if (!run) {
       this.#dead.add(attemptId);
       return [{ type: MessageType.InquiryAnswer, attemptId, state: AttemptState.Dead }];
