--- a/packages/core/src/entry/requestRun.ts
+++ b/packages/core/src/entry/requestRun.ts
@@ -12,6 +12,7 @@
 import type { Caller } from '../ports/caller.js';
 import { RetryLedger } from '../retry/retryLedger.js';
 import type { RoutingQuery } from '../routing/routingPolicy.js';
+import { noteFull } from '../routing/upstreamState.js';
 
 import { AnswerRelay } from './answerRelay.js';
 import { isGateReason, type Attempt, type AttemptEnd } from './attempt.js';
@@ -31,6 +32,11 @@
   return end.outcome !== Outcome.Answered;
 }
 
+function isFull({ outcome, reason }: FailedEnd): boolean {
+  if (outcome !== Outcome.NotRun) return false;
+  return reason === RefusalReason.UpstreamFull || reason === RefusalReason.UpstreamCold;
+}
+
 /** One request from its acceptance to its end. */
 export class RequestRun {
   readonly id: string;
@@ -222,6 +228,7 @@
     const attempt = this.#dropAttempt();
     if (!attempt) return;
     if (isFailed(end)) {
+      if (isFull(end)) noteFull(this.#context.board, attempt.upstream);
       this.#retryOrRefuse(attempt.upstream, attempt.domain, end);
       return;
     }
--- a/packages/core/src/limits/poolQueue.ts
+++ b/packages/core/src/limits/poolQueue.ts
@@ -11,11 +11,19 @@
 import type { AdmissionPermit, AdmissionTicket } from './admissionPolicy.js';
 import { FairQueue, type FairQueueOptions } from './fairQueue.js';
 
-/** Weight of the newest service time in the smoothed one. */
+/** Weight of the newest time in a smoothed one. */
 const SMOOTHING = 0.1;
 
+/** Weight of the newest time between turns: places come free in bursts. */
+const TURN_SMOOTHING = 0.02;
+
 type Turn = Result<AdmissionPermit, Refusal>;
 
+/** @param oldValue 0 before the first */
+function smooth(oldValue: number, newest: number, weight = SMOOTHING): number {
+  return oldValue === 0 ? newest : oldValue + weight * (newest - oldValue);
+}
+
 /** Makes p-queue use a queue that can also be asked for positions. */
 function createQueueClass(queue: FairQueue): new () => FairQueue {
   return function useQueue() {
@@ -38,6 +46,12 @@
   /** Smoothed service time of all classes; 0 before the first. */
   #poolServiceMs = 0;
 
+  /** Smoothed time between two turns while somebody waits; 0 before the first. */
+  #turnMs = 0;
+
+  /** Time from which on somebody has been waiting for the next turn. */
+  #turnAtMs: number | undefined;
+
   #room = 0;
 
   constructor() {
@@ -69,16 +83,19 @@
 
   /** Takes the time in for which a request held its place. */
   observeService(className: string, serviceMs: number): void {
-    const smooth = (oldMs: number) => oldMs + SMOOTHING * (serviceMs - oldMs);
-    this.#poolServiceMs = smooth(this.#poolServiceMs || serviceMs);
-    this.#serviceMs.set(className, smooth(this.#serviceMs.get(className) ?? serviceMs));
+    this.#poolServiceMs = smooth(this.#poolServiceMs, serviceMs);
+    this.#serviceMs.set(className, smooth(this.#serviceMs.get(className) ?? 0, serviceMs));
   }
 
-  /** Expected time until the turn of a new request; 0 where a place is free for it. */
+  /**
+   * Expected time until the turn of a new request; 0 where a place is free for it. It goes by the
+   * turns seen while others waited, and by room and service time before there were any.
+   */
   estimateWaitMs(ticket: AdmissionTicket): number {
     const freePlaces = this.#room - this.#queue.pending;
     const turns = this.#waiting.countAhead(ticket) + 1 - freePlaces;
-    return turns <= 0 ? 0 : (turns * this.#poolServiceMs) / Math.max(1, this.#room);
+    if (turns <= 0) return 0;
+    return turns * (this.#turnMs || this.#poolServiceMs / Math.max(1, this.#room));
   }
 
   /** Expected time of service of a class; 0 before the first was seen. */
@@ -98,10 +115,16 @@
     return dismiss !== undefined;
   }
 
-  /** Waits for the turn of a request, until it is turned away or its signal says that it left. */
-  wait(ticket: AdmissionTicket, left: Refusal): Promise<Turn> {
+  /**
+   * Waits for the turn of a request, until it is turned away or its signal says that it left.
+   *
+   * @param late refusal where too little time is left once the turn comes
+   */
+  wait(ticket: AdmissionTicket, left: Refusal, late: Refusal): Promise<Turn> {
     const { requestId: id, workspace, weight, priority } = ticket;
     const abort = new AbortController();
+    const askedAtMs = Date.now();
+    if (this.size === 0 && this.inFlight >= this.#room) this.#turnAtMs ??= askedAtMs;
     return new Promise((resolve) => {
       const dismiss = (refusal: Refusal) => {
         resolve(Err(refusal));
@@ -110,6 +133,7 @@
       const leave = () => dismiss(left);
       const hold = () => {
         ticket.signal.removeEventListener('abort', leave);
+        if (this.#isLate(ticket, askedAtMs)) return this.#skip(id, () => resolve(Err(late)));
         return this.#hold(id, (permit) => resolve(Ok(permit)));
       };
       this.#dismissals.set(id, dismiss);
@@ -121,8 +145,29 @@
     });
   }
 
+  /** Whether a request that had to wait has too little time left for its service. */
+  #isLate({ className, deadlineAtMs }: AdmissionTicket, askedAtMs: number): boolean {
+    const nowMs = Date.now();
+    return nowMs > askedAtMs && nowMs + this.readServiceMs(className) > deadlineAtMs;
+  }
+
+  #observeTurn(): void {
+    const nowMs = Date.now();
+    if (this.#turnAtMs !== undefined) {
+      this.#turnMs = smooth(this.#turnMs, nowMs - this.#turnAtMs, TURN_SMOOTHING);
+    }
+    this.#turnAtMs = this.size > 0 ? nowMs : undefined;
+  }
+
+  #skip(id: string, onSkip: () => void): Promise<void> {
+    this.#dismissals.delete(id);
+    onSkip();
+    return Promise.resolve();
+  }
+
   #hold(id: string, onTurn: (permit: AdmissionPermit) => void): Promise<void> {
     this.#dismissals.delete(id);
+    this.#observeTurn();
     return new Promise((release) => {
       onTurn({ release });
     });
--- a/packages/core/src/limits/queueAdmission.ts
+++ b/packages/core/src/limits/queueAdmission.ts
@@ -26,16 +26,15 @@
     const waitMs = pool.estimateWaitMs(ticket);
     const endsAtMs = Date.now() + waitMs + pool.readServiceMs(ticket.className);
     const retryAfterMs = Math.max(RETRY_AFTER_MIN_MS, Math.ceil(waitMs));
-    if (waitMs > 0 && endsAtMs > ticket.deadlineAtMs) {
-      const detail = 'by the measured rates the deadline cannot be met';
-      const refusal = refuseNotRun(RefusalReason.DeadlineUnreachable, retryAfterMs, detail);
-      return Promise.resolve(Err(refusal));
-    }
+    const detail = 'by the measured rates the deadline cannot be met';
+    const late = refuseNotRun(RefusalReason.DeadlineUnreachable, retryAfterMs, detail);
+    if (waitMs > 0 && endsAtMs > ticket.deadlineAtMs) return Promise.resolve(Err(late));
+
     const full = refuseNotRun(RefusalReason.QueueFull, retryAfterMs, 'the queue is full');
     if (pool.size >= ticket.queueLimit && !pool.makePlace(ticket, full)) {
       return Promise.resolve(Err(full));
     }
-    return pool.wait(ticket, LEFT);
+    return pool.wait(ticket, LEFT, late);
   }
 
   setRoom(pool: string, room: number): void {
--- a/packages/core/src/routing/upstreamState.ts
+++ b/packages/core/src/routing/upstreamState.ts
@@ -28,6 +28,13 @@
   Object.assign(upstream, { report, reportAtMs: nowMs, sentSinceReport: 0, othersInFlight });
 }
 
+/** Notes that the gate of an upstream is full: until its next report the rest is others' work. */
+export function noteFull(board: EntryBoard, name: string): void {
+  const upstream = board.upstreams.get(name);
+  if (!upstream) return;
+  upstream.othersInFlight = Math.max(0, readLimit(upstream) - upstream.inFlight);
+}
+
 /** Counts an attempt that was sent to an upstream. */
 export function countSent(board: EntryBoard, name: string): void {
   const upstream = board.upstreams.get(name);
--- a/packages/core/test/entry/fakeSide.ts
+++ b/packages/core/test/entry/fakeSide.ts
@@ -38,6 +38,9 @@
   /** Refuses submissions with this reason while it is set. */
   gateReason: RefusalReason | undefined;
 
+  /** Attempts that it runs at once. */
+  limit = Number.POSITIVE_INFINITY;
+
   /** Executions at the upstream, whatever became of the side process: attempt and body. */
   readonly executions: { readonly attemptId: string; readonly body: string }[] = [];
 
@@ -78,6 +81,11 @@
     return [];
   }
 
+  /** Attempts that have not ended. */
+  get runningCount(): number {
+    return [...this.#attempts.values()].filter((run) => !run.isEnded).length;
+  }
+
   /** Attempts of an entry that have not ended. */
   listRunning(owner: string): string[] {
     const running = [...this.#attempts].filter(([, run]) => !run.isEnded && run.owner === owner);
@@ -102,9 +110,11 @@
     }
     if (this.#dead.has(attemptId)) return [refuse(attemptId, RefusalReason.AttemptDead)];
     if (this.#attempts.has(attemptId)) return [];
-    if (this.gateReason) {
+    const isFull = this.runningCount >= this.limit;
+    const gateReason = isFull ? RefusalReason.UpstreamFull : this.gateReason;
+    if (gateReason) {
       this.#dead.add(attemptId);
-      return [refuse(attemptId, this.gateReason)];
+      return [refuse(attemptId, gateReason)];
     }
     const body = new TextDecoder().decode(message.body);
     this.executions.push({ attemptId, body });
@@ -139,6 +149,13 @@
     return [{ type: MessageType.InquiryAnswer, attemptId, state }];
   }
 
+  /** Sends all of one answer. */
+  finishOne(attemptId: string): Message[] {
+    const messages = this.#step(attemptId);
+    const isEnd = messages.some((message) => message.type === MessageType.End);
+    return isEnd || messages.length === 0 ? messages : [...messages, ...this.finishOne(attemptId)];
+  }
+
   #cancel(attemptId: string): void {
     if (this.#attempts.get(attemptId)?.isRepeatable) this.#attempts.delete(attemptId);
   }
--- a/packages/core/test/entry/requestController.test.ts
+++ b/packages/core/test/entry/requestController.test.ts
@@ -75,6 +75,7 @@
 scenario(
   'a stopping entry refuses new requests and finishes those in flight',
   async (entry, clock) => {
+    Object.assign(entry.board, { isStopping: true });
     const first = entry.request();
     await clock.tickAsync(0);
     const drained = entry.controller.drain();
--- /dev/null
+++ b/packages/core/test/retry/retryPolicy.test.ts
@@ -0,0 +1,62 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { Outcome, RefusalReason } from '../../src/model/reason.js';
+import { Random } from '../../src/ports/random.js';
+import { RetryPolicy } from '../../src/retry/retryPolicy.js';
+
+const SHARE = 0.1;
+
+const FAILED = {
+  outcome: Outcome.NotRun as const,
+  isRepeatable: true,
+  isCommitted: false,
+  isGateRefusal: false,
+};
+
+/** Retries granted out of a number of wishes at one moment. */
+function countRetries(policy: RetryPolicy, wishes: number, nowMs: number): number {
+  return Array.from({ length: wishes }).filter(() => policy.decide(FAILED, 0, SHARE, nowMs).ok)
+    .length;
+}
+
+function noteRequests(policy: RetryPolicy, count: number, nowMs: number): void {
+  Array.from({ length: count }).forEach(() => policy.noteRequest(nowMs));
+}
+
+test('retries stay within their share of the requests of the window', () => {
+  const policy = new RetryPolicy(new Random(1));
+  noteRequests(policy, 1_000, 0);
+  assert.is(countRetries(policy, 500, 10_000), 100);
+  assert.is(countRetries(policy, 500, 29_000), 0);
+  noteRequests(policy, 1_000, 45_000);
+  assert.is(countRetries(policy, 500, 45_000), 100);
+});
+
+test('an entry with little traffic can retry a few times', () => {
+  const policy = new RetryPolicy(new Random(1));
+  policy.noteRequest(0);
+  assert.is(countRetries(policy, 50, 0), 5);
+});
+
+test('refusals at gates leave the budget alone, and end after a number for each request', () => {
+  const policy = new RetryPolicy(new Random(1));
+  const refused = { ...FAILED, isGateRefusal: true };
+  const granted = Array.from({ length: 10 }, (_, index) =>
+    policy.decide(refused, index + 1, SHARE, 0),
+  );
+  assert.is(granted.filter((decision) => decision.ok).length, 7);
+  assert.is(granted[9]?.val, RefusalReason.UpstreamFull);
+  assert.is(countRetries(policy, 50, 0), 5);
+});
+
+test('waits before the same upstreams are tried again differ, grow and heed the gate', () => {
+  const policy = new RetryPolicy(new Random(1));
+  const first = Array.from({ length: 20 }, () => policy.chooseDelayMs(0, 0));
+  assert.ok(new Set(first).size > 5);
+  assert.ok(Math.max(...first) <= 30);
+  assert.ok(policy.chooseDelayMs(0, 400) >= 200);
+  assert.ok(policy.chooseDelayMs(50, 0) <= 1_500);
+});
+
+test.run();
