Bound the platform calls of many entries, write statuses soon after a change

Cause: every entry proved its configuration by the platform 1.25 times a second, which grows with the fleet, and a status waited for its interval, so that reading back lagged by seconds. Ruled out: longer watches for all, as a proof is as old as the start of its call and would outlast the lease. Change: beyond 64 entries a chosen 64 prove by the platform and the others have it from them over links among entries; each dials two of those. A status is written soon after a change, spread over the entries; the rate for the fleet is capped at 100 writes a second.

--- a/packages/core/src/config/configFollower.ts
+++ b/packages/core/src/config/configFollower.ts
@@ -2,7 +2,7 @@
  * Keeps the configuration up to date from the platform.
  *
  * Each answer proves that the configuration was complete when its call began, which renews the
- * configuration lease from that moment. The watches are therefore short against the lease.
+ * configuration lease from that moment. A reader's watches are therefore short against the lease.
  */
 import { Deadline } from '../lease/deadline.js';
 import type { ConfigLease } from '../membership/configLease.js';
@@ -10,15 +10,10 @@
 import type { ObjectChange, StoredObject } from '../ports/objectStore.js';
 import type { EntryBoard } from '../state/entryBoard.js';
 import { ConfigSource, type ConfigFeed } from './configFeed.js';
+import { chooseWatchShare } from './configReaders.js';
 import { CONFIG_PREFIX } from './object.js';
 import { PrefixFollower, type FollowerContext } from './prefixFollower.js';
 
-/**
- * Share of the configuration lease for which one watch waits: its proof reaches back to its
- * beginning, and the next one needs as long again.
- */
-const WATCH_LEASE_SHARE = 1 / 3;
-
 export interface ConfigFollowerOptions extends FollowerContext {
   readonly board: EntryBoard;
   readonly feed: ConfigFeed;
@@ -46,8 +41,10 @@
   }
 
   protected chooseWatchMs(): number {
-    const { watchTimeoutMs, configLeaseMs } = this.#options.timing;
-    return Math.min(watchTimeoutMs, configLeaseMs * WATCH_LEASE_SHARE);
+    const { board, timing } = this.#options;
+    const share = chooseWatchShare(board.name, [board.name, ...board.peers.keys()]);
+    if (share === undefined) return timing.watchTimeoutMs;
+    return Math.min(timing.watchTimeoutMs, timing.configLeaseMs * share);
   }
 
   protected beginCall(): () => void {
--- a/packages/core/src/membership/peerLinks.ts
+++ b/packages/core/src/membership/peerLinks.ts
@@ -5,6 +5,7 @@
  * each dials a few that are chosen by rendezvous hashing. A pair without a link for longer than
  * a silence is dialled from both ends.
  */
+import { chooseReaders } from '../config/configReaders.js';
 import { ConfigKind } from '../config/object.js';
 import type { EntryPeerState } from '../state/entryBoard.js';
 import type { Link } from '../ports/link.js';
@@ -20,6 +21,9 @@
 /** Peers that each entry dials beyond that. */
 export const DIALLED_PEERS = 4;
 
+/** Those of them that prove by the platform, so that this entry hears of it at first hand. */
+const DIALLED_READERS = 2;
+
 /** Time without a link after which a peer is forgotten that was never registered. */
 const FORGET_UNREGISTERED_MS = 600_000;
 
@@ -33,6 +37,14 @@
   readonly readEntries: () => ReadonlyMap<string, Registration> | undefined;
 }
 
+/** Peers that an entry dials among many: some that prove by the platform, and some others. */
+function chooseDialled(self: string, names: readonly string[]): readonly string[] {
+  const readers = chooseReaders([self, ...names]).filter((name) => name !== self);
+  const relays = rankMembers(self, readers).slice(0, DIALLED_READERS);
+  const others = rankMembers(self, names).filter((name) => !relays.includes(name));
+  return [...relays, ...others.slice(0, DIALLED_PEERS - DIALLED_READERS)];
+}
+
 function createPeer(name: string, address: string): EntryPeerState {
   return {
     name,
@@ -161,7 +173,7 @@
     const chosen =
       names.length <= FULL_MESH_PEERS
         ? names.filter((name) => board.name < name || this.#isLongUnlinked(name))
-        : rankMembers(board.name, names).slice(0, DIALLED_PEERS);
+        : chooseDialled(board.name, names);
     return chosen.flatMap((name) => entries.get(name)?.address ?? []);
   }
 
--- a/packages/core/src/membership/statusWriter.ts
+++ b/packages/core/src/membership/statusWriter.ts
@@ -1,8 +1,9 @@
 /**
  * Registers this entry in the platform and keeps its status there.
  *
- * The status is written when it has changed, and now and then as a sign of life; the more entries
- * there are, the longer the interval, so that the platform's rate of writes holds for the fleet.
+ * The status is written soon after it has changed, and now and then as a sign of life. Between two
+ * writes of an entry lies an interval that grows with the number of entries, so that the platform's
+ * rate of writes holds for the fleet.
  */
 import type { PlatformPace } from '../config/platformPace.js';
 import type { Timing } from '../model/timing.js';
@@ -18,12 +19,18 @@
 
 const PART = 'status';
 
-/** Status writes a second that all entries together may make. */
-const FLEET_WRITES_PER_SECOND = 50;
+/** Status writes a second that all entries together may make for long. */
+const FLEET_WRITES_PER_SECOND = 100;
 
 /** Intervals after which an unchanged status is written all the same. */
 const REFRESH_INTERVALS = 10;
 
+/** Share of the interval after which an entry looks whether its status has changed. */
+const TICK_SHARE = 1 / 4;
+
+/** The same time by entry, so that one change does not make all entries write at once. */
+const CHANGE_SPREAD_MS = 3;
+
 /** Part of an interval by which it varies, so that entries do not write together. */
 const JITTER_SHARE = 0.2;
 
@@ -56,7 +63,7 @@
 
   #lastText = '';
 
-  #unchangedCount = 0;
+  #lastWriteAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: StatusWriterOptions) {
     const { store, pace, board } = options;
@@ -88,13 +95,17 @@
     await this.#status.remove();
   }
 
-  /** Time between two writes of this entry, by the number of entries and the platform's pace. */
+  /** Least time between two writes, by the number of entries and the platform's pace. */
   get intervalMs(): number {
-    const { board, pace, timing } = this.#options;
-    const shareMs = ((board.peers.size + 1) * 1_000) / FLEET_WRITES_PER_SECOND;
+    const { pace, timing } = this.#options;
+    const shareMs = (this.#entryCount * 1_000) / FLEET_WRITES_PER_SECOND;
     return Math.max(timing.statusMs, shareMs) * pace.factor;
   }
 
+  get #entryCount(): number {
+    return this.#options.board.peers.size + 1;
+  }
+
   #schedule(delayMs: number): void {
     this.#timer = setTimeout(() => {
       this.#write().then(() => {
@@ -105,7 +116,9 @@
 
   #chooseDelay(): number {
     const jitter = 1 + (this.#options.random.next() - 0.5) * 2 * JITTER_SHARE;
-    return this.intervalMs * jitter;
+    const spreadMs = this.#entryCount * CHANGE_SPREAD_MS;
+    const tickMs = Math.max(this.#options.timing.statusMs * TICK_SHARE, spreadMs);
+    return tickMs * this.#options.pace.factor * jitter;
   }
 
   async #write(): Promise<void> {
@@ -131,8 +144,10 @@
     const { board, timing, metrics } = this.#options;
     const status = describeEntry(board, timing, Date.now());
     const text = JSON.stringify(status);
-    this.#unchangedCount = text === this.#lastText ? this.#unchangedCount + 1 : 0;
-    if (this.#unchangedCount % REFRESH_INTERVALS !== 0) return;
+    const sinceMs = Date.now() - this.#lastWriteAtMs;
+    const dueMs = this.intervalMs * (text === this.#lastText ? REFRESH_INTERVALS : 1);
+    if (sinceMs < dueMs) return;
+    this.#lastWriteAtMs = Date.now();
     const written = await this.#status.write(status);
     this.#lastText = written.ok ? text : '';
     if (!written.ok) metrics.count('status.write.failed', { kind: written.val.kind });
--- a/packages/standin/test/support/testEntry.ts
+++ b/packages/standin/test/support/testEntry.ts
@@ -43,6 +43,7 @@
   readonly network: TestNetwork;
   readonly platform: MemoryObjectStore;
   readonly timing: Timing;
+  readonly isProbing: boolean;
   readonly seed: number;
   /** Name of the node, which changes with each incarnation. */
   readonly node: string;
@@ -108,7 +109,7 @@
     network.listen(node, address, (link) => this.membership.accept(link));
     clock.run(node, () => {
       this.membership.start();
-      setInterval(() => this.#probe(), PROBE_MS);
+      if (options.isProbing) setInterval(() => this.#probe(), PROBE_MS);
     });
   }
 
--- a/packages/standin/test/support/testFleet.ts
+++ b/packages/standin/test/support/testFleet.ts
@@ -26,7 +26,20 @@
   readonly engine: RecordingEngine;
 }
 
-/** Entries and side processes in one process, with one upstream in each failure domain. */
+export interface TestFleetOptions {
+  readonly timing: Timing;
+  readonly upstreamsPerDomain: number;
+  /** Whether entries begin work wherever they may. */
+  readonly isProbing: boolean;
+}
+
+const DEFAULT_OPTIONS: TestFleetOptions = {
+  timing: DEFAULT_TIMING,
+  upstreamsPerDomain: 1,
+  isProbing: true,
+};
+
+/** Entries and side processes in one process, with upstreams in each failure domain. */
 export class TestFleet {
   readonly clock = new NodeClock();
 
@@ -42,13 +55,16 @@
 
   readonly #seed: number;
 
+  readonly #options: TestFleetOptions;
+
   #starts = 0;
 
-  constructor(seed: number, entryCount: number, timing: Timing = DEFAULT_TIMING) {
+  constructor(seed: number, entryCount: number, options: Partial<TestFleetOptions> = {}) {
     this.#seed = seed;
-    this.timing = timing;
+    this.#options = { ...DEFAULT_OPTIONS, ...options };
+    this.timing = this.#options.timing;
     this.#writeConfig();
-    DOMAINS.forEach((domain, index) => this.#startSide(domain, index));
+    this.#listPlaces().forEach((domain, index) => this.#startSide(domain, index));
     for (let index = 0; index < entryCount; index += 1) this.startEntry(`entry-${index}`);
   }
 
@@ -61,6 +77,7 @@
       network: this.network,
       platform: this.platform,
       timing: this.timing,
+      isProbing: this.#options.isProbing,
       seed: this.#seed + this.#starts,
       node: `${name}#${this.#starts}`,
       name,
@@ -114,10 +131,17 @@
     this.platform.objects.put(formatConfigKey(kind, name), { name, ...value }, 0).unwrap();
   }
 
+  /** Failure domain of each upstream. */
+  #listPlaces(): readonly string[] {
+    return DOMAINS.flatMap((domain) =>
+      new Array<string>(this.#options.upstreamsPerDomain).fill(domain),
+    );
+  }
+
   #writeConfig(): void {
     this.#put(ConfigKind.Pool, 'chat', { kind: PoolKind.Model });
-    DOMAINS.forEach((domain, index) => {
-      this.#put(ConfigKind.Domain, domain, {});
+    DOMAINS.forEach((domain) => this.#put(ConfigKind.Domain, domain, {}));
+    this.#listPlaces().forEach((domain, index) => {
       this.#put(ConfigKind.Upstream, `worker-${index}`, {
         pool: 'chat',
         domain,
--- a/packages/standin/test/support/testNetwork.ts
+++ b/packages/standin/test/support/testNetwork.ts
@@ -1,3 +1,4 @@
+import type { Message } from '@radishbay/core/messages/message.js';
 import type { Link } from '@radishbay/core/ports/link.js';
 import { LinkDialer } from '@radishbay/core/ports/linkDialer.js';
 import { DELIVERED, FateKind, type Fate } from '@radishbay/link/memory/linkFaults.js';
@@ -21,6 +22,9 @@
 
   readonly #cuts = new Set<string>();
 
+  /** Sees each message that a node sends. */
+  onSend: ((node: string, message: Message) => void) | undefined;
+
   constructor(clock: NodeClock) {
     this.#clock = clock;
   }
@@ -49,16 +53,16 @@
   /** Opens a link from a node to an address. */
   dial(node: string, address: string): Link {
     const listener = this.#listeners.get(address);
-    const decide = (): Fate =>
-      listener && this.isCut(node, listener.node)
-        ? { kind: FateKind.Drop, extraDelayMs: 0 }
-        : DELIVERED;
-    const near = new NodeLink(this.#clock, node, { delayMs: DELAY_MS, decide });
+    const createEnd = (owner: string): NodeLink => {
+      const decide = (message: Message) => this.#decide(owner, node, listener?.node, message);
+      return new NodeLink(this.#clock, owner, { delayMs: DELAY_MS, decide });
+    };
+    const near = createEnd(node);
     if (!listener) {
       this.#clock.outside(() => setTimeout(() => near.end('refused'), DELAY_MS));
       return near;
     }
-    const far = new NodeLink(this.#clock, listener.node, { delayMs: DELAY_MS, decide });
+    const far = createEnd(listener.node);
     near.join(far);
     far.join(near);
     this.#clock.outside(() => setTimeout(() => this.#connect(node, listener, near, far), DELAY_MS));
@@ -70,6 +74,12 @@
     return implement(LinkDialer, { dial: (address) => this.dial(node, address) });
   }
 
+  #decide(sender: string, one: string, other: string | undefined, message: Message): Fate {
+    this.onSend?.(sender, message);
+    const isLost = other !== undefined && this.isCut(one, other);
+    return isLost ? { kind: FateKind.Drop, extraDelayMs: 0 } : DELIVERED;
+  }
+
   #connect(node: string, listener: Listener, near: NodeLink, far: NodeLink): void {
     if (this.isCut(node, listener.node)) return;
     this.#clock.run(listener.node, () => {
