Test real processes that are killed, stopped, cut off or asleep under load

The simulated entries have addresses that the registry takes: before, none was registered, and both refused 32 of 37 requests while the platform was down; the matrix now asks that callers without a key do not notice an outage of the platform.

--- a/packages/daemon/src/callers/callerServer.ts
+++ b/packages/daemon/src/callers/callerServer.ts
@@ -74,10 +74,12 @@
     });
   }
 
-  /** Asks callers to close their connections: every answer from now on says so. */
+  /**
+   * Asks callers to close their connections: every answer from now on says so. An idle connection
+   * stays open meanwhile, as a request may be on its way on it.
+   */
   beginClose(): void {
     this.#isClosing = true;
-    this.#server.closeIdleConnections();
   }
 
   /** Stops listening and waits for the answers in progress. */
--- a/packages/standin/src/demo/operatorCommand.ts
+++ b/packages/standin/src/demo/operatorCommand.ts
@@ -11,12 +11,19 @@
   readonly lines: readonly string[];
 }
 
-/** Runs `radishbay` with the given words against all entries of a fleet. */
+/**
+ * Runs `radishbay` with the given words.
+ *
+ * @param names entries that it is told of; all where not given
+ */
 export async function runOperatorCommand(
   fleet: Fleet,
   words: readonly string[],
+  names: readonly string[] = fleet.entries.map(({ name }) => name),
 ): Promise<CommandResult> {
-  const entries = fleet.entries.flatMap(({ operatorsUrl }) => ['--entry', operatorsUrl]);
+  const entries = fleet.entries
+    .filter(({ name }) => names.includes(name))
+    .flatMap(({ operatorsUrl }) => ['--entry', operatorsUrl]);
   const program = new ChildProgram('radishbay', [
     COMMAND,
     ...words,
--- a/packages/standin/src/fleet/fleet.ts
+++ b/packages/standin/src/fleet/fleet.ts
@@ -12,6 +12,7 @@
 import { callHttp } from './httpCall.js';
 import { findFreePorts } from './portPool.js';
 import { SettingsWriter } from './settingsWriter.js';
+import { TcpRelay } from './tcpRelay.js';
 
 const HOST = '127.0.0.1';
 const DAEMON = fileURLToPath(new URL('../../../../daemon/bin/radishbayd.js', import.meta.url));
@@ -29,6 +30,8 @@
   readonly plan: FleetPlan;
   readonly timing?: Readonly<Record<string, number>>;
   readonly logLevel?: string;
+  /** Whether a relay stands in front of each side process, to cut and silence its links. */
+  readonly hasRelays?: boolean;
   /** Time between the failing readiness check and closed connections in a planned stop. */
   readonly noticeMs?: number;
   /** Options of the stand-in engines, such as their step time. */
@@ -70,6 +73,8 @@
 
   readonly #sideAddresses = new Map<string, string>();
 
+  readonly #relays = new Map<string, TcpRelay>();
+
   readonly #entryPorts = new Map<string, EntryPorts>();
 
   readonly #writer: SettingsWriter;
@@ -127,6 +132,13 @@
     return program;
   }
 
+  /** The relay in front of a side process. */
+  getRelay(upstream: string): TcpRelay {
+    const relay = this.#relays.get(upstream);
+    if (!relay) throw new Error(`no relay for ${upstream}`);
+    return relay;
+  }
+
   /** Starts a daemon whose settings are written, again after its end too. */
   async startDaemon(name: string): Promise<void> {
     const file = this.#settingsFiles.get(name);
@@ -147,6 +159,7 @@
     const programs = [...this.#programs.values()];
     await Promise.all(programs.filter(({ name }) => isEntry(name)).map((one) => one.end()));
     await Promise.all(programs.filter(({ name }) => !isEntry(name)).map((one) => one.end()));
+    await Promise.all([...this.#relays.values()].map((relay) => relay.stop()));
     await this.#writer.dispose();
   }
 
@@ -179,7 +192,7 @@
     const url = await this.#startStandin(`engine-${upstream.name}`, kind, options);
     this.#engineUrls.set(upstream.name, url);
     const [port] = await findFreePorts(1);
-    this.#sideAddresses.set(upstream.name, `${HOST}:${port}`);
+    this.#sideAddresses.set(upstream.name, await this.#chooseAddress(upstream.name, port ?? 0));
     const name = `side-${upstream.name}`;
     const settings = {
       role: 'side',
@@ -193,6 +206,14 @@
     await this.startDaemon(name);
   }
 
+  /** Address at which entries find a side process. */
+  async #chooseAddress(upstream: string, sidePort: number): Promise<string> {
+    if (!this.#options.hasRelays) return `${HOST}:${sidePort}`;
+    const relay = new TcpRelay(HOST, sidePort);
+    this.#relays.set(upstream, relay);
+    return `${HOST}:${await relay.start()}`;
+  }
+
   async #writeConfiguration(): Promise<void> {
     const store = new HttpObjectStore({
       baseUrl: this.#platformUrl,
--- a/packages/standin/src/matrix/cell.ts
+++ b/packages/standin/src/matrix/cell.ts
@@ -1,8 +1,8 @@
 /** One run of a scenario with faults at numbered events, and its judgement. */
-import { applyFault, isPossible, type FaultKind } from './fault.js';
+import { applyFault, isPlatformFault, isPossible, type FaultKind } from './fault.js';
 import { EventKind, type NumberedEvent } from './fake/eventLog.js';
 import { CallerEnd } from './fake/memoryCaller.js';
-import { judgeLeftovers, judgeRequests } from './judge.js';
+import { judgeLeftovers, judgePlatformOutage, judgeRequests } from './judge.js';
 import type { Scenario } from './scenario/scenario.js';
 import { World } from './world.js';
 
@@ -76,8 +76,10 @@
     world.events.isCounting = false;
     await world.clock.advance(RECOVERY_MS);
     const isSettled = world.isSettled();
+    const isPlatformAlone = faults.every(({ kind }) => isPlatformFault(kind));
     const violations = [
       ...judgeRequests(world),
+      ...(isPlatformAlone ? judgePlatformOutage(world) : []),
       ...scenario.judge(world),
       ...(isSettled ? [] : ['the fleet did not come back']),
       ...(await probe(world)),
--- a/packages/standin/src/matrix/fault.ts
+++ b/packages/standin/src/matrix/fault.ts
@@ -71,6 +71,17 @@
   return caller ?? world.findUpstream(event.place);
 }
 
+const PLATFORM_FAULTS: ReadonlySet<FaultKind> = new Set([
+  ...STORE_FAULTS.keys(),
+  FaultKind.PlatformDown,
+  FaultKind.PlatformSlow,
+]);
+
+/** Whether a fault concerns the platform alone: requests without a key must not notice it. */
+export function isPlatformFault(kind: FaultKind): boolean {
+  return PLATFORM_FAULTS.has(kind);
+}
+
 /** Whether a fault can be put at an event. */
 export function isPossible(world: World, kind: FaultKind, event: NumberedEvent): boolean {
   if (LINK_FATES.has(kind)) return event.kind === EventKind.Link;
--- a/packages/standin/src/matrix/judge.ts
+++ b/packages/standin/src/matrix/judge.ts
@@ -54,6 +54,16 @@
   ];
 }
 
+/** @returns sentences on callers without a key who noticed that the platform was out of reach */
+export function judgePlatformOutage(world: World): readonly string[] {
+  return world.sent
+    .filter(({ request }) => request.idempotencyKey === undefined)
+    .filter(({ caller }) => caller.outcome !== CallerEnd.Answered)
+    .map(
+      ({ id, caller }) => `${id} was ${caller.outcome} ${caller.refusal?.reason ?? ''} meanwhile`,
+    );
+}
+
 /** @returns sentences on what is left over once nothing is asked for any more */
 export function judgeLeftovers(world: World): readonly string[] {
   const entries = [...world.entries.values()].flatMap(({ name, node }) =>
--- a/packages/standin/src/matrix/world.ts
+++ b/packages/standin/src/matrix/world.ts
@@ -72,7 +72,7 @@
 }
 
 function addressOfEntry(name: string): string {
-  return `${name}:1`;
+  return `127.0.0.1:${20_000 + Number.parseInt(name.replace(/\D/gu, '') || '0', 10)}`;
 }
 
 function addressOfSide(name: string): string {
--- /dev/null
+++ b/packages/standin/test/fleet/faultedRun.ts
@@ -0,0 +1,59 @@
+/** A run of load with a fault in its middle, and what must hold of its results. */
+import * as assert from 'uvu/assert';
+
+import { CallVerdict, type CallResult } from '../../src/caller/callResult.js';
+import type { Fleet } from '../../src/fleet/fleet.js';
+import { planSampleFleet } from '../../src/fleet/fleetPlan.js';
+import { readJson } from '../../src/fleet/httpCall.js';
+
+import { listDishonest, listSwapFaults, runLoad } from './fleetLoad.js';
+
+export const LOAD_MS = 6_000;
+
+/** Results after which a fault is put, so that it meets requests in flight. */
+const RESULTS_BEFORE_FAULT = 20;
+
+export const PLAN = planSampleFleet(2, 1);
+
+/** Runs load and puts a fault once enough results are in. */
+export async function runFaulted(
+  fleet: Fleet,
+  baseUrls: readonly string[],
+  seed: number,
+  fault: () => Promise<void> | void,
+): Promise<readonly CallResult[]> {
+  let count = 0;
+  let faulted: Promise<void> | undefined;
+  const results = await runLoad({
+    fleet,
+    baseUrls,
+    durationMs: LOAD_MS,
+    seed,
+    onResult: () => {
+      count += 1;
+      if (count === RESULTS_BEFORE_FAULT) faulted = Promise.resolve(fault());
+    },
+  });
+  assert.ok(faulted, 'the fault was put');
+  await faulted;
+  return results;
+}
+
+export async function assertHonest(fleet: Fleet, results: readonly CallResult[]): Promise<void> {
+  assert.equal(listDishonest(results), []);
+  assert.equal(await listSwapFaults(fleet, PLAN, results), []);
+}
+
+export function readUrls(fleet: Fleet): string[] {
+  return fleet.entries.map(({ callersUrl }) => callersUrl);
+}
+
+/** Executions begun by the model engines of the drained domain. */
+export async function countDomainRuns(fleet: Fleet): Promise<number> {
+  const record = await readJson({ url: `${fleet.readEngineUrl('assistant-a1')}/record` });
+  return Object.keys((record as { executions: object }).executions).length;
+}
+
+export function countVerdicts(results: readonly CallResult[], verdict: CallVerdict): number {
+  return results.filter((result) => result.verdict === verdict).length;
+}
