Remove what dead entries leave, and count on a registration only while it is seen

Cause: a killed entry stayed in the registry for good, and every majority counted on it; once it is removed, an entry that was merely paused must not act unseen by read-backs. Ruled out: removal by age of the written time, as VMs' clocks are not compared. An entry's proofs by the platform count for 60 s after it last saw its own incarnation registered; it registers again where it was removed, and gives way where another process took its name.

--- a/packages/core/src/membership/configLease.ts
+++ b/packages/core/src/membership/configLease.ts
@@ -49,8 +49,8 @@
 
   #confirmedUntil: Deadline | undefined;
 
-  /** Whether orders can be read back from this entry: without that the platform proves nothing. */
-  #isRegistered = false;
+  /** Orders wait for entries in the registry only: outside it the platform proves nothing. */
+  #registeredUntil: Deadline | undefined;
 
   /** Whether the peers are known: who has not heard of any yet is not alone for that. */
   #arePeersKnown = false;
@@ -75,9 +75,9 @@
     this.#update();
   }
 
-  /** Notes that this incarnation stands in the registry. */
-  noteRegistered(): void {
-    this.#isRegistered = true;
+  /** Notes that this incarnation stands in the registry, which holds until a deadline. */
+  confirmRegistration(until: Deadline): void {
+    this.#registeredUntil = until;
     this.#update();
   }
 
@@ -107,12 +107,20 @@
   }
 
   #update(): void {
-    const confirmedUntil = this.#isRegistered ? this.#confirmedUntil : undefined;
-    const ends = [confirmedUntil, this.#findMajorityEnd()].filter((end) => end !== undefined);
+    const ends = [this.#findPlatformEnd(), this.#findMajorityEnd()].filter(
+      (end) => end !== undefined,
+    );
     const [latest] = ends.sort((one, other) => (one.isAfter(other) ? -1 : 1));
     this.#board.currentUntil = latest ?? Deadline.after(0);
   }
 
+  /** @returns deadline up to which the platform proves; undefined where it does not */
+  #findPlatformEnd(): Deadline | undefined {
+    if (!this.#confirmedUntil || !this.#registeredUntil) return undefined;
+    const isRegistrationLater = this.#registeredUntil.isAfter(this.#confirmedUntil);
+    return isRegistrationLater ? this.#confirmedUntil : this.#registeredUntil;
+  }
+
   /** @returns deadline up to which a majority has confirmed; undefined where there is none */
   #findMajorityEnd(): Deadline | undefined {
     if (!this.#arePeersKnown) return undefined;
--- a/packages/core/src/membership/entryMembership.ts
+++ b/packages/core/src/membership/entryMembership.ts
@@ -10,8 +10,10 @@
 import { DomainRamp } from '../orders/domainRamp.js';
 import type { Link } from '../ports/link.js';
 import type { ObjectStore } from '../ports/objectStore.js';
+import type { EntryBoard } from '../state/entryBoard.js';
 import { ConfigLease } from './configLease.js';
 import type { GroupListener } from './groupListener.js';
+import { Housekeeper } from './housekeeper.js';
 import type { SessionContext } from './linkSession.js';
 import { PeerLinks } from './peerLinks.js';
 import {
@@ -53,8 +55,12 @@
 
   readonly peerLinks: PeerLinks;
 
+  readonly #board: EntryBoard;
+
   readonly #status: StatusWriter;
 
+  readonly #housekeeper: Housekeeper;
+
   readonly #configFollower: ConfigFollower;
 
   readonly #entries: RegistryFollower<Registration>;
@@ -65,6 +71,7 @@
 
   constructor(options: EntryMembershipOptions) {
     const { board, log, metrics, timing } = options;
+    this.#board = board;
     this.feed = new ConfigFeed({ board, log, metrics });
     this.domainRamp = new DomainRamp(board, this.feed);
     this.lease = new ConfigLease({ board, configLeaseMs: timing.configLeaseMs });
@@ -76,7 +83,11 @@
       lease: this.lease,
       pace: this.pace,
     };
-    this.#status = new StatusWriter(context);
+    this.#status = new StatusWriter({
+      ...context,
+      readRegistered: () => this.#readRegistered(),
+    });
+    this.#housekeeper = new Housekeeper(context);
     this.#configFollower = new ConfigFollower(context);
     const { watchTimeoutMs } = timing;
     this.#entries = new RegistryFollower({
@@ -85,6 +96,9 @@
       prefix: ENTRY_REGISTRY_PREFIX,
       parse: parseRegistration,
       onChange: () => this.peerLinks.reconcile(),
+      onAnswer: (until) => {
+        if (this.#readRegistered() === board.incarnation) this.lease.confirmRegistration(until);
+      },
     });
     this.#sides = new RegistryFollower({
       ...context,
@@ -117,6 +131,7 @@
       follower.start();
     });
     this.#status.start();
+    this.#housekeeper.start();
     this.peerLinks.start();
     this.sideLinks.start();
   }
@@ -127,12 +142,14 @@
       follower.stop();
     });
     this.#status.stop();
+    this.#housekeeper.stop().catch(() => {});
     this.sideLinks.stop();
     this.peerLinks.stop();
   }
 
   /** Ends a planned stop: takes this entry out of the registry, then closes everything. */
   async leave(): Promise<void> {
+    await this.#housekeeper.stop();
     await this.#status.unregister();
     this.stop();
   }
@@ -141,4 +158,8 @@
   accept(link: Link): void {
     this.peerLinks.accept(link);
   }
+
+  #readRegistered(): string | undefined {
+    return this.#entries.objects.get(this.#board.name)?.incarnation;
+  }
 }
--- a/packages/core/src/membership/peerLinks.ts
+++ b/packages/core/src/membership/peerLinks.ts
@@ -216,7 +216,9 @@
     const entries = this.#options.readEntries();
     const isMesh = board.peers.size <= FULL_MESH_PEERS;
     const peers = [...board.peers.values()].filter((peer) => isMesh || peer.link);
-    const isComplete = entries ? entries.has(board.name) : this.#haveSeedsAnswered(seedAddresses);
+    const isComplete = entries
+      ? entries.get(board.name)?.incarnation === board.incarnation
+      : this.#haveSeedsAnswered(seedAddresses);
     lease.setPeers(new Set(peers.map((peer) => peer.name)), isComplete);
   }
 
--- a/packages/core/src/membership/registry.ts
+++ b/packages/core/src/membership/registry.ts
@@ -14,6 +14,12 @@
 
 export const VM_PREFIX = 'vms/';
 
+/**
+ * Time for which an entry counts on its registration after it was last seen there; shorter than the
+ * time after which the registration of a silent entry is removed.
+ */
+export const REGISTRATION_VALID_MS = 60_000;
+
 const REGISTRATION = z.object({
   address: z.string().regex(/^[0-9a-f.:[\]]+:\d+$/u),
   incarnation: z.string(),
--- a/packages/core/src/membership/registryFollower.ts
+++ b/packages/core/src/membership/registryFollower.ts
@@ -1,6 +1,8 @@
 /** Keeps a local copy of one prefix of registrations, and tells when it changed. */
 import type { ObjectChange, StoredObject } from '../ports/objectStore.js';
+import { Deadline } from '../lease/deadline.js';
 import { PrefixFollower, type FollowerContext } from '../config/prefixFollower.js';
+import { REGISTRATION_VALID_MS } from './registry.js';
 
 export interface RegistryFollowerOptions<T> extends FollowerContext {
   readonly prefix: string;
@@ -9,6 +11,8 @@
   readonly parse: (value: unknown) => T | undefined;
   /** Called after each change, and after the first list. */
   readonly onChange: () => void;
+  /** Called after each answer, with the end of a registration's validity since its call began. */
+  readonly onAnswer?: (until: Deadline) => void;
 }
 
 /** Registered objects by name. */
@@ -51,9 +55,8 @@
   }
 
   protected beginCall(): () => void {
-    return () => {
-      this.#isListed = true;
-    };
+    const until = Deadline.after(REGISTRATION_VALID_MS);
+    return () => this.#options.onAnswer?.(until);
   }
 
   #write(key: string, value: unknown): void {
--- a/packages/core/src/membership/statusWriter.ts
+++ b/packages/core/src/membership/statusWriter.ts
@@ -6,6 +6,7 @@
  * rate of writes holds for the fleet.
  */
 import type { PlatformPace } from '../config/platformPace.js';
+import { Deadline } from '../lease/deadline.js';
 import type { Timing } from '../model/timing.js';
 import { LogLevel, type Log } from '../ports/log.js';
 import type { Metrics } from '../ports/metrics.js';
@@ -15,7 +16,7 @@
 import type { ConfigLease } from './configLease.js';
 import { describeEntry, ENTRY_STATUS_PREFIX } from './entryStatus.js';
 import { OwnedObject } from './ownedObject.js';
-import { ENTRY_REGISTRY_PREFIX, type Registration } from './registry.js';
+import { ENTRY_REGISTRY_PREFIX, REGISTRATION_VALID_MS, type Registration } from './registry.js';
 
 const PART = 'status';
 
@@ -45,6 +46,8 @@
   readonly timing: Timing;
   /** Address at which other entries reach this one. */
   readonly address: string;
+  /** Incarnation registered under this entry's name; undefined where there is none or not known. */
+  readonly readRegistered: () => string | undefined;
 }
 
 /** Writes `registry/entry/NAME` and `status/entry/NAME`. */
@@ -61,6 +64,9 @@
 
   #isRegistered = false;
 
+  /** Whether the registry has shown this incarnation since it was registered. */
+  #isListed = false;
+
   #lastText = '';
 
   #lastWriteAtMs = Number.NEGATIVE_INFINITY;
@@ -122,21 +128,38 @@
   }
 
   async #write(): Promise<void> {
+    this.#compareRegistry();
     if (!this.#isRegistered) await this.#register();
     if (this.#isRegistered && this.#isRunning) await this.#writeStatus();
   }
 
+  /** Registers anew where the registration was removed, but not against another process. */
+  #compareRegistry(): void {
+    const { board, log, readRegistered } = this.#options;
+    const registered = readRegistered();
+    if (registered === board.incarnation) {
+      this.#isListed = true;
+      return;
+    }
+    if (!this.#isListed) return;
+    this.#isListed = false;
+    this.#isRegistered = registered !== undefined;
+    if (registered === undefined) return;
+    log.write(LogLevel.Error, PART, 'Another process registered under this name.', { registered });
+  }
+
   async #register(): Promise<void> {
     const { board, lease, log, metrics, address } = this.#options;
     const { incarnation, domain } = board;
     const registration: Registration = { address, incarnation, domain };
+    const until = Deadline.after(REGISTRATION_VALID_MS);
     const written = await this.#registration.write(registration);
     if (!written.ok) {
       metrics.count('status.register.failed', { kind: written.val.kind });
       return;
     }
     this.#isRegistered = true;
-    lease.noteRegistered();
+    lease.confirmRegistration(until);
     log.write(LogLevel.Info, PART, 'Registered this entry.', { address });
   }
 
--- a/packages/core/src/orders/orderDesk.ts
+++ b/packages/core/src/orders/orderDesk.ts
@@ -37,8 +37,8 @@
 import {
   addMark,
   createRecord,
+  formatOrderKey,
   isSameOrder,
-  ORDER_PREFIX,
   parseOrderRecord,
   readMarks,
   type OrderRecord,
@@ -186,7 +186,7 @@
     const record = createRecord(id, order, plan.key, fromVersion, this.#createId());
     const written = await this.#writer.write(
       {
-        key: ORDER_PREFIX + id,
+        key: formatOrderKey(id),
         value: record,
         expectedVersion: VERSION_ABSENT,
         findOwn: (current) =>
@@ -256,7 +256,7 @@
   async #noteVersion(open: OpenOrder, recorded: StoredRecord, version: number): Promise<void> {
     const written = await this.#writer.write(
       {
-        key: ORDER_PREFIX + open.id,
+        key: formatOrderKey(open.id),
         value: { ...recorded.record, version },
         expectedVersion: recorded.version,
         findOwn: (current) =>
--- a/packages/core/src/orders/orderReader.ts
+++ b/packages/core/src/orders/orderReader.ts
@@ -15,7 +15,7 @@
 import type { ObjectStore, StoredObject, StoreError } from '../ports/objectStore.js';
 import type { EntryBoard } from '../state/entryBoard.js';
 import { ForceJudge, type FleetView } from './forceJudge.js';
-import { ORDER_PREFIX, parseOrderRecord, type OrderRecord } from './orderRecord.js';
+import { formatOrderKey, parseOrderRecord, type OrderRecord } from './orderRecord.js';
 import { OrderTrace, traceOrder } from './readBack.js';
 
 /** Time after which a call counts as lost. */
@@ -63,7 +63,7 @@
   /** Reads back what became of an order. */
   async read(orderId: string): Promise<Read> {
     const { store } = this.#options;
-    const stored = await this.#call(store.get(ORDER_PREFIX + orderId));
+    const stored = await this.#call(store.get(formatOrderKey(orderId)));
     if (!stored.ok) return refuseRead(stored.val, orderId);
     const record = parseOrderRecord(stored.val?.value);
     if (!record) return Err({ kind: OrderErrorKind.NotFound, detail: 'no such order', orderId });
--- a/packages/core/src/orders/orderRecord.ts
+++ b/packages/core/src/orders/orderRecord.ts
@@ -4,12 +4,30 @@
  * It is written before the order's object, so that an order can be read back by its id whatever
  * becomes of the entry that took it. The proof that it took effect is its mark in the object.
  */
+import { xxh32 } from '@node-rs/xxhash';
 import { z } from 'zod';
 
 import { ORDER_MARKS_KEPT, type OrderMark } from '../config/object.js';
 import { OrderAction, type OperatorOrder } from '../model/order.js';
 
-export const ORDER_PREFIX = 'orders/';
+const ORDER_PREFIX = 'orders/';
+
+/** Parts of the records by the hash of the id, so that old ones can be listed bit by bit. */
+const BUCKETS = 256;
+
+function formatBucket(bucket: number): string {
+  return `${ORDER_PREFIX}${bucket.toString(16).padStart(2, '0')}/`;
+}
+
+/** Key of an order's record. */
+export function formatOrderKey(id: string): string {
+  return `${formatBucket(xxh32(id) % BUCKETS)}${id}`;
+}
+
+/** Prefixes of all buckets of records. */
+export function listOrderBuckets(): readonly string[] {
+  return Array.from({ length: BUCKETS }, (_, bucket) => formatBucket(bucket));
+}
 
 const ORDER_RECORD = z.object({
   id: z.string(),
--- a/packages/standin/test/config/configFollower.test.ts
+++ b/packages/standin/test/config/configFollower.test.ts
@@ -6,6 +6,7 @@
 import { ConfigFollower } from '@radishbay/core/config/configFollower.js';
 import { ConfigKind, DomainState, formatConfigKey } from '@radishbay/core/config/object.js';
 import { PlatformPace } from '@radishbay/core/config/platformPace.js';
+import { Deadline } from '@radishbay/core/lease/deadline.js';
 import { ConfigLease } from '@radishbay/core/membership/configLease.js';
 import { DEFAULT_TIMING } from '@radishbay/core/model/timing.js';
 import { CountingMetrics } from '@radishbay/core/ports/countingMetrics.js';
@@ -25,7 +26,7 @@
   const metrics = new CountingMetrics();
   const feed = new ConfigFeed({ board, log, metrics });
   const lease = new ConfigLease({ board, configLeaseMs: DEFAULT_TIMING.configLeaseMs });
-  lease.noteRegistered();
+  lease.confirmRegistration(Deadline.after(60_000));
   const follower = new ConfigFollower({
     board,
     feed,
--- a/packages/standin/test/membership/configLease.test.ts
+++ b/packages/standin/test/membership/configLease.test.ts
@@ -36,7 +36,7 @@
 test('the platform proves nothing for an entry that is not registered', () => {
   lease.confirm(Deadline.after(LEASE_MS));
   assert.not.ok(board.isCurrent);
-  lease.noteRegistered();
+  lease.confirmRegistration(Deadline.after(60_000));
   assert.ok(board.isCurrent);
 });
 
@@ -54,7 +54,7 @@
 });
 
 test('a peer proves by the platform only as far back as its own proof', () => {
-  lease.noteRegistered();
+  lease.confirmRegistration(Deadline.after(60_000));
   proveByPeer('entry-b', { confirmedAgeMs: 1_500 });
   clock.tick(400);
   assert.ok(board.isCurrent);
