Follow a slow platform: the bound of a call grows while answers do not come in time

Cause: the bound against silent connections was 1 s for a list, so a platform that takes longer for each answer was never followed at all; orders gave up after 1.5 s a call. Ruled out: one long bound, as a silent connection would then go unnoticed for that long. Change: the follower's bound doubles with each call that it cut off, up to 16 s, and follows the platform down again; orders and registrations wait 4 s for a call, an order 16 s in all. The dialled link's class is named DialledLink, as the side process has a LinkSession of its own. Failing first: 'a platform that takes 3 s for each answer is followed all the same' failed before.

--- a/packages/core/src/config/prefixFollower.ts
+++ b/packages/core/src/config/prefixFollower.ts
@@ -22,8 +22,14 @@
 
 const PART = 'platform';
 
-/** Time for a call beyond the wait that was asked for. */
-const CALL_LIMIT_MS = 1_000;
+/** Time for a call beyond the wait that was asked for, where the platform is quick. */
+const CALL_LIMIT_MIN_MS = 1_000;
+
+/** The same where the platform has been slow. */
+const CALL_LIMIT_MAX_MS = 16_000;
+
+/** Growth of the limit with each call that it cut off, and its fall with each answer. */
+const CALL_LIMIT_FACTOR = 2;
 
 /** Longest wait between calls while the platform fails. */
 const RETRY_MAX_MS = 5_000;
@@ -50,6 +56,9 @@
   /** Revision up to which the watch has told all; undefined before the first list. */
   #watchRevision: number | undefined;
 
+  /** Grows while answers do not come in time: a slow platform is not a silent connection. */
+  #callLimitMs = CALL_LIMIT_MIN_MS;
+
   #timer: NodeJS.Timeout | undefined;
 
   #isRunning = false;
@@ -102,9 +111,11 @@
   /** @returns time until the next call */
   async #poll(): Promise<number> {
     const noteAnswer = this.beginCall();
+    const startedAtMs = Date.now();
     const outcome = await (this.#watchRevision === undefined ? this.#list() : this.#watch());
     if (!this.#isRunning) return 0;
     this.#context.pace.note(outcome);
+    this.#adaptLimit(outcome, Date.now() - startedAtMs);
     if (!outcome.ok) return this.#noteFailure(outcome.val);
     noteAnswer();
     this.#noteSuccess();
@@ -112,7 +123,7 @@
   }
 
   async #list(): Promise<Result<unknown, StoreError>> {
-    const listed = await boundCall(this.#context.store.list(this.#prefix), CALL_LIMIT_MS);
+    const listed = await boundCall(this.#context.store.list(this.#prefix), this.#callLimitMs);
     if (!listed.ok || !this.#isRunning) return listed;
     this.#watchRevision = listed.val.revision;
     this.takeList(listed.val.objects, listed.val.revision);
@@ -123,13 +134,23 @@
     const timeoutMs = this.chooseWatchMs();
     const after = this.#watchRevision ?? 0;
     const call = this.#context.store.watch(this.#prefix, after, timeoutMs);
-    const batch = await boundCall(call, timeoutMs + CALL_LIMIT_MS);
+    const batch = await boundCall(call, timeoutMs + this.#callLimitMs);
     if (!batch.ok || !this.#isRunning) return batch;
     this.#watchRevision = Math.max(after, batch.val.revision);
     if (batch.val.changes.length > 0) this.takeChanges(batch.val.changes);
     return batch;
   }
 
+  /** Doubles the limit after a call that it cut off; follows the platform down again. */
+  #adaptLimit(outcome: Result<unknown, StoreError>, tookMs: number): void {
+    if (!outcome.ok && outcome.val.kind === StoreErrorKind.Unknown) {
+      this.#callLimitMs = Math.min(CALL_LIMIT_MAX_MS, this.#callLimitMs * CALL_LIMIT_FACTOR);
+      return;
+    }
+    const neededMs = Math.min(tookMs * CALL_LIMIT_FACTOR, this.#callLimitMs);
+    this.#callLimitMs = Math.max(CALL_LIMIT_MIN_MS, neededMs);
+  }
+
   #noteSuccess(): void {
     this.#backoff.reset();
     if (!this.#isFailing) return;
--- a/packages/core/src/membership/linkSession.ts
+++ b/packages/core/src/membership/dialledLink.ts
@@ -35,7 +35,7 @@
 }
 
 /** A dialled link to one process, kept up. */
-export abstract class LinkSession {
+export abstract class DialledLink {
   protected readonly context: SessionContext;
 
   readonly #part: string;
--- a/packages/core/src/membership/entryMembership.ts
+++ b/packages/core/src/membership/entryMembership.ts
@@ -14,7 +14,7 @@
 import { ConfigLease } from './configLease.js';
 import type { GroupListener } from './groupListener.js';
 import { Housekeeper } from './housekeeper.js';
-import type { SessionContext } from './linkSession.js';
+import type { SessionContext } from './dialledLink.js';
 import { PeerLinks } from './peerLinks.js';
 import {
   ENTRY_REGISTRY_PREFIX,
--- a/packages/core/src/membership/housekeeper.ts
+++ b/packages/core/src/membership/housekeeper.ts
@@ -37,7 +37,7 @@
 const ORDER_KEPT_MS = 48 * 3_600_000;
 
 /** Time after which a call counts as lost. */
-const CALL_LIMIT_MS = 2_000;
+const CALL_LIMIT_MS = 4_000;
 
 export interface HousekeeperOptions {
   readonly board: EntryBoard;
--- a/packages/core/src/membership/ownedObject.ts
+++ b/packages/core/src/membership/ownedObject.ts
@@ -10,7 +10,7 @@
 import { VERSION_ABSENT, type ObjectStore, type StoreError } from '../ports/objectStore.js';
 
 /** Time after which a call counts as lost. */
-const CALL_LIMIT_MS = 2_000;
+const CALL_LIMIT_MS = 4_000;
 
 export interface OwnedObjectOptions {
   readonly store: ObjectStore;
--- a/packages/core/src/membership/peerExchange.ts
+++ b/packages/core/src/membership/peerExchange.ts
@@ -7,7 +7,7 @@
 import type { Link } from '../ports/link.js';
 import type { EntryPeerState } from '../state/entryBoard.js';
 import type { ConfigLease } from './configLease.js';
-import type { SessionContext } from './linkSession.js';
+import type { SessionContext } from './dialledLink.js';
 import type { ShareListener } from './shareListener.js';
 import { TickBook } from './tickBook.js';
 
--- a/packages/core/src/membership/peerSession.ts
+++ b/packages/core/src/membership/peerSession.ts
@@ -2,7 +2,7 @@
 import { PeerRole, type Message, type MessageOf, type MessageType } from '../messages/message.js';
 import type { Link } from '../ports/link.js';
 import type { EntryPeerState } from '../state/entryBoard.js';
-import { LinkSession } from './linkSession.js';
+import { DialledLink } from './dialledLink.js';
 import { PeerExchange, type PeerContext } from './peerExchange.js';
 
 const PART = 'peer-link';
@@ -21,7 +21,7 @@
 }
 
 /** Keeps one link to another entry up. */
-export class PeerSession extends LinkSession {
+export class PeerSession extends DialledLink {
   readonly #peers: PeerContext;
 
   readonly #owner: PeerSessionOwner;
--- a/packages/core/src/membership/sideLink.ts
+++ b/packages/core/src/membership/sideLink.ts
@@ -6,7 +6,7 @@
 import type { Link } from '../ports/link.js';
 import { SideLinkState, type UpstreamState } from '../state/entryBoard.js';
 import type { GroupListener } from './groupListener.js';
-import { LinkSession, type SessionContext } from './linkSession.js';
+import { DialledLink, type SessionContext } from './dialledLink.js';
 
 const PART = 'side-link';
 
@@ -18,7 +18,7 @@
 }
 
 /** Keeps the state of one upstream by its link. */
-export class SideLink extends LinkSession {
+export class SideLink extends DialledLink {
   readonly #sides: SideLinkContext;
 
   readonly #state: UpstreamState;
--- a/packages/core/src/orders/drainGuard.ts
+++ b/packages/core/src/orders/drainGuard.ts
@@ -20,7 +20,7 @@
 const INTENT_VALID_MS = 30_000;
 
 /** Time after which a call counts as lost. */
-const CALL_LIMIT_MS = 1_500;
+const CALL_LIMIT_MS = 4_000;
 
 const GUARD = z.object({
   intents: z.array(
--- a/packages/core/src/orders/orderDesk.ts
+++ b/packages/core/src/orders/orderDesk.ts
@@ -50,10 +50,10 @@
 const PART = 'orders';
 
 /** Time within which an order is accepted, refused, or said to be unknown. */
-const ORDER_LIMIT_MS = 8_000;
+const ORDER_LIMIT_MS = 16_000;
 
 /** Time after which a call counts as lost. */
-const CALL_LIMIT_MS = 1_500;
+const CALL_LIMIT_MS = 4_000;
 
 const RETRY_MIN_MS = 50;
 
--- a/packages/core/src/orders/orderReader.ts
+++ b/packages/core/src/orders/orderReader.ts
@@ -19,7 +19,7 @@
 import { OrderTrace, traceOrder } from './readBack.js';
 
 /** Time after which a call counts as lost. */
-const CALL_LIMIT_MS = 1_500;
+const CALL_LIMIT_MS = 4_000;
 
 export interface OrderReaderOptions {
   readonly board: EntryBoard;
--- a/packages/core/src/orders/settledWrite.ts
+++ b/packages/core/src/orders/settledWrite.ts
@@ -19,7 +19,7 @@
 } from '../ports/objectStore.js';
 
 /** Time after which a call counts as lost. */
-const CALL_LIMIT_MS = 1_500;
+const CALL_LIMIT_MS = 4_000;
 
 export enum WriteOutcome {
   Written = 'written',
--- a/packages/standin/test/config/configFollower.test.ts
+++ b/packages/standin/test/config/configFollower.test.ts
@@ -96,6 +96,17 @@
   assert.is(readState(board), DomainState.Drained);
 });
 
+test('a platform that takes 3 s for each answer is followed all the same', async () => {
+  const { store, board } = createFollower();
+  store.delayMs = 3_000;
+  writeDomain(store, DomainState.Drained);
+  await clock.tickAsync(30_000);
+  assert.is(readState(board), DomainState.Drained);
+  writeDomain(store, DomainState.Active);
+  await clock.tickAsync(10_000);
+  assert.is(readState(board), DomainState.Active);
+});
+
 test('the right to begin new work lapses without answers and returns with them', async () => {
   const { store, board } = createFollower();
   await clock.tickAsync(5_000);
