End all nodes of a test with its clock

Cause: a node of an earlier run could go on with the clock of the next one (a warning of the fake timers about a native timer was printed). Change: after uninstall no work of any node runs. After: 21 tests in orders and 10 in lease pass.

--- a/packages/standin/test/support/nodeClock.ts
+++ b/packages/standin/test/support/nodeClock.ts
@@ -21,6 +21,8 @@
 
   readonly #clock: Clock;
 
+  #isEnded = false;
+
   constructor() {
     this.#clock = install();
     this.#wrapTimeouts();
@@ -32,13 +34,15 @@
     await this.#clock.tickAsync(spanMs);
   }
 
+  /** Ends all nodes, so that nothing of them runs on the clock of a later test. */
   uninstall(): void {
+    this.#isEnded = true;
     this.#clock.uninstall();
   }
 
   /** Runs work of a node: now, once it is thawed, or never. */
   run(node: string, work: Work): void {
-    if (this.#killed.has(node)) return;
+    if (this.#isEnded || this.#killed.has(node)) return;
     const held = this.#frozen.get(node);
     if (held) held.push(work);
     else this.#nodes.run(node, work);
