--- /dev/null
+++ b/packages/core/src/groups/groupCoordinator.ts
@@ -0,0 +1,338 @@
+/**
+ * Coordinates the expert map of one group, for as long as this process holds the lease.
+ *
+ * Each round it checks the lease, plans from the measured load in slices, takes a version for the
+ * new map by conditional update, and rolls it out. After taking the lease, and after any failure,
+ * it first reads all ranks and brings them to one map. Operators can ask for the map, for the plan
+ * with its gain and cost, and can pause and resume.
+ */
+import { LogLevel, type Log } from '../ports/log.js';
+import type { Metrics } from '../ports/metrics.js';
+import type { ObjectStore } from '../ports/objectStore.js';
+
+import { ExpertLoad, type ExpertLoadOptions, type RankLoadReport } from './expertLoad.js';
+import type { ExpertMap, GroupShape } from './expertMap.js';
+import { placeAll } from './freshPlacement.js';
+import { GroupRepair } from './groupRepair.js';
+import type { PlanOptions } from './layerPlanner.js';
+import type { LeaseView } from './leaseView.js';
+import { MapRecord } from './mapRecord.js';
+import { MapRollout } from './mapRollout.js';
+import { PlacementPlanner, type Plan } from './placementPlanner.js';
+import type { RankControl } from './rankControl.js';
+import {
+  Stragglers,
+  type RankHealth,
+  type RankTiming,
+  type StragglerOptions,
+} from './stragglers.js';
+
+const LOG_PART = 'groups';
+
+/** Moves tried in one step of the control loop; about two milliseconds at full size. */
+const MOVES_PER_STEP = 16;
+
+/** Versions that one order discards at most; older ones are long gone. */
+const MAX_DISCARDS = 16;
+
+/** Times that an unanswered order is given again. */
+const RETRIES = 3;
+
+export enum CoordinatorPhase {
+  /** Not the holder of the lease. */
+  Standby = 'standby',
+  /** Reads the ranks and brings them to one map. */
+  Repairing = 'repairing',
+  Watching = 'watching',
+  Planning = 'planning',
+  RollingOut = 'rolling-out',
+}
+
+export interface GroupCoordinatorOptions {
+  readonly group: string;
+  readonly shape: GroupShape;
+  /** Incarnation of this process. */
+  readonly incarnation: string;
+  readonly expertBytes: number;
+  readonly intervalMs: number;
+  /** Interval at which all ranks are read, and repaired where they differ. */
+  readonly checkIntervalMs: number;
+  readonly spareExperts: number;
+  readonly plan: PlanOptions;
+  readonly load: ExpertLoadOptions;
+  readonly stragglers: StragglerOptions;
+}
+
+export interface GroupPorts {
+  readonly control: RankControl;
+  readonly store: ObjectStore;
+  readonly lease: LeaseView;
+  readonly log: Log;
+  readonly metrics: Metrics;
+}
+
+/** What operators are told. */
+export interface GroupView {
+  readonly group: string;
+  readonly phase: CoordinatorPhase;
+  readonly isPaused: boolean;
+  readonly mapVersion: number;
+  readonly plan: PlanView | undefined;
+}
+
+/** The last plan, with what it is expected to bring and to cost. */
+export interface PlanView {
+  readonly loads: number;
+  readonly drawnBytes: number;
+  readonly savedMsPerStep: number;
+  readonly stepMsBefore: number;
+  readonly costMs: number;
+}
+
+/** Controller of one group. */
+export class GroupCoordinator {
+  readonly #options: GroupCoordinatorOptions;
+
+  readonly #ports: GroupPorts;
+
+  readonly #record: MapRecord;
+
+  readonly #load: ExpertLoad;
+
+  readonly #stragglers: Stragglers;
+
+  #phase = CoordinatorPhase.Standby;
+
+  #fencingNumber = 0;
+
+  #rollout: MapRollout | undefined;
+
+  #map: ExpertMap | undefined;
+
+  #planner: PlacementPlanner | undefined;
+
+  #plan: Plan | undefined;
+
+  #isPaused = false;
+
+  #isBusy = false;
+
+  #nextRoundAtMs = 0;
+
+  #nextCheckAtMs = 0;
+
+  #maxLoads: number;
+
+  constructor(options: GroupCoordinatorOptions, ports: GroupPorts) {
+    this.#options = options;
+    this.#ports = ports;
+    this.#record = new MapRecord(ports.store, options.group);
+    this.#load = new ExpertLoad(options.load);
+    this.#stragglers = new Stragglers(options.shape.ranks, options.stragglers);
+    this.#maxLoads = options.plan.maxLoads;
+  }
+
+  /** Map in force, as far as this process knows. */
+  get map(): ExpertMap | undefined {
+    return this.#map;
+  }
+
+  /** Health of the ranks: routing reads the request weights. */
+  get health(): readonly RankHealth[] {
+    return this.#stragglers.health;
+  }
+
+  get isLeaveDue(): boolean {
+    return this.#stragglers.isLeaveDue;
+  }
+
+  get view(): GroupView {
+    const plan = this.#plan;
+    return {
+      group: this.#options.group,
+      phase: this.#phase,
+      isPaused: this.#isPaused,
+      mapVersion: this.#map?.version ?? 0,
+      plan: plan && {
+        loads: plan.loads,
+        drawnBytes: plan.loads * this.#options.expertBytes,
+        savedMsPerStep: plan.savedMsPerStep,
+        stepMsBefore: plan.stepMsBefore,
+        costMs: plan.costMs,
+      },
+    };
+  }
+
+  /** Makes no new plan until {@link resume}; a roll-out that has begun is completed. */
+  pause(): void {
+    this.#isPaused = true;
+    this.#planner = undefined;
+    if (this.#phase === CoordinatorPhase.Planning) this.#phase = CoordinatorPhase.Watching;
+  }
+
+  resume(): void {
+    this.#isPaused = false;
+  }
+
+  /** Sets what the weight store's budget leaves for the next plan. */
+  setBudget(drawBytes: number): void {
+    const loads = Math.floor(drawBytes / this.#options.expertBytes);
+    this.#maxLoads = Math.min(loads, this.#options.plan.maxLoads);
+  }
+
+  /** Takes a rank's report of tokens by slot in. */
+  addLoad(report: RankLoadReport, nowMs: number): void {
+    if (this.#map) this.#load.add(report, this.#map, nowMs);
+  }
+
+  /** Takes the timings of all ranks for one window in. */
+  addTimings(timings: readonly RankTiming[], canOthersCarry: boolean): void {
+    this.#stragglers.step(timings, canOthersCarry);
+  }
+
+  /** One step of the control loop; it waits for nothing but what it has begun itself. */
+  async step(nowMs: number): Promise<void> {
+    if (this.#isBusy) return;
+    this.#isBusy = true;
+    await this.#work(nowMs);
+    this.#isBusy = false;
+  }
+
+  async #work(nowMs: number): Promise<void> {
+    const { lease } = this.#ports;
+    if (!lease.isHeld(nowMs)) {
+      this.#phase = CoordinatorPhase.Standby;
+      this.#planner = undefined;
+      return;
+    }
+    if (this.#phase === CoordinatorPhase.Standby || lease.fencingNumber !== this.#fencingNumber) {
+      this.#takeOver(lease.fencingNumber);
+    }
+    const isCheckDue = nowMs >= this.#nextCheckAtMs && this.#phase === CoordinatorPhase.Watching;
+    if (isCheckDue) this.#phase = CoordinatorPhase.Repairing;
+    if (this.#phase === CoordinatorPhase.Repairing) await this.#repair(nowMs);
+    else if (this.#phase === CoordinatorPhase.Watching) this.#beginPlan(nowMs);
+    else if (this.#phase === CoordinatorPhase.Planning) await this.#continuePlan(nowMs);
+  }
+
+  #takeOver(fencingNumber: number): void {
+    this.#fencingNumber = fencingNumber;
+    this.#phase = CoordinatorPhase.Repairing;
+    this.#planner = undefined;
+    const options = {
+      fencingNumber,
+      incarnation: this.#options.incarnation,
+      retries: RETRIES,
+      mayOrder: () => this.#isHolder(fencingNumber),
+    };
+    this.#rollout = new MapRollout(this.#ports.control, options, this.#ports.metrics);
+  }
+
+  #isHolder(fencingNumber: number): boolean {
+    const { lease } = this.#ports;
+    return lease.fencingNumber === fencingNumber && lease.isHeld(Date.now());
+  }
+
+  async #repair(nowMs: number): Promise<void> {
+    const rollout = this.#rollout;
+    if (!rollout) return;
+    if (!(await this.#loadRecord())) return;
+    const repair = new GroupRepair(this.#ports.control, rollout);
+    const repaired = await repair.run(this.#record.maps);
+    if (!repaired.ok) {
+      this.#refuse(`repair-${repaired.val.kind}`);
+      return;
+    }
+    if (this.#map?.version !== repaired.val.version) {
+      this.#write(LogLevel.Info, 'All ranks are on one map.');
+    }
+    this.#map = repaired.val;
+    this.#nextCheckAtMs = nowMs + this.#options.checkIntervalMs;
+    this.#phase = CoordinatorPhase.Watching;
+  }
+
+  /** Reads the record; with the platform down what is known of it goes on. */
+  async #loadRecord(): Promise<boolean> {
+    const maps = await this.#record.load();
+    if (!maps.ok) {
+      this.#refuse(`record-${maps.val.kind}`);
+      return this.#record.maps.length > 0;
+    }
+    return maps.val.length > 0 || this.#recordFirst();
+  }
+
+  async #recordFirst(): Promise<boolean> {
+    const { shape } = this.#options;
+    const even = new Float64Array(shape.layers * shape.experts).fill(1);
+    const speeds = new Array<number>(shape.ranks).fill(1);
+    const slots = placeAll(shape, even, speeds);
+    const added = await this.#record.add(slots, shape, this.#fencingNumber, 0);
+    if (!added.ok) this.#refuse(`record-${added.val.kind}`);
+    return added.ok;
+  }
+
+  #beginPlan(nowMs: number): void {
+    if (this.#isPaused || !this.#map || nowMs < this.#nextRoundAtMs) return;
+    this.#nextRoundAtMs = nowMs + this.#options.intervalMs;
+    const tokens = this.#load.read(nowMs);
+    if (!tokens.ok) {
+      this.#refuse(tokens.val);
+      return;
+    }
+    const { plan, spareExperts } = this.#options;
+    const speeds = this.health.map((rank) => rank.speed);
+    const spare = speeds.map(() => spareExperts);
+    const input = { map: this.#map, tokens: tokens.val, speeds, spareExperts: spare };
+    this.#planner = new PlacementPlanner(input, { ...plan, maxLoads: this.#maxLoads });
+    this.#phase = CoordinatorPhase.Planning;
+  }
+
+  async #continuePlan(nowMs: number): Promise<void> {
+    const planner = this.#planner;
+    if (!planner) return;
+    for (let moves = 0; moves < MOVES_PER_STEP; moves += 1) planner.step();
+    if (!planner.isDone) return;
+    this.#planner = undefined;
+    this.#phase = CoordinatorPhase.Watching;
+    this.#plan = planner.finish();
+    const isFresh = this.#load.read(nowMs).ok;
+    if (this.#plan && isFresh) await this.#rollOut(this.#plan);
+  }
+
+  async #rollOut(plan: Plan): Promise<void> {
+    const rollout = this.#rollout;
+    const current = this.#map;
+    if (!rollout || !current) return;
+    this.#phase = CoordinatorPhase.RollingOut;
+    const { shape } = this.#options;
+    const added = await this.#record.add(plan.slots, shape, this.#fencingNumber, current.version);
+    if (!added.ok) {
+      this.#refuse(`record-${added.val.kind}`);
+      this.#phase = CoordinatorPhase.Repairing;
+      return;
+    }
+    const inUse = new Set([current.version, added.val.version]);
+    const versions = Array.from({ length: added.val.version }, (_, index) => index + 1);
+    const discarded = versions.filter((version) => !inUse.has(version)).slice(-MAX_DISCARDS);
+    const done = await rollout.run(added.val, discarded);
+    if (!done.ok) {
+      this.#refuse(`rollout-${done.val.kind}`);
+      this.#phase = CoordinatorPhase.Repairing;
+      return;
+    }
+    this.#map = added.val;
+    this.#phase = CoordinatorPhase.Watching;
+    this.#ports.metrics.count('groups.map_switched');
+    this.#write(LogLevel.Info, 'A new map is in force.');
+  }
+
+  #refuse(reason: string): void {
+    this.#ports.metrics.count('groups.plan_refused', { reason });
+    this.#write(LogLevel.Debug, `No new map: ${reason}.`);
+  }
+
+  #write(level: LogLevel, sentence: string): void {
+    const { group } = this.#options;
+    this.#ports.log.write(level, LOG_PART, sentence, { group, map: this.#map?.version });
+  }
+}
--- a/packages/core/src/groups/mapRollout.ts
+++ b/packages/core/src/groups/mapRollout.ts
@@ -76,12 +76,16 @@
     return this.putInForce(map.version);
   }
 
-  /** Stages a map on all ranks; nothing is held yet. */
+  /**
+   * Stages a map; nothing is held yet.
+   *
+   * @param ranks ranks to stage it on; left out, all of them
+   */
   async stage(
     map: ExpertMap,
     discardVersions: readonly number[],
+    ranks = Array.from({ length: this.#control.ranks }, (_, rank) => rank),
   ): Promise<Result<number, RolloutError>> {
-    const ranks = Array.from({ length: this.#control.ranks }, (_, rank) => rank);
     const errors = await Promise.all(
       ranks.map((rank) => this.#stageOn(rank, map, discardVersions, this.#options.retries)),
     );
--- /dev/null
+++ b/packages/core/test/groups/weightBudget.test.ts
@@ -0,0 +1,92 @@
+import fc from 'fast-check';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import {
+  DrawPurpose,
+  WeightBudget,
+  readDrawBytes,
+  type DrawRequest,
+} from '../../src/groups/weightBudget.js';
+
+const OPTIONS = {
+  bytesPerSecond: 1000,
+  maxDrawBytesPerSecond: 600,
+  minDrawBytesPerSecond: 50,
+  termMs: 2000,
+};
+
+const SEED = 8;
+
+function ask(id: string, purpose: DrawPurpose, bytes = 1e6): DrawRequest {
+  return { id, purpose, bytes };
+}
+
+test('what callers wait for is granted before what was ordered, and rebalancing comes last', () => {
+  const budget = new WeightBudget(OPTIONS, 0);
+  const requests = [
+    ask('group', DrawPurpose.Rebalance),
+    ask('model', DrawPurpose.ModelLoad),
+    ask('cold', DrawPurpose.ColdStart),
+  ];
+  const grants = budget.grant(requests, 2000);
+  const rates = grants.map((grant) => [grant.id, grant.bytesPerSecond]);
+  assert.equal(rates, [
+    ['cold', 600],
+    ['model', 400],
+  ]);
+});
+
+test('what one purpose leaves goes to the next one', () => {
+  const budget = new WeightBudget(OPTIONS, 0);
+  const requests = [ask('group', DrawPurpose.Rebalance), ask('cold', DrawPurpose.ColdStart, 400)];
+  const rates = budget.grant(requests, 2000).map((grant) => grant.bytesPerSecond);
+  assert.equal(rates, [200, 600]);
+});
+
+test('the parts of the rate in use never exceed it, also across a change of coordinator', () => {
+  const draw = fc.record({
+    atMs: fc.nat(20_000),
+    purpose: fc.constantFrom(...Object.values(DrawPurpose)),
+    bytes: fc.integer({ min: 1, max: 5000 }),
+  });
+  const property = fc.property(
+    fc.array(draw, { maxLength: 60 }),
+    fc.nat(20_000),
+    (draws, change) => {
+      const holders = [
+        new WeightBudget(OPTIONS, -OPTIONS.termMs),
+        new WeightBudget(OPTIONS, change),
+      ];
+      const sorted = [...draws].sort((first, second) => first.atMs - second.atMs);
+      const grants = sorted.flatMap(({ atMs, purpose, bytes }, index) => {
+        const holder = holders[atMs < change ? 0 : 1];
+        const made = holder?.grant([ask(`${index}`, purpose, bytes)], atMs) ?? [];
+        return made.map((grant) => ({
+          atMs,
+          rate: grant.bytesPerSecond,
+          endMs: atMs + grant.validMs,
+        }));
+      });
+      grants.forEach(({ atMs }) => {
+        const inUse = grants.filter((grant) => grant.atMs <= atMs && grant.endMs > atMs);
+        const rate = inUse.reduce((sum, grant) => sum + grant.rate, 0);
+        assert.ok(rate <= OPTIONS.bytesPerSecond, `${rate} at ${atMs}`);
+      });
+    },
+  );
+  fc.assert(property, { seed: SEED, numRuns: 300 });
+});
+
+test('a new holder grants nothing for one term', () => {
+  const budget = new WeightBudget(OPTIONS, 0);
+  assert.equal(budget.grant([ask('cold', DrawPurpose.ColdStart)], 1999), []);
+});
+
+test('a grant that was long on its way allows less, and none once its term is over', () => {
+  const grant = { id: 'cold', bytesPerSecond: 600, validMs: 2000 };
+  assert.is(readDrawBytes(grant, 1000, 2000), 600);
+  assert.is(readDrawBytes(grant, 1000, 3000), 0);
+});
+
+test.run();
--- /dev/null
+++ b/packages/standin/test/group/groupCoordinator.test.ts
@@ -0,0 +1,125 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { CoordinatorPhase } from '@radishbay/core/groups/groupCoordinator.js';
+
+import { CoordinatorBench, SHAPE } from './coordinatorBench.js';
+import { TestLease } from './testLease.js';
+
+/** Runs a test on a group whose engines have just started and have no map. */
+function testGroup(name: string, run: (bench: CoordinatorBench) => Promise<void>): void {
+  test(name, async () => {
+    const bench = new CoordinatorBench();
+    try {
+      await run(bench);
+      assert.is(bench.group.mixedSteps.length, 0);
+    } finally {
+      bench.close();
+    }
+  });
+}
+
+testGroup('a group without a map is given a first one and steps', async (bench) => {
+  bench.start(new TestLease(1));
+  await bench.run(400);
+  assert.is(bench.lastVersion, 1);
+  assert.ok(bench.countSteps(300) >= 4);
+});
+
+testGroup('a skewed load brings a new map, told with its gain and cost', async (bench) => {
+  const coordinator = bench.start(new TestLease(1));
+  await bench.run(3000);
+  const { plan, mapVersion } = coordinator.view;
+  assert.ok(mapVersion > 1);
+  assert.is(bench.lastVersion, mapVersion);
+  assert.ok(bench.metrics.read('groups.map_switched') > 0);
+  assert.ok(!plan || plan.savedMsPerStep > 0);
+});
+
+testGroup('a paused group keeps its map until it is resumed', async (bench) => {
+  const coordinator = bench.start(new TestLease(1));
+  coordinator.pause();
+  await bench.run(3000);
+  assert.is(bench.lastVersion, 1);
+  coordinator.resume();
+  await bench.run(5000);
+  assert.ok(bench.lastVersion > 1);
+});
+
+testGroup('a load that is no longer reported brings no new map', async (bench) => {
+  const coordinator = bench.start(new TestLease(1));
+  coordinator.pause();
+  await bench.run(1000);
+  Object.assign(bench, { isReporting: false });
+  await bench.run(3000);
+  coordinator.resume();
+  await bench.run(6000);
+  assert.is(bench.lastVersion, 1);
+  assert.ok(bench.metrics.read('groups.plan_refused') > 0);
+});
+
+testGroup('a budget of less than one expert brings no new map', async (bench) => {
+  const coordinator = bench.start(new TestLease(1));
+  coordinator.setBudget(999);
+  await bench.run(3000);
+  assert.is(bench.lastVersion, 1);
+});
+
+testGroup('an engine that started anew is given its map, and the group steps', async (bench) => {
+  const coordinator = bench.start(new TestLease(1));
+  coordinator.pause();
+  await bench.run(1000);
+  bench.group.engines[2]?.restart();
+  await bench.run(4000);
+  assert.ok(bench.countSteps(3000) > 40);
+});
+
+testGroup(
+  'a holder whose lease has lapsed stands by, and the next one takes over',
+  async (bench) => {
+    const lease = new TestLease(1);
+    const first = bench.start(lease);
+    await bench.run(400);
+    lease.isOurs = false;
+    const second = bench.start(new TestLease(2));
+    await bench.run(4000);
+    assert.is(first.view.phase, CoordinatorPhase.Standby);
+    assert.is(second.view.mapVersion, bench.lastVersion);
+    assert.ok(bench.lastVersion > 1);
+  },
+);
+
+testGroup('two coordinators that both think they hold the lease do no harm', async (bench) => {
+  bench.start(new TestLease(1));
+  bench.start(new TestLease(2));
+  await bench.run(6000);
+  assert.ok(bench.countSteps(5000) > 20);
+});
+
+testGroup('a recorded version whose answer was lost is read back and used', async (bench) => {
+  Object.assign(bench.store, { lostAnswers: 2 });
+  bench.start(new TestLease(1));
+  await bench.run(3000);
+  const used = [...new Set(bench.group.record.map((step) => step.versions[0]))];
+  assert.equal(used.slice(0, 2), [1, 2]);
+});
+
+testGroup('with the platform down the group goes on with its map', async (bench) => {
+  bench.start(new TestLease(1));
+  await bench.run(400);
+  Object.assign(bench.store, { isDown: true });
+  await bench.run(4000);
+  assert.is(bench.lastVersion, 1);
+  assert.ok(bench.countSteps(3000) > 40);
+});
+
+testGroup('rebalancing ends where nothing more is to be gained', async (bench) => {
+  bench.start(new TestLease(1));
+  await bench.run(6000);
+  const version = bench.lastVersion;
+  await bench.run(10_000);
+  assert.is(bench.lastVersion, version);
+  assert.ok(version <= 2 * SHAPE.ranks);
+});
+
+test.run();
--- /dev/null
+++ b/packages/standin/test/group/memoryStore.ts
@@ -0,0 +1,63 @@
+/** An object store in memory whose next answers can be lost or refused. */
+import { Err, Ok, type Result } from '@radishbay/core/outcome.js';
+import {
+  ObjectStore,
+  StoreErrorKind,
+  type ObjectList,
+  type StoreError,
+  type StoredObject,
+  type WatchBatch,
+} from '@radishbay/core/ports/objectStore.js';
+
+function fail(kind: StoreErrorKind): Result<never, StoreError> {
+  return Err({ kind, detail: kind });
+}
+
+/** What a platform keeps: JSON. */
+function copy<T>(value: T): T {
+  return value === undefined ? value : (JSON.parse(JSON.stringify(value)) as T);
+}
+
+export class MemoryStore extends ObjectStore {
+  readonly #objects = new Map<string, StoredObject>();
+
+  #revision = 0;
+
+  isDown = false;
+
+  /** Writes whose answers are lost after they took effect. */
+  lostAnswers = 0;
+
+  override get(key: string): Promise<Result<StoredObject | undefined, StoreError>> {
+    if (this.isDown) return Promise.resolve(fail(StoreErrorKind.Unavailable));
+    return Promise.resolve(Ok(copy(this.#objects.get(key))));
+  }
+
+  override put(
+    key: string,
+    value: unknown,
+    expectedVersion: number,
+  ): Promise<Result<number, StoreError>> {
+    if (this.isDown) return Promise.resolve(fail(StoreErrorKind.Unavailable));
+    if ((this.#objects.get(key)?.version ?? 0) !== expectedVersion) {
+      return Promise.resolve(fail(StoreErrorKind.Conflict));
+    }
+    this.#revision += 1;
+    this.#objects.set(key, { key, version: this.#revision, value: copy(value) });
+    if (this.lostAnswers === 0) return Promise.resolve(Ok(this.#revision));
+    this.lostAnswers -= 1;
+    return Promise.resolve(fail(StoreErrorKind.Unknown));
+  }
+
+  override list(): Promise<Result<ObjectList, StoreError>> {
+    return Promise.resolve(Ok({ revision: this.#revision, objects: [...this.#objects.values()] }));
+  }
+
+  override remove(): Promise<Result<number, StoreError>> {
+    return Promise.resolve(this.isDown ? fail(StoreErrorKind.Unavailable) : Ok(this.#revision));
+  }
+
+  override watch(): Promise<Result<WatchBatch, StoreError>> {
+    return Promise.resolve(Ok({ revision: this.#revision, changes: [] }));
+  }
+}
--- a/packages/standin/test/group/switchRun.ts
+++ b/packages/standin/test/group/switchRun.ts
@@ -12,6 +12,7 @@
 import { CoordinatorProcess } from '../../src/group/proposer.js';
 import { RankGroup } from '../../src/group/rankGroup.js';
 import { SideSlot } from '../../src/group/sideSlot.js';
+import { runClock } from './clockRun.js';
 
 const STEP_MS = 20;
 const RUN_MS = 7_000;
@@ -96,25 +97,9 @@
   return control;
 }
 
-async function runClock(
-  clock: FakeTimers.Clock,
-  endMs: number,
-  flush: () => Promise<void>,
-): Promise<void> {
-  if (clock.now >= endMs) return;
-  clock.next();
-  await flush();
-  await runClock(clock, endMs, flush);
-}
-
 /** Runs a scenario to its end. */
 export async function runSwitch(scenario: Scenario): Promise<RunResult> {
-  const yieldLoop = setImmediate;
   const clock = FakeTimers.install({ now: 0 });
-  const flush = () =>
-    new Promise<void>((resolve) => {
-      yieldLoop(resolve);
-    });
   const group = new RankGroup({ ...scenario, stepMs: STEP_MS });
   const faults = new EventFaults(scenario.faults);
   const slots: SideSlot[] = [];
@@ -143,7 +128,7 @@
     setTimeout(() => startCoordinator(slots, faults, fencing, rollouts), fencing * SUCCESSION_MS);
   });
   const runMs = scenario.runMs ?? RUN_MS;
-  await runClock(clock, runMs, flush);
+  await runClock(clock, runMs);
   clock.uninstall();
   const lastSteps = group.record.filter((step) => step.startedAtMs > runMs - LAST_WINDOW_MS);
   return {
--- /dev/null
+++ b/packages/standin/test/group/testLease.ts
@@ -0,0 +1,14 @@
+/** A lease that a test gives and takes. */
+export class TestLease {
+  isOurs = true;
+
+  readonly fencingNumber: number;
+
+  constructor(fencingNumber: number) {
+    this.fencingNumber = fencingNumber;
+  }
+
+  isHeld(): boolean {
+    return this.isOurs;
+  }
+}
