--- a/packages/core/src/messages/message.ts
+++ b/packages/core/src/messages/message.ts
@@ -96,6 +96,8 @@
   isCurrent: z.boolean(),
   /** Whether the sender is in a planned stop. */
   isStopping: z.boolean(),
+  /** Age of the moment up to which an entry's configuration is proved complete. */
+  confirmedAgeMs: z.number().nonnegative().optional(),
 });
 
 /** A request to run; the side process answers `Refused`, `Failed`, or `Head`, `Data` and `End`. */
@@ -178,6 +180,11 @@
   sideIncarnation: z.string(),
   fromOffset: COUNT,
   creditBytes: COUNT,
+  /**
+   * Tick of the side process heard no later than the submission, such as the one it echoed. Without
+   * it, a side process that has forgotten any attempt can't prove that this one has not run.
+   */
+  submitTickMs: z.number().optional(),
 });
 
 /** Where the state is running or finished, `Head`, `Data` and `End` follow from the offset. */
--- /dev/null
+++ b/packages/core/test/entry/requestController.test.ts
@@ -0,0 +1,114 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { Outcome, RefusalReason } from '../../src/model/reason.js';
+
+import { FakeSide } from './fakeSide.js';
+import { scenario } from './scenario.js';
+
+const SWAP = { path: '/v1/swaps/7' };
+
+scenario('a caller gets the whole answer to its own request', async (entry, clock) => {
+  const caller = entry.request();
+  await clock.tickAsync(0);
+  entry.deliver();
+  entry.finishAll();
+  assert.is(caller.status, 200);
+  assert.is(caller.text, FakeSide.answerOf('entry-1.i1.1.1', 'entry-1/1'));
+  assert.equal(caller.ends, ['end']);
+});
+
+scenario('an entry whose configuration is not confirmed sends nothing', async (entry, clock) => {
+  Object.assign(entry.board, { isCurrent: false });
+  const caller = entry.request();
+  await clock.tickAsync(0);
+  assert.is(caller.refusal?.reason, RefusalReason.StaleConfiguration);
+  assert.is(caller.refusal?.outcome, Outcome.NotRun);
+  assert.equal([...entry.takeOutbox('worker-a'), ...entry.takeOutbox('worker-b')], []);
+});
+
+scenario('a drained domain gets no new work', async (entry, clock) => {
+  entry.applyConfig([['domain', { name: 'zone-a', state: 'drained' }]]);
+  const callers = [entry.request(), entry.request(), entry.request()];
+  await clock.tickAsync(0);
+  assert.equal(entry.takeOutbox('worker-a'), []);
+  entry.deliver();
+  entry.finishAll();
+  callers.forEach((caller) => assert.equal(caller.ends, ['end']));
+});
+
+scenario(
+  'work leaves a drained domain after the time that the order sets',
+  async (entry, clock) => {
+    const callers = [entry.request(), entry.request(), entry.request(SWAP), entry.request(SWAP)];
+    await clock.tickAsync(0);
+    entry.deliver();
+    const out = { drainedAtMs: Date.now(), shareBefore: 1, restoredAtMs: undefined };
+    entry.board.domainReturns.set('zone-a', out);
+    entry.applyConfig([['domain', { name: 'zone-a', state: 'drained', moveAfterMs: 1_000 }]]);
+    const before = entry.countRunning('worker-a');
+    await clock.tickAsync(999);
+    entry.report('worker-a');
+    entry.deliver();
+    assert.is(entry.countRunning('worker-a'), before);
+    await clock.tickAsync(1);
+    entry.report('worker-a');
+    entry.deliver();
+    assert.is(before - entry.countRunning('worker-a'), 1);
+    entry.finishAll();
+    callers.forEach((caller) => assert.equal(caller.ends, ['end']));
+  },
+);
+
+scenario('a request that a gate refuses runs at another upstream', async (entry, clock) => {
+  entry.sides.forEach((side) => Object.assign(side, { gateReason: RefusalReason.UpstreamFull }));
+  const caller = entry.request(SWAP);
+  await clock.tickAsync(0);
+  entry.deliver();
+  entry.sides.forEach((side) => Object.assign(side, { gateReason: undefined }));
+  await clock.tickAsync(200);
+  entry.deliver();
+  entry.finishAll();
+  assert.equal(caller.ends, ['end']);
+  assert.is(entry.countExecutions('entry-1/1'), 1);
+  assert.is(entry.counts.get('request.retried refused-by-side'), 2);
+});
+
+scenario('a request ends at its deadline and is not called not run', async (entry, clock) => {
+  const caller = entry.request({ ...SWAP, deadlineMs: 1_000 });
+  await clock.tickAsync(0);
+  entry.deliver();
+  await clock.tickAsync(1_000);
+  assert.equal(caller.ends, ['refuse']);
+  assert.is(caller.refusal?.outcome, Outcome.Unknown);
+});
+
+scenario('a caller that hangs up cancels the work', async (entry, clock) => {
+  const caller = entry.request();
+  await clock.tickAsync(0);
+  entry.deliver();
+  caller.hangUp();
+  entry.deliver();
+  assert.equal(
+    [...entry.sides.values()].flatMap((side) => side.listRunning('entry-1')),
+    [],
+  );
+});
+
+scenario(
+  'a stopping entry refuses new requests and finishes those in flight',
+  async (entry, clock) => {
+    Object.assign(entry.board, { isStopping: true });
+    const first = entry.request();
+    await clock.tickAsync(0);
+    const drained = entry.controller.drain();
+    const second = entry.request();
+    entry.deliver();
+    entry.finishAll();
+    await drained;
+    assert.is(second.refusal?.reason, RefusalReason.ShuttingDown);
+    assert.equal(first.ends, ['end']);
+  },
+);
+
+test.run();
--- /dev/null
+++ b/packages/core/test/side/fakeEngine.ts
@@ -0,0 +1,276 @@
+/** An engine in memory: counts executions, notes overruns, reports with a lag. */
+import * as assert from 'uvu/assert';
+
+import type { CacheEvent, EngineReport } from '../../src/model/report.js';
+import { Err, Ok, type Result } from '../../src/outcome.js';
+import {
+  Engine,
+  EngineFailureKind,
+  EngineOrderErrorKind,
+  type EngineCall,
+  type EngineEvents,
+  type EngineOrder,
+  type EngineOrderError,
+  type EngineRun,
+} from '../../src/ports/engine.js';
+
+/** Factor by which a cold engine is slow to its first byte. */
+const COLD_FACTOR = 8;
+
+/** Time until a cancelled call has left the engine. */
+const CANCEL_MS = 5;
+
+interface Snapshot {
+  readonly atMs: number;
+  readonly report: EngineReport;
+}
+
+interface ActiveCall {
+  readonly call: EngineCall;
+  events: EngineEvents;
+  readonly answer: Uint8Array;
+  sent: number;
+  isPaused: boolean;
+  timer: NodeJS.Timeout | undefined;
+}
+
+/** Bytes that an attempt is answered with. */
+export function answerOf(attemptId: string, byteCount: number): Uint8Array {
+  const text = `${attemptId}/`.repeat(Math.ceil(byteCount / (attemptId.length + 1)));
+  return new TextEncoder().encode(text).subarray(0, byteCount);
+}
+
+function ignore(): void {}
+
+const DEAF: EngineEvents = { onHead: ignore, onData: ignore, onEnd: ignore, onFailure: ignore };
+
+function failCall(events: EngineEvents, kind: EngineFailureKind): EngineRun {
+  setTimeout(() => events.onFailure({ kind, detail: kind }), 1);
+  return { cancel: ignore, pause: ignore, resume: ignore };
+}
+
+/** Fails where two answers differ, without printing them. */
+export function assertAnswer(actual: Uint8Array, attemptId: string, byteCount: number): void {
+  assert.is(actual.length, byteCount);
+  assert.is(Buffer.compare(actual, answerOf(attemptId, byteCount)), 0);
+}
+
+/** How the engine behaves. */
+export interface EngineSetup {
+  readonly firstByteMs: number;
+  readonly pieceMs: number;
+  readonly pieceBytes: number;
+  readonly answerBytes: number;
+  readonly reportLagMs: number;
+  readonly coldLimit: number;
+  readonly warmLimit: number;
+  /** What the engine says of itself where that differs from the truth. */
+  readonly claimsWarm: boolean | undefined;
+  readonly isReportFailing: boolean;
+  readonly isReportHanging: boolean;
+  /** Failure that calls end with. */
+  readonly failure: EngineFailureKind | undefined;
+  /** Errors of orders by the order's number from 0 on; Ok after the last. */
+  readonly orderErrors: readonly EngineOrderErrorKind[];
+  readonly orderMs: number;
+}
+
+const DEFAULT_SETUP: EngineSetup = {
+  firstByteMs: 50,
+  pieceMs: 20,
+  pieceBytes: 10,
+  answerBytes: 30,
+  reportLagMs: 0,
+  coldLimit: 2,
+  warmLimit: 8,
+  claimsWarm: undefined,
+  isReportFailing: false,
+  isReportHanging: false,
+  failure: undefined,
+  orderErrors: [],
+  orderMs: 10,
+};
+
+export class FakeEngine extends Engine {
+  #setup: EngineSetup = DEFAULT_SETUP;
+
+  isWarm = true;
+
+  turnedColdAtMs = Number.NEGATIVE_INFINITY;
+
+  readonly orders: EngineOrder[] = [];
+
+  /** Executions by attempt. */
+  readonly executions = new Map<string, number>();
+
+  /** For each call that began above what the engine bore: time since it had turned cold. */
+  readonly overruns: number[] = [];
+
+  readonly cancelled: string[] = [];
+
+  pauseCount = 0;
+
+  resumeCount = 0;
+
+  readonly #active = new Map<number, ActiveCall>();
+
+  #lastCall = 0;
+
+  #incarnation = 1;
+
+  #history: Snapshot[] = [];
+
+  constructor() {
+    super();
+    this.#note();
+  }
+
+  /** Changes how the engine behaves from now on. */
+  set(changes: Partial<EngineSetup>): void {
+    this.#setup = { ...this.#setup, ...changes };
+  }
+
+  get runningCount(): number {
+    return this.#active.size;
+  }
+
+  start(call: EngineCall, events: EngineEvents): EngineRun {
+    this.#lastCall += 1;
+    const id = this.#lastCall;
+    const answer = answerOf(call.attemptId, this.#setup.answerBytes);
+    const active: ActiveCall = { call, events, answer, sent: 0, isPaused: false, timer: undefined };
+    if (this.#setup.failure) return failCall(events, this.#setup.failure);
+    this.executions.set(call.attemptId, (this.executions.get(call.attemptId) ?? 0) + 1);
+    this.#active.set(id, active);
+    this.#note();
+    const bears = this.isWarm ? this.#setup.warmLimit : this.#setup.coldLimit;
+    if (this.#active.size > bears) {
+      this.overruns.push(performance.now() - this.turnedColdAtMs);
+    }
+    const waitMs = this.isWarm ? this.#setup.firstByteMs : this.#setup.firstByteMs * COLD_FACTOR;
+    active.timer = setTimeout(() => this.#begin(id), waitMs);
+    return {
+      cancel: () => this.#cancel(id),
+      pause: () => this.#pause(id),
+      resume: () => this.#resume(id),
+    };
+  }
+
+  /** A new engine process takes the place of this one: all calls break. */
+  restart(): void {
+    this.#incarnation += 1;
+    this.isWarm = false;
+    const calls = [...this.#active.values()];
+    calls.forEach((active) => clearTimeout(active.timer));
+    this.#active.clear();
+    this.#note();
+    calls.forEach(({ events }) =>
+      events.onFailure({ kind: EngineFailureKind.Lost, detail: 'engine restarted' }),
+    );
+  }
+
+  /** All connections break, and the engine goes on with the calls. */
+  breakConnections(): void {
+    [...this.#active.values()].forEach((active) => {
+      const { onFailure } = active.events;
+      // eslint-disable-next-line no-param-reassign -- nobody hears of this call any more
+      active.events = DEAF;
+      onFailure({ kind: EngineFailureKind.Lost, detail: 'connection broke' });
+    });
+  }
+
+  /** Becomes warm or cold; reports tell of it after their lag. */
+  turn(isWarm: boolean): void {
+    if (this.isWarm && !isWarm) this.turnedColdAtMs = performance.now();
+    this.isWarm = isWarm;
+    this.#note();
+  }
+
+  readReport(): Promise<Result<EngineReport, string>> {
+    if (this.#setup.isReportHanging) return new Promise(() => {});
+    if (this.#setup.isReportFailing) return Promise.resolve(Err('no answer'));
+    const atMs = performance.now() - this.#setup.reportLagMs;
+    const seen = this.#history.filter((snapshot) => snapshot.atMs <= atMs);
+    const snapshot = seen[seen.length - 1] ?? this.#history[0];
+    return Promise.resolve(snapshot ? Ok(snapshot.report) : Err('nothing yet'));
+  }
+
+  override readCacheEvents(): Promise<Result<readonly CacheEvent[], string>> {
+    return Promise.resolve(Ok([]));
+  }
+
+  async order(
+    order: EngineOrder,
+  ): Promise<Result<Readonly<Record<string, unknown>>, EngineOrderError>> {
+    const number = this.orders.length;
+    this.orders.push(order);
+    await new Promise((resolve) => {
+      setTimeout(resolve, this.#setup.orderMs);
+    });
+    const kind = this.#setup.orderErrors[number];
+    return kind ? Err({ kind, detail: kind }) : Ok({ count: this.orders.length });
+  }
+
+  #begin(id: number): void {
+    const active = this.#active.get(id);
+    if (!active) return;
+    active.events.onHead(200, { 'content-type': 'text/plain' });
+    this.#sendPiece(id);
+  }
+
+  #sendPiece(id: number): void {
+    const active = this.#active.get(id);
+    if (!active) return;
+    active.timer = undefined;
+    if (active.isPaused) return;
+    if (active.sent >= active.answer.length) {
+      this.#active.delete(id);
+      this.#note();
+      active.events.onEnd();
+      return;
+    }
+    const piece = active.answer.subarray(active.sent, active.sent + this.#setup.pieceBytes);
+    active.sent += piece.length;
+    active.timer = setTimeout(() => this.#sendPiece(id), this.#setup.pieceMs);
+    active.events.onData(piece);
+  }
+
+  #cancel(id: number): void {
+    const active = this.#active.get(id);
+    if (!active) return;
+    clearTimeout(active.timer);
+    this.cancelled.push(active.call.attemptId);
+    setTimeout(() => {
+      this.#active.delete(id);
+      this.#note();
+    }, CANCEL_MS);
+  }
+
+  #pause(id: number): void {
+    const active = this.#active.get(id);
+    if (!active) return;
+    this.pauseCount += 1;
+    active.isPaused = true;
+  }
+
+  #resume(id: number): void {
+    const active = this.#active.get(id);
+    if (!active) return;
+    this.resumeCount += 1;
+    active.isPaused = false;
+    if (!active.timer) active.timer = setTimeout(() => this.#sendPiece(id), this.#setup.pieceMs);
+  }
+
+  #note(): void {
+    const report: EngineReport = {
+      engineIncarnation: `e${this.#incarnation}`,
+      running: this.#active.size,
+      queued: 0,
+      kvUsedShare: 0,
+      isWarm: this.#setup.claimsWarm ?? this.isWarm,
+      tokensPerSecond: 0,
+      models: [],
+    };
+    this.#history = [...this.#history.slice(-400), { atMs: performance.now(), report }];
+  }
+}
