--- a/packages/core/src/routing/leastLoadedRouting.ts
+++ b/packages/core/src/routing/leastLoadedRouting.ts
@@ -10,17 +10,11 @@
 import type { EntryBoard, UpstreamState } from '../state/entryBoard.js';
 
 import { RoutingPolicy, type RoutingQuery } from './routingPolicy.js';
-import { findClosedReason, readLimit, readLoad } from './upstreamState.js';
+import { findClosedReason, hasModel, readLimit, readLoad } from './upstreamState.js';
 
 /** Time after which a request that found no upstream is asked to come back. */
 const NO_UPSTREAM_RETRY_MS = 1_000;
 
-function hasModel(upstream: UpstreamState, model: string | undefined): boolean {
-  if (model === undefined) return true;
-  const models = upstream.report?.models ?? [];
-  return models.length === 0 || models.includes(model);
-}
-
 /** Chooses the least loaded upstream, at random among equals. */
 export class LeastLoadedRouting extends RoutingPolicy {
   readonly #random: Random;
--- a/packages/core/src/routing/upstreamState.ts
+++ b/packages/core/src/routing/upstreamState.ts
@@ -17,6 +17,13 @@
   return (upstream.othersInFlight ?? 0) + upstream.inFlight;
 }
 
+/** Whether an upstream has a model loaded; one that names no models may have any. */
+export function hasModel(upstream: UpstreamState, model: string | undefined): boolean {
+  if (model === undefined) return true;
+  const models = upstream.report?.models ?? [];
+  return models.length === 0 || models.includes(model);
+}
+
 /**
  * Takes a report in.
  *
