--- a/packages/core/src/limits/fairQueue.ts
+++ b/packages/core/src/limits/fairQueue.ts
@@ -122,6 +122,12 @@
     this.#take((item) => item.id === idOrRun || item.run === idOrRun);
   }
 
+  /** Ids of the waiting requests, in the order in which their turns come. */
+  listIds(): readonly string[] {
+    const levels = [...this.#levels].sort(([one], [other]) => one - other);
+    return levels.flatMap(([, level]) => level.items.map((item) => item.id));
+  }
+
   /** Counts the waiting requests that would have their turn before a new one. */
   countAhead(share: FairShare): number {
     const counts = [...this.#levels].map(([priority, level]) => {
