Lend what is left of workspace limits to entries with more demand

The lender takes them out before it sends them, so the sum stays one bucket of the whole limit, and lost messages lose tokens. Not measured: a home entry for each workspace, which needs a rule for its loss and change.

--- a/packages/core/src/limits/workspaceLimiter.ts
+++ b/packages/core/src/limits/workspaceLimiter.ts
@@ -1,8 +1,10 @@
 /**
  * Limits of workspaces: one token bucket for each workspace in each entry.
  *
- * Each entry takes an equal share of the limit, by the number of entries that it counts as live.
- * A bucket that has filled up again says no more than no bucket, and is dropped.
+ * Each entry fills its bucket with an equal share of the limit. What one entry does not need it can
+ * lend to another, which takes the same tokens out here and puts them in there: the sum over all
+ * entries stays that of one bucket with the whole limit. A bucket that has filled up again says no
+ * more than no bucket, and is dropped.
  */
 import type { Workspace } from '../config/object.js';
 
@@ -11,21 +13,35 @@
 /** Number of buckets above which full ones are dropped. */
 const BUCKETS_BEFORE_SWEEP = 1_024;
 
+/** Time after which a request counts for 1/e in the demand. */
+const DEMAND_DECAY_MS = 1_000;
+
+/** Time for which an entry keeps tokens for its own demand. */
+const KEPT_MS = 1_000;
+
 interface Bucket {
   tokens: number;
   filledAtMs: number;
   ratePerMs: number;
   burst: number;
+  /** Decayed count of requests. */
+  requests: number;
 }
 
 function fill(bucket: Bucket, nowMs: number): void {
-  const gained = Math.max(0, nowMs - bucket.filledAtMs) * bucket.ratePerMs;
+  const elapsedMs = Math.max(0, nowMs - bucket.filledAtMs);
+  const room = Math.max(0, bucket.burst - bucket.tokens);
   Object.assign(bucket, {
-    tokens: Math.min(bucket.burst, bucket.tokens + gained),
+    tokens: bucket.tokens + Math.min(room, elapsedMs * bucket.ratePerMs),
+    requests: bucket.requests * Math.exp(-elapsedMs / DEMAND_DECAY_MS),
     filledAtMs: nowMs,
   });
 }
 
+function readDemandPerMs(bucket: Bucket): number {
+  return bucket.requests / DEMAND_DECAY_MS;
+}
+
 /** Token buckets by workspace. */
 export class WorkspaceLimiter {
   readonly #buckets = new Map<string, Bucket>();
@@ -45,21 +61,50 @@
    * @returns 0 where a token was taken, else the time after which there will be one
    */
   take(workspace: Workspace, entryCount: number, nowMs: number): number {
-    const bucket = this.#openBucket(workspace, Math.max(1, entryCount), nowMs);
-    fill(bucket, nowMs);
+    const bucket = this.#openBucket(workspace, entryCount, nowMs);
+    bucket.requests += 1;
     if (bucket.tokens < 1) return Math.ceil((1 - bucket.tokens) / bucket.ratePerMs);
     bucket.tokens -= 1;
     return 0;
   }
 
+  /** Tokens that the demand of a workspace asks for beyond what this entry has for it. */
+  readShortage(workspace: Workspace, entryCount: number, nowMs: number): number {
+    const bucket = this.#openBucket(workspace, entryCount, nowMs);
+    const excessPerMs = readDemandPerMs(bucket) - bucket.ratePerMs;
+    if (excessPerMs <= 0 && bucket.tokens >= 1) return 0;
+    return Math.max(0, readDemandPerMs(bucket) * KEPT_MS - bucket.tokens);
+  }
+
+  /**
+   * Gives tokens away that this entry does not need for its own demand.
+   *
+   * @returns tokens taken out, at most those wanted
+   */
+  lend(workspace: Workspace, entryCount: number, wanted: number, nowMs: number): number {
+    const bucket = this.#openBucket(workspace, entryCount, nowMs);
+    const spare = Math.max(0, bucket.tokens - readDemandPerMs(bucket) * KEPT_MS);
+    const lent = Math.min(spare, wanted);
+    bucket.tokens -= lent;
+    return lent;
+  }
+
+  /** Takes tokens in that another entry has lent. */
+  receive(workspace: Workspace, entryCount: number, tokens: number, nowMs: number): void {
+    this.#openBucket(workspace, entryCount, nowMs).tokens += tokens;
+  }
+
   #openBucket(workspace: Workspace, entryCount: number, nowMs: number): Bucket {
-    const ratePerMs = workspace.requestsPerSecond / MS_PER_SECOND / entryCount;
-    const burst = Math.max(1, workspace.burst / entryCount);
+    const entries = Math.max(1, entryCount);
+    const ratePerMs = workspace.requestsPerSecond / MS_PER_SECOND / entries;
+    const burst = Math.max(1, workspace.burst / entries);
     const known = this.#buckets.get(workspace.name);
-    if (known) return Object.assign(known, { ratePerMs, burst });
-
+    if (known) {
+      fill(known, nowMs);
+      return Object.assign(known, { ratePerMs, burst });
+    }
     if (this.#buckets.size >= this.#sweepAtSize) this.#sweep(nowMs);
-    const bucket = { tokens: burst, filledAtMs: nowMs, ratePerMs, burst };
+    const bucket = { tokens: burst, filledAtMs: nowMs, ratePerMs, burst, requests: 0 };
     this.#buckets.set(workspace.name, bucket);
     return bucket;
   }
