Route by forecast, share workspace limits among entries, let a returning domain ramp up

Cause: the policies stood beside the entry; the entry still used the first, simple ones. Ruled out: a limiter that knows only open links (a partition would give each part the whole limit). Change: EntryNode composes ForecastRouting with the domain's weight, and WorkspaceShares.

--- a/packages/core/src/entry/entryNode.ts
+++ b/packages/core/src/entry/entryNode.ts
@@ -6,6 +6,7 @@
  */
 import { ConfigKind } from '../config/object.js';
 import { QueueAdmission } from '../limits/queueAdmission.js';
+import { WorkspaceShares } from '../limits/workspaceShares.js';
 import { EntryMembership } from '../membership/entryMembership.js';
 import type { OperatorOrder, OrderError, OrderReceipt, OrderStatus } from '../model/order.js';
 import type { QueryKind, QueryRow } from '../model/query.js';
@@ -21,7 +22,8 @@
 import type { Metrics } from '../ports/metrics.js';
 import type { ObjectStore } from '../ports/objectStore.js';
 import type { Random } from '../ports/random.js';
-import { LeastLoadedRouting } from '../routing/leastLoadedRouting.js';
+import { DomainWeight } from '../routing/domainWeight.js';
+import { ForecastRouting } from '../routing/forecastRouting.js';
 import type { EntryBoard } from '../state/entryBoard.js';
 
 import { RequestController } from './requestController.js';
@@ -63,9 +65,11 @@
 
   constructor(options: EntryNodeOptions) {
     this.#board = options.board;
+    const shares = new WorkspaceShares(options);
     this.#requests = new RequestController({
       ...options,
-      routing: new LeastLoadedRouting(options.random),
+      shares,
+      routing: new ForecastRouting({ ...options, weights: [new DomainWeight()] }),
       admission: new QueueAdmission(),
     });
     this.#membership = new EntryMembership({
@@ -77,7 +81,7 @@
         onGroupSideLost: () => {},
         onGroupReply: () => {},
       },
-      shares: { onShareMessage: () => {} },
+      shares,
     });
     this.#orders = new OrderDesk({
       ...options,
--- a/packages/core/src/entry/requestController.ts
+++ b/packages/core/src/entry/requestController.ts
@@ -7,7 +7,7 @@
 import { ConfigKind, DomainState } from '../config/object.js';
 import { LogLevel, type Log } from '../ports/log.js';
 import type { AdmissionPolicy } from '../limits/admissionPolicy.js';
-import { WorkspaceLimiter } from '../limits/workspaceLimiter.js';
+import { WorkspaceShares } from '../limits/workspaceShares.js';
 import { MessageType, type Message, type MessageOf } from '../messages/message.js';
 import type { QueryRow } from '../model/query.js';
 import { RefusalReason, type Refusal } from '../model/reason.js';
@@ -43,6 +43,8 @@
   readonly store: ObjectStore;
   readonly routing: RoutingPolicy;
   readonly admission: AdmissionPolicy;
+  /** Limits of workspaces; of this entry alone where not given. */
+  readonly shares?: WorkspaceShares;
   readonly random: Random;
   readonly log: Log;
   readonly metrics: Metrics;
@@ -65,7 +67,7 @@
 
   readonly #classifier: RequestClassifier;
 
-  readonly #limiter = new WorkspaceLimiter();
+  readonly #shares: WorkspaceShares;
 
   readonly #runs = new Map<string, RequestRun>();
 
@@ -78,6 +80,7 @@
   constructor(options: RequestControllerOptions) {
     super();
     this.#claims = new ClaimKeeper(options.store);
+    this.#shares = options.shares ?? new WorkspaceShares(options);
     const { board, routing, admission, random, log, metrics, timing } = options;
     this.#classifier = new RequestClassifier(board.config);
     this.#context = {
@@ -175,18 +178,12 @@
       const detail = `no upstream of pool ${name} takes work`;
       return refuseNotRun(RefusalReason.NoUpstream, NO_UPSTREAM_RETRY_MS, detail);
     }
-    const entryCount = this.#countEntries();
-    const waitMs = this.#limiter.take(classified.workspace, entryCount, nowMs);
+    const waitMs = this.#shares.take(classified.workspace, nowMs);
     if (waitMs === 0) return undefined;
     const detail = `workspace ${classified.workspace.name} is over its limit`;
     return refuseNotRun(RefusalReason.WorkspaceLimit, waitMs, detail);
   }
 
-  #countEntries(): number {
-    const peers = [...this.#context.board.peers.values()];
-    return 1 + peers.filter((peer) => peer.link?.isOpen).length;
-  }
-
   #refuse(caller: Caller, refusal: Refusal): void {
     this.#context.metrics.count('request.refused', { reason: refusal.reason });
     caller.refuse(refusal);
