Know an attempt before it is sent, and name full gates to callers

Cause: a link that delivers at once, as one in memory may, ended the attempt before its request knew of it; the end was lost and the request held to its deadline. And a request given up before full gates was told that there was no upstream. Change: the request hears of an attempt before anything is sent; a refusal after a failed attempt names that attempt's reason.

--- a/packages/core/src/entry/attemptLauncher.ts
+++ b/packages/core/src/entry/attemptLauncher.ts
@@ -18,6 +18,12 @@
 /** Time after which a request whose key is in use is asked to come back. */
 const KEY_RETRY_MS = 1_000;
 
+/** What a request hears of its attempts; `onStart` comes before anything is sent. */
+export interface AttemptEvents {
+  readonly onStart: (attempt: Attempt) => void;
+  readonly onEnd: (end: AttemptEnd) => void;
+}
+
 /** Starts and forgets the attempts of one request. */
 export class AttemptLauncher {
   readonly #context: RequestContext;
@@ -26,26 +32,26 @@
 
   readonly #relay: AnswerRelay;
 
-  readonly #onEnd: (end: AttemptEnd) => void;
+  readonly #events: AttemptEvents;
 
   constructor(
     context: RequestContext,
     classified: ClassifiedRequest,
     relay: AnswerRelay,
-    onEnd: (end: AttemptEnd) => void,
+    events: AttemptEvents,
   ) {
     this.#context = context;
     this.#classified = classified;
     this.#relay = relay;
-    this.#onEnd = onEnd;
+    this.#events = events;
   }
 
   /**
    * Submits the request to a target.
    *
-   * @returns the attempt under way, or why nothing was sent
+   * @returns nothing where it was sent, else why it was not
    */
-  submit(target: AttemptTarget, query: RoutingQuery): Result<Attempt, Refusal> {
+  submit(target: AttemptTarget, query: RoutingQuery): Result<void, Refusal> {
     const { board, routing } = this.#context;
     const nowMs = Date.now();
     const checked = checkTarget(board, this.#classified, target, nowMs);
@@ -57,15 +63,15 @@
     const { creditBytes } = this.#relay;
     link.send(createSubmit(board, this.#classified, target, upstream, creditBytes, nowMs));
     attempt.watchSubmitted();
-    return Ok(attempt);
+    return Ok(undefined);
   }
 
   /**
    * Follows an attempt that an earlier request with the same key has made.
    *
-   * @returns the attempt, to be asked for, or why it cannot be followed
+   * @returns nothing where it is followed, else why it cannot be
    */
-  adopt(target: AttemptTarget): Result<Attempt, Refusal> {
+  adopt(target: AttemptTarget): Result<void, Refusal> {
     const { board, attempts } = this.#context;
     if (attempts.has(target.attemptId) || !board.upstreams.has(target.upstream)) {
       const detail = 'an earlier request with this key is under way';
@@ -74,7 +80,7 @@
     const attempt = this.#register(target);
     attempt.loseLink();
     if (board.upstreams.get(target.upstream)?.link?.isOpen) attempt.findLink();
-    return Ok(attempt);
+    return Ok(undefined);
   }
 
   /** Forgets an attempt, whatever became of it. */
@@ -102,10 +108,11 @@
       send: (message) => board.upstreams.get(target.upstream)?.link?.send(message),
       isRemembered: () => this.#isRemembered(target),
       onResume: () => metrics.count('request.retried', { reason: RetryReason.StreamResumed }),
-      onEnd: this.#onEnd,
+      onEnd: this.#events.onEnd,
     });
     attempts.set(attempt.id, attempt);
     countSent(board, target.upstream);
+    this.#events.onStart(attempt);
     return attempt;
   }
 
--- a/packages/core/src/entry/requestRun.ts
+++ b/packages/core/src/entry/requestRun.ts
@@ -93,8 +93,12 @@
       this.#claim = new RequestClaim(context.claims, classified, caller, context.board.name);
     }
     this.#relay = new AnswerRelay(this.#claim?.recorder ?? caller);
-    const onEnd = (end: AttemptEnd) => this.#readEnd(end);
-    this.#launcher = new AttemptLauncher(context, classified, this.#relay, onEnd);
+    this.#launcher = new AttemptLauncher(context, classified, this.#relay, {
+      onStart: (attempt) => {
+        this.#attempt = attempt;
+      },
+      onEnd: (end) => this.#readEnd(end),
+    });
     caller.onGone(() => this.#leaveCaller());
   }
 
@@ -144,28 +148,26 @@
     }
     this.#permit = turn.val;
     this.#permitAtMs = Date.now();
-    this.#tryUpstream(0);
+    this.#tryUpstream();
   }
 
-  /** @param hintMs time after which the last upstream may take the request */
-  #tryUpstream(hintMs: number): void {
+  /** @param last how the attempt before ended */
+  #tryUpstream(last?: FailedEnd): void {
     if (this.#isEnded) return;
     const query = this.#createQuery();
     const choice = this.#context.routing.choose(this.#context.board, query, Date.now());
-    if (!choice.ok) this.#tryLater(hintMs, choice.val);
+    if (!choice.ok && last) this.#tryLater(last);
+    else if (!choice.ok) this.#refuse(choice.val);
     else if (this.#claim) this.#sendClaimed(this.#claim, this.#createTarget(choice.val));
     else this.#submit(this.#createTarget(choice.val));
   }
 
   /** Tries again where the request was refused before, unless the deadline comes first. */
-  #tryLater(hintMs: number, refusal: Refusal): void {
-    const hasRefusals = this.#ledger.excludedUpstreams.size > 0;
-    const delayMs = this.#ledger.restart(hintMs);
-    if (!hasRefusals || Date.now() + delayMs >= this.#classified.deadlineAtMs) {
-      this.#refuse({ ...refusal, retryAfterMs: Math.max(refusal.retryAfterMs, hintMs) });
-      return;
-    }
-    this.#retryTimer = setTimeout(() => this.#tryUpstream(0), delayMs);
+  #tryLater(last: FailedEnd): void {
+    const delayMs = this.#ledger.restart(last.retryAfterMs);
+    if (Date.now() + delayMs < this.#classified.deadlineAtMs) {
+      this.#retryTimer = setTimeout(() => this.#tryUpstream(), delayMs);
+    } else this.#giveUp(last, last.reason);
   }
 
   #createQuery(): RoutingQuery {
@@ -192,8 +194,8 @@
 
   #submit(target: AttemptTarget): void {
     const sent = this.#launcher.submit(target, this.#createQuery());
-    if (sent.ok) this.#attempt = sent.val;
-    else if (isGateReason(sent.val.reason)) this.#skip(target, sent.val);
+    if (sent.ok) return;
+    if (isGateReason(sent.val.reason)) this.#skip(target, sent.val);
     else this.#refuse(sent.val);
   }
 
@@ -209,8 +211,7 @@
 
   #adopt(target: AttemptTarget): void {
     const adopted = this.#launcher.adopt(target);
-    if (adopted.ok) this.#attempt = adopted.val;
-    else this.#refuse(adopted.val);
+    if (!adopted.ok) this.#refuse(adopted.val);
   }
 
   #replay(answer: KeptAnswer): void {
@@ -244,7 +245,7 @@
   }
 
   #retryOrRefuse(upstream: string, domain: string, end: FailedEnd): void {
-    const { outcome, retryReason, retryAfterMs } = end;
+    const { outcome, retryReason } = end;
     const { isRepeatable } = this.#classified.requestClass;
     const { isCommitted } = this.#relay;
     const isGateRefusal = isPutOff(end);
@@ -256,7 +257,7 @@
       return;
     }
     this.#context.metrics.count('request.retried', { reason: retryReason });
-    this.#tryUpstream(retryAfterMs);
+    this.#tryUpstream(end);
   }
 
   #giveUp(end: FailedEnd, why: RefusalReason): void {
--- a/packages/core/test/entry/requestController.test.ts
+++ b/packages/core/test/entry/requestController.test.ts
@@ -1,6 +1,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
+import type { Message } from '../../src/messages/message.js';
 import { Outcome, RefusalReason } from '../../src/model/reason.js';
 
 import { FakeSide } from './fakeSide.js';
@@ -60,6 +61,31 @@
   },
 );
 
+scenario('an answer that comes while its request is being sent is taken', async (entry, clock) => {
+  entry.links.forEach((link, name) => {
+    const side = entry.sides.get(name);
+    Object.assign(link, {
+      send: (message: Message) => {
+        side?.receive(message, 'entry-1');
+        entry.hear(name, side?.finish('entry-1') ?? []);
+      },
+    });
+  });
+  const caller = entry.request();
+  await clock.tickAsync(0);
+  assert.equal(caller.ends, ['end']);
+});
+
+scenario('a request whose upstreams are all full is told so', async (entry, clock) => {
+  entry.sides.forEach((side) => Object.assign(side, { gateReason: RefusalReason.UpstreamFull }));
+  const caller = entry.request({ deadlineMs: 30 });
+  await clock.tickAsync(0);
+  entry.deliver();
+  assert.is(caller.refusal?.reason, RefusalReason.UpstreamFull);
+  assert.is(caller.refusal?.outcome, Outcome.NotRun);
+  assert.ok(caller.refusal && caller.refusal.retryAfterMs > 0);
+});
+
 scenario('a request that a gate refuses runs at another upstream', async (entry, clock) => {
   entry.sides.forEach((side) => Object.assign(side, { gateReason: RefusalReason.UpstreamFull }));
   const caller = entry.request(SWAP);
