Draw no retry budget for submissions refused as stale

Cause: after a pause of the entry each request in its queue was refused as stale once, and the budget for faults was spent on that. Change: stale submissions count as refusals at the gate. Proof: 12 requests refused as stale are all served; without the change the test fails (10 passed, 1 failed).

--- a/packages/core/src/entry/attempt.ts
+++ b/packages/core/src/entry/attempt.ts
@@ -60,6 +60,7 @@
   RefusalReason.ShuttingDown,
   RefusalReason.NoUpstream,
   RefusalReason.StaleIncarnation,
+  RefusalReason.StaleSubmission,
 ]);
 
 /** Whether a refusal says that an upstream takes no work now, rather than that something failed. */
--- a/packages/core/test/entry/requestController.test.ts
+++ b/packages/core/test/entry/requestController.test.ts
@@ -76,6 +76,19 @@
   assert.equal(caller.ends, ['end']);
 });
 
+scenario('submissions refused as stale draw on no retry budget', async (entry, clock) => {
+  const gateReason = RefusalReason.StaleSubmission;
+  entry.sides.forEach((side) => Object.assign(side, { gateReason }));
+  const callers = Array.from({ length: 12 }, () => entry.request(SWAP));
+  await clock.tickAsync(0);
+  entry.deliver();
+  entry.sides.forEach((side) => Object.assign(side, { gateReason: undefined }));
+  await clock.tickAsync(200);
+  entry.deliver();
+  entry.finishAll();
+  callers.forEach((caller) => assert.equal(caller.ends, ['end']));
+});
+
 scenario('a request whose upstreams are all full is told so', async (entry, clock) => {
   entry.sides.forEach((side) => Object.assign(side, { gateReason: RefusalReason.UpstreamFull }));
   const caller = entry.request({ deadlineMs: 30 });
