--- a/packages/core/src/membership/statusWriter.ts
+++ b/packages/core/src/membership/statusWriter.ts
@@ -1,10 +1,12 @@
 /**
  * Registers this entry in the platform and keeps its status there.
  *
- * The status is written when it has changed, and now and then as a sign of life; the more entries
- * there are, the longer the interval, so that the platform's rate of writes holds for the fleet.
+ * The status is written soon after it has changed, and now and then as a sign of life. Between two
+ * writes of an entry lies an interval that grows with the number of entries, so that the platform's
+ * rate of writes holds for the fleet.
  */
 import type { PlatformPace } from '../config/platformPace.js';
+import { Deadline } from '../lease/deadline.js';
 import type { Timing } from '../model/timing.js';
 import { LogLevel, type Log } from '../ports/log.js';
 import type { Metrics } from '../ports/metrics.js';
@@ -14,16 +16,22 @@
 import type { ConfigLease } from './configLease.js';
 import { describeEntry, ENTRY_STATUS_PREFIX } from './entryStatus.js';
 import { OwnedObject } from './ownedObject.js';
-import { ENTRY_REGISTRY_PREFIX, type Registration } from './registry.js';
+import { ENTRY_REGISTRY_PREFIX, REGISTRATION_VALID_MS, type Registration } from './registry.js';
 
 const PART = 'status';
 
-/** Status writes a second that all entries together may make. */
-const FLEET_WRITES_PER_SECOND = 50;
+/** Status writes a second that all entries together may make for long. */
+const FLEET_WRITES_PER_SECOND = 100;
 
 /** Intervals after which an unchanged status is written all the same. */
 const REFRESH_INTERVALS = 10;
 
+/** Share of the interval after which an entry looks whether its status has changed. */
+const TICK_SHARE = 1 / 4;
+
+/** The same time by entry, so that one change does not make all entries write at once. */
+const CHANGE_SPREAD_MS = 3;
+
 /** Part of an interval by which it varies, so that entries do not write together. */
 const JITTER_SHARE = 0.2;
 
@@ -38,6 +46,8 @@
   readonly timing: Timing;
   /** Address at which other entries reach this one. */
   readonly address: string;
+  /** Incarnation registered under this entry's name; undefined where there is none or not known. */
+  readonly readRegistered: () => string | undefined;
 }
 
 /** Writes `registry/entry/NAME` and `status/entry/NAME`. */
@@ -54,9 +64,12 @@
 
   #isRegistered = false;
 
+  /** Whether the registry has shown this incarnation since it was registered. */
+  #isListed = false;
+
   #lastText = '';
 
-  #unchangedCount = 0;
+  #lastWriteAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: StatusWriterOptions) {
     const { store, pace, board } = options;
@@ -88,13 +101,17 @@
     await this.#status.remove();
   }
 
-  /** Time between two writes of this entry, by the number of entries and the platform's pace. */
+  /** Least time between two writes, by the number of entries and the platform's pace. */
   get intervalMs(): number {
-    const { board, pace, timing } = this.#options;
-    const shareMs = ((board.peers.size + 1) * 1_000) / FLEET_WRITES_PER_SECOND;
+    const { pace, timing } = this.#options;
+    const shareMs = (this.#entryCount * 1_000) / FLEET_WRITES_PER_SECOND;
     return Math.max(timing.statusMs, shareMs) * pace.factor;
   }
 
+  get #entryCount(): number {
+    return this.#options.board.peers.size + 1;
+  }
+
   #schedule(delayMs: number): void {
     this.#timer = setTimeout(() => {
       this.#write().then(() => {
@@ -105,25 +122,44 @@
 
   #chooseDelay(): number {
     const jitter = 1 + (this.#options.random.next() - 0.5) * 2 * JITTER_SHARE;
-    return this.intervalMs * jitter;
+    const spreadMs = this.#entryCount * CHANGE_SPREAD_MS;
+    const tickMs = Math.max(this.#options.timing.statusMs * TICK_SHARE, spreadMs);
+    return tickMs * this.#options.pace.factor * jitter;
   }
 
   async #write(): Promise<void> {
+    this.#compareRegistry();
     if (!this.#isRegistered) await this.#register();
     if (this.#isRegistered && this.#isRunning) await this.#writeStatus();
   }
 
+  /** Registers anew where the registration was removed, but not against another process. */
+  #compareRegistry(): void {
+    const { board, log, readRegistered } = this.#options;
+    const registered = readRegistered();
+    if (registered === board.incarnation) {
+      this.#isListed = true;
+      return;
+    }
+    if (!this.#isListed) return;
+    this.#isListed = false;
+    this.#isRegistered = registered !== undefined;
+    if (registered === undefined) return;
+    log.write(LogLevel.Error, PART, 'Another process registered under this name.', { registered });
+  }
+
   async #register(): Promise<void> {
     const { board, lease, log, metrics, address } = this.#options;
     const { incarnation, domain } = board;
     const registration: Registration = { address, incarnation, domain };
+    const until = Deadline.after(REGISTRATION_VALID_MS);
     const written = await this.#registration.write(registration);
     if (!written.ok) {
       metrics.count('status.register.failed', { kind: written.val.kind });
       return;
     }
     this.#isRegistered = true;
-    lease.noteRegistered();
+    lease.confirmRegistration(until);
     log.write(LogLevel.Info, PART, 'Registered this entry.', { address });
   }
 
@@ -131,8 +167,10 @@
     const { board, timing, metrics } = this.#options;
     const status = describeEntry(board, timing, Date.now());
     const text = JSON.stringify(status);
-    this.#unchangedCount = text === this.#lastText ? this.#unchangedCount + 1 : 0;
-    if (this.#unchangedCount % REFRESH_INTERVALS !== 0) return;
+    const sinceMs = Date.now() - this.#lastWriteAtMs;
+    const dueMs = this.intervalMs * (text === this.#lastText ? REFRESH_INTERVALS : 1);
+    if (sinceMs < dueMs) return;
+    this.#lastWriteAtMs = Date.now();
     const written = await this.#status.write(status);
     this.#lastText = written.ok ? text : '';
     if (!written.ok) metrics.count('status.write.failed', { kind: written.val.kind });
