--- a/packages/core/src/orders/orderReader.ts
+++ b/packages/core/src/orders/orderReader.ts
@@ -15,11 +15,11 @@
 import type { ObjectStore, StoredObject, StoreError } from '../ports/objectStore.js';
 import type { EntryBoard } from '../state/entryBoard.js';
 import { ForceJudge, type FleetView } from './forceJudge.js';
-import { ORDER_PREFIX, parseOrderRecord, type OrderRecord } from './orderRecord.js';
+import { formatOrderKey, parseOrderRecord, type OrderRecord } from './orderRecord.js';
 import { OrderTrace, traceOrder } from './readBack.js';
 
 /** Time after which a call counts as lost. */
-const CALL_LIMIT_MS = 1_500;
+const CALL_LIMIT_MS = 4_000;
 
 export interface OrderReaderOptions {
   readonly board: EntryBoard;
@@ -63,7 +63,7 @@
   /** Reads back what became of an order. */
   async read(orderId: string): Promise<Read> {
     const { store } = this.#options;
-    const stored = await this.#call(store.get(ORDER_PREFIX + orderId));
+    const stored = await this.#call(store.get(formatOrderKey(orderId)));
     if (!stored.ok) return refuseRead(stored.val, orderId);
     const record = parseOrderRecord(stored.val?.value);
     if (!record) return Err({ kind: OrderErrorKind.NotFound, detail: 'no such order', orderId });
--- a/packages/core/src/routing/upstreamState.ts
+++ b/packages/core/src/routing/upstreamState.ts
@@ -17,6 +17,13 @@
   return (upstream.othersInFlight ?? 0) + upstream.inFlight;
 }
 
+/** Whether an upstream has a model loaded; one that names no models may have any. */
+export function hasModel(upstream: UpstreamState, model: string | undefined): boolean {
+  if (model === undefined) return true;
+  const models = upstream.report?.models ?? [];
+  return models.length === 0 || models.includes(model);
+}
+
 /**
  * Takes a report in.
  *
@@ -28,6 +35,13 @@
   Object.assign(upstream, { report, reportAtMs: nowMs, sentSinceReport: 0, othersInFlight });
 }
 
+/** Notes that the gate of an upstream is full: until its next report the rest is others' work. */
+export function noteFull(board: EntryBoard, name: string): void {
+  const upstream = board.upstreams.get(name);
+  if (!upstream) return;
+  upstream.othersInFlight = Math.max(0, readLimit(upstream) - upstream.inFlight);
+}
+
 /** Counts an attempt that was sent to an upstream. */
 export function countSent(board: EntryBoard, name: string): void {
   const upstream = board.upstreams.get(name);
