Keep few links at the size to come, and read a change once for all of them

Cause: at 350 entries, 11,000 upstreams, 13 pools, 13 domains and 4 regions an entry kept 445 links, chose them anew on each registry change (26 to 65 ms), and each link looked through all 46,000 objects after a change. Ruled out: choosing by the registry's order, which moves links whenever a name comes or goes. Change: one upstream of each pool in each domain of the region and in each other region, beside three entries for each upstream; the choice is kept until upstreams, domains or entries change; ConfigFeed keeps the last read for all links.

--- a/packages/core/src/config/configFeed.ts
+++ b/packages/core/src/config/configFeed.ts
@@ -29,6 +29,14 @@
 
 export type RiseListener = (rise: ConfigRise) => void;
 
+/** What a process lacks that has everything up to a revision. */
+export interface ChangeSet {
+  /** Whether the changes are all that there is. */
+  readonly isFull: boolean;
+  readonly fromRevision: number;
+  readonly changes: readonly ConfigChange[];
+}
+
 export interface ConfigFeedOptions {
   readonly board: EntryBoard;
   readonly log: Log;
@@ -45,6 +53,9 @@
 
   readonly #listeners: RiseListener[] = [];
 
+  /** Result of the last read: many links ask for the same after a change. */
+  #lastRead: ChangeSet | undefined;
+
   /** Revision of the last full set: older removals may be missing here. */
   #fullRevision = 0;
 
@@ -73,6 +84,7 @@
     const { config } = this.#board;
     const fromRevision = config.revision;
     const keys = config.apply(changes, revision, isFull);
+    this.#lastRead = undefined;
     if (isFull && revision >= fromRevision) this.#fullRevision = revision;
     this.#reportFaults(changes);
     if (config.revision === fromRevision && keys.length === 0) return;
@@ -86,9 +98,13 @@
    *
    * @returns changes, or a full set where removals since then may be unknown here
    */
-  read(afterRevision: number): { isFull: boolean; changes: readonly ConfigChange[] } {
+  read(afterRevision: number): ChangeSet {
     const isFull = afterRevision < this.#fullRevision;
-    return { isFull, changes: this.#board.config.listChanges(isFull ? 0 : afterRevision) };
+    const fromRevision = isFull ? 0 : afterRevision;
+    if (this.#lastRead?.fromRevision === fromRevision) return this.#lastRead;
+    const changes = this.#board.config.listChanges(fromRevision);
+    this.#lastRead = { isFull, fromRevision, changes };
+    return this.#lastRead;
   }
 
   #reportFaults(changes: readonly ConfigChange[]): void {
--- a/packages/core/src/membership/sideLinks.ts
+++ b/packages/core/src/membership/sideLinks.ts
@@ -15,6 +15,8 @@
 
 const UPSTREAM_PREFIX = `${CONFIG_PREFIX}${ConfigKind.Upstream}/`;
 
+const DOMAIN_PREFIX = `${CONFIG_PREFIX}${ConfigKind.Domain}/`;
+
 /** Heartbeat intervals after which this process itself must have been paused. */
 const PAUSE_INTERVALS = 2;
 
@@ -25,6 +27,11 @@
   readonly isListedLeaving: (upstream: string) => boolean;
 }
 
+/** Whether an object says where upstreams are. */
+function isPlacement(key: string): boolean {
+  return key.startsWith(UPSTREAM_PREFIX) || key.startsWith(DOMAIN_PREFIX);
+}
+
 function createState(upstream: Upstream, address: string): UpstreamState {
   return {
     name: upstream.name,
@@ -56,6 +63,9 @@
 
   readonly #dialTimers = new Set<NodeJS.Timeout>();
 
+  /** Upstreams to keep links to, as chosen for a set of entries. */
+  #wanted: { readonly entries: string; readonly upstreams: readonly Upstream[] } | undefined;
+
   #timer: NodeJS.Timeout | undefined;
 
   #lastBeatMs = 0;
@@ -65,7 +75,10 @@
   constructor(options: SideLinksOptions) {
     this.#options = options;
     options.feed.onRise((rise) => {
-      if (rise.keys.some((key) => key.startsWith(UPSTREAM_PREFIX))) this.reconcile();
+      if (rise.keys.some(isPlacement)) {
+        this.#wanted = undefined;
+        this.reconcile();
+      }
       this.#links.forEach((link) => link.pushRise(rise));
     });
   }
@@ -91,7 +104,7 @@
   /** Compares the links with the configuration, the registry and the known entries. */
   reconcile(): void {
     if (!this.#isRunning) return;
-    const wanted = chooseSubset(this.#options.board);
+    const wanted = this.#chooseWanted();
     const names = new Set(wanted.map((upstream) => upstream.name));
     [...this.#links.values()]
       .filter((link) => !names.has(link.state.name))
@@ -101,6 +114,16 @@
     wanted.forEach((upstream) => this.#keep(upstream));
   }
 
+  /** Chooses anew only where upstreams, domains or the names of the entries have changed. */
+  #chooseWanted(): readonly Upstream[] {
+    const { board } = this.#options;
+    const entries = [...board.peers.keys()].join(' ');
+    if (this.#wanted?.entries !== entries) {
+      this.#wanted = { entries, upstreams: chooseSubset(board) };
+    }
+    return this.#wanted.upstreams;
+  }
+
   #keep(upstream: Upstream): void {
     const registration = this.#options.readRegistration(upstream.name);
     const address = registration?.address ?? upstream.address;
@@ -153,7 +176,6 @@
     const isSilenceJudged = nowMs - this.#lastBeatMs <= heartbeatMs * PAUSE_INTERVALS;
     this.#lastBeatMs = nowMs;
     this.#links.forEach((link) => link.beat(nowMs, isSilenceJudged));
-    if (this.#retired.size === 0) return;
     this.#retired.forEach((link) => this.#retire(link));
     this.reconcile();
   }
--- a/packages/core/src/membership/sideSubset.ts
+++ b/packages/core/src/membership/sideSubset.ts
@@ -3,8 +3,8 @@
  *
  * With few upstreams or few entries it is all of them. Beyond that each upstream of the entry's own
  * region is taken by a bounded number of that region's entries, ranked by rendezvous hashing, so
- * that every upstream keeps several entries; and each entry takes at least a few upstreams of each
- * pool in each failure domain, of its own region and of the others.
+ * that every upstream keeps several entries. Besides, each entry takes one upstream at least of
+ * each pool in each failure domain of its region, and in each other region.
  */
 import { ConfigKind, type Upstream } from '../config/object.js';
 import type { EntryBoard } from '../state/entryBoard.js';
@@ -16,8 +16,8 @@
 /** Entries that keep a link to each upstream of their region beyond that. */
 const ENTRIES_PER_UPSTREAM = 3;
 
-/** Upstreams of each pool and failure domain that each entry keeps a link to. */
-const LINKS_PER_POOL_AND_DOMAIN = 2;
+/** Upstreams of each pool that each entry takes at least in a failure domain or other region. */
+const LINKS_PER_PLACE = 1;
 
 function readRegion(board: EntryBoard, domain: string): string | undefined {
   return board.config.get(ConfigKind.Domain, domain)?.region;
@@ -38,15 +38,18 @@
   });
 }
 
-/** A few upstreams of each pool and failure domain, chosen by this entry's own ranking. */
+/** Upstreams of each pool in each place, chosen by this entry's own ranking. */
 function chooseSpread(board: EntryBoard, upstreams: readonly Upstream[]): readonly string[] {
   const byPlace = new Map<string, string[]>();
   upstreams.forEach(({ name, pool, domain }) => {
-    const place = `${pool}/${domain}`;
-    byPlace.set(place, [...(byPlace.get(place) ?? []), name]);
+    const region = readRegion(board, domain);
+    const place = region === board.region ? `${pool}/${domain}` : `${pool} in ${region ?? ''}`;
+    const names = byPlace.get(place);
+    if (names) names.push(name);
+    else byPlace.set(place, [name]);
   });
   return [...byPlace.values()].flatMap((names) =>
-    rankMembers(board.name, names).slice(0, LINKS_PER_POOL_AND_DOMAIN),
+    rankMembers(board.name, names).slice(0, LINKS_PER_PLACE),
   );
 }
 
