--- a/packages/standin/src/bench/groupsBench.ts
+++ b/packages/standin/src/bench/groupsBench.ts
@@ -62,14 +62,21 @@
   console.log(cells.join('  '));
 }
 
+const planTimesMs: number[] = [];
+const sliceTimesMs: number[] = [];
+
 function runPolicy(policy: Policy, scenario: Scenario): readonly Figures[] {
   return SEEDS.map((seed) => {
     const load = { ...OPTIONS.load, seed };
-    return new GroupsScenario(policy, { ...OPTIONS, load }).run(scenario);
+    const run = new GroupsScenario(policy, { ...OPTIONS, load });
+    const figures = run.run(scenario);
+    planTimesMs.push(...run.planTimesMs);
+    sliceTimesMs.push(...run.sliceTimesMs);
+    return figures;
   });
 }
 
-function runScenario(scenario: Scenario): readonly Figures[] {
+function runScenario(scenario: Scenario): void {
   console.log(`\n${scenario} (seeds ${SEEDS.join(', ')})`);
   console.log('policy        skew   bound  p95    tokens/s  GB  switches  stall ms');
   const results = Object.values(Policy).map((policy) => {
@@ -84,14 +91,18 @@
   console.log(
     `full-replan / this: ${bytes.toFixed(1)} times the bytes; this: ${skew.toFixed(1)}% skew`,
   );
-  return moves;
+}
+
+function printTimes(name: string, timesMs: readonly number[]): void {
+  const sorted = [...timesMs].sort((first, second) => first - second);
+  const at = (share: number): string =>
+    (sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0).toFixed(2);
+  console.log(`${name}: ${sorted.length}, median ${at(0.5)}, p99 ${at(0.99)}, longest ${at(1)} ms`);
 }
 
 const started = performance.now();
-const all = Object.values(Scenario).flatMap((scenario) => runScenario(scenario));
-const planMs = Math.max(...all.map((run) => run.planMs));
-const sliceMs = Math.max(...all.map((run) => run.sliceMs));
-console.log(
-  `\nplanning: longest round ${planMs.toFixed(1)} ms, longest slice ${sliceMs.toFixed(2)} ms`,
-);
+Object.values(Scenario).forEach((scenario) => runScenario(scenario));
+console.log('');
+printTimes('rounds of planning', planTimesMs);
+printTimes('slices of planning', sliceTimesMs);
 console.log(`took ${((performance.now() - started) / 1000).toFixed(1)} s`);
--- a/packages/standin/src/bench/groupsScenario.ts
+++ b/packages/standin/src/bench/groupsScenario.ts
@@ -47,9 +47,6 @@
   readonly movedBytes: number;
   readonly switches: number;
   readonly stallMs: number;
-  /** Longest planning of one round and longest slice. */
-  readonly planMs: number;
-  readonly sliceMs: number;
 }
 
 const MS_PER_SECOND = 1000;
@@ -109,9 +106,10 @@
 
   #switches = 0;
 
-  #planMs = 0;
+  /** Time of each round of planning and of each slice. */
+  readonly planTimesMs: number[] = [];
 
-  #sliceMs = 0;
+  readonly sliceTimesMs: number[] = [];
 
   constructor(policy: Policy, options: RunOptions) {
     const { shape } = options.load;
@@ -144,8 +142,6 @@
       movedBytes: this.#loads * expertBytes,
       switches: this.#switches,
       stallMs: this.#switches * stallMs,
-      planMs: this.#planMs,
-      sliceMs: this.#sliceMs,
     };
   }
 
@@ -267,10 +263,10 @@
     while (!planner.isDone) {
       const sliceStartMs = performance.now();
       planner.step();
-      this.#sliceMs = Math.max(this.#sliceMs, performance.now() - sliceStartMs);
+      this.sliceTimesMs.push(performance.now() - sliceStartMs);
     }
     const plan = planner.finish();
-    this.#planMs = Math.max(this.#planMs, performance.now() - startMs);
+    this.planTimesMs.push(performance.now() - startMs);
     return plan?.slots;
   }
 }
--- a/packages/standin/src/group/rankGroup.ts
+++ b/packages/standin/src/group/rankGroup.ts
@@ -76,7 +76,7 @@
       startedAtMs: Date.now(),
       versions: this.engines.map((engine) => engine.mapVersion),
     });
-    setTimeout(() => this.#endStep(), this.#stepMs);
+    setTimeout(() => this.#endStep(), this.#stepMs).unref();
   }
 
   #endStep(): void {
--- a/packages/standin/src/group/sideSlot.ts
+++ b/packages/standin/src/group/sideSlot.ts
@@ -156,7 +156,7 @@
 
   #tick(): void {
     if (Date.now() >= this.#frozenUntilMs) this.#watch?.step(Date.now());
-    setTimeout(() => this.#tick(), WATCH_MS);
+    setTimeout(() => this.#tick(), WATCH_MS).unref();
   }
 
   /** Loopback connection of one life of the process to the engine. */
