--- a/packages/core/src/orders/orderDesk.ts
+++ b/packages/core/src/orders/orderDesk.ts
@@ -37,8 +37,8 @@
 import {
   addMark,
   createRecord,
+  formatOrderKey,
   isSameOrder,
-  ORDER_PREFIX,
   parseOrderRecord,
   readMarks,
   type OrderRecord,
@@ -50,10 +50,10 @@
 const PART = 'orders';
 
 /** Time within which an order is accepted, refused, or said to be unknown. */
-const ORDER_LIMIT_MS = 8_000;
+const ORDER_LIMIT_MS = 16_000;
 
 /** Time after which a call counts as lost. */
-const CALL_LIMIT_MS = 1_500;
+const CALL_LIMIT_MS = 4_000;
 
 const RETRY_MIN_MS = 50;
 
@@ -186,7 +186,7 @@
     const record = createRecord(id, order, plan.key, fromVersion, this.#createId());
     const written = await this.#writer.write(
       {
-        key: ORDER_PREFIX + id,
+        key: formatOrderKey(id),
         value: record,
         expectedVersion: VERSION_ABSENT,
         findOwn: (current) =>
@@ -256,7 +256,7 @@
   async #noteVersion(open: OpenOrder, recorded: StoredRecord, version: number): Promise<void> {
     const written = await this.#writer.write(
       {
-        key: ORDER_PREFIX + open.id,
+        key: formatOrderKey(open.id),
         value: { ...recorded.record, version },
         expectedVersion: recorded.version,
         findOwn: (current) =>
