--- a/packages/standin/src/caller/latencyHistogram.ts
+++ b/packages/standin/src/caller/latencyHistogram.ts
@@ -10,6 +10,7 @@
   readonly meanMs: number;
   readonly p50Ms: number;
   readonly p90Ms: number;
+  readonly p95Ms: number;
   readonly p99Ms: number;
   readonly maxMs: number;
 }
@@ -35,6 +36,7 @@
       meanMs: this.#histogram.mean / US_PER_MS,
       p50Ms: read(50),
       p90Ms: read(90),
+      p95Ms: read(95),
       p99Ms: read(99),
       maxMs: this.#histogram.maxValue / US_PER_MS,
     };
--- a/packages/standin/src/matrix/world.ts
+++ b/packages/standin/src/matrix/world.ts
@@ -13,6 +13,7 @@
 import { SideNode } from '@radishbay/core/side/sideNode.js';
 import { EntryBoard } from '@radishbay/core/state/entryBoard.js';
 import { SideBoard } from '@radishbay/core/state/sideBoard.js';
+import type { LinkFaults } from '@radishbay/link/memory/linkFaults.js';
 import { MemoryDialer } from '@radishbay/link/memory/memoryDialer.js';
 
 import { listObjects, type FleetPlan, type PlannedUpstream } from '../fleet/fleetPlan.js';
@@ -109,7 +110,7 @@
   /** Faults that have been put on this run. */
   faultCount = 0;
 
-  readonly #network = new MemoryDialer({ delayMs: NETWORK_DELAY_MS, faults: this.faults });
+  readonly #network: MemoryDialer;
 
   readonly #random: Random;
 
@@ -124,8 +125,11 @@
   /** Fault of the platform call that is being numbered now. */
   #storeFault: StoreFault | undefined;
 
-  constructor(plan: FleetPlan, seed: number) {
+  /** @param traffic decides the fate of messages instead of {@link faults}, for measurements */
+  constructor(plan: FleetPlan, seed: number, traffic?: LinkFaults) {
     this.plan = plan;
+    const faults = traffic ?? this.faults;
+    this.#network = new MemoryDialer({ delayMs: NETWORK_DELAY_MS, faults });
     this.clock = new SimClock(START_MS);
     this.#random = new Random(seed);
     this.#addresses = new Map(
