Measure the time between turns only while somebody waits

Cause: a request that left an otherwise empty queue left its mark behind, and a pool that had been out counted the outage as time between turns. The first such figure was taken whole, and as nobody was let wait any more, none corrected it: requests were refused as unreachable unless a place was free. Change: the mark goes with the last one who waits; the estimate goes no higher than one service time a turn.

--- a/packages/core/src/limits/poolQueue.ts
+++ b/packages/core/src/limits/poolQueue.ts
@@ -89,13 +89,15 @@
 
   /**
    * Expected time until the turn of a new request; 0 where a place is free for it. It goes by the
-   * turns seen while others waited, and by room and service time before there were any.
+   * turns seen while others waited, and by room and service time before there were any; a pool
+   * that serves at all has a turn within a service time, however long it was out before.
    */
   estimateWaitMs(ticket: AdmissionTicket): number {
     const freePlaces = this.#room - this.#queue.pending;
     const turns = this.#waiting.countAhead(ticket) + 1 - freePlaces;
     if (turns <= 0) return 0;
-    return turns * (this.#turnMs || this.#poolServiceMs / Math.max(1, this.#room));
+    const serviceTurnMs = this.#poolServiceMs / Math.max(1, this.#room);
+    return turns * Math.min(this.#turnMs || serviceTurnMs, this.#poolServiceMs || this.#turnMs);
   }
 
   /** Expected time of service of a class; 0 before the first was seen. */
@@ -141,6 +143,7 @@
       const { signal } = abort;
       this.#queue.add(hold, { id, workspace, weight, priority, signal }).catch(() => {
         this.#dismissals.delete(id);
+        if (this.size === 0) this.#turnAtMs = undefined;
       });
     });
   }
--- a/packages/core/test/limits/queueAdmission.test.ts
+++ b/packages/core/test/limits/queueAdmission.test.ts
@@ -9,7 +9,7 @@
 const FAR_MS = 1_000_000;
 
 /** Time stands still, so that only what is observed counts. */
-install({ toFake: ['Date'] });
+const clock = install({ toFake: ['Date'] });
 
 /** Admission to one pool, whose permits are held until the test ends them. */
 class Turnstile {
@@ -32,7 +32,7 @@
     this.#count += 1;
     const ticket = { requestId: `${this.#count}`, pool: 'p', className: 'c', workspace };
     const { signal } = new AbortController();
-    const bounds = { weight: 1, priority: 5, deadlineAtMs: FAR_MS, queueLimit: 100, signal };
+    const bounds = { weight: 1, priority: 5, deadlineAtMs: 10 * FAR_MS, queueLimit: 100, signal };
     this.admission.enter({ ...ticket, ...bounds, ...changes }).then((turn) => {
       if (!turn.ok) this.refusals.push(`${workspace} ${turn.val.reason}`);
       else {
@@ -114,6 +114,38 @@
   assert.equal(turnstile.turns, ['first']);
 });
 
+test('time in which nobody waited does not count as time between turns', async () => {
+  const turnstile = new Turnstile(1);
+  const leaver = new AbortController();
+  turnstile.enter('first');
+  turnstile.enter('leaver', { signal: leaver.signal });
+  await Promise.resolve();
+  leaver.abort();
+  await new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+  clock.tick(FAR_MS);
+  const deadlineAtMs = Date.now() + FAR_MS / 2;
+  enterMany(turnstile, 'later', 2, { deadlineAtMs });
+  await turnstile.serveAll();
+  turnstile.enter('holder');
+  enterMany(turnstile, 'last', 2, { deadlineAtMs });
+  await turnstile.serveAll();
+  assert.is(turnstile.turns.filter((name) => name === 'last').length, 2);
+});
+
+test('an outage that is over does not keep requests from waiting', async () => {
+  const turnstile = new Turnstile(0);
+  turnstile.admission.observeService('p', 'c', 100);
+  enterMany(turnstile, 'early', 2, { deadlineAtMs: Number.MAX_SAFE_INTEGER });
+  clock.tick(FAR_MS);
+  turnstile.admission.setRoom('p', 1);
+  await turnstile.serveAll();
+  enterMany(turnstile, 'later', 3, { deadlineAtMs: Date.now() + 1_000 });
+  await turnstile.serveAll();
+  assert.equal(turnstile.refusals, []);
+});
+
 test('nobody is let in without room, and all are once there is some', async () => {
   const turnstile = new Turnstile(0);
   enterMany(turnstile, 'w', 3);
