Leave the registry at a planned stop, register side processes, stop upstreams by order, report less when nothing is new

Ruled out: a longer report interval (a full gate must be known at once); leaving out all equal reports (their age is part of routing's forecast). Change: EntryNode leaves; SideRegistrar; Upstream.isStopped by order; a VM listed as leaving is used only while others have no room; old claims are swept; a class's silence limit is below its deadline, 3 s by default; a report that says nothing new is sent each fourth interval.

--- a/packages/core/src/config/object.ts
+++ b/packages/core/src/config/object.ts
@@ -104,7 +104,7 @@
   weight: z.number().positive().default(1),
 });
 
-export const REQUEST_CLASS_SCHEMA = z.strictObject({
+const REQUEST_CLASS_FIELDS = z.strictObject({
   ...BASE,
   pool: NAME,
   /** Route that selects the class where no header names one. */
@@ -116,9 +116,15 @@
   /** Whether a request may run more than once. */
   isRepeatable: z.boolean(),
   /** Longest silence of an answer before the attempt is given up. */
-  progressTimeoutMs: POSITIVE_INT.default(10_000),
+  progressTimeoutMs: POSITIVE_INT.default(3_000),
 });
 
+/** A silent upstream must be given up while there is time for another one. */
+export const REQUEST_CLASS_SCHEMA = REQUEST_CLASS_FIELDS.refine(
+  ({ progressTimeoutMs, deadlineMs }) => progressTimeoutMs < deadlineMs,
+  { path: ['progressTimeoutMs'], message: 'less than deadlineMs' },
+);
+
 export const UPSTREAM_SCHEMA = z.strictObject({
   ...BASE,
   pool: NAME,
@@ -132,6 +138,8 @@
   /** Attempts at once that the upstream bears when cold. */
   coldLimit: POSITIVE_INT,
   fencing: z.enum(FencingMode).default(FencingMode.Ignored),
+  /** Taken out by an operator: it gets no new work. */
+  isStopped: z.boolean().default(false),
 });
 
 export const SETTING_SCHEMA = z.strictObject({
--- a/packages/core/src/entry/entryNode.ts
+++ b/packages/core/src/entry/entryNode.ts
@@ -4,6 +4,7 @@
  * The daemon feeds it callers, links and the platform; a harness feeds it the same under a fake
  * clock.
  */
+import { ClaimSweeper } from '../claims/claimSweeper.js';
 import { ConfigKind } from '../config/object.js';
 import { QueueAdmission } from '../limits/queueAdmission.js';
 import { WorkspaceShares } from '../limits/workspaceShares.js';
@@ -24,6 +25,7 @@
 import type { Random } from '../ports/random.js';
 import { DomainWeight } from '../routing/domainWeight.js';
 import { ForecastRouting } from '../routing/forecastRouting.js';
+import { LeavingWeight } from '../routing/leavingWeight.js';
 import type { EntryBoard } from '../state/entryBoard.js';
 
 import { RequestController } from './requestController.js';
@@ -44,6 +46,9 @@
   readonly seedAddresses: readonly string[];
 }
 
+/** Time between two parts of the claims that are looked through for old ones. */
+const SWEEP_MS = 300_000;
+
 /** Longest time for which a new entry waits for an upstream of each pool. */
 const SETTLE_LIMIT_MS = 5_000;
 
@@ -59,6 +64,10 @@
 
   readonly #queries: QueryDesk;
 
+  readonly #sweeper: ClaimSweeper;
+
+  #sweepTimer: NodeJS.Timeout | undefined;
+
   #startedAtMs = 0;
 
   #hasSettled = false;
@@ -69,7 +78,10 @@
     this.#requests = new RequestController({
       ...options,
       shares,
-      routing: new ForecastRouting({ ...options, weights: [new DomainWeight()] }),
+      routing: new ForecastRouting({
+        ...options,
+        weights: [new DomainWeight(), new LeavingWeight()],
+      }),
       admission: new QueueAdmission(),
     });
     this.#membership = new EntryMembership({
@@ -89,6 +101,7 @@
       pace: this.#membership.pace,
       handlers: new Map(),
     });
+    this.#sweeper = new ClaimSweeper(options.store);
     this.#queries = new QueryDesk({
       board: options.board,
       listRequests: () => this.#requests.listInFlight(),
@@ -99,6 +112,9 @@
   start(): void {
     this.#startedAtMs = Date.now();
     this.#membership.start();
+    this.#sweepTimer = setInterval(() => {
+      this.#sweeper.sweepNext(Date.now()).catch(() => {});
+    }, SWEEP_MS);
   }
 
   /**
@@ -157,8 +173,15 @@
     return this.#requests.drain();
   }
 
+  /** Ends a planned stop: leaves the registry, so that nobody counts on this entry any more. */
+  async leave(): Promise<void> {
+    clearInterval(this.#sweepTimer);
+    await this.#membership.leave();
+  }
+
   /** Stops following the platform and closes all links. */
   stop(): void {
+    clearInterval(this.#sweepTimer);
     this.#membership.stop();
   }
 
--- a/packages/core/src/orders/orderPlan.ts
+++ b/packages/core/src/orders/orderPlan.ts
@@ -103,6 +103,13 @@
   return Ok({ key, apply: (current) => check(key, { ...current, name, value: isPaused }) });
 }
 
+/** An upstream that is stopped comes back by putting its object anew. */
+function planUpstreamStop(order: OperatorOrder): Planned {
+  const params = checkParams(NO_PARAMS, order);
+  if (!params.ok) return params;
+  return planFields(formatConfigKey(ConfigKind.Upstream, order.target), { isStopped: true });
+}
+
 /** Reads `KIND/NAME`. */
 function parseTarget(order: OperatorOrder): Result<{ kind: ConfigKind; name: string }, string> {
   const id = parseConfigKey(`config/${order.target}`);
@@ -166,6 +173,8 @@
       return planPut(order, config);
     case OrderAction.RemoveObject:
       return planRemove(order, config);
+    case OrderAction.StopUpstream:
+      return planUpstreamStop(order);
     case OrderAction.PauseRebalance:
       return planPause(order, true);
     case OrderAction.ResumeRebalance:
--- a/packages/core/src/routing/upstreamState.ts
+++ b/packages/core/src/routing/upstreamState.ts
@@ -68,7 +68,8 @@
 ): RefusalReason | undefined {
   const domain = board.config.get(ConfigKind.Domain, upstream.domain);
   if (!domain || domain.state === DomainState.Drained) return RefusalReason.DomainDrained;
-  if (!board.config.get(ConfigKind.Upstream, upstream.name)) return RefusalReason.UpstreamLeaving;
+  const object = board.config.get(ConfigKind.Upstream, upstream.name);
+  if (!object || object.isStopped) return RefusalReason.UpstreamLeaving;
   if (upstream.isStopping) return RefusalReason.UpstreamLeaving;
   if (upstream.report?.isLeaving) return RefusalReason.UpstreamLeaving;
   if (upstream.report?.isDrained) return RefusalReason.DomainDrained;
--- a/packages/core/src/side/reportSender.ts
+++ b/packages/core/src/side/reportSender.ts
@@ -5,7 +5,7 @@
 import type { Broadcast } from './engineReportReader.js';
 import type { Gate } from './gate.js';
 import type { SideOptions } from './sideOptions.js';
-import { isDrained } from './submissionCheck.js';
+import { isDrained, isStopped } from './submissionCheck.js';
 
 type ReportMessage = MessageOf<MessageType.Report>;
 
@@ -15,6 +15,13 @@
   return before.isLeaving !== after.isLeaving || before.isDrained !== after.isDrained;
 }
 
+/** Intervals for which a report that says nothing new may be left out. */
+const QUIET_INTERVALS = 4;
+
+function isSame(before: SideReport | undefined, after: SideReport): boolean {
+  return before !== undefined && JSON.stringify(before) === JSON.stringify(after);
+}
+
 /** Sends reports. */
 export class ReportSender {
   readonly #options: SideOptions;
@@ -25,6 +32,9 @@
 
   #last: SideReport | undefined;
 
+  /** Intervals since the last report. */
+  #quietIntervals = 0;
+
   constructor(options: SideOptions, gate: Gate, broadcast: Broadcast) {
     this.#options = options;
     this.#gate = gate;
@@ -35,9 +45,17 @@
   send(): void {
     const message = this.build();
     this.#last = message.report;
+    this.#quietIntervals = 0;
     this.#broadcast(message);
   }
 
+  /** Called once an interval: sends a report that says something new, or is due all the same. */
+  sendIfNew(): void {
+    this.#quietIntervals += 1;
+    const isDue = this.#quietIntervals >= QUIET_INTERVALS;
+    if (isDue || !isSame(this.#last, this.build().report)) this.send();
+  }
+
   /** Sends a report where limit, warmth, leaving or drained differ from the last one. */
   sendIfUrgent(): void {
     if (isUrgentChange(this.#last, this.build().report)) this.send();
@@ -55,7 +73,7 @@
         inFlight: board.inFlight,
         limit: board.limit,
         warmth: board.warmth,
-        isLeaving: board.isLeaving || board.isStopping,
+        isLeaving: board.isLeaving || board.isStopping || isStopped(board),
         isDrained: isDrained(board),
         kvUsedShare: report?.kvUsedShare ?? 0,
         queued: report?.queued ?? 0,
--- a/packages/core/src/side/sideNode.ts
+++ b/packages/core/src/side/sideNode.ts
@@ -168,7 +168,7 @@
     this.#gate.refresh(nowMs);
     this.#drain.step(nowMs);
     this.#attempts.prune(nowMs);
-    this.#reports.send();
+    this.#reports.sendIfNew();
     if (this.#isStopComplete(nowMs)) this.#finishStop();
   }
 
--- a/packages/core/src/side/submissionCheck.ts
+++ b/packages/core/src/side/submissionCheck.ts
@@ -15,10 +15,15 @@
   );
 }
 
+/** Whether an operator has taken this upstream out, by this process's configuration. */
+export function isStopped(board: SideBoard): boolean {
+  return board.config.get(ConfigKind.Upstream, board.upstream)?.isStopped ?? false;
+}
+
 /** Why this process takes no new work; undefined where it takes some. */
 export function findClosedReason(board: SideBoard): RefusalReason | undefined {
   if (board.isStopping) return RefusalReason.ShuttingDown;
-  if (board.isLeaving) return RefusalReason.UpstreamLeaving;
+  if (board.isLeaving || isStopped(board)) return RefusalReason.UpstreamLeaving;
   if (isDrained(board)) return RefusalReason.DomainDrained;
   return undefined;
 }
--- a/packages/core/test/configView.test.ts
+++ b/packages/core/test/configView.test.ts
@@ -2,7 +2,12 @@
 import * as assert from 'uvu/assert';
 
 import { ConfigView } from '../src/config/configView.js';
-import { ConfigKind, DomainState, formatConfigKey } from '../src/config/object.js';
+import {
+  ConfigKind,
+  DomainState,
+  formatConfigKey,
+  parseConfigObject,
+} from '../src/config/object.js';
 
 const KEY = formatConfigKey(ConfigKind.Domain, 'zone-a');
 
@@ -41,4 +46,15 @@
   assert.ok(view.get(ConfigKind.Domain, 'zone-a'));
 });
 
+test('a class whose silence limit leaves no time for another try names the field', () => {
+  const value = { pool: 'p', pathPrefix: '/', deadlineMs: 2_000, isRepeatable: true };
+  const faults = parseConfigObject(ConfigKind.RequestClass, 'c', { ...value, name: 'c' });
+  assert.ok(faults.err);
+  assert.equal(faults.val[0], {
+    key: 'config/class/c',
+    field: 'progressTimeoutMs',
+    allowed: 'less than deadlineMs',
+  });
+});
+
 test.run();
--- a/packages/core/test/side/submission.test.ts
+++ b/packages/core/test/side/submission.test.ts
@@ -1,6 +1,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
+import { ConfigKind, formatConfigKey } from '../../src/config/object.js';
 import { AttemptState, MessageType } from '../../src/messages/message.js';
 import { RefusalReason } from '../../src/model/reason.js';
 import { DEFAULT_TIMING } from '../../src/model/timing.js';
@@ -38,6 +39,14 @@
     reason: RefusalReason.DomainDrained,
     prepare: (_, entry) => entry.link.receive(changeDomain({ state: 'drained' })),
   },
+  {
+    reason: RefusalReason.UpstreamLeaving,
+    prepare: ({ board }) => {
+      const key = formatConfigKey(ConfigKind.Upstream, 'u1');
+      const current = board.config.get(ConfigKind.Upstream, 'u1');
+      board.config.apply([{ key, version: 9, value: { ...current, isStopped: true } }], 9, false);
+    },
+  },
   {
     reason: RefusalReason.UpstreamCold,
     prepare: (_, entry) => ['b1', 'b2'].forEach((id) => entry.submit(id)),
--- a/packages/daemon/src/roles/entryDaemon.ts
+++ b/packages/daemon/src/roles/entryDaemon.ts
@@ -6,7 +6,6 @@
 import { Err, Ok, type Result } from '@radishbay/core/outcome.js';
 import { WsDialer } from '@radishbay/link/ws/wsDialer.js';
 import { WsListener } from '@radishbay/link/ws/wsListener.js';
-import { HttpObjectStore } from '@radishbay/platform/httpObjectStore.js';
 
 import { CallerServer } from '../callers/callerServer.js';
 import type { Instruments } from '../observe/instruments.js';
@@ -15,6 +14,7 @@
 
 import { Daemon } from './daemon.js';
 import { createIncarnation, createSeed } from './incarnation.js';
+import { createStore } from './store.js';
 
 const PART = 'entry';
 
@@ -45,11 +45,7 @@
     const { log, metrics } = instruments;
     this.#node = new EntryNode({
       board: new EntryBoard(settings.name, createIncarnation(), settings.domain, settings.region),
-      store: new HttpObjectStore({
-        baseUrl: settings.platform.url,
-        callTimeoutMs: settings.platform.callTimeoutMs,
-        ...(settings.platform.token ? { token: settings.platform.token } : {}),
-      }),
+      store: createStore(settings.platform),
       dialer: new WsDialer(metrics, settings.links.messageLimitBytes),
       random: new Random(settings.seed ?? createSeed()),
       log,
@@ -99,7 +95,7 @@
     await wait(this.#settings.stop.noticeMs);
     await Promise.all([this.#node.drain(), this.#callers.stop()]);
     await this.#operators.stop();
-    this.#node.stop();
+    await this.#node.leave();
     await this.#listener.stop();
   }
 }
--- a/packages/daemon/src/roles/sideDaemon.ts
+++ b/packages/daemon/src/roles/sideDaemon.ts
@@ -1,5 +1,6 @@
 /** A daemon in the side role: the gate in front of the upstream on its VM. */
 import { LogLevel } from '@radishbay/core/ports/log.js';
+import { SideRegistrar } from '@radishbay/core/membership/sideRegistrar.js';
 import { Random } from '@radishbay/core/ports/random.js';
 import { SideNode } from '@radishbay/core/side/sideNode.js';
 import { SideBoard } from '@radishbay/core/state/sideBoard.js';
@@ -12,6 +13,7 @@
 
 import { Daemon } from './daemon.js';
 import { createIncarnation, createSeed } from './incarnation.js';
+import { createStore } from './store.js';
 
 const PART = 'side';
 
@@ -21,10 +23,14 @@
 
   readonly #instruments: Instruments;
 
+  readonly #incarnation = createIncarnation();
+
   readonly #node: SideNode;
 
   readonly #listener: WsListener;
 
+  #registrar: SideRegistrar | undefined;
+
   constructor(settings: SideSettings, instruments: Instruments) {
     super();
     this.#settings = settings;
@@ -32,7 +38,7 @@
     const { links, upstream } = settings;
     const isPlain = upstream.kind === UpstreamKind.Plain;
     this.#node = new SideNode({
-      board: new SideBoard(settings.name, createIncarnation(), settings.domain),
+      board: new SideBoard(settings.name, this.#incarnation, settings.domain),
       engine: new HttpEngine({
         url: upstream.url,
         isModel: !isPlain,
@@ -59,6 +65,7 @@
     const port = await this.#listener.start();
     if (!port.ok) return Err(`links: ${port.val}`);
     this.#node.start();
+    this.#register(port.val);
     this.#instruments.log.write(LogLevel.Info, PART, 'Side process is up.', {
       upstream: this.#settings.name,
       port: port.val,
@@ -67,7 +74,25 @@
   }
 
   override async stop(): Promise<void> {
+    this.#registrar?.stop();
     await this.#node.stop();
     await this.#listener.stop();
   }
+
+  /** Only where the settings name the platform. */
+  #register(port: number): void {
+    const { platform, links, name, domain, seed } = this.#settings;
+    if (!platform) return;
+    this.#registrar = new SideRegistrar({
+      store: createStore(platform),
+      random: new Random(seed ?? createSeed()),
+      upstream: name,
+      registration: {
+        address: links.advertise ?? `${links.host}:${port}`,
+        incarnation: this.#incarnation,
+        domain,
+      },
+    });
+    this.#registrar.start();
+  }
 }
--- a/packages/standin/src/matrix/scenario/entryStopScenario.ts
+++ b/packages/standin/src/matrix/scenario/entryStopScenario.ts
@@ -22,8 +22,13 @@
       });
     });
     await world.clock.advanceUntil(() => drained.isDone, LIMIT_MS);
-    process.post(() => node.stop());
-    await world.clock.advance(0);
+    const left = { isDone: false };
+    process.post(() => {
+      node.leave().then(() => {
+        left.isDone = true;
+      });
+    });
+    await world.clock.advanceUntil(() => left.isDone, LIMIT_MS);
     process.kill();
     world.startEntry('entry-1');
     world.balancer.add('entry-1');
