--- a/packages/core/src/routing/forecastRouting.ts
+++ b/packages/core/src/routing/forecastRouting.ts
@@ -1,10 +1,8 @@
 /**
  * Routing to the upstream at which one more attempt is forecast to cost least.
  *
- * Entries that see the same old reports would all choose the same upstream. Each therefore takes
- * the better of two random ones out of those whose forecasts differ by no more than what the other
- * entries may have sent unseen (after Mitzenmacher, "How useful is old information?", 2000). An
- * entry without others chooses the least.
+ * Entries that see the same old reports would all choose the same upstream. Each therefore spreads
+ * over the cheapest ones what others may have sent unseen. An entry without others takes the least.
  */
 import { refuseNotRun } from '../entry/refusal.js';
 import type { MessageOf, MessageType } from '../messages/message.js';
@@ -18,6 +16,7 @@
 import { PoolCosts } from './poolCosts.js';
 import { PrefixView } from './prefixView.js';
 import { RoutingPolicy, type RoutingQuery } from './routingPolicy.js';
+import { drawOption, type Option } from './spread.js';
 import { forecastMs, type UpstreamCosts } from './timeForecast.js';
 import { findClosedReason, hasModel } from './upstreamState.js';
 import type { WeightSource } from './weightSource.js';
@@ -38,6 +37,10 @@
   readonly prefixBlocks?: number;
 }
 
+interface Forecast extends Option {
+  readonly upstream: UpstreamState;
+}
+
 /** What is remembered of a pool. */
 interface PoolMemory {
   readonly costs: PoolCosts;
@@ -57,22 +60,26 @@
   return preferred.length > 0 ? preferred : open;
 }
 
-function listAtMost(values: readonly number[], limit: number): readonly number[] {
-  const indexes: number[] = [];
-  values.forEach((value, index) => {
-    if (value <= limit) indexes.push(index);
-  });
-  return indexes;
+/** Attempts that others have sent since the reports, where each sends as many as this entry. */
+function expectUnseen({ costs, rate }: PoolMemory, nowMs: number): number {
+  return costs.otherEntries * rate.readPerMs(nowMs) * costs.readReportAgeMs(nowMs);
 }
 
-/**
- * What attempts that other entries have sent since the reports may change a forecast by, where
- * each sends as many as this one.
- */
-function readToleranceMs({ costs, rate }: PoolMemory, nowMs: number): number {
-  if (costs.otherEntries === 0) return 0;
-  const unseen = costs.otherEntries * rate.readPerMs(nowMs) * costs.readReportAgeMs(nowMs);
-  return (unseen / costs.rows.length) * costs.placeMs;
+/** Forecasts that the cheapest one would reach if it took all expected attempts. */
+function listReachable(
+  candidates: readonly UpstreamCosts[],
+  costsMs: readonly number[],
+  attempts: number,
+): readonly Forecast[] {
+  const leastMs = Math.min(...costsMs);
+  const cheapest = candidates[costsMs.indexOf(leastMs)];
+  const limitMs = leastMs + attempts * (cheapest?.placeMs ?? 0);
+  const reachable: Forecast[] = [];
+  candidates.forEach(({ upstream, placeMs }, index) => {
+    const costMs = costsMs[index] ?? 0;
+    if (costMs <= limitMs) reachable.push({ upstream, placeMs, costMs });
+  });
+  return reachable;
 }
 
 /** Chooses by forecast cost. */
@@ -95,10 +102,10 @@
   override choose(board: EntryBoard, query: RoutingQuery, nowMs: number): Result<string, Refusal> {
     const pool = this.#openPool(query.pool);
     pool.costs.refresh(board, nowMs);
-    let chosen = this.#chooseNearBest(pool, query, nowMs);
+    let chosen = this.#draw(pool, query, nowMs);
     if (!chosen || findClosedReason(board, chosen)) {
       pool.costs.measure(board, nowMs);
-      chosen = this.#chooseNearBest(pool, query, nowMs);
+      chosen = this.#draw(pool, query, nowMs);
     }
     if (!chosen) {
       const detail = `no upstream of pool ${query.pool} takes work`;
@@ -126,17 +133,12 @@
     return pool;
   }
 
-  /** The better of two random ones out of the near-best. */
-  #chooseNearBest(pool: PoolMemory, query: RoutingQuery, nowMs: number): UpstreamState | undefined {
+  #draw(pool: PoolMemory, query: RoutingQuery, nowMs: number): UpstreamState | undefined {
     const candidates = listCandidates(pool.costs, query);
-    if (candidates.length === 0) return undefined;
-    const forecastsMs = this.#forecast(candidates, query.prefixHashes);
-    const limitMs = Math.min(...forecastsMs) + readToleranceMs(pool, nowMs);
-    const near = listAtMost(forecastsMs, limitMs);
-    const one = near[this.#random.nextInt(near.length)] ?? 0;
-    const other = near[this.#random.nextInt(near.length)] ?? 0;
-    const isOneBetter = (forecastsMs[one] ?? 0) <= (forecastsMs[other] ?? 0);
-    return candidates[isOneBetter ? one : other]?.upstream;
+    const costsMs = this.#forecast(candidates, query.prefixHashes);
+    const unseen = expectUnseen(pool, nowMs);
+    const options = listReachable(candidates, costsMs, unseen);
+    return drawOption(options, unseen, this.#random.next())?.upstream;
   }
 
   #forecast(
--- a/packages/core/src/routing/poolCosts.ts
+++ b/packages/core/src/routing/poolCosts.ts
@@ -1,8 +1,8 @@
 /**
  * Costs of the upstreams of one pool, measured anew at most once in {@link VALID_MS}.
  *
- * Reports come less often, and the load itself is read at each choice. An upstream that closes in
- * between is found out by whoever chooses it.
+ * Reports come no more often, and the load itself is read at each choice. An upstream that closes
+ * in between is found out by whoever chooses it.
  */
 import type { EntryBoard, UpstreamState } from '../state/entryBoard.js';
 
@@ -10,7 +10,7 @@
 import { findClosedReason } from './upstreamState.js';
 import type { WeightSource } from './weightSource.js';
 
-const VALID_MS = 50;
+const VALID_MS = 250;
 
 /** Bound of the report age for which unseen attempts are estimated. */
 const REPORT_AGE_MAX_MS = 2_000;
@@ -33,8 +33,6 @@
 
   #measuredAtMs = Number.NEGATIVE_INFINITY;
 
-  #placeMs = 0;
-
   #reportedAtMs = 0;
 
   #otherEntries = 0;
@@ -49,11 +47,6 @@
     return this.#rows;
   }
 
-  /** Mean cost of one place. */
-  get placeMs(): number {
-    return this.#placeMs;
-  }
-
   /** Entries with a link to this one. */
   get otherEntries(): number {
     return this.#otherEntries;
@@ -78,7 +71,6 @@
       const weight = this.#readWeight(board, upstream, nowMs);
       return measureCosts(board, upstream, weight, times);
     });
-    this.#placeMs = mean(this.#rows.map((row) => row.placeMs));
     this.#reportedAtMs = mean(upstreams.map((upstream) => upstream.reportAtMs));
     this.#otherEntries = countOtherEntries(board);
     this.#measuredAtMs = nowMs;
--- a/packages/core/src/routing/timeForecast.ts
+++ b/packages/core/src/routing/timeForecast.ts
@@ -21,6 +21,9 @@
 /** Way to another region and back. */
 const OTHER_REGION_MS = 60;
 
+/** Part of the service time that a full batch adds to it. */
+const BATCH_SHARE = 0.125;
+
 /** Part of a place that the new attempt is counted as: an idle upstream costs little. */
 const OWN_PLACE = 0.5;
 
@@ -45,7 +48,7 @@
 /** What is known of an upstream between reports. */
 export interface UpstreamCosts {
   readonly upstream: UpstreamState;
-  /** Time that one attempt more costs the batch. */
+  /** Time that one attempt more adds to each in the batch. */
   readonly placeMs: number;
   /** Places by which the engine is worse off than its attempts in flight say. */
   readonly extraPlaces: number;
@@ -103,7 +106,7 @@
   const serviceMs = (pool.serviceMs || UNREPORTED_SERVICE_MS) * readSlowness(upstream, pool);
   return {
     upstream,
-    placeMs: serviceMs / places,
+    placeMs: (serviceMs * BATCH_SHARE) / places,
     extraPlaces: countExtraPlaces(upstream),
     wayMs: readWayMs(board, upstream),
   };
