--- a/packages/core/src/limits/poolQueue.ts
+++ b/packages/core/src/limits/poolQueue.ts
@@ -109,7 +109,7 @@
     const nowMs = Date.now();
     const waitMs = this.#forecastWaitMs(this.#waiting.countAhead(ticket));
     const budgetMs = ticket.deadlineAtMs - nowMs;
-    if (waitMs > 0 && waitMs + this.#times.read(ticket.className) > budgetMs) {
+    if (waitMs > 0 && waitMs + this.#times.readLong(ticket.className) > budgetMs) {
       return this.#refuseUnreachable(ticket, budgetMs, waitMs);
     }
     if (this.size < ticket.queueLimit) return undefined;
@@ -135,7 +135,7 @@
    * spare, as the forecast counts whole turns.
    */
   #refuseUnreachable(ticket: AdmissionTicket, budgetMs: number, waitMs: number): Refusal {
-    const neededMs = waitMs + this.#turnMs + this.#times.read(ticket.className);
+    const neededMs = waitMs + this.#turnMs + this.#times.readLong(ticket.className);
     const earliestMs = neededMs - budgetMs;
     const retryAfterMs = this.#returns.choose(earliestMs, this.#turnMs, Date.now());
     const detail = 'by the measured rates the deadline cannot be met';
@@ -179,7 +179,7 @@
 
   /** Turns a request away when it has only its service time left. */
   #watchDeadline(ticket: AdmissionTicket): NodeJS.Timeout {
-    const latestAtMs = ticket.deadlineAtMs - this.#times.read(ticket.className);
+    const latestAtMs = ticket.deadlineAtMs - this.#times.readLong(ticket.className);
     return setTimeout(() => this.#dismissLate(ticket.requestId, 0), latestAtMs - Date.now());
   }
 
@@ -209,6 +209,6 @@
   #isLate(id: string, waitMs: number, nowMs: number): boolean {
     const ticket = this.#waiters.get(id)?.ticket;
     if (!ticket || waitMs <= 0) return false;
-    return nowMs + waitMs + this.#times.read(ticket.className) > ticket.deadlineAtMs;
+    return nowMs + waitMs + this.#times.readLong(ticket.className) > ticket.deadlineAtMs;
   }
 }
