--- a/packages/core/src/entry/attempt.ts
+++ b/packages/core/src/entry/attempt.ts
@@ -33,6 +33,8 @@
   readonly upstream: string;
   readonly domain: string;
   readonly sideIncarnation: string;
+  /** Clock of the side process, heard no later than the submission. */
+  readonly sideTickMs: number;
   readonly isRepeatable: boolean;
   readonly progressTimeoutMs: number;
   /** Longest wait for the answer to an inquiry. */
@@ -58,6 +60,7 @@
   RefusalReason.ShuttingDown,
   RefusalReason.NoUpstream,
   RefusalReason.StaleIncarnation,
+  RefusalReason.StaleSubmission,
 ]);
 
 /** Whether a refusal says that an upstream takes no work now, rather than that something failed. */
@@ -121,6 +124,7 @@
       sideIncarnation: this.sideIncarnation,
       fromOffset: this.#relay.deliveredBytes,
       creditBytes: this.#relay.creditBytes,
+      submitTickMs: this.#options.sideTickMs,
     });
   }
 
@@ -138,6 +142,13 @@
     if (this.#phase === AttemptPhase.Detached) this.inquire();
   }
 
+  /** Gives way to an attempt elsewhere, where nothing stands against that. */
+  moveAway(): void {
+    if (this.#phase === AttemptPhase.Ended || !this.#canRunElsewhere) return;
+    this.#options.send({ type: MessageType.Cancel, attemptId: this.id });
+    this.#end(Outcome.Unknown, RefusalReason.DomainDrained, RetryReason.DomainDrained, 0);
+  }
+
   /** Takes a message about this attempt in. */
   readMessage(message: Message): void {
     if (this.#phase === AttemptPhase.Ended) return;
--- a/packages/core/src/entry/requestController.ts
+++ b/packages/core/src/entry/requestController.ts
@@ -4,9 +4,10 @@
  * Messages are matched to attempts by id and upstream; what matches none is counted and dropped.
  */
 import { ClaimKeeper } from '../claims/claimKeeper.js';
+import { ConfigKind, DomainState } from '../config/object.js';
 import { LogLevel, type Log } from '../ports/log.js';
 import type { AdmissionPolicy } from '../limits/admissionPolicy.js';
-import { WorkspaceLimiter } from '../limits/workspaceLimiter.js';
+import { WorkspaceShares } from '../limits/workspaceShares.js';
 import { MessageType, type Message, type MessageOf } from '../messages/message.js';
 import type { QueryRow } from '../model/query.js';
 import { RefusalReason, type Refusal } from '../model/reason.js';
@@ -42,12 +43,22 @@
   readonly store: ObjectStore;
   readonly routing: RoutingPolicy;
   readonly admission: AdmissionPolicy;
+  /** Limits of workspaces; of this entry alone where not given. */
+  readonly shares?: WorkspaceShares;
   readonly random: Random;
   readonly log: Log;
   readonly metrics: Metrics;
   readonly timing: Timing;
 }
 
+/** Whether work in flight has to leave a domain that operators have taken out of service. */
+function hasToMove(board: EntryBoard, name: string, nowMs: number): boolean {
+  const domain = board.config.get(ConfigKind.Domain, name);
+  if (domain?.state !== DomainState.Drained || domain.moveAfterMs === 0) return false;
+  const drainedAtMs = board.domainReturns.get(name)?.drainedAtMs;
+  return drainedAtMs !== undefined && nowMs - drainedAtMs >= domain.moveAfterMs;
+}
+
 /** Requests of one entry, from the caller to the links and back. */
 export class RequestController extends AttemptListener {
   readonly #context: RequestContext;
@@ -56,7 +67,7 @@
 
   readonly #classifier: RequestClassifier;
 
-  readonly #limiter = new WorkspaceLimiter();
+  readonly #shares: WorkspaceShares;
 
   readonly #runs = new Map<string, RequestRun>();
 
@@ -69,6 +80,7 @@
   constructor(options: RequestControllerOptions) {
     super();
     this.#claims = new ClaimKeeper(options.store);
+    this.#shares = options.shares ?? new WorkspaceShares(options);
     const { board, routing, admission, random, log, metrics, timing } = options;
     this.#classifier = new RequestClassifier(board.config);
     this.#context = {
@@ -155,7 +167,7 @@
   }
 
   #findStopRefusal(): Refusal | undefined {
-    if (!this.#isDraining && !this.#context.board.isStopping) return undefined;
+    if (!this.#isDraining) return undefined;
     const detail = 'this entry is in a planned stop';
     return refuseNotRun(RefusalReason.ShuttingDown, STOPPING_RETRY_MS, detail);
   }
@@ -166,18 +178,12 @@
       const detail = `no upstream of pool ${name} takes work`;
       return refuseNotRun(RefusalReason.NoUpstream, NO_UPSTREAM_RETRY_MS, detail);
     }
-    const entryCount = this.#countEntries();
-    const waitMs = this.#limiter.take(classified.workspace, entryCount, nowMs);
+    const waitMs = this.#shares.take(classified.workspace, nowMs);
     if (waitMs === 0) return undefined;
     const detail = `workspace ${classified.workspace.name} is over its limit`;
     return refuseNotRun(RefusalReason.WorkspaceLimit, waitMs, detail);
   }
 
-  #countEntries(): number {
-    const peers = [...this.#context.board.peers.values()];
-    return 1 + peers.filter((peer) => peer.link?.isOpen).length;
-  }
-
   #refuse(caller: Caller, refusal: Refusal): void {
     this.#context.metrics.count('request.refused', { reason: refusal.reason });
     caller.refuse(refusal);
@@ -197,8 +203,11 @@
   #readReport(name: string, message: MessageOf<MessageType.Report>): void {
     const upstream = this.#context.board.upstreams.get(name);
     if (!upstream) return;
-    takeReport(upstream, message.report, Date.now());
-    this.#updateRoom(upstream.pool);
+    const nowMs = Date.now();
+    takeReport(upstream, message.report, nowMs);
+    const isServedElsewhere = this.#updateRoom(upstream.pool);
+    if (!isServedElsewhere || !hasToMove(this.#context.board, upstream.domain, nowMs)) return;
+    this.#listAttempts(name).forEach((attempt) => attempt.moveAway());
   }
 
   #readAttemptMessage(upstream: string, message: Message & { attemptId: string }): void {
--- a/packages/core/test/entry/requestController.test.ts
+++ b/packages/core/test/entry/requestController.test.ts
@@ -1,6 +1,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
+import type { Message } from '../../src/messages/message.js';
 import { Outcome, RefusalReason } from '../../src/model/reason.js';
 
 import { FakeSide } from './fakeSide.js';
@@ -37,6 +38,67 @@
   callers.forEach((caller) => assert.equal(caller.ends, ['end']));
 });
 
+scenario(
+  'work leaves a drained domain after the time that the order sets',
+  async (entry, clock) => {
+    const callers = [entry.request(), entry.request(), entry.request(SWAP), entry.request(SWAP)];
+    await clock.tickAsync(0);
+    entry.deliver();
+    const out = { drainedAtMs: Date.now(), shareBefore: 1, restoredAtMs: undefined };
+    entry.board.domainReturns.set('zone-a', out);
+    entry.applyConfig([['domain', { name: 'zone-a', state: 'drained', moveAfterMs: 1_000 }]]);
+    const before = entry.countRunning('worker-a');
+    await clock.tickAsync(999);
+    entry.report('worker-a');
+    entry.deliver();
+    assert.is(entry.countRunning('worker-a'), before);
+    await clock.tickAsync(1);
+    entry.report('worker-a');
+    entry.deliver();
+    assert.is(before - entry.countRunning('worker-a'), 1);
+    entry.finishAll();
+    callers.forEach((caller) => assert.equal(caller.ends, ['end']));
+  },
+);
+
+scenario('an answer that comes while its request is being sent is taken', async (entry, clock) => {
+  entry.links.forEach((link, name) => {
+    const side = entry.sides.get(name);
+    Object.assign(link, {
+      send: (message: Message) => {
+        side?.receive(message, 'entry-1');
+        entry.hear(name, side?.finish('entry-1') ?? []);
+      },
+    });
+  });
+  const caller = entry.request();
+  await clock.tickAsync(0);
+  assert.equal(caller.ends, ['end']);
+});
+
+scenario('submissions refused as stale draw on no retry budget', async (entry, clock) => {
+  const gateReason = RefusalReason.StaleSubmission;
+  entry.sides.forEach((side) => Object.assign(side, { gateReason }));
+  const callers = Array.from({ length: 12 }, () => entry.request(SWAP));
+  await clock.tickAsync(0);
+  entry.deliver();
+  entry.sides.forEach((side) => Object.assign(side, { gateReason: undefined }));
+  await clock.tickAsync(200);
+  entry.deliver();
+  entry.finishAll();
+  callers.forEach((caller) => assert.equal(caller.ends, ['end']));
+});
+
+scenario('a request whose upstreams are all full is told so', async (entry, clock) => {
+  entry.sides.forEach((side) => Object.assign(side, { gateReason: RefusalReason.UpstreamFull }));
+  const caller = entry.request({ deadlineMs: 30 });
+  await clock.tickAsync(0);
+  entry.deliver();
+  assert.is(caller.refusal?.reason, RefusalReason.UpstreamFull);
+  assert.is(caller.refusal?.outcome, Outcome.NotRun);
+  assert.ok(caller.refusal && caller.refusal.retryAfterMs > 0);
+});
+
 scenario('a request that a gate refuses runs at another upstream', async (entry, clock) => {
   entry.sides.forEach((side) => Object.assign(side, { gateReason: RefusalReason.UpstreamFull }));
   const caller = entry.request(SWAP);
@@ -75,6 +137,7 @@
 scenario(
   'a stopping entry refuses new requests and finishes those in flight',
   async (entry, clock) => {
+    Object.assign(entry.board, { isStopping: true });
     const first = entry.request();
     await clock.tickAsync(0);
     const drained = entry.controller.drain();
--- a/packages/standin/src/matrix/world.ts
+++ b/packages/standin/src/matrix/world.ts
@@ -5,6 +5,7 @@
  * engine call is a numbered event at which a fault can be put.
  */
 import { EntryNode } from '@radishbay/core/entry/entryNode.js';
+import type { OperatorOrder } from '@radishbay/core/model/order.js';
 import { DEFAULT_TIMING } from '@radishbay/core/model/timing.js';
 import { CountingMetrics } from '@radishbay/core/ports/countingMetrics.js';
 import { Random } from '@radishbay/core/ports/random.js';
@@ -12,12 +13,14 @@
 import { SideNode } from '@radishbay/core/side/sideNode.js';
 import { EntryBoard } from '@radishbay/core/state/entryBoard.js';
 import { SideBoard } from '@radishbay/core/state/sideBoard.js';
+import type { LinkFaults } from '@radishbay/link/memory/linkFaults.js';
 import { MemoryDialer } from '@radishbay/link/memory/memoryDialer.js';
 
 import { listObjects, type FleetPlan, type PlannedUpstream } from '../fleet/fleetPlan.js';
 import { MemoryObjectStore } from '../platform/memoryStore.js';
 import { StoreFault, StoreOperation, type StoreCall } from '../platform/storeFault.js';
 
+import { Balancer } from './fake/balancer.js';
 import { EventKind, EventLog } from './fake/eventLog.js';
 import { MemoryCaller } from './fake/memoryCaller.js';
 import { MemoryEngine, TAG_HEADER, type Execution } from './fake/memoryEngine.js';
@@ -70,7 +73,7 @@
 }
 
 function addressOfEntry(name: string): string {
-  return `${name}:1`;
+  return `127.0.0.1:${20_000 + Number.parseInt(name.replace(/\D/gu, '') || '0', 10)}`;
 }
 
 function addressOfSide(name: string): string {
@@ -99,7 +102,15 @@
 
   readonly sent: SentRequest[] = [];
 
-  readonly #network = new MemoryDialer({ delayMs: NETWORK_DELAY_MS, faults: this.faults });
+  readonly balancer = new Balancer();
+
+  /** What a second operator orders, where a scenario has one. */
+  readonly secondOrder: OperatorOrder | undefined = undefined;
+
+  /** Faults that have been put on this run. */
+  faultCount = 0;
+
+  readonly #network: MemoryDialer;
 
   readonly #random: Random;
 
@@ -114,8 +125,11 @@
   /** Fault of the platform call that is being numbered now. */
   #storeFault: StoreFault | undefined;
 
-  constructor(plan: FleetPlan, seed: number) {
+  /** @param traffic decides the fate of messages instead of {@link faults}, for measurements */
+  constructor(plan: FleetPlan, seed: number, traffic?: LinkFaults) {
     this.plan = plan;
+    const faults = traffic ?? this.faults;
+    this.#network = new MemoryDialer({ delayMs: NETWORK_DELAY_MS, faults });
     this.clock = new SimClock(START_MS);
     this.#random = new Random(seed);
     this.#addresses = new Map(
@@ -176,9 +190,11 @@
       process.post(() => handle.node.attachPeer(new ProcessLink(link, process))),
     );
     process.onDeath(() => this.#network.stopListening(addressOfEntry(name)));
+    process.onDeath(() => this.balancer.remove(name));
     process.onDeath(() => this.#hangUpOn(name));
     process.run(() => handle.node.start());
     this.entries.set(name, handle);
+    this.balancer.add(name);
     return handle;
   }
 
