--- a/packages/standin/src/matrix/judge.ts
+++ b/packages/standin/src/matrix/judge.ts
@@ -63,6 +63,7 @@
     .map(
       ({ id, caller }) => `${id} was ${caller.outcome} ${caller.refusal?.reason ?? ''} meanwhile`,
     );
+  return [...unserved, ...noticed];
 }
 
 /** @returns sentences on what is left over once nothing is asked for any more */
--- a/packages/standin/src/matrix/scenario/orderScenario.ts
+++ b/packages/standin/src/matrix/scenario/orderScenario.ts
@@ -31,7 +31,7 @@
     count += 1;
     const entry = world.balancer.choose();
     if (!entry) {
-      world.unservedCount += 1;
+      world.countUnserved();
       return;
     }
     const isOnce = count % 3 === 0;
--- a/packages/standin/src/matrix/world.ts
+++ b/packages/standin/src/matrix/world.ts
@@ -107,9 +107,6 @@
   /** What a second operator orders, where a scenario has one. */
   readonly secondOrder: OperatorOrder | undefined = undefined;
 
-  /** Callers for whom the balancer had no entry. */
-  unservedCount = 0;
-
   /** Faults that have been put on this run. */
   faultCount = 0;
 
@@ -121,6 +118,8 @@
 
   readonly #stores = new Set<MemoryObjectStore>();
 
+  #unservedCount = 0;
+
   #lastId = 0;
 
   #lastRun = 0;
@@ -155,6 +154,15 @@
     if (!isUp) throw new Error('the fleet did not come up');
   }
 
+  /** Callers for whom the balancer had no entry. */
+  get unservedCount(): number {
+    return this.#unservedCount;
+  }
+
+  countUnserved(): void {
+    this.#unservedCount += 1;
+  }
+
   /** Whether every live entry is ready and linked to every live side process. */
   isSettled(): boolean {
     const sides = [...this.sides.values()].filter(
