Let a group say how many replicas its ranks can stage beside their slots

The planner never loads more than a rank has spare memory for, and nothing in the configuration said how much that is. The field is optional; left out it is 0, and such a group is not rebalanced.

--- a/packages/core/src/config/object.ts
+++ b/packages/core/src/config/object.ts
@@ -84,6 +84,8 @@
   /** Expert replicas that one rank holds per layer at most. */
   slotsPerRank: POSITIVE_INT,
   expertBytes: POSITIVE_INT,
+  /** Replicas that a rank has memory for beside its slots, while a new map is staged. */
+  spareExperts: z.number().int().nonnegative().default(0),
   isRebalancePaused: z.boolean().default(false),
 });
 
