Run expert groups in the daemons: maps, switches, repair and recovery

Cause: all decisions on expert groups existed without I/O and nothing ran them.

Change: an entry sends orders to ranks as GroupOrder over its links and finds the replies (OrderLinks, LinkRankControl); a side process puts a RankGuard in front of its engine; each group has up to three keepers among the entries (rendezvous hashing), which keep links to all of its ranks, contend for lease/group/NAME, and watch for forsaken holds without lease or platform (GroupHold before HoldWatch). A holder out of reach of a rank passes the lease on; a planned stop waits for a switch under way. The load is read by the engine order read-load, where the engine publishes it; where it refuses there is no load and no plan. Recovery proposes under another name than the coordinator of its process, so that they never share a ballot.

Ruled out: recovery by the side processes (they do not dial each other).

Proof: standin/test/group/linkedGroup.test (real nodes on MemoryLink, two entries, four ranks): kill of the coordinator, the same with the platform down, lost messages, four ways of losing the link, and a killed side process, each at each of the 24 messages of a switch: no step with two maps, and the group steps again.

Not done: stragglers' timings, the weight budget and the order Rebalance have no source or caller.

--- a/packages/core/src/entry/entryNode.ts
+++ b/packages/core/src/entry/entryNode.ts
@@ -5,6 +5,8 @@
  * clock.
  */
 import { ConfigKind } from '../config/object.js';
+import { GroupFleet } from '../groups/groupFleet.js';
+import { OrderLinks } from '../groups/orderLinks.js';
 import { QueueAdmission } from '../limits/queueAdmission.js';
 import { WorkspaceShares } from '../limits/workspaceShares.js';
 import { EntryMembership } from '../membership/entryMembership.js';
@@ -55,6 +57,8 @@
 
   readonly #membership: EntryMembership;
 
+  readonly #groups: GroupFleet;
+
   readonly #orders: OrderDesk;
 
   readonly #queries: QueryDesk;
@@ -72,26 +76,26 @@
       routing: new ForecastRouting({ ...options, weights: [new DomainWeight()] }),
       admission: new QueueAdmission(),
     });
+    const links = new OrderLinks(options);
     this.#membership = new EntryMembership({
       ...options,
       token: options.linkToken,
       attempts: this.#requests,
-      groups: {
-        onGroupSideOpen: () => {},
-        onGroupSideLost: () => {},
-        onGroupReply: () => {},
-      },
+      groups: links,
       shares,
     });
+    const { feed, pace } = this.#membership;
+    this.#groups = new GroupFleet({ ...options, links, feed, pace });
     this.#orders = new OrderDesk({
       ...options,
-      feed: this.#membership.feed,
-      pace: this.#membership.pace,
+      feed,
+      pace,
       handlers: new Map(),
     });
     this.#queries = new QueryDesk({
       board: options.board,
       listRequests: () => this.#requests.listInFlight(),
+      listGroups: () => this.#groups.list(),
     });
   }
 
@@ -99,6 +103,7 @@
   start(): void {
     this.#startedAtMs = Date.now();
     this.#membership.start();
+    this.#groups.start();
   }
 
   /**
@@ -152,13 +157,14 @@
     this.#board.isStopping = true;
   }
 
-  /** Refuses new requests; resolves once those in flight have ended. */
-  drain(): Promise<void> {
-    return this.#requests.drain();
+  /** Refuses new requests; resolves once those in flight and a switch of a map have ended. */
+  async drain(): Promise<void> {
+    await Promise.all([this.#requests.drain(), this.#groups.stop()]);
   }
 
   /** Stops following the platform and closes all links. */
   stop(): void {
+    this.#groups.stop();
     this.#membership.stop();
   }
 
--- /dev/null
+++ b/packages/core/src/groups/groupDefaults.ts
@@ -0,0 +1,49 @@
+/** Settings of group coordination; their reasons are in the design note. */
+import type { ExpertLoadOptions } from './expertLoad.js';
+import type { PlanOptions } from './layerPlanner.js';
+import type { StragglerOptions } from './stragglers.js';
+
+/** Interval of the control loop, each time one slice of planning. */
+export const LOOP_MS = 100;
+
+/** Interval at which the load is read while this process coordinates. */
+export const LOAD_INTERVAL_MS = 2_000;
+
+/** Interval at which the ranks are looked at for a forsaken hold. */
+export const HOLD_LOOK_MS = 1_000;
+
+/** A hold this long has been forsaken: more than a step and the longest wait for a reply. */
+export const HOLD_LIMIT_MS = 3_000;
+
+/** Shortest time between two plans. */
+export const PLAN_INTERVAL_MS = 20_000;
+
+/** Interval at which all ranks are read and repaired. */
+export const CHECK_INTERVAL_MS = 3_000;
+
+export const PLAN_OPTIONS: PlanOptions = {
+  tokenMs: 0.5 / 2048,
+  horizonSteps: 3_000,
+  loadCostMs: 12,
+  stallMs: 5,
+  minSavedShare: 0.002,
+  maxLoads: 240,
+  maxLayerMoves: 8,
+};
+
+export const LOAD_OPTIONS: ExpertLoadOptions = {
+  halfLifeWindows: 2,
+  minWindows: 2,
+  staleMs: 30_000,
+};
+
+export const STRAGGLER_OPTIONS: StragglerOptions = {
+  batchMs: 0.4 / 256,
+  tokenMs: 0.5 / 2048,
+  slowAbove: 1.12,
+  normalBelow: 1.05,
+  raiseWindows: 2,
+  lowerWindows: 4,
+  leaveAbove: 3,
+  smoothing: 0.5,
+};
--- a/packages/core/src/groups/holdWatch.ts
+++ b/packages/core/src/groups/holdWatch.ts
@@ -26,7 +26,7 @@
 
 /** Recovers a group that is held for too long. */
 export class HoldWatch {
-  readonly #guard: RankGuard;
+  readonly #guard: Pick<RankGuard, 'handle'>;
 
   readonly #switch: MapSwitch;
 
@@ -45,7 +45,7 @@
   #isBusy = false;
 
   constructor(
-    guard: RankGuard,
+    guard: Pick<RankGuard, 'handle'>,
     control: RankControl,
     options: HoldWatchOptions,
     random: Random,
--- /dev/null
+++ b/packages/core/src/groups/loadReader.ts
@@ -0,0 +1,75 @@
+/**
+ * Reads the tokens by slot from the engines of a group.
+ *
+ * An engine that publishes them answers `read-load` with its last windows. A window is a fixed
+ * number of steps, so all ranks number theirs alike. An engine that refuses the order publishes
+ * none: then there is no load, and no plan is made.
+ */
+import { z } from 'zod';
+
+import type { Metrics } from '../ports/metrics.js';
+
+import type { RankLoadReport } from './expertLoad.js';
+import type { LinkRankControl } from './linkRankControl.js';
+import type { OrderLinks } from './orderLinks.js';
+
+/** Name of the engine order. */
+export const READ_LOAD_ACTION = 'read-load';
+
+const COUNT = z.number().int().nonnegative();
+
+const LOAD_SCHEMA = z.object({
+  windows: z
+    .array(
+      z.object({
+        window: COUNT,
+        mapVersion: COUNT,
+        steps: COUNT,
+        tokens: z.array(z.number().nonnegative()),
+      }),
+    )
+    .max(16),
+});
+
+/** Reads the load of one group. */
+export class LoadReader {
+  readonly #control: LinkRankControl;
+
+  readonly #links: OrderLinks;
+
+  readonly #metrics: Metrics;
+
+  constructor(control: LinkRankControl, links: OrderLinks, metrics: Metrics) {
+    this.#control = control;
+    this.#links = links;
+    this.#metrics = metrics;
+  }
+
+  /**
+   * Asks all ranks at once.
+   *
+   * @returns what was published, oldest window first in each rank
+   */
+  async read(fencingNumber: number): Promise<readonly RankLoadReport[]> {
+    const upstreams = this.#control.listUpstreams();
+    const reports = await Promise.all(
+      upstreams.map((upstream, rank) =>
+        upstream === undefined ? [] : this.#readRank(upstream, rank, fencingNumber),
+      ),
+    );
+    return reports.flat();
+  }
+
+  async #readRank(
+    upstream: string,
+    rank: number,
+    fencingNumber: number,
+  ): Promise<readonly RankLoadReport[]> {
+    const order = { fencingNumber, action: READ_LOAD_ACTION, params: {} };
+    const reply = await this.#links.send(upstream, order);
+    const load = reply?.isOk ? LOAD_SCHEMA.safeParse(reply.result) : undefined;
+    if (load?.success) return load.data.windows.map((window) => ({ rank, ...window }));
+    this.#metrics.count('groups.load_missing', { reason: reply ? 'not-published' : 'lost' });
+    return [];
+  }
+}
--- /dev/null
+++ b/packages/core/src/groups/rankReply.ts
@@ -0,0 +1,41 @@
+/** How a side process's answer about its rank travels in a `GroupReply`. */
+import { z } from 'zod';
+
+import type { MessageOf, MessageType } from '../messages/message.js';
+import { Err, Ok } from '../outcome.js';
+
+import { BALLOT_SCHEMA, NO_BALLOT } from './ballot.js';
+import { RANK_READING_SCHEMA, RankErrorKind, type RankAnswer } from './rankOrder.js';
+
+const STATE_SCHEMA = RANK_READING_SCHEMA.extend({
+  incarnation: z.string(),
+  promised: BALLOT_SCHEMA,
+});
+
+const ERROR_SCHEMA = z.object({
+  error: z.enum(RankErrorKind),
+  detail: z.string(),
+  promised: BALLOT_SCHEMA,
+});
+
+/** Fields of a `GroupReply` that say what became of its order. */
+export type ReplyBody = Pick<MessageOf<MessageType.GroupReply>, 'isOk' | 'result'>;
+
+/** Writes an answer into the fields of a reply. */
+export function writeRankReply(answer: RankAnswer): ReplyBody {
+  if (answer.ok) return { isOk: true, result: { ...answer.val } };
+  const { kind, detail, promised } = answer.val;
+  return { isOk: false, result: { error: kind, detail, promised } };
+}
+
+/** Reads an answer; what is not readable counts as refused. */
+export function readRankReply(reply: ReplyBody): RankAnswer {
+  const state = STATE_SCHEMA.safeParse(reply.result);
+  if (reply.isOk && state.success) return Ok(state.data);
+  const error = ERROR_SCHEMA.safeParse(reply.result);
+  if (!error.success) {
+    return Err({ kind: RankErrorKind.Invalid, detail: 'reply not readable', promised: NO_BALLOT });
+  }
+  const { error: kind, detail, promised } = error.data;
+  return Err({ kind, detail, promised });
+}
--- a/packages/core/src/membership/sideLinks.ts
+++ b/packages/core/src/membership/sideLinks.ts
@@ -17,6 +17,8 @@
 
 const DOMAIN_PREFIX = `${CONFIG_PREFIX}${ConfigKind.Domain}/`;
 
+const GROUP_PREFIX = `${CONFIG_PREFIX}${ConfigKind.Group}/`;
+
 /** Heartbeat intervals after which this process itself must have been paused. */
 const PAUSE_INTERVALS = 2;
 
@@ -27,9 +29,9 @@
   readonly isListedLeaving: (upstream: string) => boolean;
 }
 
-/** Whether an object says where upstreams are. */
+/** Whether an object says where upstreams are, or who needs links to them. */
 function isPlacement(key: string): boolean {
-  return key.startsWith(UPSTREAM_PREFIX) || key.startsWith(DOMAIN_PREFIX);
+  return [UPSTREAM_PREFIX, DOMAIN_PREFIX, GROUP_PREFIX].some((prefix) => key.startsWith(prefix));
 }
 
 function createState(upstream: Upstream, address: string): UpstreamState {
--- a/packages/core/src/membership/sideSubset.ts
+++ b/packages/core/src/membership/sideSubset.ts
@@ -4,9 +4,11 @@
  * With few upstreams or few entries it is all of them. Beyond that each upstream of the entry's own
  * region is taken by a bounded number of that region's entries, ranked by rendezvous hashing, so
  * that every upstream keeps several entries. Besides, each entry takes one upstream at least of
- * each pool in each failure domain of its region, and in each other region.
+ * each pool in each failure domain of its region, and in each other region; and all ranks of the
+ * groups that it looks after.
  */
 import { ConfigKind, type Upstream } from '../config/object.js';
+import { listKeptUpstreams } from '../groups/keeperChoice.js';
 import type { EntryBoard } from '../state/entryBoard.js';
 import { countBetter, hashMembers, rankMembers } from './rendezvous.js';
 
@@ -60,5 +62,6 @@
   const local = all.filter((upstream) => readRegion(board, upstream.domain) === board.region);
   const names = new Set(chooseSpread(board, all));
   chooseOwned(board, local).forEach((upstream) => names.add(upstream.name));
+  listKeptUpstreams(board).forEach((upstream) => names.add(upstream.name));
   return all.filter((upstream) => names.has(upstream.name));
 }
--- a/packages/core/src/side/groupOrderForwarder.ts
+++ b/packages/core/src/side/groupOrderForwarder.ts
@@ -4,9 +4,11 @@
  * Orders run one after the other. One with a fencing number below the highest seen is refused,
  * also where the engine does not check. An order is known by its id: repeated, it gets the reply of
  * the first, unless that is unknown; then it is given to the engine again under the same id.
+ * Orders that concern a rank's expert map go through the rank's guard, which has its own fence.
  */
 import PQueue from 'p-queue';
 
+import { ENGINE_ORDER_LIMIT_MS, RankOrderIntake } from '../groups/rankOrderIntake.js';
 import { MessageType, type MessageOf } from '../messages/message.js';
 import { EngineOrderErrorKind, type EngineOrder } from '../ports/engine.js';
 
@@ -52,6 +54,8 @@
 
   readonly #target: OrderTarget;
 
+  readonly #ranks: RankOrderIntake;
+
   readonly #queue = new PQueue({ concurrency: 1 });
 
   readonly #running = new Map<string, Promise<Reply>>();
@@ -63,6 +67,10 @@
   constructor(options: SideOptions) {
     this.#options = options;
     this.#target = options.orderTarget ?? options.engine;
+    const { incarnation } = options.board;
+    const engineOrderLimitMs = options.engineOrderLimitMs ?? ENGINE_ORDER_LIMIT_MS;
+    const guardOptions = { incarnation, engineOrderLimitMs };
+    this.#ranks = new RankOrderIntake(this.#target, guardOptions, options.metrics);
   }
 
   /** Highest fencing number seen by this process. */
@@ -72,6 +80,10 @@
 
   /** Carries an order out and replies on the session it came from. */
   async handle(session: LinkSession, message: MessageOf<MessageType.GroupOrder>): Promise<void> {
+    if (RankOrderIntake.isRankAction(message.action)) {
+      session.send(await this.#ranks.handle(message));
+      return;
+    }
     const reply = await waitFor(this.#find(message) ?? this.#enqueue(message));
     const outcome = reply.isOk ? 'done' : String(reply.result.error);
     this.#options.metrics.count('side.group_order', { outcome });
--- a/packages/core/src/side/sideOptions.ts
+++ b/packages/core/src/side/sideOptions.ts
@@ -23,4 +23,6 @@
   readonly isPlain: boolean;
   /** Where group orders go; the engine where undefined. */
   readonly orderTarget?: OrderTarget | undefined;
+  /** Time after which an order that reached the engine has taken effect or never will. */
+  readonly engineOrderLimitMs?: number | undefined;
 }
--- a/packages/daemon/src/roles/sideDaemon.ts
+++ b/packages/daemon/src/roles/sideDaemon.ts
@@ -44,6 +44,7 @@
       timing: settings.timing,
       linkToken: links.token,
       isPlain,
+      engineOrderLimitMs: upstream.callTimeoutMs,
     });
     this.#listener = new WsListener({
       host: links.host,
--- /dev/null
+++ b/packages/standin/test/group/linkedGroup.test.ts
@@ -0,0 +1,88 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import type { LinkEvent, Fate } from '@radishbay/link/memory/linkFaults.js';
+import { DELIVERED, FateKind } from '@radishbay/link/memory/linkFaults.js';
+
+import { LinkedGroup, RANKS, loseMessage } from './linkedGroup.js';
+
+/** Hold, switch and release of each rank, with their replies. */
+const SWITCH_MESSAGES = 6 * RANKS;
+
+const SWITCH_LIMIT_MS = 40_000;
+
+/** Time in which a group steps again, whatever befell one message of its switch. */
+const RECOVERY_MS = 15_000;
+
+const SIDE_DOWN_MS = 300;
+
+type Strike = (world: LinkedGroup, event: LinkEvent) => Fate;
+
+function killCoordinator(world: LinkedGroup): Fate {
+  const name = world.coordinator;
+  if (name) world.killEntry(name);
+  return DELIVERED;
+}
+
+/** Lets a strike befall one message of the first switch and judges what follows. */
+async function runStrike(index: number, strike: Strike): Promise<void> {
+  const world = new LinkedGroup(index + 1);
+  let isStruck = false;
+  world.onSwitchMessage = (message, event) => {
+    if (message !== index) return DELIVERED;
+    isStruck = true;
+    return strike(world, event);
+  };
+  try {
+    await world.clock.advanceUntil(() => isStruck, SWITCH_LIMIT_MS);
+    await world.clock.advance(RECOVERY_MS);
+    assert.ok(isStruck, `message ${index} was never sent`);
+    assert.equal(world.group.mixedSteps, [], `message ${index}: steps with two maps`);
+    assert.ok(world.countSteps(1_000) > 0, `message ${index}: the group stands`);
+  } finally {
+    world.dispose();
+  }
+}
+
+/** Runs a strike at every message of a switch, one run after the other. */
+function testStrike(name: string, strike: Strike): void {
+  test(name, async () => {
+    const indexes = Array.from({ length: SWITCH_MESSAGES }, (_, index) => index);
+    await indexes.reduce(
+      (before, index) => before.then(() => runStrike(index, strike)),
+      Promise.resolve(),
+    );
+  });
+}
+
+test('a group over links gets a first map and new ones as its load drifts', async () => {
+  const world = new LinkedGroup(1);
+  try {
+    await world.clock.advance(60_000);
+    assert.equal(world.group.mixedSteps, []);
+    assert.ok(world.mapsUsed.size >= 3);
+    assert.is(world.switchMessages, SWITCH_MESSAGES * (world.mapsUsed.size - 1));
+    assert.ok(world.countSteps(1_000) > 0);
+  } finally {
+    world.dispose();
+  }
+});
+
+testStrike('one map in every step where the coordinator is killed', killCoordinator);
+
+testStrike('a group is recovered without the platform and its coordinator', (world) => {
+  world.breakPlatform();
+  return killCoordinator(world);
+});
+
+[FateKind.Drop, FateKind.Cut, FateKind.CutSender, FateKind.CutReceiver, FateKind.Silence].forEach(
+  (kind) =>
+    testStrike(`one map in every step where a message meets ${kind}`, () => loseMessage(kind)),
+);
+
+testStrike('one map in every step where a side process is killed', (world, event) => {
+  world.restartSide(world.findRank(event.address), SIDE_DOWN_MS);
+  return DELIVERED;
+});
+
+test.run();
