--- a/packages/core/src/entry/entryNode.ts
+++ b/packages/core/src/entry/entryNode.ts
@@ -6,6 +6,8 @@
  */
 import { ClaimSweeper } from '../claims/claimSweeper.js';
 import { ConfigKind } from '../config/object.js';
+import { GroupFleet } from '../groups/groupFleet.js';
+import { OrderLinks } from '../groups/orderLinks.js';
 import { QueueAdmission } from '../limits/queueAdmission.js';
 import { WorkspaceShares } from '../limits/workspaceShares.js';
 import { EntryMembership } from '../membership/entryMembership.js';
@@ -60,6 +62,8 @@
 
   readonly #membership: EntryMembership;
 
+  readonly #groups: GroupFleet;
+
   readonly #orders: OrderDesk;
 
   readonly #queries: QueryDesk;
@@ -84,27 +88,27 @@
       }),
       admission: new QueueAdmission(),
     });
+    const links = new OrderLinks(options);
     this.#membership = new EntryMembership({
       ...options,
       token: options.linkToken,
       attempts: this.#requests,
-      groups: {
-        onGroupSideOpen: () => {},
-        onGroupSideLost: () => {},
-        onGroupReply: () => {},
-      },
+      groups: links,
       shares,
     });
+    const { feed, pace } = this.#membership;
+    this.#groups = new GroupFleet({ ...options, links, feed, pace });
     this.#orders = new OrderDesk({
       ...options,
-      feed: this.#membership.feed,
-      pace: this.#membership.pace,
+      feed,
+      pace,
       handlers: new Map(),
     });
     this.#sweeper = new ClaimSweeper(options.store);
     this.#queries = new QueryDesk({
       board: options.board,
       listRequests: () => this.#requests.listInFlight(),
+      listGroups: () => this.#groups.list(),
     });
   }
 
@@ -115,6 +119,7 @@
     this.#sweepTimer = setInterval(() => {
       this.#sweeper.sweepNext(Date.now()).catch(() => {});
     }, SWEEP_MS);
+    this.#groups.start();
   }
 
   /**
@@ -168,9 +173,9 @@
     this.#board.isStopping = true;
   }
 
-  /** Refuses new requests; resolves once those in flight have ended. */
-  drain(): Promise<void> {
-    return this.#requests.drain();
+  /** Refuses new requests; resolves once those in flight and a switch of a map have ended. */
+  async drain(): Promise<void> {
+    await Promise.all([this.#requests.drain(), this.#groups.stop()]);
   }
 
   /** Ends a planned stop: leaves the registry, so that nobody counts on this entry any more. */
@@ -182,6 +187,7 @@
   /** Stops following the platform and closes all links. */
   stop(): void {
     clearInterval(this.#sweepTimer);
+    this.#groups.stop().catch(() => {});
     this.#membership.stop();
   }
 
