--- a/packages/standin/src/bench/domainBench.ts
+++ b/packages/standin/src/bench/domainBench.ts
@@ -62,7 +62,6 @@
   const plan = planSampleFleet(ENTRIES, MODELS_PER_DOMAIN);
   const fleet = await Fleet.start({
     plan,
-    logLevel: 'warn',
     engineOptions: {
       isWarmAtStart: true,
       stepMs: STEP_MS,
--- a/packages/standin/src/bench/speedBench.ts
+++ b/packages/standin/src/bench/speedBench.ts
@@ -100,7 +100,6 @@
 const plan = widen(planSampleFleet(1, MODELS_PER_DOMAIN));
 const fleet = await Fleet.start({
   plan,
-  logLevel: 'warn',
   engineOptions: {
     isWarmAtStart: true,
     stepMs: STEP_MS,
--- a/packages/standin/src/fleet/fleet.ts
+++ b/packages/standin/src/fleet/fleet.ts
@@ -29,7 +29,6 @@
 export interface FleetOptions {
   readonly plan: FleetPlan;
   readonly timing?: Readonly<Record<string, number>>;
-  readonly logLevel?: string;
   /** Whether a relay stands in front of each side process, to cut and silence its links. */
   readonly hasRelays?: boolean;
   /** Time between the failing readiness check and closed connections in a planned stop. */
@@ -264,7 +263,7 @@
 
   #commonSettings(): Readonly<Record<string, unknown>> {
     return {
-      log: { level: this.#options.logLevel ?? 'info', format: 'text' },
+      log: { level: 'info', format: 'text' },
       timing: this.#options.timing ?? {},
       stop: { noticeMs: this.#options.noticeMs ?? 300 },
     };
--- a/packages/standin/src/matrix/world.ts
+++ b/packages/standin/src/matrix/world.ts
@@ -31,6 +31,9 @@
 import { SimClock } from './process/simClock.js';
 import { ProcessState, SimProcess } from './process/simProcess.js';
 
+/** Keys that are written and read again and again whatever else happens. */
+const BACKGROUND_KEYS = /^(status|lease)\//u;
+
 const START_MS = 1_700_000_000_000;
 const NETWORK_DELAY_MS = 1;
 const STORE_DELAY_MS = 4;
@@ -263,6 +266,8 @@
     const sent = { id, request, entry, caller, sentAtMs: Date.now() };
     this.sent.push(sent);
     const { node, process } = this.getEntry(entry);
+    // Nobody listens: the caller's connection is refused.
+    if (process.state === ProcessState.Dead) caller.breakOff();
     process.post(() =>
       node.accept(
         {
@@ -348,7 +353,7 @@
   }
 
   #observeStore(call: StoreCall): StoreFault | undefined {
-    if (call.operation === StoreOperation.Watch || call.key.startsWith('status/')) return undefined;
+    if (call.operation === StoreOperation.Watch || BACKGROUND_KEYS.test(call.key)) return undefined;
     this.#storeFault = undefined;
     this.events.note(call.client, EventKind.Store, `${call.operation} ${call.key}`);
     return this.#storeFault;
