--- a/packages/standin/test/group/linkedGroup.test.ts
+++ b/packages/standin/test/group/linkedGroup.test.ts
@@ -28,11 +28,11 @@
 async function runStrike(index: number, strike: Strike): Promise<void> {
   const world = new LinkedGroup(index + 1);
   let isStruck = false;
-  world.onSwitchMessage = (message, event) => {
+  world.followSwitch((message, event) => {
     if (message !== index) return DELIVERED;
     isStruck = true;
     return strike(world, event);
-  };
+  });
   try {
     await world.clock.advanceUntil(() => isStruck, SWITCH_LIMIT_MS);
     await world.clock.advance(RECOVERY_MS);
--- a/packages/standin/test/group/linkedGroup.ts
+++ b/packages/standin/test/group/linkedGroup.ts
@@ -48,6 +48,9 @@
   RankAction.Release,
 ]);
 
+/** Decides the fate of a message of a switch, numbered from 0. */
+type SwitchFate = (index: number, event: LinkEvent) => Fate;
+
 interface EntryHandle {
   readonly name: string;
   readonly process: SimProcess;
@@ -65,6 +68,11 @@
   return `127.0.0.1:${SIDE_PORT + rank}`;
 }
 
+/** Fate that loses a message, and with some kinds its link. */
+export function loseMessage(kind: FateKind): Fate {
+  return { kind, extraDelayMs: 0 };
+}
+
 /** The linked group; it sees each message of a switch. */
 export class LinkedGroup extends LinkFaults {
   readonly clock = new SimClock(1_700_000_000_000);
@@ -77,12 +85,11 @@
 
   readonly entries = new Map<string, EntryHandle>();
 
-  /** Decides the fate of the messages of switches of a running group, numbered from 0. */
-  onSwitchMessage: ((index: number, event: LinkEvent) => Fate) | undefined;
-
   /** Messages of switches of the running group so far. */
   switchMessages = 0;
 
+  #decideSwitch: SwitchFate | undefined;
+
   readonly #network = new MemoryDialer({ delayMs: 1, faults: this });
 
   readonly #random: Random;
@@ -93,6 +100,9 @@
 
   readonly #switchOrders = new Set<string>();
 
+  /** Senders with addresses that their messages no longer reach. */
+  readonly #cuts = new Set<string>();
+
   readonly #sides = new Map<number, SimProcess>();
 
   #starts = 0;
@@ -106,10 +116,17 @@
   }
 
   override decide(event: LinkEvent): Fate {
+    const sender = SimProcess.caller?.name;
+    if (this.#cuts.has(`${sender} ${event.address}`)) return loseMessage(FateKind.Drop);
     if (this.group.steps === 0 || !this.#isOfSwitch(event.message)) return DELIVERED;
     const index = this.switchMessages;
     this.switchMessages += 1;
-    return this.onSwitchMessage?.(index, event) ?? DELIVERED;
+    return this.#decideSwitch?.(index, event) ?? DELIVERED;
+  }
+
+  /** Names who decides the fate of the messages of switches of the running group. */
+  followSwitch(decide: SwitchFate): void {
+    this.#decideSwitch = decide;
   }
 
   /** Name of the entry that coordinates, as its operators are told. */
@@ -143,6 +160,29 @@
     this.entries.delete(name);
   }
 
+  /** Stops an entry as planned; resolves when it has ended. */
+  async stopEntry(name: string): Promise<void> {
+    const entry = this.entries.get(name);
+    if (!entry) return;
+    const { node, process } = entry;
+    process.run(() => node.beginStop());
+    await process.run(() => node.drain());
+    process.run(() => node.stop());
+    this.killEntry(name);
+  }
+
+  /** Loses all that an entry sends to a rank from now on. */
+  cut(entry: string, rank: number): void {
+    this.#cuts.add(`${entry} ${addressOfRank(rank)}`);
+  }
+
+  /** Writes the group's configuration, with its rebalancing paused or not. */
+  writeGroup(isRebalancePaused: boolean): void {
+    const shape = { ranks: RANKS, layers: 2, expertsPerLayer: 8, slotsPerRank: 3 };
+    const memory = { expertBytes: 1_000, spareExperts: 10 };
+    this.#put(ConfigKind.Group, GROUP, { pool: 'chat', ...shape, ...memory, isRebalancePaused });
+  }
+
   /** Kills the side process of a rank; the next one starts after a time. */
   restartSide(rank: number, downMs: number): void {
     this.#sides.get(rank)?.kill();
@@ -227,13 +267,7 @@
   #writeConfig(): void {
     this.#put(ConfigKind.Pool, 'chat', { kind: PoolKind.Model });
     this.#put(ConfigKind.Domain, 'zone-a', {});
-    const shape = { ranks: RANKS, layers: 2, expertsPerLayer: 8, slotsPerRank: 3 };
-    this.#put(ConfigKind.Group, GROUP, {
-      pool: 'chat',
-      ...shape,
-      expertBytes: 1_000,
-      spareExperts: 10,
-    });
+    this.writeGroup(false);
     this.group.engines.forEach((_, rank) => {
       const place = { pool: 'chat', domain: 'zone-a', group: GROUP, rank };
       const limits = { warmLimit: 50, coldLimit: 20 };
@@ -246,11 +280,8 @@
   }
 
   #put(kind: ConfigKind, name: string, value: object): void {
-    this.platform.objects.put(formatConfigKey(kind, name), { name, ...value }, 0).unwrap();
+    const key = formatConfigKey(kind, name);
+    const version = this.platform.objects.get(key)?.version ?? 0;
+    this.platform.objects.put(key, { name, ...value }, version).unwrap();
   }
 }
-
-/** Fate that loses a message, and with some kinds its link. */
-export function loseMessage(kind: FateKind): Fate {
-  return { kind, extraDelayMs: 0 };
-}
