--- a/packages/standin/src/engine/engineServer.ts
+++ b/packages/standin/src/engine/engineServer.ts
@@ -1,12 +1,12 @@
 /**
  * The model engine over HTTP; its calls and options are described in this package's README.
  *
- * It knows nothing of groups: `handlers` adds kinds of orders.
+ * It knows nothing of groups: `handlers` adds kinds of orders, and a rank may take some kinds.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import { hashPrefixes } from '@radishbay/core/model/prefixHash.js';
-import { EngineOrderErrorKind } from '@radishbay/core/ports/engine.js';
+import { EngineOrderErrorKind, type Engine } from '@radishbay/core/ports/engine.js';
 
 import { isJsonObject, readNumber, readString, type JsonObject } from '../http/json.js';
 import { StandinServer, readBody, readJson, writeError, writeJson } from '../http/standinServer.js';
@@ -30,6 +30,11 @@
   return Array.isArray(value) ? value[0] : value;
 }
 
+/** Takes the orders that concern a rank of a group, instead of the engine's own handlers. */
+export interface RankTarget extends Pick<Engine, 'order'> {
+  readonly takes: (action: string) => boolean;
+}
+
 /** A model engine that serves completions. */
 export class EngineServer extends StandinServer {
   readonly model: EngineModel;
@@ -38,14 +43,22 @@
 
   readonly #faults: EngineFaults;
 
+  readonly #rank: RankTarget | undefined;
+
   #unnamedCount = 0;
 
   /**
    * @param options see {@link parseEngineOptions}
    * @param handlers further kinds of orders
+   * @param rank left out where the engine is in no group
    */
-  constructor(options: JsonObject = {}, handlers: ReadonlyMap<string, OrderHandler> = new Map()) {
+  constructor(
+    options: JsonObject = {},
+    handlers: ReadonlyMap<string, OrderHandler> = new Map(),
+    rank?: RankTarget,
+  ) {
     super();
+    this.#rank = rank;
     const parsed = parseEngineOptions(options);
     this.model = new EngineModel(parsed);
     this.#faults = new EngineFaults(this.model);
@@ -152,7 +165,10 @@
     }
     const fencingNumber = readNumber(body, 'fencingNumber', 0);
     const params = isJsonObject(body.params) ? body.params : {};
-    const reply = this.#orders.apply({ orderId, fencingNumber, action, params });
+    const order = { orderId, fencingNumber, action, params };
+    const reply = this.#rank?.takes(action)
+      ? await this.#rank.order(order)
+      : this.#orders.apply(order);
     if (reply.ok) writeJson(response, 200, reply.val);
     else writeJson(response, reply.val.kind === EngineOrderErrorKind.Fenced ? 409 : 400, reply.val);
   }
--- a/packages/standin/test/group/publishingEngine.ts
+++ b/packages/standin/test/group/publishingEngine.ts
@@ -34,6 +34,8 @@
   }).flat();
 }
 
+const ACTIONS: ReadonlySet<string> = new Set([READ_LOAD_ACTION, ...Object.values(RankAction)]);
+
 /** One rank's engine; it outlives the side processes that call it. */
 export class PublishingEngine extends RecordingEngine {
   readonly #group: RankGroup;
@@ -49,6 +51,12 @@
     this.#staged = staged;
   }
 
+  /** Whether an order concerns the rank. */
+  // eslint-disable-next-line @typescript-eslint/class-methods-use-this -- always the same
+  takes(action: string): boolean {
+    return ACTIONS.has(action);
+  }
+
   override order(order?: EngineOrder): Promise<Answer> {
     const engine = this.#group.engines[this.#rank];
     if (!order || !engine) throw new Error('no such rank');
