--- a/packages/standin/src/matrix/judge.ts
+++ b/packages/standin/src/matrix/judge.ts
@@ -56,12 +56,14 @@
 
 /** @returns sentences on callers without a key who noticed that the platform was out of reach */
 export function judgePlatformOutage(world: World): readonly string[] {
-  return world.sent
+  const unserved = world.unservedCount > 0 ? ['no entry was ready for a caller'] : [];
+  const noticed = world.sent
     .filter(({ request }) => request.idempotencyKey === undefined)
     .filter(({ caller }) => caller.outcome !== CallerEnd.Answered)
     .map(
       ({ id, caller }) => `${id} was ${caller.outcome} ${caller.refusal?.reason ?? ''} meanwhile`,
     );
+  return [...unserved, ...noticed];
 }
 
 /** @returns sentences on what is left over once nothing is asked for any more */
--- a/packages/standin/src/matrix/scenario/entryStopScenario.ts
+++ b/packages/standin/src/matrix/scenario/entryStopScenario.ts
@@ -10,6 +10,9 @@
 export class EntryStopScenario extends PlannedStopScenario {
   override readonly name = 'planned-stop-entry';
 
+  /** One of two entries is left meanwhile. */
+  override readonly keepsMajority = false;
+
   protected override async stop(world: World): Promise<void> {
     const { process, node } = world.getEntry('entry-1');
     process.post(() => node.beginStop());
@@ -22,8 +25,13 @@
       });
     });
     await world.clock.advanceUntil(() => drained.isDone, LIMIT_MS);
-    process.post(() => node.stop());
-    await world.clock.advance(0);
+    const left = { isDone: false };
+    process.post(() => {
+      node.leave().then(() => {
+        left.isDone = true;
+      });
+    });
+    await world.clock.advanceUntil(() => left.isDone, LIMIT_MS);
     process.kill();
     world.startEntry('entry-1');
     world.balancer.add('entry-1');
--- a/packages/standin/src/matrix/world.ts
+++ b/packages/standin/src/matrix/world.ts
@@ -102,7 +102,7 @@
 
   readonly sent: SentRequest[] = [];
 
-  readonly balancer = new Balancer();
+  readonly balancer = new Balancer((name) => this.entries.get(name)?.node.isReady() ?? false);
 
   /** What a second operator orders, where a scenario has one. */
   readonly secondOrder: OperatorOrder | undefined = undefined;
@@ -118,6 +118,8 @@
 
   readonly #stores = new Set<MemoryObjectStore>();
 
+  #unservedCount = 0;
+
   #lastId = 0;
 
   #lastRun = 0;
@@ -152,6 +154,15 @@
     if (!isUp) throw new Error('the fleet did not come up');
   }
 
+  /** Callers for whom the balancer had no entry. */
+  get unservedCount(): number {
+    return this.#unservedCount;
+  }
+
+  countUnserved(): void {
+    this.#unservedCount += 1;
+  }
+
   /** Whether every live entry is ready and linked to every live side process. */
   isSettled(): boolean {
     const sides = [...this.sides.values()].filter(
