--- a/packages/standin/src/bench/domainBench.ts
+++ b/packages/standin/src/bench/domainBench.ts
@@ -42,7 +42,8 @@
 /** Gives an order as an operator does; resolves with the time it took to be in force. */
 async function give(fleet: Fleet, action: string): Promise<number> {
   const startedMs = performance.now();
-  const words = ['order', action, DRAINED_DOMAIN, '--wait', '--wait-ms', '20000', '--force'];
+  const force = action === 'drain' ? ['--force'] : [];
+  const words = ['order', action, DRAINED_DOMAIN, '--wait', '--wait-ms', '20000', ...force];
   const { code, lines } = await runOperatorCommand(fleet, words);
   if (code !== 0) process.stdout.write(`  ${action} ended with ${code}: ${lines.join(' | ')}\n`);
   return performance.now() - startedMs;
