--- a/packages/standin/src/matrix/fault.ts
+++ b/packages/standin/src/matrix/fault.ts
@@ -150,9 +150,9 @@
   const fate = LINK_FATES.get(kind);
   if (fate) world.faults.setFate(fate);
   const storeFault = STORE_FAULTS.get(kind);
-  if (storeFault) world.setStoreFault(storeFault);
-  if (kind === FaultKind.PlatformDown) world.breakPlatform(StoreFault.Unavailable, OUTAGE_MS);
-  if (kind === FaultKind.PlatformSlow) world.slowPlatform(SLOW_STORE_MS, OUTAGE_MS);
+  if (storeFault) world.platform.setFault(storeFault);
+  if (kind === FaultKind.PlatformDown) world.platform.breakFor(StoreFault.Unavailable, OUTAGE_MS);
+  if (kind === FaultKind.PlatformSlow) world.platform.slowFor(SLOW_STORE_MS, OUTAGE_MS);
   if (kind === FaultKind.SecondOrder) giveSecondOrder(world);
   const entry = findEntry(world, event);
   const isEntryFault = kind === FaultKind.EntryKilled || kind === FaultKind.EntryFrozen;
--- a/packages/standin/src/matrix/world.ts
+++ b/packages/standin/src/matrix/world.ts
@@ -17,26 +17,21 @@
 import { MemoryDialer } from '@radishbay/link/memory/memoryDialer.js';
 
 import { listObjects, type FleetPlan, type PlannedUpstream } from '../fleet/fleetPlan.js';
-import { MemoryObjectStore } from '../platform/memoryStore.js';
-import { StoreFault, StoreOperation, type StoreCall } from '../platform/storeFault.js';
 
 import { Balancer } from './fake/balancer.js';
-import { EventKind, EventLog } from './fake/eventLog.js';
+import { EventLog } from './fake/eventLog.js';
 import { MemoryCaller } from './fake/memoryCaller.js';
 import { MemoryEngine, TAG_HEADER, type Execution } from './fake/memoryEngine.js';
 import { ObservedFaults } from './fake/observedFaults.js';
+import { ObservedPlatform } from './fake/observedPlatform.js';
 import { ProcessDialer } from './process/processDialer.js';
 import { ProcessLink } from './process/processLink.js';
 import { ProcessStore } from './process/processStore.js';
 import { SimClock } from './process/simClock.js';
 import { ProcessState, SimProcess } from './process/simProcess.js';
 
-/** Keys that are written and read again and again whatever else happens. */
-const BACKGROUND_KEYS = /^(status|lease)\//u;
-
 const START_MS = 1_700_000_000_000;
 const NETWORK_DELAY_MS = 1;
-const STORE_DELAY_MS = 4;
 const WARM_AFTER = 3;
 const LINK_TOKEN = 'matrix-link-token';
 const SETTLE_LIMIT_MS = 20_000;
@@ -95,7 +90,7 @@
 
   readonly metrics = new CountingMetrics();
 
-  readonly platform = new MemoryObjectStore('harness');
+  readonly platform = new ObservedPlatform(this.events);
 
   readonly engines = new Map<string, MemoryEngine>();
 
@@ -119,17 +114,12 @@
 
   readonly #addresses: ReadonlyMap<string, string>;
 
-  readonly #stores = new Set<MemoryObjectStore>();
-
   #unservedCount = 0;
 
   #lastId = 0;
 
   #lastRun = 0;
 
-  /** Fault of the platform call that is being numbered now. */
-  #storeFault: StoreFault | undefined;
-
   /** @param traffic decides the fate of messages instead of {@link faults}, for measurements */
   constructor(plan: FleetPlan, seed: number, traffic?: LinkFaults) {
     this.plan = plan;
@@ -140,7 +130,6 @@
     this.#addresses = new Map(
       plan.upstreams.map(({ name }, index) => [name, addressOfSide(String(index + 1))]),
     );
-    this.platform.observe((call) => this.#observeStore(call));
   }
 
   /** Starts all processes and waits until every entry is ready and every link is up. */
@@ -186,7 +175,7 @@
       const board = new EntryBoard(name, this.#createIncarnation(name), domain, 'main');
       const node = new EntryNode({
         board,
-        store: new ProcessStore(this.#connectStore(name), process),
+        store: new ProcessStore(this.platform.connect(name), process),
         dialer: new ProcessDialer(this.#network, process),
         random: new Random(this.#random.nextInt(2 ** 31)),
         log: new SilentLog(),
@@ -298,27 +287,6 @@
     );
   }
 
-  /** Puts a fault on the platform call that is being numbered now. */
-  setStoreFault(fault: StoreFault): void {
-    this.#storeFault = fault;
-  }
-
-  /** Puts a fault on all calls of the platform for a time. */
-  breakPlatform(fault: StoreFault, spanMs: number): void {
-    this.#stores.forEach((store) => store.setFault(fault));
-    SimProcess.outside(() =>
-      setTimeout(() => {
-        this.#stores.forEach((store) => store.setFault(StoreFault.None));
-      }, spanMs),
-    );
-  }
-
-  /** Delays all calls of the platform for a time. */
-  slowPlatform(delayMs: number, spanMs: number): void {
-    this.#delayStores(delayMs);
-    SimProcess.outside(() => setTimeout(() => this.#delayStores(STORE_DELAY_MS), spanMs));
-  }
-
   /** Ends all processes and gives the real clock back. */
   dispose(): void {
     [...this.entries.values(), ...this.sides.values()].forEach(({ process }) => process.kill());
@@ -341,24 +309,6 @@
     return `${name}-run-${this.#lastRun}`;
   }
 
-  #connectStore(name: string): MemoryObjectStore {
-    const store = this.platform.connect(name);
-    store.delayMs = STORE_DELAY_MS;
-    this.#stores.add(store);
-    return store;
-  }
-
-  #delayStores(delayMs: number): void {
-    [...this.#stores].forEach((store) => Object.assign(store, { delayMs }));
-  }
-
-  #observeStore(call: StoreCall): StoreFault | undefined {
-    if (call.operation === StoreOperation.Watch || BACKGROUND_KEYS.test(call.key)) return undefined;
-    this.#storeFault = undefined;
-    this.events.note(call.client, EventKind.Store, `${call.operation} ${call.key}`);
-    return this.#storeFault;
-  }
-
   /** The connections of callers break when their entry dies. */
   #hangUpOn(entry: string): void {
     this.sent.filter((sent) => sent.entry === entry).forEach(({ caller }) => caller.breakOff());
