--- a/packages/daemon/test/settingsFile.test.ts
+++ b/packages/daemon/test/settingsFile.test.ts
@@ -1,7 +1,8 @@
+import { fileURLToPath } from 'node:url';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
-import { parseSettings } from '../src/settings/settingsFile.js';
+import { parseSettings, readSettings } from '../src/settings/settingsFile.js';
 
 const GOOD_SIDE = `role: side
 name: worker-1
@@ -58,4 +59,12 @@
   assert.is(faults.val[0]?.field, 'role');
 });
 
+['entry', 'side'].forEach((role) => {
+  test(`the example settings of the ${role} role are valid`, async () => {
+    const file = fileURLToPath(new URL(`../../../../docs/examples/${role}.yaml`, import.meta.url));
+    const settings = await readSettings(file);
+    assert.is(settings.unwrap().role, role);
+  });
+});
+
 test.run();
