Say what to do where an order is not carried out

Cause: stop-entry and rebalance were refused with 'changes no object', which tells an operator nothing. Change: each refusal says what to do instead.

--- a/packages/core/src/orders/orderPlan.ts
+++ b/packages/core/src/orders/orderPlan.ts
@@ -179,7 +179,11 @@
       return planPause(order, true);
     case OrderAction.ResumeRebalance:
       return planPause(order, false);
+    case OrderAction.StopEntry:
+      return Err('stop-entry: send the process SIGTERM, it finishes what it has begun');
+    case OrderAction.Rebalance:
+      return Err('rebalance: groups are rebalanced by themselves, unless paused');
     default:
-      return Err(`${order.action} changes no object`);
+      return Err(`${String(order.action)} is no action`);
   }
 }
