--- a/packages/core/src/entry/requestController.ts
+++ b/packages/core/src/entry/requestController.ts
@@ -221,7 +221,7 @@
     if (upstream) this.#updateRoom(upstream.pool);
   }
 
-  /** @returns whether the pool has any upstream that takes work */
+  /** @returns whether an upstream of the pool takes work */
   #updateRoom(pool: string): boolean {
     const room = countRoom(this.#context.board, pool);
     this.#context.admission.setRoom(pool, room ?? 0);
--- a/packages/core/src/membership/peerLinks.ts
+++ b/packages/core/src/membership/peerLinks.ts
@@ -9,6 +9,7 @@
 import { ConfigKind } from '../config/object.js';
 import type { EntryPeerState } from '../state/entryBoard.js';
 import type { Link } from '../ports/link.js';
+import { HeartbeatTimer } from './heartbeatTimer.js';
 import { InboundPeer } from './inboundPeer.js';
 import type { PeerContext, PeerExchange } from './peerExchange.js';
 import { PeerSession, type PeerSessionOwner } from './peerSession.js';
@@ -27,9 +28,6 @@
 /** Time without a link after which a peer is forgotten that was never registered. */
 const FORGET_UNREGISTERED_MS = 600_000;
 
-/** Heartbeat intervals after which this process itself must have been paused. */
-const PAUSE_INTERVALS = 2;
-
 export interface PeerLinksOptions extends PeerContext {
   /** Addresses of entries to ask before the registry has been read. */
   readonly seedAddresses: readonly string[];
@@ -70,28 +68,28 @@
   /** When a peer without any link had one last. */
   readonly #unlinkedSinceMs = new Map<string, number>();
 
-  #timer: NodeJS.Timeout | undefined;
-
-  #lastBeatMs = 0;
+  readonly #heartbeat: HeartbeatTimer;
 
   #isRunning = false;
 
   constructor(options: PeerLinksOptions) {
     this.#options = options;
+    this.#heartbeat = new HeartbeatTimer(options.timing.heartbeatMs, (nowMs, isSilenceJudged) =>
+      this.#beat(nowMs, isSilenceJudged),
+    );
     options.feed.onRise((rise) => this.#exchanges().forEach((exchange) => exchange.announce(rise)));
   }
 
   start(): void {
     if (this.#isRunning) return;
     this.#isRunning = true;
-    this.#lastBeatMs = Date.now();
-    this.#timer = setInterval(() => this.#beat(), this.#options.timing.heartbeatMs);
+    this.#heartbeat.start();
     this.reconcile();
   }
 
   stop(): void {
     this.#isRunning = false;
-    clearInterval(this.#timer);
+    this.#heartbeat.stop();
     this.#sessions.forEach((session) => session.end('stopping'));
     this.#sessions.clear();
     [...this.#inbound].forEach((peer) => peer.close('stopping'));
@@ -227,11 +225,7 @@
     return seedAddresses.every((address) => this.#sessions.get(address)?.peerName !== undefined);
   }
 
-  #beat(): void {
-    const nowMs = Date.now();
-    const { heartbeatMs } = this.#options.timing;
-    const isSilenceJudged = nowMs - this.#lastBeatMs <= heartbeatMs * PAUSE_INTERVALS;
-    this.#lastBeatMs = nowMs;
+  #beat(nowMs: number, isSilenceJudged: boolean): void {
     this.#sessions.forEach((session) => session.beat(nowMs, isSilenceJudged));
     [...this.#inbound].forEach((peer) => peer.beat(nowMs, isSilenceJudged));
     this.reconcile();
--- a/packages/core/src/membership/sideLinks.ts
+++ b/packages/core/src/membership/sideLinks.ts
@@ -6,6 +6,7 @@
  */
 import { CONFIG_PREFIX, ConfigKind, type Upstream } from '../config/object.js';
 import { SideLinkState, type UpstreamState } from '../state/entryBoard.js';
+import { HeartbeatTimer } from './heartbeatTimer.js';
 import type { Registration } from './registry.js';
 import { SideLink, type SideLinkContext } from './sideLink.js';
 import { chooseSubset } from './sideSubset.js';
@@ -19,9 +20,6 @@
 
 const GROUP_PREFIX = `${CONFIG_PREFIX}${ConfigKind.Group}/`;
 
-/** Heartbeat intervals after which this process itself must have been paused. */
-const PAUSE_INTERVALS = 2;
-
 export interface SideLinksOptions extends SideLinkContext {
   /** Address that a side process registered itself; it goes before the configured one. */
   readonly readRegistration: (upstream: string) => Registration | undefined;
@@ -68,14 +66,15 @@
   /** Upstreams to keep links to, as chosen for a set of entries. */
   #wanted: { readonly entries: string; readonly upstreams: readonly Upstream[] } | undefined;
 
-  #timer: NodeJS.Timeout | undefined;
-
-  #lastBeatMs = 0;
+  readonly #heartbeat: HeartbeatTimer;
 
   #isRunning = false;
 
   constructor(options: SideLinksOptions) {
     this.#options = options;
+    this.#heartbeat = new HeartbeatTimer(options.timing.heartbeatMs, (nowMs, isSilenceJudged) =>
+      this.#beat(nowMs, isSilenceJudged),
+    );
     options.feed.onRise((rise) => {
       if (rise.keys.some(isPlacement)) {
         this.#wanted = undefined;
@@ -89,15 +88,14 @@
   start(): void {
     if (this.#isRunning) return;
     this.#isRunning = true;
-    this.#lastBeatMs = Date.now();
-    this.#timer = setInterval(() => this.#beat(), this.#options.timing.heartbeatMs);
+    this.#heartbeat.start();
     this.reconcile();
   }
 
   /** Closes all links. */
   stop(): void {
     this.#isRunning = false;
-    clearInterval(this.#timer);
+    this.#heartbeat.stop();
     this.#dialTimers.forEach((timer) => clearTimeout(timer));
     this.#links.forEach((link) => link.end('stopping'));
     this.#links.clear();
@@ -172,11 +170,7 @@
     }
   }
 
-  #beat(): void {
-    const nowMs = Date.now();
-    const { heartbeatMs } = this.#options.timing;
-    const isSilenceJudged = nowMs - this.#lastBeatMs <= heartbeatMs * PAUSE_INTERVALS;
-    this.#lastBeatMs = nowMs;
+  #beat(nowMs: number, isSilenceJudged: boolean): void {
     this.#links.forEach((link) => link.beat(nowMs, isSilenceJudged));
     this.#retired.forEach((link) => this.#retire(link));
     this.reconcile();
--- a/packages/standin/src/bench/groupsBench.ts
+++ b/packages/standin/src/bench/groupsBench.ts
@@ -44,6 +44,11 @@
 
 type Figures = ReturnType<GroupsScenario['run']>;
 
+/** Writes one line of the report. */
+function writeLine(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
+
 function average(runs: readonly Figures[], key: keyof Figures): number {
   return runs.reduce((all, run) => all + run[key], 0) / runs.length;
 }
@@ -59,7 +64,7 @@
     average(runs, 'switches').toFixed(1).padStart(5),
     average(runs, 'stallMs').toFixed(0).padStart(5),
   ];
-  console.log(cells.join('  '));
+  writeLine(cells.join('  '));
 }
 
 const planTimesMs: number[] = [];
@@ -77,8 +82,8 @@
 }
 
 function runScenario(scenario: Scenario): void {
-  console.log(`\n${scenario} (seeds ${SEEDS.join(', ')})`);
-  console.log('policy        skew   bound  p95    tokens/s  GB  switches  stall ms');
+  writeLine(`\n${scenario} (seeds ${SEEDS.join(', ')})`);
+  writeLine('policy        skew   bound  p95    tokens/s  GB  switches  stall ms');
   const results = Object.values(Policy).map((policy) => {
     const runs = runPolicy(policy, scenario);
     printRow(policy, runs);
@@ -88,7 +93,7 @@
   const moves = results.find((result) => result.policy === Policy.Incremental)?.runs ?? [];
   const bytes = average(full, 'movedBytes') / average(moves, 'movedBytes');
   const skew = (average(moves, 'skew') / average(full, 'skew') - 1) * 100;
-  console.log(
+  writeLine(
     `full-replan / this: ${bytes.toFixed(1)} times the bytes; this: ${skew.toFixed(1)}% skew`,
   );
 }
@@ -97,12 +102,12 @@
   const sorted = [...timesMs].sort((first, second) => first - second);
   const at = (share: number): string =>
     (sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0).toFixed(2);
-  console.log(`${name}: ${sorted.length}, median ${at(0.5)}, p99 ${at(0.99)}, longest ${at(1)} ms`);
+  writeLine(`${name}: ${sorted.length}, median ${at(0.5)}, p99 ${at(0.99)}, longest ${at(1)} ms`);
 }
 
 const started = performance.now();
 Object.values(Scenario).forEach((scenario) => runScenario(scenario));
-console.log('');
+writeLine('');
 printTimes('rounds of planning', planTimesMs);
 printTimes('slices of planning', sliceTimesMs);
-console.log(`took ${((performance.now() - started) / 1000).toFixed(1)} s`);
+writeLine(`took ${((performance.now() - started) / 1000).toFixed(1)} s`);
--- a/packages/standin/src/bench/groupsSwitchBench.ts
+++ b/packages/standin/src/bench/groupsSwitchBench.ts
@@ -28,6 +28,11 @@
   readonly messages: number;
 }
 
+/** Writes one line of the report. */
+function writeLine(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
+
 function delay(ms: number): Promise<void> {
   return new Promise((resolve) => {
     setTimeout(resolve, ms);
@@ -125,7 +130,7 @@
   const median = stalls[Math.floor(stalls.length / 2)] ?? 0;
   const longest = stalls[stalls.length - 1] ?? 0;
   const trips = (median / (2 * ONE_WAY_MS)).toFixed(1);
-  console.log(
+  writeLine(
     `${name.padEnd(16)} ${String(ranks).padStart(5)}  ${String(samples[0]?.messages).padStart(8)}  ` +
       `${median.toFixed(1).padStart(8)}  ${trips.padStart(11)}  ${longest.toFixed(1).padStart(8)}`,
   );
@@ -135,11 +140,11 @@
   print('held barrier', ranks, await measureBarrier(ranks));
   print('licence, lead 1', ranks, await measureLicence(ranks, 1));
   print('licence, lead 2', ranks, await measureLicence(ranks, LEAD_STEPS));
-  console.log(
+  writeLine(
     `nothing          ${String(ranks).padStart(5)}  longest gap ${(await measureIdle(ranks)).toFixed(1)} ms`,
   );
 }
 
-console.log(`step ${STEP_MS} ms, round trip ${2 * ONE_WAY_MS} ms, ${SWITCHES} switches each`);
-console.log('protocol         ranks  messages  stall ms  round trips   longest');
+writeLine(`step ${STEP_MS} ms, round trip ${2 * ONE_WAY_MS} ms, ${SWITCHES} switches each`);
+writeLine('protocol         ranks  messages  stall ms  round trips   longest');
 await Promise.all(SIZES.map((ranks) => measureSize(ranks)));
