--- a/eslint.config.js
+++ b/eslint.config.js
@@ -4,10 +4,13 @@
 import { configs, plugins } from 'eslint-config-airbnb-extended';
 
 const ROOT = fileURLToPath(new URL('.', import.meta.url));
-const PACKAGES = readdirSync(`${ROOT}/packages`).map((name) => `${ROOT}/packages/${name}`);
+const PACKAGES = [
+  ...readdirSync(`${ROOT}/packages`).map((name) => `${ROOT}/packages/${name}`),
+  `${ROOT}/platform`,
+];
 
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**', 'coverage/**'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', 'coverage/**', 'target/**', 'journal/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
@@ -58,7 +61,7 @@
   },
   {
     // Tools of tests and builds are declared once, at the root of the workspace.
-    files: ['packages/*/test/**'],
+    files: ['packages/*/test/**', 'platform/test/**', 'scripts/**'],
     rules: {
       'import-x/no-extraneous-dependencies': [
         'error',
@@ -68,7 +71,11 @@
   },
   {
     // A command decides the status with which its process ends.
-    files: ['packages/*/src/main.ts'],
+    files: [
+      'packages/*/src/main.ts',
+      'packages/daemon/src/roles/processLife.ts',
+      'platform/src/main.ts',
+    ],
     rules: { 'n/no-process-exit': 'off' },
   },
   {
--- a/packages/client/src/operatorApi.ts
+++ b/packages/client/src/operatorApi.ts
@@ -11,7 +11,7 @@
 } from '@radishbay/core/model/order.js';
 import type { QueryKind, QueryRow } from '@radishbay/core/model/query.js';
 import { Err, Ok, type Result } from '@radishbay/core/outcome.js';
-import { sendCall, type HttpAnswer } from '@radishbay/platform/httpCall.js';
+import { sendCall, type HttpAnswer } from '@radishbay/objects/httpCall.js';
 
 import { FailureKind, classifyReason, type Failure } from './failure.js';
 
--- a/packages/core/src/config/platformPace.ts
+++ b/packages/core/src/config/platformPace.ts
@@ -15,8 +15,15 @@
 
 /** Stretch of the intervals between calls of the platform. */
 export class PlatformPace {
+  readonly #factorMax: number;
+
   #factor = 1;
 
+  /** @param factorMax longest stretch of intervals */
+  constructor(factorMax: number = FACTOR_MAX) {
+    this.#factorMax = factorMax;
+  }
+
   /** Factor by which intervals grow, 1 where the platform is well. */
   get factor(): number {
     return this.#factor;
@@ -25,7 +32,7 @@
   /** Takes in how a call went. */
   note(result: Result<unknown, StoreError>): void {
     if (!result.ok && result.val.kind === StoreErrorKind.Throttled) {
-      this.#factor = Math.min(FACTOR_MAX, this.#factor * 2);
+      this.#factor = Math.min(this.#factorMax, this.#factor * 2);
       return;
     }
     if (result.ok) this.#factor = Math.max(1, this.#factor - FACTOR_STEP);
--- a/packages/core/src/config/prefixFollower.ts
+++ b/packages/core/src/config/prefixFollower.ts
@@ -45,6 +45,22 @@
   readonly metrics: Metrics;
 }
 
+/** Bounds of a follower's calls. */
+export interface FollowerLimits {
+  /** Time for a call beyond the wait that was asked for, where the platform is quick. */
+  readonly callLimitMinMs: number;
+  /** The same where the platform has been slow. */
+  readonly callLimitMaxMs: number;
+  /** Longest wait between calls while the platform fails. */
+  readonly retryMaxMs: number;
+}
+
+const DEFAULT_LIMITS: FollowerLimits = {
+  callLimitMinMs: CALL_LIMIT_MIN_MS,
+  callLimitMaxMs: CALL_LIMIT_MAX_MS,
+  retryMaxMs: RETRY_MAX_MS,
+};
+
 /** A loop of calls that keeps a local copy of a prefix up to date. */
 export abstract class PrefixFollower {
   readonly #context: FollowerContext;
@@ -56,8 +72,10 @@
   /** Revision up to which the watch has told all; undefined before the first list. */
   #watchRevision: number | undefined;
 
+  readonly #limits: FollowerLimits;
+
   /** Grows while answers do not come in time: a slow platform is not a silent connection. */
-  #callLimitMs = CALL_LIMIT_MIN_MS;
+  #callLimitMs: number;
 
   #timer: NodeJS.Timeout | undefined;
 
@@ -65,10 +83,12 @@
 
   #isFailing = false;
 
-  constructor(context: FollowerContext, prefix: string) {
+  constructor(context: FollowerContext, prefix: string, limits: FollowerLimits = DEFAULT_LIMITS) {
     this.#context = context;
     this.#prefix = prefix;
-    this.#backoff = new Backoff(context.random, RETRY_MIN_MS, RETRY_MAX_MS);
+    this.#limits = limits;
+    this.#callLimitMs = limits.callLimitMinMs;
+    this.#backoff = new Backoff(context.random, RETRY_MIN_MS, limits.retryMaxMs);
   }
 
   /** Begins to follow. */
@@ -144,11 +164,19 @@
   /** Doubles the limit after a call that it cut off; follows the platform down again. */
   #adaptLimit(outcome: Result<unknown, StoreError>, tookMs: number): void {
     if (!outcome.ok && outcome.val.kind === StoreErrorKind.Unknown) {
-      this.#callLimitMs = Math.min(CALL_LIMIT_MAX_MS, this.#callLimitMs * CALL_LIMIT_FACTOR);
+      this.#callLimitMs = Math.min(
+        this.#limits.callLimitMaxMs,
+        this.#callLimitMs * CALL_LIMIT_FACTOR,
+      );
       return;
     }
     const neededMs = Math.min(tookMs * CALL_LIMIT_FACTOR, this.#callLimitMs);
-    this.#callLimitMs = Math.max(CALL_LIMIT_MIN_MS, neededMs);
+    this.#callLimitMs = Math.max(this.#limits.callLimitMinMs, neededMs);
+  }
+
+  /** Whether the last call failed. */
+  protected get isFailing(): boolean {
+    return this.#isFailing;
   }
 
   #noteSuccess(): void {
--- /dev/null
+++ b/packages/core/src/direct/answerBuilder.ts
@@ -0,0 +1,109 @@
+/**
+ * Passes the answers of a request's attempts on to its caller as one answer.
+ *
+ * A plain answer is held until it is whole, so that one that breaks off can be replaced; a large
+ * one is passed on from a bound on. Of a stream, whole events are passed on as they come, under the
+ * head of the first upstream that gave one.
+ */
+import type { Caller } from '../ports/caller.js';
+import type { AnswerHead } from '../ports/upstreamCaller.js';
+
+import { EventSplitter } from './eventSplitter.js';
+
+/** Bytes of a plain answer that are held at most. */
+const HELD_BYTES_MAX = 256 * 1024;
+
+/** What a piece of an answer brought. */
+export interface PieceResult {
+  /** Whole events that went to the caller. */
+  readonly events: number;
+  /** Whether the caller can take more now. */
+  readonly isCallerReady: boolean;
+}
+
+/** Builds one answer. */
+export class AnswerBuilder {
+  readonly #caller: Caller;
+
+  readonly #isStream: boolean;
+
+  #head: AnswerHead | undefined;
+
+  #splitter = new EventSplitter();
+
+  #held: Buffer[] = [];
+
+  #heldBytes = 0;
+
+  #isCommitted = false;
+
+  #lastEventId: string | undefined;
+
+  constructor(caller: Caller, isStream: boolean) {
+    this.#caller = caller;
+    this.#isStream = isStream;
+  }
+
+  /** Whether the caller has been given part of an answer. */
+  get isCommitted(): boolean {
+    return this.#isCommitted;
+  }
+
+  /** Id of the last event that the caller has. */
+  get lastEventId(): string | undefined {
+    return this.#lastEventId;
+  }
+
+  /** Begins with the answer of one attempt; what was held of an earlier one is dropped. */
+  begin(head: AnswerHead): void {
+    this.#splitter = new EventSplitter();
+    this.#held = [];
+    this.#heldBytes = 0;
+    if (!this.#isCommitted) this.#head = head;
+  }
+
+  push(data: Buffer): PieceResult {
+    return this.#isStream && this.#isSuccess ? this.#pushEvents(data) : this.#hold(data);
+  }
+
+  /** @returns false where the answer ended in the middle of an event */
+  end(): boolean {
+    if (this.#splitter.isMidEvent) return false;
+    if (!this.#isCommitted) {
+      const body = Buffer.concat(this.#held);
+      this.#commit({ 'content-length': String(body.length) });
+      if (body.length > 0) this.#caller.writeData(body);
+    }
+    this.#caller.end();
+    return true;
+  }
+
+  get #isSuccess(): boolean {
+    const status = this.#head?.status ?? 0;
+    return status >= 200 && status < 300;
+  }
+
+  #pushEvents(data: Buffer): PieceResult {
+    const whole = this.#splitter.push(data);
+    if (!whole) return { events: 0, isCallerReady: true };
+    this.#commit({});
+    this.#lastEventId = whole.lastId ?? this.#lastEventId;
+    return { events: whole.count, isCallerReady: this.#caller.writeData(whole.data) };
+  }
+
+  #hold(data: Buffer): PieceResult {
+    this.#held.push(data);
+    this.#heldBytes += data.length;
+    if (this.#heldBytes <= HELD_BYTES_MAX) return { events: 0, isCallerReady: true };
+    this.#commit({});
+    const body = Buffer.concat(this.#held);
+    this.#held = [];
+    return { events: 0, isCallerReady: this.#caller.writeData(body) };
+  }
+
+  #commit(extra: Readonly<Record<string, string>>): void {
+    if (this.#isCommitted || !this.#head) return;
+    this.#isCommitted = true;
+    this.#caller.writeHead(this.#head.status, { ...this.#head.headers, ...extra });
+  }
+}
--- /dev/null
+++ b/packages/core/src/direct/directAttempt.ts
@@ -0,0 +1,233 @@
+/**
+ * One request at one upstream that this entry calls itself.
+ *
+ * It keeps the counts of the upstream, watches for silence, and tells its run what came: the head,
+ * whole events or bytes, and how it ended. It ends exactly once.
+ */
+import { RefusalReason, RetryReason } from '../model/reason.js';
+import {
+  CallFailureKind,
+  type AnswerHead,
+  type CallInProgress,
+  type UpstreamCall,
+} from '../ports/upstreamCaller.js';
+
+import type { DirectContext } from './directContext.js';
+import type { DirectUpstream } from './directUpstream.js';
+import type { PoolDesk } from './poolDesk.js';
+
+/** Time between two looks at an upstream that is silent while its whole pool is. */
+const SILENCE_RECHECK_MS = 200;
+
+/** Time within which another answer of the pool shows that it is not the pool that is silent. */
+const POOL_LIVE_MS = 300;
+
+/** Time for which an upstream is left alone whose address another one has now. */
+const MISDIRECTED_REST_MS = 3_000;
+
+/** Time for which a full upstream is left alone. */
+const FULL_REST_MS = 150;
+
+/** How an attempt ended without a whole answer. */
+export interface AttemptFailure {
+  /** Whether it is proved that the request has not run there and never will. */
+  readonly isNotRun: boolean;
+  readonly reason: RefusalReason;
+  readonly retryReason: RetryReason;
+  readonly detail: string;
+}
+
+/** What a run hears of its attempt. */
+export interface AttemptEvents {
+  /** @returns false where the answer is not taken; the attempt is over then */
+  readonly onHead: (head: AnswerHead) => boolean;
+  readonly onData: (data: Buffer) => void;
+  readonly onEnd: () => void;
+  readonly onFailure: (failure: AttemptFailure) => void;
+}
+
+export interface DirectAttemptOptions {
+  readonly context: DirectContext;
+  readonly desk: PoolDesk;
+  readonly upstream: DirectUpstream;
+  readonly call: UpstreamCall;
+  /** Longest silence before the head, and between two pieces of the answer. */
+  readonly silenceLimitMs: number;
+  readonly events: AttemptEvents;
+}
+
+const NOT_RUN_BY_UPSTREAM: AttemptFailure = {
+  isNotRun: true,
+  reason: RefusalReason.UpstreamFull,
+  retryReason: RetryReason.UpstreamRefused,
+  detail: 'the upstream did not take it',
+};
+
+function describeLost(reason: RefusalReason, detail: string): AttemptFailure {
+  return { isNotRun: false, reason, retryReason: RetryReason.UpstreamFailed, detail };
+}
+
+/** An attempt in progress. */
+export class DirectAttempt {
+  readonly upstream: DirectUpstream;
+
+  readonly #options: DirectAttemptOptions;
+
+  readonly #sentAtMs = performance.now();
+
+  #call: CallInProgress | undefined;
+
+  #silenceTimer: NodeJS.Timeout | undefined;
+
+  #heardAtMs = this.#sentAtMs;
+
+  #hasAnswered = false;
+
+  #isOver = false;
+
+  constructor(options: DirectAttemptOptions) {
+    this.#options = options;
+    this.upstream = options.upstream;
+  }
+
+  /** Time since the request was sent. */
+  get ageMs(): number {
+    return performance.now() - this.#sentAtMs;
+  }
+
+  start(): void {
+    const { upstreams } = this.#options.context;
+    this.upstream.inFlight += 1;
+    this.upstream.unanswered += 1;
+    this.upstream.starts.note(this.#sentAtMs);
+    this.#watchSilence(this.#options.silenceLimitMs);
+    this.#call = upstreams.call(this.#options.call, {
+      onHead: (head) => this.#readHead(head),
+      onData: (data) => this.#readData(data),
+      onEnd: () => this.#readEnd(),
+      onFailure: (kind, detail) => this.#readFailure(kind, detail),
+    });
+    if (this.#isOver) this.#call.cancel();
+  }
+
+  /** Ends the work at the upstream; its run hears nothing more. */
+  cancel(): void {
+    if (this.#isOver) return;
+    this.#finish();
+    this.#call?.cancel();
+  }
+
+  pause(): void {
+    clearTimeout(this.#silenceTimer);
+    this.#call?.pause();
+  }
+
+  resume(): void {
+    if (this.#isOver) return;
+    this.#watchSilence(this.#options.silenceLimitMs);
+    this.#call?.resume();
+  }
+
+  #readHead(head: AnswerHead): void {
+    if (this.#isOver) return;
+    const nowMs = performance.now();
+    this.#heardAtMs = nowMs;
+    if (head.isOwn && head.load) this.upstream.noteLoad(head.load, nowMs);
+    if (!head.isOwn) {
+      this.#fail(describeLost(RefusalReason.UpstreamFailed, 'an answer to another request came'));
+    } else if (head.isMisdirected) {
+      this.upstream.rest(nowMs + MISDIRECTED_REST_MS);
+      this.#end(NOT_RUN_BY_UPSTREAM);
+    } else if (head.isNotRun) {
+      this.upstream.rest(nowMs + FULL_REST_MS);
+      this.#options.desk.noteRefusal();
+      this.#end(NOT_RUN_BY_UPSTREAM);
+    } else if (!head.isGenuine) {
+      this.#fail(describeLost(RefusalReason.UpstreamFailed, 'the answer is not of the upstream'));
+    } else if (!this.#options.events.onHead(head)) this.cancel();
+  }
+
+  #readData(data: Buffer): void {
+    if (this.#isOver) return;
+    const nowMs = performance.now();
+    this.#heardAtMs = nowMs;
+    this.#noteAnswer(nowMs);
+    this.#watchSilence(this.#options.silenceLimitMs);
+    this.#options.events.onData(data);
+  }
+
+  #noteAnswer(nowMs: number): void {
+    if (this.#hasAnswered) return;
+    this.#hasAnswered = true;
+    this.upstream.unanswered -= 1;
+    this.#options.desk.noteFirst(nowMs - this.#sentAtMs, nowMs);
+  }
+
+  #readEnd(): void {
+    if (this.#isOver) return;
+    const nowMs = performance.now();
+    this.#noteAnswer(nowMs);
+    this.upstream.trust.noteSuccess();
+    this.#finish();
+    this.#options.events.onEnd();
+  }
+
+  #readFailure(kind: CallFailureKind, detail: string): void {
+    if (this.#isOver) return;
+    if (kind === CallFailureKind.Lost) {
+      this.#fail(describeLost(RefusalReason.UpstreamFailed, detail));
+      return;
+    }
+    this.#fail({
+      isNotRun: true,
+      reason: RefusalReason.NoUpstream,
+      retryReason: RetryReason.UpstreamUnreachable,
+      detail,
+    });
+  }
+
+  #watchSilence(limitMs: number): void {
+    clearTimeout(this.#silenceTimer);
+    this.#silenceTimer = setTimeout(() => this.#readSilence(), limitMs);
+  }
+
+  /** An upstream that is silent with its whole pool is waited for: another one is no better. */
+  #readSilence(): void {
+    const nowMs = performance.now();
+    if (!this.#options.desk.isLive(nowMs, POOL_LIVE_MS)) {
+      this.#watchSilence(SILENCE_RECHECK_MS);
+      return;
+    }
+    const silentMs = Math.round(nowMs - this.#heardAtMs);
+    this.#call?.cancel();
+    this.#fail({
+      isNotRun: false,
+      reason: RefusalReason.UpstreamSilent,
+      retryReason: RetryReason.ProgressTimeout,
+      detail: `the upstream was silent for ${silentMs} ms`,
+    });
+  }
+
+  #fail(failure: AttemptFailure): void {
+    const nowMs = performance.now();
+    const { context } = this.#options;
+    if (this.upstream.trust.noteFailure(nowMs)) {
+      context.metrics.count('upstream.distrusted');
+    }
+    this.#end(failure);
+  }
+
+  #end(failure: AttemptFailure): void {
+    this.#finish();
+    this.#call?.cancel();
+    this.#options.events.onFailure(failure);
+  }
+
+  #finish(): void {
+    this.#isOver = true;
+    clearTimeout(this.#silenceTimer);
+    this.upstream.inFlight -= 1;
+    if (!this.#hasAnswered) this.upstream.unanswered -= 1;
+    this.#options.desk.noteEnd(performance.now());
+  }
+}
--- /dev/null
+++ b/packages/core/src/direct/directContext.ts
@@ -0,0 +1,19 @@
+/** What the requests of an entry that calls upstreams itself share. */
+import type { Log } from '../ports/log.js';
+import type { Metrics } from '../ports/metrics.js';
+import type { Random } from '../ports/random.js';
+import type { UpstreamCaller } from '../ports/upstreamCaller.js';
+import type { RetryBudget } from '../retry/retryBudget.js';
+
+import type { FleetBoard } from './fleetBoard.js';
+
+export interface DirectContext {
+  readonly board: FleetBoard;
+  readonly upstreams: UpstreamCaller;
+  readonly random: Random;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly findBudget: (pool: string) => RetryBudget;
+  /** Retries allowed for each request. */
+  readonly retryShare: number;
+}
--- /dev/null
+++ b/packages/core/src/direct/directController.ts
@@ -0,0 +1,223 @@
+/**
+ * The request path of an entry that calls upstreams itself: finds route, workspace and pool, and
+ * keeps the requests in progress.
+ */
+import { refuseNotRun } from '../entry/refusal.js';
+import { RefusalReason, type Refusal } from '../model/reason.js';
+import type { Caller } from '../ports/caller.js';
+import { LogLevel, type Log } from '../ports/log.js';
+import type { Metrics } from '../ports/metrics.js';
+import type { Random } from '../ports/random.js';
+import type { ForwardedRequest, UpstreamCaller } from '../ports/upstreamCaller.js';
+import { Err, Ok, type Result } from '../outcome.js';
+import { RetryBudget } from '../retry/retryBudget.js';
+
+import type { DirectContext } from './directContext.js';
+import { DirectRun } from './directRun.js';
+import type { FleetBoard } from './fleetBoard.js';
+import { PoolDesk } from './poolDesk.js';
+import {
+  choosePool,
+  type DirectPool,
+  type DirectWorkspace,
+  type Route,
+  type RouteTable,
+} from './routeTable.js';
+
+const LOG_PART = 'request';
+
+/** Time after which a caller is asked to come back to an entry that has no configuration yet. */
+const NO_CONFIG_RETRY_MS = 300;
+
+/** The same for an entry in a planned stop: the balancer has others by then. */
+const STOPPING_RETRY_MS = 100;
+
+/** Part of the shared retry allowance that is used: entries count their windows apart. */
+const BUDGET_PART = 0.7;
+
+/** Part of a cold upstream's bound that is used: requests bunch up on their way. */
+const COLD_PART = 0.8;
+
+/** Bounds that all entries keep together. */
+export interface SharedBounds {
+  readonly retryShare: number;
+  readonly retryWindowMs: number;
+  /** Retries of one pool in a window that are allowed beyond the share, over all entries. */
+  readonly retryFloor: number;
+  /** Factor and addition on what a cold upstream bears in a second. */
+  readonly coldFactor: number;
+  readonly coldAddition: number;
+}
+
+export interface DirectControllerOptions {
+  readonly board: FleetBoard;
+  readonly upstreams: UpstreamCaller;
+  readonly random: Random;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly bounds: SharedBounds;
+}
+
+/** Where a request goes. */
+interface Target {
+  readonly route: Route;
+  readonly workspace: DirectWorkspace | undefined;
+  readonly pool: DirectPool;
+}
+
+/** Requests of one entry. */
+export class DirectController {
+  readonly #options: DirectControllerOptions;
+
+  readonly #context: DirectContext;
+
+  readonly #desks = new Map<string, PoolDesk>();
+
+  readonly #budgets = new Map<string, RetryBudget>();
+
+  /** Longest time that callers of each route have named: that of a first try. */
+  readonly #deadlinesMs = new Map<string, number>();
+
+  readonly #runs = new Set<DirectRun>();
+
+  #isRefusing = false;
+
+  #tableVersion = 0;
+
+  constructor(options: DirectControllerOptions) {
+    this.#options = options;
+    this.#context = {
+      ...options,
+      retryShare: options.bounds.retryShare * BUDGET_PART,
+      findBudget: (pool) => this.#findBudget(pool),
+    };
+  }
+
+  get inFlightCount(): number {
+    return this.#runs.size;
+  }
+
+  /** Refuses new requests from now on. */
+  refuseNew(): void {
+    this.#isRefusing = true;
+  }
+
+  /** Ends all requests in progress, as the process is about to end. */
+  breakOff(): void {
+    [...this.#runs].forEach((run) => run.breakOff());
+  }
+
+  /** Takes a caller's request; the caller hears of its end. */
+  accept(request: ForwardedRequest, caller: Caller): void {
+    const target = this.#findTarget(request);
+    if (!target.ok) {
+      this.#refuse(request, caller, target.val);
+      return;
+    }
+    const { route, workspace, pool } = target.val;
+    this.#findBudget(pool.name).noteRequest(performance.now());
+    const run = new DirectRun({
+      context: this.#context,
+      request,
+      caller,
+      route,
+      workspace,
+      pool: pool.name,
+      desk: this.#findDesk(pool),
+      firstDeadlineMs: this.#noteDeadline(route, request),
+      onDone: (done) => this.#runs.delete(done),
+    });
+    this.#runs.add(run);
+    run.start();
+  }
+
+  #findTarget(request: ForwardedRequest): Result<Target, Refusal> {
+    const { table } = this.#options.board;
+    if (this.#isRefusing) {
+      const detail = 'this entry is in a planned stop';
+      return Err(refuseNotRun(RefusalReason.ShuttingDown, STOPPING_RETRY_MS, detail));
+    }
+    if (!table) {
+      const detail = 'no configuration is known yet';
+      return Err(refuseNotRun(RefusalReason.NoConfiguration, NO_CONFIG_RETRY_MS, detail));
+    }
+    this.#dropOldDesks(table);
+    const route = table.findRoute(request.host, request.path);
+    if (!route) {
+      const detail = `no route of host ${request.host} begins path ${request.path}`;
+      return Err(refuseNotRun(RefusalReason.UnknownRoute, 0, detail));
+    }
+    const workspace = table.findWorkspace(request.workspaceKey);
+    if (!workspace && table.needsKey(route)) {
+      const detail = `route ${route.name} needs the key of a workspace`;
+      return Err(refuseNotRun(RefusalReason.UnknownWorkspace, 0, detail));
+    }
+    return this.#findPool(table, route, workspace);
+  }
+
+  #findPool(
+    table: RouteTable,
+    route: Route,
+    workspace: DirectWorkspace | undefined,
+  ): Result<Target, Refusal> {
+    const name = choosePool(route, this.#options.random.next());
+    const pool = name === undefined ? undefined : table.findPool(name);
+    if (pool) return Ok({ route, workspace, pool });
+    const detail = `pool ${name ?? '?'} of route ${route.name} is not configured`;
+    return Err(refuseNotRun(RefusalReason.UnknownPool, NO_CONFIG_RETRY_MS, detail));
+  }
+
+  #refuse(request: ForwardedRequest, caller: Caller, refusal: Refusal): void {
+    const { metrics, log } = this.#options;
+    const { reason, detail } = refusal;
+    metrics.count('request.refused', { reason });
+    log.write(LogLevel.Info, LOG_PART, 'Refused.', { id: request.id, reason, detail });
+    caller.refuse(refusal);
+  }
+
+  #findDesk(pool: DirectPool): PoolDesk {
+    const known = this.#desks.get(pool.name);
+    if (known) return known;
+    const { bounds } = this.#options;
+    const desk = new PoolDesk(
+      {
+        ...this.#options,
+        readStartBound: ({ coldPerS }) =>
+          coldPerS > 0
+            ? (coldPerS * bounds.coldFactor + bounds.coldAddition) * COLD_PART
+            : undefined,
+      },
+      pool,
+    );
+    this.#desks.set(pool.name, desk);
+    return desk;
+  }
+
+  /** Desks follow the pools of the table in force. */
+  #dropOldDesks(table: RouteTable): void {
+    if (table.version === this.#tableVersion) return;
+    this.#tableVersion = table.version;
+    this.#desks.forEach((desk, name) => {
+      const pool = table.findPool(name);
+      if (pool) desk.update(pool);
+      else this.#desks.delete(name);
+    });
+  }
+
+  #findBudget(pool: string): RetryBudget {
+    const known = this.#budgets.get(pool);
+    if (known) return known;
+    const { retryWindowMs, retryFloor } = this.#options.bounds;
+    const floor = (retryFloor * BUDGET_PART) / this.#options.board.entryCount;
+    const budget = new RetryBudget({ windowMs: retryWindowMs, floor });
+    this.#budgets.set(pool, budget);
+    return budget;
+  }
+
+  #noteDeadline(route: Route, { deadlineMs }: ForwardedRequest): number {
+    const knownMs = this.#deadlinesMs.get(route.name) ?? 0;
+    const longestMs = Math.max(knownMs, deadlineMs ?? route.timeoutMs);
+    this.#deadlinesMs.set(route.name, longestMs);
+    return longestMs;
+  }
+}
--- /dev/null
+++ b/packages/core/src/direct/directUpstream.ts
@@ -0,0 +1,89 @@
+/** One upstream that entries call themselves, as this entry knows it. */
+import { StartRate } from './startRate.js';
+import { UpstreamTrust } from './upstreamTrust.js';
+
+/** What the platform's registry says of an upstream. */
+export interface UpstreamEntry {
+  readonly id: string;
+  /** IP number and port. */
+  readonly address: string;
+  readonly domain: string;
+  readonly pool: string;
+  /** Requests worked on at the same time. */
+  readonly slots: number;
+  /** Whether it is about to end and takes no new work. */
+  readonly isLeaving: boolean;
+  /** How much longer it is cold, as of this entry's writing. */
+  readonly coldLeftMs: number;
+  /** Unix time of its start; 0 where it is not told. A new one means a new life. */
+  readonly startedAtUnixMs: number;
+}
+
+/** What an upstream says of its load with an answer. */
+export interface UpstreamLoad {
+  readonly running: number;
+  readonly waiting: number;
+}
+
+/** Age from which a load that the upstream told says nothing about now: about one stream. */
+const LOAD_VALID_MS = 1_500;
+
+/** State of one upstream in this entry. */
+export class DirectUpstream {
+  readonly starts = new StartRate();
+
+  readonly trust = new UpstreamTrust();
+
+  #entry: UpstreamEntry;
+
+  /** Requests of this entry that have not ended. */
+  inFlight = 0;
+
+  /** Those of them that have had no event yet. */
+  unanswered = 0;
+
+  /** Requests of other entries, where {@link #loadAtMs} is recent. */
+  #othersInFlight = 0;
+
+  #loadAtMs = Number.NEGATIVE_INFINITY;
+
+  /** Until when it is not asked, as it said that another one has its address or it is full. */
+  #restUntilMs = Number.NEGATIVE_INFINITY;
+
+  constructor(entry: UpstreamEntry) {
+    this.#entry = entry;
+  }
+
+  get entry(): UpstreamEntry {
+    return this.#entry;
+  }
+
+  get id(): string {
+    return this.#entry.id;
+  }
+
+  update(entry: UpstreamEntry): void {
+    this.#entry = entry;
+  }
+
+  /** Takes in what the upstream said of all its work. */
+  noteLoad(load: UpstreamLoad, nowMs: number): void {
+    this.#othersInFlight = Math.max(0, load.running + load.waiting - this.inFlight);
+    this.#loadAtMs = nowMs;
+  }
+
+  /** Requests in flight from all entries, as far as this one knows. */
+  countLoad(nowMs: number): number {
+    const isKnown = nowMs - this.#loadAtMs < LOAD_VALID_MS;
+    return this.inFlight + (isKnown ? this.#othersInFlight : 0);
+  }
+
+  /** Leaves the upstream alone for a time that its own answer calls for. */
+  rest(untilMs: number): void {
+    this.#restUntilMs = Math.max(this.#restUntilMs, untilMs);
+  }
+
+  isResting(nowMs: number): boolean {
+    return nowMs < this.#restUntilMs;
+  }
+}
--- /dev/null
+++ b/packages/core/src/direct/fleetBoard.ts
@@ -0,0 +1,87 @@
+/** Blackboard of an entry that calls upstreams itself: followers write it, requests read it. */
+import { DirectUpstream, type UpstreamEntry } from './directUpstream.js';
+import type { RouteTable } from './routeTable.js';
+
+/** Entries that are assumed before the registry has told how many there are. */
+const ENTRIES_ASSUMED = 4;
+
+/** Facts shared by the controllers of one entry. */
+export class FleetBoard {
+  readonly name: string;
+
+  readonly domain: string;
+
+  #table: RouteTable | undefined;
+
+  readonly #upstreams = new Map<string, DirectUpstream>();
+
+  readonly #byPool = new Map<string, DirectUpstream[]>();
+
+  #closedDomains: ReadonlySet<string> = new Set();
+
+  /** Entries that share the upstreams, this one included. */
+  entryCount = ENTRIES_ASSUMED;
+
+  /** Whether the registry has been read at least once. */
+  hasUpstreams = false;
+
+  isStopping = false;
+
+  constructor(name: string, domain: string) {
+    this.name = name;
+    this.domain = domain;
+  }
+
+  get table(): RouteTable | undefined {
+    return this.#table;
+  }
+
+  /** @returns false where the table in force is as new or newer */
+  replaceTable(table: RouteTable): boolean {
+    if (this.#table && this.#table.version >= table.version) return false;
+    this.#table = table;
+    return true;
+  }
+
+  get upstreams(): readonly DirectUpstream[] {
+    return [...this.#upstreams.values()];
+  }
+
+  findUpstream(id: string): DirectUpstream | undefined {
+    return this.#upstreams.get(id);
+  }
+
+  listPool(pool: string): readonly DirectUpstream[] {
+    return this.#byPool.get(pool) ?? [];
+  }
+
+  /** Takes in an entry of the registry; a restarted upstream begins anew. */
+  putUpstream(entry: UpstreamEntry): void {
+    const known = this.#upstreams.get(entry.id);
+    const isSame = known?.entry.startedAtUnixMs === entry.startedAtUnixMs;
+    if (known && isSame) known.update(entry);
+    else this.#upstreams.set(entry.id, new DirectUpstream(entry));
+    this.#indexPools();
+  }
+
+  removeUpstream(id: string): void {
+    if (this.#upstreams.delete(id)) this.#indexPools();
+  }
+
+  isClosed(domain: string): boolean {
+    return this.#closedDomains.has(domain);
+  }
+
+  /** Names the failure domains that are to get no new work. */
+  closeDomains(domains: ReadonlySet<string>): void {
+    this.#closedDomains = domains;
+  }
+
+  #indexPools(): void {
+    this.#byPool.clear();
+    this.#upstreams.forEach((upstream) => {
+      const { pool } = upstream.entry;
+      this.#byPool.set(pool, [...(this.#byPool.get(pool) ?? []), upstream]);
+    });
+  }
+}
--- /dev/null
+++ b/packages/core/src/direct/placement.ts
@@ -0,0 +1,76 @@
+/**
+ * Chooses the upstream of a request.
+ *
+ * Engines of a group work in lock-step, so the fullest one sets the pace of all: the one with the
+ * least work goes first, and one that reads no other prompt right now goes before its equals.
+ */
+import type { DirectUpstream } from './directUpstream.js';
+import type { FleetBoard } from './fleetBoard.js';
+
+/** Weight of a prompt that is read or about to be, against a request in flight. */
+const READING_WEIGHT = 0.6;
+
+/** Advantage of the entry's own failure domain: it only breaks ties. */
+const OWN_DOMAIN_BONUS = 0.1;
+
+/** Range of the random part: it spreads the entries' choices among equals. */
+const JITTER = 0.3;
+
+/** Part of a pool that has to be trusted; with fewer, distrusted upstreams are used as well. */
+const TRUSTED_PART_MIN = 0.5;
+
+export interface PlacementQuery {
+  readonly pool: string;
+  readonly excluded: ReadonlySet<string>;
+  /** Requests in flight that one upstream may have. */
+  readonly limit: number;
+  /** Requests that this entry may start at one upstream in a second. */
+  readonly startsPerS: number;
+  readonly nowMs: number;
+  /** Random number from 0 up to, but not including, 1. */
+  readonly draw: () => number;
+}
+
+/** What there is for a request. */
+export interface PlacementResult {
+  readonly upstream: DirectUpstream | undefined;
+  /** Upstreams that would take work if they were less busy. */
+  readonly openCount: number;
+}
+
+function isOpen(board: FleetBoard, upstream: DirectUpstream, nowMs: number): boolean {
+  const { isLeaving, domain } = upstream.entry;
+  return !isLeaving && !board.isClosed(domain) && !upstream.isResting(nowMs);
+}
+
+function scoreUpstream(board: FleetBoard, upstream: DirectUpstream, query: PlacementQuery): number {
+  const bonus = upstream.entry.domain === board.domain ? OWN_DOMAIN_BONUS : 0;
+  const load = upstream.countLoad(query.nowMs) + upstream.unanswered * READING_WEIGHT;
+  return load - bonus + query.draw() * JITTER;
+}
+
+function pickTrusted(open: readonly DirectUpstream[], nowMs: number): readonly DirectUpstream[] {
+  const trusted = open.filter(({ trust }) => !trust.isBlocked(nowMs));
+  return trusted.length >= open.length * TRUSTED_PART_MIN ? trusted : open;
+}
+
+/** Chooses the upstream for a request, if one has room. */
+export function choosePlacement(board: FleetBoard, query: PlacementQuery): PlacementResult {
+  const { pool, excluded, limit, startsPerS, nowMs } = query;
+  const open = board.listPool(pool).filter((upstream) => isOpen(board, upstream, nowMs));
+  const free = pickTrusted(open, nowMs).filter(
+    (upstream) =>
+      !excluded.has(upstream.id) &&
+      upstream.countLoad(nowMs) + 1 <= Math.max(1, limit) &&
+      upstream.starts.count(nowMs) < startsPerS,
+  );
+  const scored = free.map((upstream) => ({
+    upstream,
+    score: scoreUpstream(board, upstream, query),
+  }));
+  const best = scored.reduce<(typeof scored)[number] | undefined>(
+    (least, each) => (least && least.score <= each.score ? least : each),
+    undefined,
+  );
+  return { upstream: best?.upstream, openCount: open.length };
+}
--- /dev/null
+++ b/packages/core/src/direct/poolDesk.ts
@@ -0,0 +1,277 @@
+/**
+ * Admission to one pool: who is served now, who waits, and who is turned away.
+ *
+ * Answers the load pattern of more requests than can be served on time. A request waits only while
+ * its answer can still be on time; otherwise it is refused at once, with a time at which there will
+ * be room. A request that came back after a refusal goes before new ones.
+ */
+import { refuseNotRun } from '../entry/refusal.js';
+import { ReturnTimes } from '../limits/returnTimes.js';
+import { RefusalReason, type Refusal } from '../model/reason.js';
+import { LogLevel, type Log } from '../ports/log.js';
+import type { Random } from '../ports/random.js';
+
+import type { DirectUpstream } from './directUpstream.js';
+import type { FleetBoard } from './fleetBoard.js';
+import { LatencyLimit } from './latencyLimit.js';
+import { choosePlacement, type PlacementResult } from './placement.js';
+import { PoolBreaker } from './poolBreaker.js';
+import type { DirectPool } from './routeTable.js';
+
+const LOG_PART = 'admission';
+
+/** Time after which a request is asked to come back where no upstream takes work. */
+const NO_UPSTREAM_RETRY_MS = 500;
+
+/** The same where the pool's group has stalled: about the time in which it forms again. */
+const STALLED_RETRY_MS = 1_500;
+
+/** Earliest time at which a refused request is asked to come back. */
+const RETURN_MIN_MS = 300;
+
+/** Weight of the newest sample in smoothed times. */
+const SMOOTHING = 0.1;
+
+/** Assumed time to the first event, or to a plain answer, before one was measured. */
+const FIRST_MS = 80;
+
+/** Assumed time between two ends of requests before two were seen. */
+const TURN_MS = 100;
+
+/** Time between two looks at requests that wait for a second's starts to pass. */
+const PUMP_MS = 20;
+
+/** A request that asks for an upstream. */
+export interface Ticket {
+  readonly id: string;
+  /** 0 goes first. */
+  readonly priority: number;
+  /** Whether it was refused before and has come back. */
+  readonly isReturned: boolean;
+  /** Span from now in which it has to be sent; it is refused where that cannot be. */
+  readonly waitBudgetMs: number;
+  /** Longest time after which the caller can be asked to come back. */
+  readonly returnLimitMs: number;
+  readonly arrivedAtMs: number;
+  readonly onTurn: (upstream: DirectUpstream) => void;
+  readonly onRefused: (refusal: Refusal) => void;
+}
+
+interface Waiter {
+  readonly ticket: Ticket;
+  readonly timer: NodeJS.Timeout;
+}
+
+export interface PoolDeskOptions {
+  readonly board: FleetBoard;
+  readonly random: Random;
+  readonly log: Log;
+  /** Requests that all entries may start at one upstream in a second; unbounded where undefined. */
+  readonly readStartBound: (pool: DirectPool) => number | undefined;
+}
+
+function isBefore(a: Ticket, b: Ticket): boolean {
+  if (a.isReturned !== b.isReturned) return a.isReturned;
+  if (a.priority !== b.priority) return a.priority < b.priority;
+  return a.arrivedAtMs < b.arrivedAtMs;
+}
+
+/** Admission of one pool. */
+export class PoolDesk {
+  readonly breaker = new PoolBreaker();
+
+  readonly #options: PoolDeskOptions;
+
+  #pool: DirectPool;
+
+  #limit: LatencyLimit | undefined;
+
+  readonly #returns = new ReturnTimes();
+
+  readonly #waiters: Waiter[] = [];
+
+  #firstMs = FIRST_MS;
+
+  #turnMs = TURN_MS;
+
+  #endedAtMs: number | undefined;
+
+  /** When an upstream of the pool last gave something of an answer. */
+  #servedAtMs = Number.NEGATIVE_INFINITY;
+
+  #pumpTimer: NodeJS.Timeout | undefined;
+
+  constructor(options: PoolDeskOptions, pool: DirectPool) {
+    this.#options = options;
+    this.#pool = pool;
+    this.#limit = pool.engine && new LatencyLimit(pool.engine.slots);
+  }
+
+  /** Takes in what a newer configuration says of the pool. */
+  update(pool: DirectPool): void {
+    if (pool.engine?.slots !== this.#pool.engine?.slots) {
+      this.#limit = pool.engine && new LatencyLimit(pool.engine.slots);
+    }
+    this.#pool = pool;
+  }
+
+  get waitingCount(): number {
+    return this.#waiters.length;
+  }
+
+  /** Requests in flight that one upstream may have. */
+  get limitPerUpstream(): number {
+    return this.#limit?.value ?? this.#plainLimit;
+  }
+
+  /** Smoothed time from sending a request to the first of its answer. */
+  get expectedFirstMs(): number {
+    return this.#firstMs;
+  }
+
+  /** Whether other requests are being answered, so that a silent upstream stands out. */
+  isLive(nowMs: number, withinMs: number): boolean {
+    return nowMs - this.#servedAtMs < withinMs;
+  }
+
+  /** Takes a request; it hears of its turn or its refusal, possibly at once. */
+  enter(ticket: Ticket, nowMs: number): void {
+    if (!this.breaker.mayPass(nowMs)) {
+      ticket.onRefused(this.#refuseStalled(ticket));
+      return;
+    }
+    const isFirst = this.#waiters.every((waiter) => isBefore(ticket, waiter.ticket));
+    const { upstream, openCount } = this.#place(new Set(), nowMs);
+    if (isFirst && upstream) ticket.onTurn(upstream);
+    else if (openCount === 0) ticket.onRefused(this.#refuseEmpty());
+    else this.#wait(ticket, nowMs);
+  }
+
+  /** Takes a request out that its caller has given up. */
+  leave(id: string): void {
+    const at = this.#waiters.findIndex(({ ticket }) => ticket.id === id);
+    if (at >= 0) this.#remove(at);
+  }
+
+  /** An upstream for one more attempt at a request, which does not wait. */
+  choose(excluded: ReadonlySet<string>, nowMs: number): DirectUpstream | undefined {
+    if (!this.breaker.mayPass(nowMs)) return undefined;
+    return this.#place(excluded, nowMs).upstream;
+  }
+
+  /** A refusal that tells when there will be room. */
+  refuseFull(returnLimitMs: number, nowMs: number): Refusal {
+    const wantedMs = this.#returns.choose(RETURN_MIN_MS, this.#turnMs, nowMs);
+    const detail = `pool ${this.#pool.name} has no room in time`;
+    const retryAfterMs = Math.max(1, Math.min(wantedMs, returnLimitMs));
+    return refuseNotRun(RefusalReason.QueueFull, retryAfterMs, detail);
+  }
+
+  /** Notes the first of an answer, after a time since the request was sent. */
+  noteFirst(tookMs: number, nowMs: number): void {
+    this.#firstMs += SMOOTHING * (tookMs - this.#firstMs);
+    this.#noteService(nowMs);
+  }
+
+  /** Notes a pause between two events of a stream. */
+  notePause(pauseMs: number, targetMs: number, nowMs: number): void {
+    this.#limit?.notePause(pauseMs, targetMs, nowMs);
+    this.#noteService(nowMs);
+  }
+
+  /** Notes that a request has ended and its place is free. */
+  noteEnd(nowMs: number): void {
+    if (this.#endedAtMs !== undefined) {
+      this.#turnMs += SMOOTHING * (nowMs - this.#endedAtMs - this.#turnMs);
+    }
+    this.#endedAtMs = nowMs;
+    this.#pump();
+  }
+
+  /** Notes that an upstream refused a request without running it. */
+  noteRefusal(): void {
+    if (!this.#pool.engine || !this.breaker.noteRefusal()) return;
+    this.#write(LogLevel.Warn, 'A pool takes no work.');
+  }
+
+  /** Gives turns to those that wait, as far as there is room. */
+  readonly #pump = (): void => {
+    this.#pumpTimer = undefined;
+    const nowMs = performance.now();
+    while (this.#waiters.length > 0) {
+      const { upstream } = this.#place(new Set(), nowMs);
+      const waiter = upstream && this.#remove(0);
+      if (!upstream || !waiter) break;
+      waiter.ticket.onTurn(upstream);
+    }
+    if (this.#waiters.length > 0) this.#pumpTimer ??= setTimeout(this.#pump, PUMP_MS);
+  };
+
+  get #plainLimit(): number {
+    const slots = this.#options.board.listPool(this.#pool.name).map(({ entry }) => entry.slots);
+    return Math.max(1, ...slots);
+  }
+
+  #place(excluded: ReadonlySet<string>, nowMs: number): PlacementResult {
+    const { board, random } = this.#options;
+    const result = choosePlacement(board, {
+      pool: this.#pool.name,
+      excluded,
+      limit: this.limitPerUpstream,
+      startsPerS: this.#startsPerS,
+      nowMs,
+      draw: () => random.next(),
+    });
+    if (!result.upstream) this.#limit?.noteBinding();
+    return result;
+  }
+
+  /** This entry's part of the starts that an upstream bears should it be cold. */
+  get #startsPerS(): number {
+    const bound = this.#options.readStartBound(this.#pool);
+    if (bound === undefined) return Number.POSITIVE_INFINITY;
+    return Math.max(1, Math.floor(bound / this.#options.board.entryCount));
+  }
+
+  #wait(ticket: Ticket, nowMs: number): void {
+    const ahead = this.#waiters.filter((waiter) => isBefore(waiter.ticket, ticket)).length;
+    if ((ahead + 1) * this.#turnMs > ticket.waitBudgetMs) {
+      ticket.onRefused(this.refuseFull(ticket.returnLimitMs, nowMs));
+      return;
+    }
+    const timer = setTimeout(() => this.#expire(ticket), ticket.waitBudgetMs);
+    this.#waiters.splice(ahead, 0, { ticket, timer });
+    this.#pumpTimer ??= setTimeout(this.#pump, PUMP_MS);
+  }
+
+  #expire(ticket: Ticket): void {
+    this.leave(ticket.id);
+    ticket.onRefused(this.refuseFull(ticket.returnLimitMs, performance.now()));
+  }
+
+  #remove(at: number): Waiter | undefined {
+    const [waiter] = this.#waiters.splice(at, 1);
+    clearTimeout(waiter?.timer);
+    return waiter;
+  }
+
+  #refuseStalled(ticket: Ticket): Refusal {
+    const retryAfterMs = Math.max(1, Math.min(STALLED_RETRY_MS, ticket.returnLimitMs));
+    const detail = `pool ${this.#pool.name} has stalled`;
+    return refuseNotRun(RefusalReason.PoolStalled, retryAfterMs, detail);
+  }
+
+  #refuseEmpty(): Refusal {
+    const detail = `no upstream of pool ${this.#pool.name} takes work`;
+    return refuseNotRun(RefusalReason.NoUpstream, NO_UPSTREAM_RETRY_MS, detail);
+  }
+
+  #noteService(nowMs: number): void {
+    this.#servedAtMs = nowMs;
+    if (this.breaker.noteService()) this.#write(LogLevel.Info, 'A pool takes work again.');
+  }
+
+  #write(level: LogLevel, sentence: string): void {
+    this.#options.log.write(level, LOG_PART, sentence, { pool: this.#pool.name });
+  }
+}
--- /dev/null
+++ b/packages/core/src/direct/upstreamRegistry.ts
@@ -0,0 +1,101 @@
+/**
+ * Keeps the blackboard's upstreams as the platform's registry tells them.
+ *
+ * An entry may lapse while the platform is away although its upstream lives; it comes back soon
+ * after. What is missing right after an outage is therefore kept for a moment. An upstream that has
+ * begun to leave does not come back in the same life, whatever an old message says.
+ */
+import { LogLevel, type Log } from '../ports/log.js';
+
+import type { UpstreamEntry } from './directUpstream.js';
+import type { FleetBoard } from './fleetBoard.js';
+
+const LOG_PART = 'membership';
+
+/** Time after an outage in which living upstreams enter themselves again, with a little delay. */
+const REENTRY_MS = 2_200;
+
+function nameLife({ id, startedAtUnixMs }: UpstreamEntry): string {
+  return `${id}@${startedAtUnixMs}`;
+}
+
+/** Upstreams of one entry's blackboard. */
+export class UpstreamRegistry {
+  readonly #board: FleetBoard;
+
+  readonly #log: Log;
+
+  readonly #leavingLives = new Set<string>();
+
+  readonly #removals = new Map<string, NodeJS.Timeout>();
+
+  #reentryUntilMs = Number.NEGATIVE_INFINITY;
+
+  constructor(board: FleetBoard, log: Log) {
+    this.#board = board;
+    this.#log = log;
+  }
+
+  /** Hears that the platform answers again after it was out of reach. */
+  noteReturn(nowMs: number): void {
+    this.#reentryUntilMs = nowMs + REENTRY_MS;
+  }
+
+  /** Takes in all entries that there are. */
+  replaceAll(entries: readonly UpstreamEntry[], nowMs: number): void {
+    const present = new Set(entries.map(({ id }) => id));
+    entries.forEach((entry) => this.put(entry));
+    this.#board.upstreams
+      .filter(({ id }) => !present.has(id))
+      .forEach(({ id }) => this.remove(id, nowMs));
+    this.#board.hasUpstreams = true;
+  }
+
+  /** Takes in one entry that is new or has changed. */
+  put(entry: UpstreamEntry): void {
+    const known = this.#board.findUpstream(entry.id)?.entry;
+    if (known && entry.startedAtUnixMs < known.startedAtUnixMs) return;
+    this.#cancelRemoval(entry.id);
+    const life = nameLife(entry);
+    if (entry.isLeaving) this.#leavingLives.add(life);
+    const isLeaving = this.#leavingLives.has(life);
+    if (!known || known.isLeaving !== isLeaving || nameLife(known) !== life) {
+      const { id, pool, domain, address } = entry;
+      const sentence = isLeaving ? 'An upstream leaves.' : 'An upstream is there.';
+      this.#log.write(LogLevel.Info, LOG_PART, sentence, { id, pool, domain, address });
+    }
+    this.#board.putUpstream({ ...entry, isLeaving });
+  }
+
+  /** Takes an entry out; right after an outage only if it stays away. */
+  remove(id: string, nowMs: number): void {
+    const waitMs = this.#reentryUntilMs - nowMs;
+    if (waitMs <= 0) {
+      this.#drop(id);
+      return;
+    }
+    if (this.#removals.has(id)) return;
+    this.#removals.set(
+      id,
+      setTimeout(() => this.#drop(id), waitMs),
+    );
+  }
+
+  /** Ends all waits. */
+  stop(): void {
+    this.#removals.forEach((timer) => clearTimeout(timer));
+    this.#removals.clear();
+  }
+
+  #drop(id: string): void {
+    this.#cancelRemoval(id);
+    if (!this.#board.findUpstream(id)) return;
+    this.#board.removeUpstream(id);
+    this.#log.write(LogLevel.Info, LOG_PART, 'An upstream is gone.', { id });
+  }
+
+  #cancelRemoval(id: string): void {
+    clearTimeout(this.#removals.get(id));
+    this.#removals.delete(id);
+  }
+}
--- a/packages/core/src/model/reason.ts
+++ b/packages/core/src/model/reason.ts
@@ -23,6 +23,8 @@
   UnknownWorkspace = 'unknown-workspace',
   UnknownClass = 'unknown-class',
   UnknownPool = 'unknown-pool',
+  UnknownRoute = 'unknown-route',
+  NoConfiguration = 'no-configuration',
   Unauthorized = 'unauthorized',
   WorkspaceLimit = 'workspace-limit',
   QueueFull = 'queue-full',
@@ -35,6 +37,7 @@
   UpstreamCold = 'upstream-cold',
   UpstreamFailed = 'upstream-failed',
   UpstreamSilent = 'upstream-silent',
+  PoolStalled = 'pool-stalled',
   StaleIncarnation = 'stale-incarnation',
   StaleSubmission = 'stale-submission',
   StaleConfiguration = 'stale-configuration',
@@ -59,6 +62,8 @@
   ProgressTimeout = 'progress-timeout',
   StreamResumed = 'stream-resumed',
   DomainDrained = 'domain-drained',
+  UpstreamRefused = 'upstream-refused',
+  UpstreamUnreachable = 'upstream-unreachable',
 }
 
 /** A refusal with what the caller may rely on. */
--- a/packages/core/src/retry/retryBudget.ts
+++ b/packages/core/src/retry/retryBudget.ts
@@ -18,10 +18,24 @@
   retries: number;
 }
 
+export interface RetryBudgetOptions {
+  readonly windowMs: number;
+  /** Retries in a window that are allowed however few requests there were. */
+  readonly floor: number;
+}
+
+const DEFAULT_OPTIONS: RetryBudgetOptions = { windowMs: WINDOW_MS, floor: RETRY_FLOOR };
+
 /** Counts of the last window, in slots; it needs no timer. */
 export class RetryBudget {
+  readonly #options: RetryBudgetOptions;
+
   #slots: Slot[] = [];
 
+  constructor(options: RetryBudgetOptions = DEFAULT_OPTIONS) {
+    this.#options = options;
+  }
+
   /** Counts a request. */
   noteRequest(nowMs: number): void {
     this.#openSlot(nowMs).requests += 1;
@@ -38,13 +52,13 @@
     const slot = this.#openSlot(nowMs);
     const requests = this.#slots.reduce((sum, each) => sum + each.requests, 0);
     const retries = this.#slots.reduce((sum, each) => sum + each.retries, 0);
-    if (retries + 1 > Math.max(RETRY_FLOOR, requests * share)) return false;
+    if (retries + 1 > Math.max(this.#options.floor, requests * share)) return false;
     slot.retries += 1;
     return true;
   }
 
   #openSlot(nowMs: number): Slot {
-    this.#slots = this.#slots.filter((slot) => slot.startedAtMs > nowMs - WINDOW_MS);
+    this.#slots = this.#slots.filter((slot) => slot.startedAtMs > nowMs - this.#options.windowMs);
     const last = this.#slots[this.#slots.length - 1];
     if (last && nowMs < last.startedAtMs + SLOT_MS) return last;
     const slot = { startedAtMs: nowMs, requests: 0, retries: 0 };
--- a/packages/daemon/src/callers/callerServer.ts
+++ b/packages/daemon/src/callers/callerServer.ts
@@ -8,57 +8,81 @@
 import type { AddressInfo, Socket } from 'node:net';
 
 import { Outcome, RefusalReason, type Refusal } from '@radishbay/core/model/reason.js';
-import type { CallerRequest } from '@radishbay/core/model/request.js';
 import { Err, Ok, type Result } from '@radishbay/core/outcome.js';
 import type { Caller } from '@radishbay/core/ports/caller.js';
 import type { Metrics } from '@radishbay/core/ports/metrics.js';
 
 import { HttpCaller } from './httpCaller.js';
-import { formatProblem, readStatus, writeProblem } from './problem.js';
-import { parseCallerRequest, type ParseFault } from './requestParser.js';
+import { formatProblem, readStatus, writeProblem, type RetryAfterFormat } from './problem.js';
+import type { ParseFault } from './requestParser.js';
 
 /** Time for a whole request to arrive. */
 const REQUEST_TIMEOUT_MS = 60_000;
-const HEADERS_TIMEOUT_MS = 15_000;
 
-export interface CallerServerOptions {
+/** Largest headers that are read, so that too large ones can be refused by name. */
+const HEADER_READ_BYTES = 64 * 1024;
+
+/** What a caller may send, and how long it may take; read for each request. */
+export interface ServerLimits {
+  readonly headerBytes: number;
+  readonly bodyBytes: number;
+  readonly headerTimeoutMs: number;
+  /** How long a connection may be idle between requests. */
+  readonly idleTimeoutMs: number;
+}
+
+/** Turns what arrived into a request. */
+export type ParseRequest<R> = (
+  message: http.IncomingMessage,
+  body: Buffer,
+  arrivedAtMs: number,
+) => Result<R, ParseFault>;
+
+export interface CallerServerOptions<R> {
   readonly host: string;
   readonly port: number;
-  readonly bodyLimitBytes: number;
-  readonly headerLimitBytes: number;
   readonly connectionLimit: number;
   readonly metrics: Metrics;
-  readonly accept: (request: CallerRequest, caller: Caller) => void;
-  /** Whether the balancer may send new requests here. */
-  readonly isReady: () => boolean;
+  readonly readLimits: () => ServerLimits;
+  /** Clock by which arrivals are timed. */
+  readonly readNowMs: () => number;
+  readonly parse: ParseRequest<R>;
+  readonly accept: (request: R, caller: Caller) => void;
+  /** Whether the balancer may send new requests here; without it health checks are not served. */
+  readonly isReady?: () => boolean;
+  /** How a refusal tells when to come back. */
+  readonly retryAfterFormat?: RetryAfterFormat;
 }
 
 function refusalOf(fault: ParseFault): Refusal {
   return { ...fault, outcome: Outcome.NotRun, retryAfterMs: 0 };
 }
 
+/** Bytes of the header fields with their separators. */
+function countHeaderBytes({ rawHeaders }: http.IncomingMessage): number {
+  return rawHeaders.reduce((sum, part) => sum + part.length + 2, 0);
+}
+
 /** Serves callers. */
-export class CallerServer {
-  readonly #options: CallerServerOptions;
+export class CallerServer<R> {
+  readonly #options: CallerServerOptions<R>;
 
   readonly #server: http.Server;
 
-  #lastId = 0;
-
   #isClosing = false;
 
-  constructor(options: CallerServerOptions) {
+  constructor(options: CallerServerOptions<R>) {
     this.#options = options;
     this.#server = http.createServer(
       {
-        maxHeaderSize: options.headerLimitBytes,
+        maxHeaderSize: HEADER_READ_BYTES,
         requestTimeout: REQUEST_TIMEOUT_MS,
-        headersTimeout: HEADERS_TIMEOUT_MS,
         noDelay: true,
       },
       (message, response) => this.#serve(message, response),
     );
     this.#server.maxConnections = options.connectionLimit;
+    this.#applyLimits(options.readLimits());
     this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
       this.#refuseBroken(error, socket as Socket),
     );
@@ -92,23 +116,34 @@
   }
 
   #serve(message: http.IncomingMessage, response: http.ServerResponse): void {
-    const arrivedAtMs = Date.now();
+    const { parse, accept, readNowMs, readLimits, retryAfterFormat } = this.#options;
+    const arrivedAtMs = readNowMs();
+    const limits = readLimits();
+    this.#applyLimits(limits);
     if (this.#isClosing) response.setHeader('connection', 'close');
     if (this.#serveHealth(message, response)) return;
-    this.#readBody(message, response, (body) => {
-      this.#lastId += 1;
-      const parsed = parseCallerRequest(`r${this.#lastId}`, message, body, arrivedAtMs);
-      if (!parsed.ok) {
-        this.#refuse(response, parsed.val);
-        return;
-      }
-      this.#options.accept(parsed.val, new HttpCaller(response));
+    if (countHeaderBytes(message) > limits.headerBytes) {
+      const detail = `the headers are larger than ${limits.headerBytes} bytes`;
+      this.#refuseAndClose(response, { reason: RefusalReason.HeadersTooLarge, detail });
+      return;
+    }
+    this.#readBody(message, response, limits.bodyBytes, (body) => {
+      const parsed = parse(message, body, arrivedAtMs);
+      if (!parsed.ok) this.#refuse(response, parsed.val);
+      else accept(parsed.val, new HttpCaller(response, retryAfterFormat));
     });
   }
 
+  /** Limits come with the configuration, which changes while the server runs. */
+  #applyLimits(limits: ServerLimits): void {
+    this.#server.headersTimeout = limits.headerTimeoutMs;
+    this.#server.keepAliveTimeout = limits.idleTimeoutMs;
+  }
+
   #serveHealth(message: http.IncomingMessage, response: http.ServerResponse): boolean {
-    if (message.url !== '/healthz' && message.url !== '/readyz') return false;
-    const isOk = message.url === '/healthz' || this.#options.isReady();
+    const { isReady } = this.#options;
+    if (!isReady || (message.url !== '/healthz' && message.url !== '/readyz')) return false;
+    const isOk = message.url === '/healthz' || isReady();
     response.writeHead(isOk ? 200 : 503, { 'content-type': 'text/plain' });
     response.end(isOk ? 'ok\n' : 'not ready\n');
     return true;
@@ -117,6 +152,7 @@
   #readBody(
     message: http.IncomingMessage,
     response: http.ServerResponse,
+    limitBytes: number,
     onBody: (body: Buffer) => void,
   ): void {
     const chunks: Buffer[] = [];
@@ -124,15 +160,14 @@
     let isRefused = false;
     message.on('data', (chunk: Buffer) => {
       sizeBytes += chunk.length;
-      if (sizeBytes <= this.#options.bodyLimitBytes) {
+      if (sizeBytes <= limitBytes) {
         chunks.push(chunk);
         return;
       }
       if (isRefused) return;
       isRefused = true;
-      const detail = `the body is larger than ${this.#options.bodyLimitBytes} bytes`;
-      response.setHeader('connection', 'close');
-      this.#refuse(response, { reason: RefusalReason.BodyTooLarge, detail });
+      const detail = `the body is larger than ${limitBytes} bytes`;
+      this.#refuseAndClose(response, { reason: RefusalReason.BodyTooLarge, detail });
     });
     message.on('end', () => {
       if (!isRefused) onBody(Buffer.concat(chunks));
@@ -141,6 +176,11 @@
     message.on('error', () => {});
   }
 
+  #refuseAndClose(response: http.ServerResponse, fault: ParseFault): void {
+    response.setHeader('connection', 'close');
+    this.#refuse(response, fault);
+  }
+
   #refuse(response: http.ServerResponse, fault: ParseFault): void {
     this.#options.metrics.count('refusal', { reason: fault.reason });
     writeProblem(response, refusalOf(fault));
--- a/packages/daemon/src/callers/httpCaller.ts
+++ b/packages/daemon/src/callers/httpCaller.ts
@@ -5,15 +5,18 @@
 import type { Refusal } from '@radishbay/core/model/reason.js';
 import type { HeaderMap } from '@radishbay/core/model/request.js';
 
-import { writeProblem } from './problem.js';
+import { writeProblem, type RetryAfterFormat } from './problem.js';
 
 /** Answers one HTTP request. */
 export class HttpCaller extends Caller {
   readonly #response: http.ServerResponse;
 
-  constructor(response: http.ServerResponse) {
+  readonly #retryAfterFormat: RetryAfterFormat | undefined;
+
+  constructor(response: http.ServerResponse, retryAfterFormat?: RetryAfterFormat) {
     super();
     this.#response = response;
+    this.#retryAfterFormat = retryAfterFormat;
   }
 
   override writeHead(status: number, headers: HeaderMap): void {
@@ -35,7 +38,7 @@
   }
 
   override refuse(refusal: Refusal): void {
-    writeProblem(this.#response, refusal);
+    writeProblem(this.#response, refusal, this.#retryAfterFormat);
   }
 
   override onDrain(listener: () => void): void {
--- a/packages/daemon/src/callers/problem.ts
+++ b/packages/daemon/src/callers/problem.ts
@@ -18,6 +18,7 @@
   [RefusalReason.UnknownWorkspace]: 401,
   [RefusalReason.UnknownClass]: 404,
   [RefusalReason.UnknownPool]: 404,
+  [RefusalReason.UnknownRoute]: 404,
   [RefusalReason.WorkspaceLimit]: 429,
   [RefusalReason.KeyInUse]: 409,
   [RefusalReason.KeyReused]: 422,
@@ -44,14 +45,26 @@
   });
 }
 
+/** Writes the value of a Retry-After header. */
+export type RetryAfterFormat = (retryAfterMs: number) => string;
+
+/** Whole seconds, as RFC 9110 has them. */
+function formatWholeSeconds(retryAfterMs: number): string {
+  return String(Math.ceil(retryAfterMs / MS_PER_SECOND));
+}
+
 /** Answers a request with a refusal. */
-export function writeProblem(response: http.ServerResponse, refusal: Refusal): void {
+export function writeProblem(
+  response: http.ServerResponse,
+  refusal: Refusal,
+  formatRetryAfter: RetryAfterFormat = formatWholeSeconds,
+): void {
   const body = formatProblem(refusal);
   response.statusCode = readStatus(refusal);
   response.setHeader('content-type', PROBLEM_TYPE);
   response.setHeader('content-length', Buffer.byteLength(body));
   if (refusal.retryAfterMs > 0) {
-    response.setHeader('retry-after', Math.ceil(refusal.retryAfterMs / MS_PER_SECOND));
+    response.setHeader('retry-after', formatRetryAfter(refusal.retryAfterMs));
   }
   response.end(body);
 }
--- a/packages/daemon/src/callers/requestParser.ts
+++ b/packages/daemon/src/callers/requestParser.ts
@@ -128,3 +128,16 @@
     arrivedAtMs,
   });
 }
+
+/** Creates a parser that numbers the requests of one entry's incarnation. */
+export function createRequestParser(): (
+  message: http.IncomingMessage,
+  body: Uint8Array,
+  arrivedAtMs: number,
+) => Result<CallerRequest, ParseFault> {
+  let lastId = 0;
+  return (message, body, arrivedAtMs) => {
+    lastId += 1;
+    return parseCallerRequest(`r${lastId}`, message, body, arrivedAtMs);
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/direct/directEntryDaemon.ts
@@ -0,0 +1,174 @@
+/** A daemon in the role of an entry that calls upstreams itself. */
+import http from 'node:http';
+
+import { DirectController, type SharedBounds } from '@radishbay/core/direct/directController.js';
+import type { FleetBoard } from '@radishbay/core/direct/fleetBoard.js';
+import { Err, Ok, type Result } from '@radishbay/core/outcome.js';
+import { LogLevel } from '@radishbay/core/ports/log.js';
+import { Random } from '@radishbay/core/ports/random.js';
+import type { ForwardedRequest } from '@radishbay/core/ports/upstreamCaller.js';
+
+import { CallerServer, type ServerLimits } from '../callers/callerServer.js';
+import type { Instruments } from '../observe/instruments.js';
+import { Daemon } from '../roles/daemon.js';
+import { createSeed } from '../roles/incarnation.js';
+
+import { HttpUpstreamCaller } from './httpUpstreamCaller.js';
+import type { WireCodec } from './wireCodec.js';
+
+const PART = 'daemon';
+
+/** Limits of callers until a configuration names others. */
+const LIMITS_BEFORE_CONFIG: ServerLimits = {
+  headerBytes: 16 * 1024,
+  bodyBytes: 4 * 1024 * 1024,
+  headerTimeoutMs: 5_000,
+  idleTimeoutMs: 15_000,
+};
+
+/** Part of a planned stop's time after which what is still in progress is broken off. */
+const STOP_PART = 0.94;
+
+/** Time between two looks at the requests in progress of a planned stop. */
+const STOP_LOOK_MS = 50;
+
+const MS_PER_SECOND = 1_000;
+
+export interface Listener {
+  readonly host: string;
+  readonly port: number;
+}
+
+export interface DirectEntryOptions {
+  readonly board: FleetBoard;
+  readonly codec: WireCodec;
+  readonly instruments: Instruments;
+  readonly bounds: SharedBounds;
+  readonly callers: Listener;
+  readonly health: Listener;
+  /** Address of the metrics, with their path; undefined where they are not served. */
+  readonly metrics: (Listener & { readonly path: string }) | undefined;
+  readonly connectionLimit: number;
+  /** Time for the balancer to see a planned stop before new requests are refused. */
+  readonly noticeMs: number;
+  /** Time from the beginning of a planned stop until the process is ended from outside. */
+  readonly stopLimitMs: number;
+  /** Followers of the platform, started before callers are let in. */
+  readonly sources: readonly { readonly start: () => void; readonly stop: () => void }[];
+}
+
+function wait(spanMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, spanMs);
+  });
+}
+
+function listen(server: http.Server, { host, port }: Listener): Promise<Result<void, string>> {
+  return new Promise((resolve) => {
+    server.once('error', (error) => resolve(Err(error.message)));
+    server.listen(port, host, () => resolve(Ok(undefined)));
+  });
+}
+
+/** Whether the balancer may send callers to an entry. */
+export function isReady(board: FleetBoard): boolean {
+  return board.table !== undefined && board.hasUpstreams && !board.isStopping;
+}
+
+/** One entry that calls upstreams itself. */
+export class DirectEntryDaemon extends Daemon {
+  readonly #options: DirectEntryOptions;
+
+  readonly #controller: DirectController;
+
+  readonly #upstreams: HttpUpstreamCaller;
+
+  readonly #callers: CallerServer<ForwardedRequest>;
+
+  readonly #health: http.Server;
+
+  readonly #metrics: http.Server;
+
+  constructor(options: DirectEntryOptions) {
+    super();
+    this.#options = options;
+    const { board, bounds, codec, instruments } = options;
+    this.#upstreams = new HttpUpstreamCaller(codec);
+    this.#controller = new DirectController({
+      board,
+      bounds,
+      upstreams: this.#upstreams,
+      random: new Random(createSeed()),
+      log: instruments.log,
+      metrics: instruments.metrics,
+    });
+    this.#callers = new CallerServer({
+      ...options.callers,
+      connectionLimit: options.connectionLimit,
+      metrics: instruments.metrics,
+      readLimits: () => board.table?.limits ?? LIMITS_BEFORE_CONFIG,
+      readNowMs: () => performance.now(),
+      parse: (message, body, arrivedAtMs) => codec.readRequest(message, body, arrivedAtMs),
+      accept: (request, caller) => this.#controller.accept(request, caller),
+      retryAfterFormat: (retryAfterMs) => (retryAfterMs / MS_PER_SECOND).toFixed(3),
+    });
+    this.#health = http.createServer((message, response) => this.#serveHealth(message, response));
+    this.#metrics = http.createServer((message, response) => {
+      this.#serveMetrics(message, response);
+    });
+  }
+
+  override async start(): Promise<Result<void, string>> {
+    const { callers, health, metrics, sources, instruments } = this.#options;
+    sources.forEach((source) => source.start());
+    const healthUp = await listen(this.#health, health);
+    if (!healthUp.ok) return Err(`health: ${healthUp.val}`);
+    const metricsUp = metrics ? await listen(this.#metrics, metrics) : Ok(undefined);
+    if (!metricsUp.ok) return Err(`metrics: ${metricsUp.val}`);
+    const callersUp = await this.#callers.start();
+    if (!callersUp.ok) return Err(`callers: ${callersUp.val}`);
+    instruments.log.write(LogLevel.Info, PART, 'Entry is up.', { callersPort: callers.port });
+    return Ok(undefined);
+  }
+
+  /**
+   * The balancer is told first, and requests that still come meanwhile are served. New ones are
+   * refused only when the balancer has had time to look twice.
+   */
+  override async stop(): Promise<void> {
+    const { board, noticeMs, stopLimitMs, sources } = this.#options;
+    const endAtMs = performance.now() + stopLimitMs * STOP_PART;
+    board.isStopping = true;
+    this.#callers.beginClose();
+    await wait(noticeMs);
+    const stopped = this.#callers.stop();
+    await this.#waitForRequests(endAtMs);
+    this.#controller.breakOff();
+    await Promise.race([stopped, wait(STOP_LOOK_MS)]);
+    sources.forEach((source) => source.stop());
+    this.#upstreams.close();
+    this.#health.close();
+    this.#metrics.close();
+  }
+
+  async #waitForRequests(endAtMs: number): Promise<void> {
+    if (this.#controller.inFlightCount === 0 || performance.now() >= endAtMs) return;
+    await wait(STOP_LOOK_MS);
+    await this.#waitForRequests(endAtMs);
+  }
+
+  #serveHealth(message: http.IncomingMessage, response: http.ServerResponse): void {
+    message.resume();
+    const isOk = isReady(this.#options.board);
+    response.writeHead(isOk ? 200 : 503, { 'content-type': 'text/plain' });
+    response.end(isOk ? 'ready\n' : 'not ready\n');
+  }
+
+  async #serveMetrics(message: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    message.resume();
+    const { metrics, instruments } = this.#options;
+    const text = message.url === metrics?.path ? await instruments.readMetrics?.() : undefined;
+    response.writeHead(text === undefined ? 404 : 200, { 'content-type': 'text/plain' });
+    response.end(text ?? 'nothing is served here\n');
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/direct/upstreamAgent.ts
@@ -0,0 +1,70 @@
+/**
+ * Kept connections to upstreams.
+ *
+ * An upstream closes idle connections, and may send bytes that belong to no request. A connection
+ * is therefore given up before the upstream's own timeout, and as soon as anything comes on it
+ * while it is idle.
+ */
+import http from 'node:http';
+import type { Duplex } from 'node:stream';
+import type { Socket } from 'node:net';
+
+/** Time by which an idle connection is given up before the upstream's own timeout. */
+const IDLE_MARGIN_MS = 1_000;
+
+const MS_PER_SECOND = 1_000;
+
+const TIMEOUT_HINT = /(?:^|[\s,])timeout=(\d+)/iu;
+
+type ClientSocket = Socket & { readonly _httpMessage?: { readonly res?: http.IncomingMessage } };
+
+/** Reads how long the upstream keeps the connection, from its last answer. */
+function readKeptMs(socket: ClientSocket): number | undefined {
+  // Node keeps the request of a socket there, and its own agent reads the hint the same way.
+  // eslint-disable-next-line no-underscore-dangle -- Node's name
+  const hint = socket._httpMessage?.res?.headers['keep-alive'];
+  const seconds = hint === undefined ? undefined : TIMEOUT_HINT.exec(String(hint))?.[1];
+  return seconds === undefined ? undefined : Number(seconds) * MS_PER_SECOND;
+}
+
+function endOnData(this: Socket): void {
+  this.destroy();
+}
+
+/** An agent whose idle connections are never used when they may be stale. */
+export class UpstreamAgent extends http.Agent {
+  readonly #idleLimitMs: number;
+
+  /** @param idleLimitMs longest time for which an idle connection is kept */
+  constructor(idleLimitMs: number) {
+    super({ keepAlive: true, scheduling: 'lifo', maxFreeSockets: 64 });
+    this.#idleLimitMs = idleLimitMs;
+  }
+
+  override keepSocketAlive(socket: Duplex): boolean {
+    const client = socket as ClientSocket;
+    const keptMs = readKeptMs(client);
+    const limitMs = Math.min(this.#idleLimitMs, (keptMs ?? Infinity) - IDLE_MARGIN_MS);
+    if (limitMs <= 0) return false;
+    client.on('data', endOnData);
+    client.setTimeout(limitMs, () => client.destroy());
+    client.unref();
+    return true;
+  }
+
+  override reuseSocket(socket: Duplex, request: http.ClientRequest): void {
+    const client = socket as ClientSocket;
+    client.removeListener('data', endOnData);
+    client.removeAllListeners('timeout');
+    client.setTimeout(0);
+    client.ref();
+    request.reusedSocket = true;
+  }
+
+  /** Closes the idle connections to one address: where one went silent, others may have. */
+  dropIdle(address: string): void {
+    Object.entries(this.freeSockets).forEach(([name, sockets]) => {
+      if (name.startsWith(`${address}:`)) sockets?.forEach((socket) => socket.destroy());
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/direct/wireCodec.ts
@@ -0,0 +1,27 @@
+/** How requests and answers travel between callers, an entry and the upstreams that it calls. */
+import type http from 'node:http';
+
+import type { Result } from '@radishbay/core/outcome.js';
+import type {
+  AnswerHead,
+  ForwardedRequest,
+  UpstreamCall,
+} from '@radishbay/core/ports/upstreamCaller.js';
+
+import type { ParseFault } from '../callers/requestParser.js';
+
+/** Names on the wire of one platform. */
+export abstract class WireCodec {
+  /** Reads a caller's request. */
+  abstract readRequest(
+    message: http.IncomingMessage,
+    body: Buffer,
+    arrivedAtMs: number,
+  ): Result<ForwardedRequest, ParseFault>;
+
+  /** Writes the headers of a request to an upstream, without those of its body's framing. */
+  abstract writeHeaders(call: UpstreamCall): Readonly<Record<string, string>>;
+
+  /** Reads the head of an upstream's answer. */
+  abstract readHead(response: http.IncomingMessage, call: UpstreamCall): AnswerHead;
+}
--- a/packages/daemon/src/observe/instruments.ts
+++ b/packages/daemon/src/observe/instruments.ts
@@ -12,11 +12,14 @@
   readonly metrics: CountingMetrics;
   /** Sends what is buffered. */
   readonly close: () => Promise<void>;
+  /** All metrics as text, where the process serves them itself. */
+  readonly readMetrics?: () => Promise<string>;
 }
 
 /** Creates the instruments of one process. */
 export function createInstruments(settings: Settings): Instruments {
-  const log = new WinstonLog(settings.name, settings.log.level, settings.log.format);
+  const { level, format } = settings.log;
+  const log = new WinstonLog({ name: settings.name, level, format });
   const { host, port, prefix } = settings.metrics;
   if (port === undefined) {
     return { log, metrics: new CountingMetrics(), close: () => Promise.resolve() };
--- /dev/null
+++ b/packages/daemon/src/observe/outputStream.ts
@@ -0,0 +1,45 @@
+/** Standard output that never holds the process up: what does not fit is dropped and counted. */
+import net from 'node:net';
+import { Writable } from 'node:stream';
+
+/** Bytes that wait to be written before lines are dropped. */
+const BUFFER_BYTES_MAX = 512 * 1024;
+
+const STDOUT_FD = 1;
+
+/** Writes to a pipe or socket without blocking; to a file through Node's own stream. */
+function openStdout(): Writable {
+  try {
+    return new net.Socket({ fd: STDOUT_FD, readable: false, writable: true });
+  } catch {
+    // The descriptor is a file, to which a write does not wait for a reader.
+    return process.stdout;
+  }
+}
+
+/** Lines of one process. */
+export class OutputStream extends Writable {
+  readonly #out: Writable;
+
+  #droppedLines = 0;
+
+  constructor(out: Writable = openStdout()) {
+    super({ decodeStrings: false });
+    this.#out = out;
+    this.#out.on('error', () => {
+      this.#droppedLines += 1;
+    });
+  }
+
+  /** Lines that were dropped since the start. */
+  get droppedLines(): number {
+    return this.#droppedLines;
+  }
+
+  // eslint-disable-next-line no-underscore-dangle -- Node's name
+  override _write(line: string | Buffer, _encoding: string, done: () => void): void {
+    if (this.#out.writableLength > BUFFER_BYTES_MAX) this.#droppedLines += 1;
+    else this.#out.write(line);
+    done();
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/observe/promMetrics.ts
@@ -0,0 +1,62 @@
+/** Metrics in the Prometheus text format, read from the process itself. */
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+
+import { Metrics } from '@radishbay/core/ports/metrics.js';
+
+type Tags = Readonly<Record<string, string>>;
+
+const PREFIX = 'radishbay_';
+
+/** Bounds of the histograms' buckets; the targets of callers lie in their middle. */
+const BUCKETS_MS = [2, 5, 10, 20, 50, 100, 200, 400, 800, 1_600, 3_200, 8_000];
+
+function formatName(name: string, suffix: string): string {
+  return `${PREFIX}${name.replace(/[^a-z0-9]+/giu, '_')}${suffix}`;
+}
+
+/** Keeps counters, gauges and histograms; a name always comes with the same tags. */
+export class PromMetrics extends Metrics {
+  readonly #registry = new Registry();
+
+  readonly #counters = new Map<string, Counter>();
+
+  readonly #gauges = new Map<string, Gauge>();
+
+  readonly #histograms = new Map<string, Histogram>();
+
+  override count(name: string, tags: Tags = {}): void {
+    const known = this.#counters.get(name);
+    const counter = known ?? new Counter(this.#describe(name, '_total', tags));
+    if (!known) this.#counters.set(name, counter);
+    counter.inc({ ...tags });
+  }
+
+  override gauge(name: string, value: number, tags: Tags = {}): void {
+    const known = this.#gauges.get(name);
+    const gauge = known ?? new Gauge(this.#describe(name, '', tags));
+    if (!known) this.#gauges.set(name, gauge);
+    gauge.set({ ...tags }, value);
+  }
+
+  override timing(name: string, valueMs: number, tags: Tags = {}): void {
+    const known = this.#histograms.get(name);
+    const histogram =
+      known ?? new Histogram({ ...this.#describe(name, '_ms', tags), buckets: BUCKETS_MS });
+    if (!known) this.#histograms.set(name, histogram);
+    histogram.observe({ ...tags }, valueMs);
+  }
+
+  /** All metrics as text. */
+  read(): Promise<string> {
+    return this.#registry.metrics();
+  }
+
+  #describe(name: string, suffix: string, tags: Tags) {
+    return {
+      name: formatName(name, suffix),
+      help: name,
+      labelNames: Object.keys(tags),
+      registers: [this.#registry],
+    };
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/observe/servedInstruments.ts
@@ -0,0 +1,30 @@
+/** Instruments of a process that serves its metrics itself and logs to its standard output. */
+import { CountingMetrics } from '@radishbay/core/ports/countingMetrics.js';
+import type { LogLevel } from '@radishbay/core/ports/log.js';
+
+import { LogFormat } from '../settings/settings.js';
+
+import { BoundedLog } from './boundedLog.js';
+import type { Instruments } from './instruments.js';
+import { OutputStream } from './outputStream.js';
+import { PromMetrics } from './promMetrics.js';
+import { WinstonLog } from './winstonLog.js';
+
+/**
+ * Creates the instruments of a process that is observed by its standard output and by a metrics
+ * address that it serves itself.
+ */
+export function createServedInstruments(
+  name: string,
+  level: LogLevel,
+): Instruments & { readonly readMetrics: () => Promise<string> } {
+  const stream = new OutputStream();
+  const log = new BoundedLog(new WinstonLog({ name, level, format: LogFormat.Json, stream }));
+  const served = new PromMetrics();
+  const metrics = new CountingMetrics(served);
+  const readMetrics = () => {
+    served.gauge('log.lines.dropped', stream.droppedLines);
+    return served.read();
+  };
+  return { log, metrics, readMetrics, close: () => Promise.resolve() };
+}
--- a/packages/daemon/src/observe/winstonLog.ts
+++ b/packages/daemon/src/observe/winstonLog.ts
@@ -1,4 +1,6 @@
 /** The structured log over winston. */
+import type { Writable } from 'node:stream';
+
 import winston from 'winston';
 
 import { Log, type LogFields, type LogLevel } from '@radishbay/core/ports/log.js';
@@ -11,25 +13,37 @@
   return [timestamp, level, processName, `${String(part)}:`, message, ...rest].join(' ');
 }
 
-/** Writes log lines to standard error, so that standard output stays for results. */
+export interface WinstonLogOptions {
+  /** Name of the process, on every line. */
+  readonly name: string;
+  readonly level: LogLevel;
+  readonly format: LogFormat;
+  /** Where lines go; standard error without it, so that standard output stays for results. */
+  readonly stream?: Writable;
+}
+
+function createTransport(stream: Writable | undefined): winston.transport {
+  if (stream) return new winston.transports.Stream({ stream, eol: '\n' });
+  return new winston.transports.Console({ stderrLevels: Object.keys(winston.config.npm.levels) });
+}
+
+/** Writes log lines with the time of day and with the steady clock, which never jumps. */
 export class WinstonLog extends Log {
   readonly #logger: winston.Logger;
 
-  /** @param name name of the process, on every line */
-  constructor(name: string, level: LogLevel, format: LogFormat) {
+  constructor({ name, level, format, stream }: WinstonLogOptions) {
     super();
     const { combine, json, printf, timestamp } = winston.format;
     this.#logger = winston.createLogger({
       level,
       defaultMeta: { process: name },
       format: combine(timestamp(), format === LogFormat.Json ? json() : printf(formatText)),
-      transports: [
-        new winston.transports.Console({ stderrLevels: Object.keys(winston.config.npm.levels) }),
-      ],
+      transports: [createTransport(stream)],
     });
   }
 
   override write(level: LogLevel, part: string, sentence: string, fields: LogFields = {}): void {
-    this.#logger.log({ ...fields, level, message: sentence, part });
+    const steadyMs = Math.round(performance.now());
+    this.#logger.log({ ...fields, level, message: sentence, part, steadyMs });
   }
 }
--- a/packages/daemon/src/roles/entryDaemon.ts
+++ b/packages/daemon/src/roles/entryDaemon.ts
@@ -1,13 +1,15 @@
 /** A daemon in the entry role: callers, operators, and links to side processes and peers. */
 import { EntryNode } from '@radishbay/core/entry/entryNode.js';
 import { LogLevel } from '@radishbay/core/ports/log.js';
+import type { CallerRequest } from '@radishbay/core/model/request.js';
 import { Random } from '@radishbay/core/ports/random.js';
 import { EntryBoard } from '@radishbay/core/state/entryBoard.js';
 import { Err, Ok, type Result } from '@radishbay/core/outcome.js';
 import { WsDialer } from '@radishbay/link/ws/wsDialer.js';
 import { WsListener } from '@radishbay/link/ws/wsListener.js';
 
-import { CallerServer } from '../callers/callerServer.js';
+import { CallerServer, type ServerLimits } from '../callers/callerServer.js';
+import { createRequestParser } from '../callers/requestParser.js';
 import type { Instruments } from '../observe/instruments.js';
 import { OperatorServer } from '../operators/operatorServer.js';
 import type { EntrySettings } from '../settings/settings.js';
@@ -18,6 +20,21 @@
 
 const PART = 'entry';
 
+/** Time for the headers of a request to arrive. */
+const HEADER_TIMEOUT_MS = 15_000;
+
+/** Time for which a caller's connection may be idle; Node's own default. */
+const IDLE_TIMEOUT_MS = 5_000;
+
+function createServerLimits(callers: EntrySettings['callers']): ServerLimits {
+  return {
+    headerBytes: callers.headerLimitBytes,
+    bodyBytes: callers.bodyLimitBytes,
+    headerTimeoutMs: HEADER_TIMEOUT_MS,
+    idleTimeoutMs: IDLE_TIMEOUT_MS,
+  };
+}
+
 function wait(spanMs: number): Promise<void> {
   return new Promise((resolve) => {
     setTimeout(resolve, spanMs);
@@ -32,7 +49,7 @@
 
   readonly #node: EntryNode;
 
-  readonly #callers: CallerServer;
+  readonly #callers: CallerServer<CallerRequest>;
 
   readonly #operators: OperatorServer;
 
@@ -55,9 +72,13 @@
       address: settings.links.advertise ?? `${settings.links.host}:${settings.links.port}`,
       seedAddresses: settings.links.peers,
     });
+    const limits = createServerLimits(settings.callers);
     this.#callers = new CallerServer({
       ...settings.callers,
       metrics,
+      readLimits: () => limits,
+      readNowMs: () => Date.now(),
+      parse: createRequestParser(),
       accept: (request, caller) => this.#node.accept(request, caller),
       isReady: () => this.#node.isReady(),
     });
--- a/packages/daemon/src/roles/store.ts
+++ b/packages/daemon/src/roles/store.ts
@@ -1,5 +1,5 @@
 /** The platform's client, made from the settings. */
-import { HttpObjectStore } from '@radishbay/platform/httpObjectStore.js';
+import { HttpObjectStore } from '@radishbay/objects/httpObjectStore.js';
 
 import type { EntrySettings } from '../settings/settings.js';
 
--- a/packages/daemon/src/upstream/httpRun.ts
+++ b/packages/daemon/src/upstream/httpRun.ts
@@ -34,8 +34,9 @@
 
 /** Keeps the headers that travel end to end. */
 export function pickEndToEndHeaders(headers: http.IncomingHttpHeaders): HeaderMap {
+  const named = new Set(headers.connection?.toLowerCase().split(/\s*,\s*/u));
   const kept = Object.entries(headers).flatMap(([name, value]): [string, string][] => {
-    if (value === undefined || HOP_HEADERS.has(name)) return [];
+    if (value === undefined || HOP_HEADERS.has(name) || named.has(name)) return [];
     return [[name, Array.isArray(value) ? value.join(', ') : value]];
   });
   return Object.fromEntries(kept);
--- a/packages/daemon/src/upstream/jsonCall.ts
+++ b/packages/daemon/src/upstream/jsonCall.ts
@@ -2,7 +2,7 @@
 import type { Agent } from 'node:http';
 
 import { Err, Ok, type Result } from '@radishbay/core/outcome.js';
-import { sendCall } from '@radishbay/platform/httpCall.js';
+import { sendCall } from '@radishbay/objects/httpCall.js';
 
 export interface JsonCall {
   readonly url: URL;
--- a/packages/daemon/test/callerServer.test.ts
+++ b/packages/daemon/test/callerServer.test.ts
@@ -6,15 +6,16 @@
 import { RefusalReason } from '@radishbay/core/model/reason.js';
 import type { CallerRequest } from '@radishbay/core/model/request.js';
 import { CountingMetrics } from '@radishbay/core/ports/countingMetrics.js';
-import { sendCall } from '@radishbay/platform/httpCall.js';
+import { sendCall } from '@radishbay/objects/httpCall.js';
 
 import { CallerServer } from '../src/callers/callerServer.js';
+import { createRequestParser } from '../src/callers/requestParser.js';
 
 const BODY_LIMIT_BYTES = 512;
 const HEADER_LIMIT_BYTES = 2_048;
 
 interface Context {
-  server: CallerServer;
+  server: CallerServer<CallerRequest>;
   metrics: CountingMetrics;
   port: number;
   accepted: CallerRequest[];
@@ -28,8 +29,14 @@
   context.server = new CallerServer({
     host: '127.0.0.1',
     port: 0,
-    bodyLimitBytes: BODY_LIMIT_BYTES,
-    headerLimitBytes: HEADER_LIMIT_BYTES,
+    readLimits: () => ({
+      headerBytes: HEADER_LIMIT_BYTES,
+      bodyBytes: BODY_LIMIT_BYTES,
+      headerTimeoutMs: 15_000,
+      idleTimeoutMs: 5_000,
+    }),
+    readNowMs: () => Date.now(),
+    parse: createRequestParser(),
     connectionLimit: 10,
     metrics: context.metrics,
     accept: (request, caller) => {
--- a/packages/standin/src/fleet/fleet.ts
+++ b/packages/standin/src/fleet/fleet.ts
@@ -5,7 +5,7 @@
  */
 import { fileURLToPath } from 'node:url';
 
-import { HttpObjectStore } from '@radishbay/platform/httpObjectStore.js';
+import { HttpObjectStore } from '@radishbay/objects/httpObjectStore.js';
 
 import { ChildProgram } from './childProgram.js';
 import { listObjects, SAMPLE_MODEL, type FleetPlan, type PlannedUpstream } from './fleetPlan.js';
--- a/packages/standin/src/fleet/httpCall.ts
+++ b/packages/standin/src/fleet/httpCall.ts
@@ -1,6 +1,6 @@
 /** HTTP calls of a harness, each on a connection of its own. */
 import type { Result } from '@radishbay/core/outcome.js';
-import { sendCall, type HttpAnswer, type HttpFailure } from '@radishbay/platform/httpCall.js';
+import { sendCall, type HttpAnswer, type HttpFailure } from '@radishbay/objects/httpCall.js';
 
 /** Longest time that a harness waits for an answer. */
 const TIMEOUT_MS = 60_000;
--- a/packages/standin/src/platform/platformServer.ts
+++ b/packages/standin/src/platform/platformServer.ts
@@ -1,5 +1,5 @@
 /**
- * The stand-in platform over HTTP, by the protocol in the README of `@radishbay/platform`.
+ * The stand-in platform over HTTP, by the protocol in the README of `@radishbay/objects`.
  *
  * Besides it answers `POST /faults {kind, ms, count}`, `GET /counts` and `POST /compact`.
  */
--- a/packages/standin/test/fleet/groupFleet.ts
+++ b/packages/standin/test/fleet/groupFleet.ts
@@ -2,7 +2,7 @@
 import { fileURLToPath } from 'node:url';
 
 import { ConfigKind, PoolKind, formatConfigKey } from '@radishbay/core/config/object.js';
-import { HttpObjectStore } from '@radishbay/platform/httpObjectStore.js';
+import { HttpObjectStore } from '@radishbay/objects/httpObjectStore.js';
 
 import { EngineServer } from '../../src/engine/engineServer.js';
 import { ChildProgram } from '../../src/fleet/childProgram.js';
--- a/packages/standin/test/httpClient.ts
+++ b/packages/standin/test/httpClient.ts
@@ -1,5 +1,5 @@
 /** Calls of the stand-ins over HTTP, for tests. */
-import { sendCall, type HttpAnswer, type HttpFailure } from '@radishbay/platform/httpCall.js';
+import { sendCall, type HttpAnswer, type HttpFailure } from '@radishbay/objects/httpCall.js';
 import type { Result } from '@radishbay/core/outcome.js';
 
 const TIMEOUT_MS = 20_000;
--- a/packages/standin/test/platformServer.test.ts
+++ b/packages/standin/test/platformServer.test.ts
@@ -2,7 +2,7 @@
 import type { AddressInfo, Server } from 'node:net';
 
 import { StoreErrorKind } from '@radishbay/core/ports/objectStore.js';
-import { HttpObjectStore } from '@radishbay/platform/httpObjectStore.js';
+import { HttpObjectStore } from '@radishbay/objects/httpObjectStore.js';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -22,7 +22,8 @@
 }
 
 function findTestFiles(filter) {
-  const files = readdirSync('packages').flatMap((name) => listFiles(`packages/${name}/dist/test`));
+  const folders = [...readdirSync('packages').map((name) => `packages/${name}`), 'platform'];
+  const files = folders.flatMap((folder) => listFiles(`${folder}/dist/test`));
   return files.filter((file) => file.includes(filter)).sort();
 }
 
