Let entries tell each other what they have in flight at each upstream

Ruled out: slow connections (first-wait falls to 0.26 s with the same ones). Change: core/direct/loadExchange over links between entries, addresses from their presence objects; the agent keeps Node's own listeners in order on reuse.

--- a/packages/core/src/direct/directAttempt.ts
+++ b/packages/core/src/direct/directAttempt.ts
@@ -97,7 +97,7 @@
 
   start(): void {
     const { upstreams } = this.#options.context;
-    this.upstream.inFlight += 1;
+    this.#options.context.board.addInFlight(this.upstream, 1);
     this.upstream.unanswered += 1;
     this.upstream.starts.note(this.#sentAtMs);
     this.#watchSilence(this.#options.silenceLimitMs);
@@ -226,7 +226,7 @@
   #finish(): void {
     this.#isOver = true;
     clearTimeout(this.#silenceTimer);
-    this.upstream.inFlight -= 1;
+    this.#options.context.board.addInFlight(this.upstream, -1);
     if (!this.#hasAnswered) this.upstream.unanswered -= 1;
     this.#options.desk.noteEnd(performance.now());
   }
--- a/packages/core/src/direct/directRun.ts
+++ b/packages/core/src/direct/directRun.ts
@@ -328,6 +328,7 @@
       firstMs: this.#firstMs === undefined ? undefined : Math.round(this.#firstMs),
       longestPauseMs: Math.round(this.#longestPauseMs),
       sends: this.#sends,
+      limit: Math.round(this.#options.desk.limitPerUpstream * 10) / 10,
       ...fields,
     });
   }
--- a/packages/core/src/direct/directUpstream.ts
+++ b/packages/core/src/direct/directUpstream.ts
@@ -42,9 +42,12 @@
   /** Those of them that have had no event yet. */
   unanswered = 0;
 
-  /** Requests of other entries, where {@link #loadAtMs} is recent. */
+  /** Requests of other entries by the upstream's own word, where {@link #loadAtMs} is recent. */
   #othersInFlight = 0;
 
+  /** Requests of other entries by their word. */
+  readonly #peerInFlight = new Map<string, number>();
+
   #loadAtMs = Number.NEGATIVE_INFINITY;
 
   /** Until when it is not asked, as it said that another one has its address or it is full. */
@@ -72,10 +75,22 @@
     this.#loadAtMs = nowMs;
   }
 
-  /** Requests in flight from all entries, as far as this one knows. */
-  countLoad(nowMs: number): number {
+  /** Takes in what another entry has in flight here. */
+  notePeer(entry: string, inFlight: number): void {
+    if (inFlight > 0) this.#peerInFlight.set(entry, inFlight);
+    else this.#peerInFlight.delete(entry);
+  }
+
+  /**
+   * Requests in flight from all entries, as far as this one knows.
+   *
+   * @param areAllPeersHeard whether all other entries tell their counts
+   */
+  countLoad(nowMs: number, areAllPeersHeard: boolean): number {
+    const byPeers = [...this.#peerInFlight.values()].reduce((sum, count) => sum + count, 0);
+    if (areAllPeersHeard) return this.inFlight + byPeers;
     const isKnown = nowMs - this.#loadAtMs < LOAD_VALID_MS;
-    return this.inFlight + (isKnown ? this.#othersInFlight : 0);
+    return this.inFlight + Math.max(byPeers, isKnown ? this.#othersInFlight : 0);
   }
 
   /** Leaves the upstream alone for a time that its own answer calls for. */
--- a/packages/core/src/direct/fleetBoard.ts
+++ b/packages/core/src/direct/fleetBoard.ts
@@ -27,6 +27,11 @@
 
   isStopping = false;
 
+  /** Other entries whose counts are fresh. */
+  heardPeers: ReadonlySet<string> = new Set();
+
+  #onCount: ((upstream: DirectUpstream) => void) | undefined;
+
   constructor(name: string, domain: string) {
     this.name = name;
     this.domain = domain;
@@ -77,6 +82,28 @@
     this.#closedDomains = domains;
   }
 
+  /** Whether the counts of all other entries are known. */
+  get areAllPeersHeard(): boolean {
+    return this.heardPeers.size >= this.entryCount - 1;
+  }
+
+  /** Requests in flight at an upstream, from all entries. */
+  countLoad(upstream: DirectUpstream, nowMs: number): number {
+    return upstream.countLoad(nowMs, this.areAllPeersHeard);
+  }
+
+  /** Names the listener for changes of this entry's own counts. */
+  onCount(listener: (upstream: DirectUpstream) => void): void {
+    this.#onCount = listener;
+  }
+
+  /** Counts a request that begins (1) or ends (-1) at an upstream. */
+  addInFlight(upstream: DirectUpstream, change: 1 | -1): void {
+    // eslint-disable-next-line no-param-reassign -- the board owns its upstreams
+    upstream.inFlight += change;
+    this.#onCount?.(upstream);
+  }
+
   #indexPools(): void {
     this.#byPool.clear();
     this.#upstreams.forEach((upstream) => {
--- /dev/null
+++ b/packages/core/src/direct/loadExchange.ts
@@ -0,0 +1,164 @@
+/**
+ * Tells other entries what this one has in flight at each upstream, and hears the same of them.
+ *
+ * Answers the load pattern of several entries that fill the same upstreams at once: what an
+ * upstream tells with its answers is a second old. Of two entries the one with the lower name
+ * dials; both send on the one link, changes soon and everything once in a while. What an entry that
+ * is not heard any more had in flight is forgotten.
+ */
+import { MessageType, type Message } from '../messages/message.js';
+import type { Link } from '../ports/link.js';
+import type { LinkDialer } from '../ports/linkDialer.js';
+import { LogLevel, type Log } from '../ports/log.js';
+
+import type { DirectUpstream } from './directUpstream.js';
+import type { FleetBoard } from './fleetBoard.js';
+
+const LOG_PART = 'peers';
+
+/** Time in which changes are collected before they are sent; a few requests at full load. */
+const COLLECT_MS = 20;
+
+/** Interval of full counts, of looks for silent peers, and of dialling again. */
+const BEAT_MS = 500;
+
+/** Silence after which a peer's counts say nothing any more. */
+const SILENCE_MS = 1_600;
+
+/** Where another entry can be reached. */
+export interface PeerAddress {
+  readonly name: string;
+  /** IP number and port. */
+  readonly address: string;
+}
+
+export interface LoadExchangeOptions {
+  readonly board: FleetBoard;
+  readonly dialer: LinkDialer;
+  readonly log: Log;
+}
+
+interface Peer {
+  readonly link: Link;
+  /** Unknown on a link that was accepted, until its first message. */
+  name: string | undefined;
+  heardAtMs: number;
+}
+
+function readCounts(upstreams: readonly DirectUpstream[]): Record<string, number> {
+  return Object.fromEntries(upstreams.map(({ id, inFlight }) => [id, inFlight]));
+}
+
+/** Exchange of counts with all other entries. */
+export class LoadExchange {
+  readonly #options: LoadExchangeOptions;
+
+  readonly #peers = new Set<Peer>();
+
+  #addresses: readonly PeerAddress[] = [];
+
+  readonly #changed = new Set<DirectUpstream>();
+
+  #sendTimer: NodeJS.Timeout | undefined;
+
+  #beatTimer: NodeJS.Timeout | undefined;
+
+  constructor(options: LoadExchangeOptions) {
+    this.#options = options;
+    options.board.onCount((upstream) => this.#noteChange(upstream));
+  }
+
+  start(): void {
+    this.#beatTimer = setInterval(() => this.#beat(), BEAT_MS);
+  }
+
+  stop(): void {
+    clearInterval(this.#beatTimer);
+    clearTimeout(this.#sendTimer);
+    [...this.#peers].forEach((peer) => this.#drop(peer, 'this entry stops'));
+  }
+
+  /** Names the entries that there are, this one included. */
+  setAddresses(addresses: readonly PeerAddress[]): void {
+    this.#addresses = addresses;
+    this.#dialMissing();
+  }
+
+  /** Takes a link that another entry has dialled. */
+  attach(link: Link): void {
+    this.#follow(link, undefined);
+  }
+
+  #beat(): void {
+    const nowMs = performance.now();
+    [...this.#peers]
+      .filter(({ heardAtMs }) => nowMs - heardAtMs > SILENCE_MS)
+      .forEach((peer) => this.#drop(peer, 'silent'));
+    this.#dialMissing();
+    const counts = readCounts(this.#options.board.upstreams.filter(({ inFlight }) => inFlight > 0));
+    this.#peers.forEach(({ link }) => this.#send(link, counts, true));
+  }
+
+  #dialMissing(): void {
+    const { board, dialer } = this.#options;
+    const known = new Set([...this.#peers].map(({ name }) => name));
+    this.#addresses
+      .filter(({ name }) => name > board.name && !known.has(name))
+      .forEach(({ name, address }) => this.#follow(dialer.dial(address), name));
+  }
+
+  #follow(link: Link, name: string | undefined): void {
+    const peer: Peer = { link, name, heardAtMs: performance.now() };
+    this.#peers.add(peer);
+    const greet = () => this.#send(link, readCounts(this.#options.board.upstreams), true);
+    link.listen({
+      onOpen: greet,
+      onMessage: (message) => this.#read(peer, message),
+      onClose: (detail) => this.#drop(peer, detail),
+    });
+    if (link.isOpen) greet();
+  }
+
+  #read(peer: Peer, message: Message): void {
+    if (message.type !== MessageType.UpstreamCounts || !this.#peers.has(peer)) return;
+    const { board, log } = this.#options;
+    const { entry, isFull, counts } = message;
+    const isNew = !board.heardPeers.has(entry);
+    Object.assign(peer, { name: entry, heardAtMs: performance.now() });
+    if (isNew) {
+      board.heardPeers = new Set([...board.heardPeers, entry]);
+      log.write(LogLevel.Info, LOG_PART, 'Hears another entry.', { entry });
+    }
+    if (isFull) board.upstreams.forEach((upstream) => upstream.notePeer(entry, 0));
+    Object.entries(counts).forEach(([id, count]) => board.findUpstream(id)?.notePeer(entry, count));
+  }
+
+  #drop(peer: Peer, detail: string): void {
+    if (!this.#peers.delete(peer)) return;
+    peer.link.close(detail);
+    const { board, log } = this.#options;
+    const { name } = peer;
+    const isHeardElsewhere = [...this.#peers].some((other) => other.name === name);
+    if (name === undefined || isHeardElsewhere || !board.heardPeers.has(name)) return;
+    board.heardPeers = new Set([...board.heardPeers].filter((entry) => entry !== name));
+    board.upstreams.forEach((upstream) => upstream.notePeer(name, 0));
+    log.write(LogLevel.Info, LOG_PART, 'Lost another entry.', { entry: name, detail });
+  }
+
+  #noteChange(upstream: DirectUpstream): void {
+    this.#changed.add(upstream);
+    this.#sendTimer ??= setTimeout(() => this.#sendChanges(), COLLECT_MS);
+  }
+
+  #sendChanges(): void {
+    this.#sendTimer = undefined;
+    const counts = readCounts([...this.#changed]);
+    this.#changed.clear();
+    this.#peers.forEach(({ link }) => this.#send(link, counts, false));
+  }
+
+  #send(link: Link, counts: Record<string, number>, isFull: boolean): void {
+    const entry = this.#options.board.name;
+    link.send({ type: MessageType.UpstreamCounts, entry, isFull, counts });
+  }
+}
--- a/packages/core/src/direct/placement.ts
+++ b/packages/core/src/direct/placement.ts
@@ -45,7 +45,7 @@
 
 function scoreUpstream(board: FleetBoard, upstream: DirectUpstream, query: PlacementQuery): number {
   const bonus = upstream.entry.domain === board.domain ? OWN_DOMAIN_BONUS : 0;
-  const load = upstream.countLoad(query.nowMs) + upstream.unanswered * READING_WEIGHT;
+  const load = board.countLoad(upstream, query.nowMs) + upstream.unanswered * READING_WEIGHT;
   return load - bonus + query.draw() * JITTER;
 }
 
@@ -61,7 +61,7 @@
   const free = pickTrusted(open, nowMs).filter(
     (upstream) =>
       !excluded.has(upstream.id) &&
-      upstream.countLoad(nowMs) + 1 <= Math.max(1, limit) &&
+      board.countLoad(upstream, nowMs) + 1 <= Math.max(1, limit) &&
       upstream.starts.count(nowMs) < startsPerS,
   );
   const scored = free.map((upstream) => ({
--- a/packages/core/src/messages/message.ts
+++ b/packages/core/src/messages/message.ts
@@ -37,6 +37,7 @@
   GroupReply = 'group-reply',
   ShareRequest = 'share-request',
   ShareGrant = 'share-grant',
+  UpstreamCounts = 'upstream-counts',
 }
 
 /** Which kind of process is at an end of a link. */
@@ -277,6 +278,19 @@
   validMs: z.number().positive(),
 });
 
+/**
+ * Requests that an entry has in flight at upstreams that it calls itself; sent both ways on a link
+ * between two entries, and often enough to show that the link is alive.
+ */
+const UPSTREAM_COUNTS = z.object({
+  type: z.literal(MessageType.UpstreamCounts),
+  entry: z.string(),
+  /** Whether upstreams that are not named have none. */
+  isFull: z.boolean(),
+  /** By the upstream's id. */
+  counts: z.record(z.string(), COUNT),
+});
+
 const MESSAGE = z.discriminatedUnion('type', [
   HELLO,
   WELCOME,
@@ -300,6 +314,7 @@
   GROUP_REPLY,
   SHARE_REQUEST,
   SHARE_GRANT,
+  UPSTREAM_COUNTS,
 ]);
 
 export type Message = z.infer<typeof MESSAGE>;
--- a/packages/daemon/src/direct/directEntryDaemon.ts
+++ b/packages/daemon/src/direct/directEntryDaemon.ts
@@ -3,11 +3,14 @@
 
 import { DirectController, type SharedBounds } from '@radishbay/core/direct/directController.js';
 import type { FleetBoard } from '@radishbay/core/direct/fleetBoard.js';
+import type { LoadExchange } from '@radishbay/core/direct/loadExchange.js';
 import { Err, Ok, type Result } from '@radishbay/core/outcome.js';
 import { LogLevel } from '@radishbay/core/ports/log.js';
 import { Random } from '@radishbay/core/ports/random.js';
 import type { ForwardedRequest } from '@radishbay/core/ports/upstreamCaller.js';
 
+import { WsListener } from '@radishbay/link/ws/wsListener.js';
+
 import { CallerServer, type ServerLimits } from '../callers/callerServer.js';
 import type { Instruments } from '../observe/instruments.js';
 import { Daemon } from '../roles/daemon.js';
@@ -34,6 +37,9 @@
 
 const MS_PER_SECOND = 1_000;
 
+/** Links of other entries that are accepted. */
+const PEER_LIMIT = 1_024;
+
 export interface Listener {
   readonly host: string;
   readonly port: number;
@@ -46,6 +52,8 @@
   readonly bounds: SharedBounds;
   readonly callers: Listener;
   readonly health: Listener;
+  readonly peers: Listener & { readonly messageLimitBytes: number };
+  readonly exchange: LoadExchange;
   /** Address of the metrics, with their path; undefined where they are not served. */
   readonly metrics: (Listener & { readonly path: string }) | undefined;
   readonly connectionLimit: number;
@@ -89,6 +97,8 @@
 
   readonly #metrics: http.Server;
 
+  readonly #peers: WsListener;
+
   constructor(options: DirectEntryOptions) {
     super();
     this.#options = options;
@@ -113,14 +123,23 @@
       retryAfterFormat: (retryAfterMs) => (retryAfterMs / MS_PER_SECOND).toFixed(3),
     });
     this.#health = http.createServer((message, response) => this.#serveHealth(message, response));
+    this.#peers = new WsListener({
+      ...options.peers,
+      linkLimit: PEER_LIMIT,
+      metrics: instruments.metrics,
+      onLink: (link) => options.exchange.attach(link),
+    });
     this.#metrics = http.createServer((message, response) => {
       this.#serveMetrics(message, response);
     });
   }
 
   override async start(): Promise<Result<void, string>> {
-    const { callers, health, metrics, sources, instruments } = this.#options;
+    const { callers, health, metrics, sources, exchange, instruments } = this.#options;
     sources.forEach((source) => source.start());
+    const peersUp = await this.#peers.start();
+    if (!peersUp.ok) return Err(`peers: ${peersUp.val}`);
+    exchange.start();
     const healthUp = await listen(this.#health, health);
     if (!healthUp.ok) return Err(`health: ${healthUp.val}`);
     const metricsUp = metrics ? await listen(this.#metrics, metrics) : Ok(undefined);
@@ -136,7 +155,7 @@
    * refused only when the balancer has had time to look twice.
    */
   override async stop(): Promise<void> {
-    const { board, noticeMs, stopLimitMs, sources } = this.#options;
+    const { board, noticeMs, stopLimitMs, sources, exchange } = this.#options;
     const endAtMs = performance.now() + stopLimitMs * STOP_PART;
     board.isStopping = true;
     this.#callers.beginClose();
@@ -146,7 +165,9 @@
     this.#controller.breakOff();
     await Promise.race([stopped, wait(STOP_LOOK_MS)]);
     sources.forEach((source) => source.stop());
+    exchange.stop();
     this.#upstreams.close();
+    await this.#peers.stop();
     this.#health.close();
     this.#metrics.close();
   }
--- a/packages/daemon/src/direct/upstreamAgent.ts
+++ b/packages/daemon/src/direct/upstreamAgent.ts
@@ -46,9 +46,9 @@
     const keptMs = readKeptMs(client);
     const limitMs = Math.min(this.#idleLimitMs, (keptMs ?? Infinity) - IDLE_MARGIN_MS);
     if (limitMs <= 0) return false;
+    super.keepSocketAlive(socket);
     client.on('data', endOnData);
     client.setTimeout(limitMs, () => client.destroy());
-    client.unref();
     return true;
   }
 
@@ -57,8 +57,7 @@
     client.removeListener('data', endOnData);
     client.removeAllListeners('timeout');
     client.setTimeout(0);
-    client.ref();
-    request.reusedSocket = true;
+    super.reuseSocket(socket, request);
   }
 
   /** Closes the idle connections to one address: where one went silent, others may have. */
