Keep one place of each engine for requests that can still be on time

Change: requests that are late leave one place of each engine free, and go after those that can be on time.

--- a/packages/core/src/direct/poolDesk.ts
+++ b/packages/core/src/direct/poolDesk.ts
@@ -38,6 +38,9 @@
 /** Assumed time between two ends of requests before two were seen. */
 const TURN_MS = 100;
 
+/** Places of each engine that are kept for requests that can still be on time. */
+const LATE_RESERVE = 1;
+
 /** Time between two looks at requests that wait for a second's starts to pass. */
 const PUMP_MS = 20;
 
@@ -71,7 +74,7 @@
 }
 
 function isBefore(a: Ticket, b: Ticket): boolean {
-  if (a.isReturned !== b.isReturned) return a.isReturned;
+  if (a.isReturned !== b.isReturned) return b.isReturned;
   if (a.priority !== b.priority) return a.priority < b.priority;
   return a.arrivedAtMs < b.arrivedAtMs;
 }
@@ -141,7 +144,7 @@
       return;
     }
     const isFirst = this.#waiters.every((waiter) => isBefore(ticket, waiter.ticket));
-    const { upstream, openCount } = this.#place(new Set(), nowMs);
+    const { upstream, openCount } = this.#place(new Set(), nowMs, this.#readLimit(ticket));
     if (isFirst && upstream) ticket.onTurn(upstream);
     else if (openCount === 0) ticket.onRefused(this.#refuseEmpty());
     else this.#wait(ticket, nowMs);
@@ -156,7 +159,7 @@
   /** An upstream for one more attempt at a request, which does not wait. */
   choose(excluded: ReadonlySet<string>, nowMs: number): DirectUpstream | undefined {
     if (!this.breaker.mayPass(nowMs)) return undefined;
-    return this.#place(excluded, nowMs).upstream;
+    return this.#place(excluded, nowMs, this.limitPerUpstream).upstream;
   }
 
   /** A refusal that tells when there will be room. */
@@ -198,11 +201,11 @@
   readonly #pump = (): void => {
     this.#pumpTimer = undefined;
     const nowMs = performance.now();
-    while (this.#waiters.length > 0) {
-      const { upstream } = this.#place(new Set(), nowMs);
-      const waiter = upstream && this.#remove(0);
-      if (!upstream || !waiter) break;
-      waiter.ticket.onTurn(upstream);
+    for (let next = this.#waiters[0]; next; next = this.#waiters[0]) {
+      const { upstream } = this.#place(new Set(), nowMs, this.#readLimit(next.ticket));
+      if (!upstream) break;
+      this.#remove(0);
+      next.ticket.onTurn(upstream);
     }
     if (this.#waiters.length > 0) this.#pumpTimer ??= setTimeout(this.#pump, PUMP_MS);
   };
@@ -212,12 +215,12 @@
     return Math.max(1, ...slots);
   }
 
-  #place(excluded: ReadonlySet<string>, nowMs: number): PlacementResult {
+  #place(excluded: ReadonlySet<string>, nowMs: number, limit: number): PlacementResult {
     const { board, random } = this.#options;
     const result = choosePlacement(board, {
       pool: this.#pool.name,
       excluded,
-      limit: this.limitPerUpstream,
+      limit,
       startsPerS: this.#startsPerS,
       nowMs,
       draw: () => random.next(),
@@ -226,6 +229,12 @@
     return result;
   }
 
+  /** Requests that are late already leave room for those that can be on time. */
+  #readLimit({ isReturned }: Ticket): number {
+    const limit = this.limitPerUpstream;
+    return isReturned && this.#limit ? limit - LATE_RESERVE : limit;
+  }
+
   /** This entry's part of the starts that an upstream bears should it be cold. */
   get #startsPerS(): number {
     const bound = this.#options.readStartBound(this.#pool);
