Keep the expert maps of groups close to what is in demand

Change: core/direct/experts: samples of counts over short times, a local search for each layer in which a copied expert has to save something, and a switch by hold, arm and go that late orders cannot harm; one giver by name, versions and passes of its own residue; a new giver completes what it finds held. No tests yet.

--- /dev/null
+++ b/packages/core/src/direct/experts/groupSurvey.ts
@@ -0,0 +1,60 @@
+/** What all ranks of a group say of themselves at one time. */
+import type { DirectUpstream } from '../directUpstream.js';
+
+import type { RankCaller, RankReport } from './rankCaller.js';
+
+/** One rank of a group. */
+export interface GroupRank {
+  readonly upstream: DirectUpstream;
+  readonly report: RankReport;
+}
+
+/** A group of which every rank is open in one epoch. */
+export interface GroupSurvey {
+  readonly group: string;
+  readonly epoch: number;
+  /** In the order of their ranks. */
+  readonly ranks: readonly GroupRank[];
+}
+
+/** Whether all values are the same. */
+export function areSame<T>(values: readonly T[]): boolean {
+  return values.every((value) => value === values[0]);
+}
+
+async function readRank(
+  caller: RankCaller,
+  upstream: DirectUpstream,
+): Promise<GroupRank | undefined> {
+  const report = await caller.readReport(upstream.entry);
+  return report.ok ? { upstream, report: report.val } : undefined;
+}
+
+function createSurvey(ranks: readonly GroupRank[]): GroupSurvey | undefined {
+  const first = ranks[0]?.report;
+  if (!first) return undefined;
+  const ordered = [...ranks].sort((a, b) => a.report.rank - b.report.rank);
+  const isComplete =
+    ordered.length === first.size && ordered.every(({ report }, at) => report.rank === at);
+  const isOpen = ordered.every(({ report }) => report.isOpen);
+  const isOneEpoch = areSame(ordered.map(({ report }) => report.epoch));
+  if (!isComplete || !isOpen || !isOneEpoch) return undefined;
+  return { group: first.group, epoch: first.epoch, ranks: ordered };
+}
+
+/**
+ * Reads all upstreams of a pool.
+ *
+ * @returns the groups that are whole and open; others are left out
+ */
+export async function surveyGroups(
+  caller: RankCaller,
+  upstreams: readonly DirectUpstream[],
+): Promise<readonly GroupSurvey[]> {
+  const read = await Promise.all(upstreams.map((upstream) => readRank(caller, upstream)));
+  const known = read.filter((rank) => rank !== undefined);
+  const names = [...new Set(known.map(({ report }) => report.group))];
+  return names
+    .map((name) => createSurvey(known.filter(({ report }) => report.group === name)))
+    .filter((survey) => survey !== undefined);
+}
--- /dev/null
+++ b/packages/core/src/direct/experts/layerSearch.ts
@@ -0,0 +1,206 @@
+/**
+ * Searches a placement of one layer's experts that keeps the most loaded rank of each sample low.
+ *
+ * Local search from the placement in force: an expert's extra replica gives its place to another
+ * expert, or two ranks swap one expert each. A move is kept where the sum over all samples of the
+ * most loaded rank's part falls. Ranks copy only so many experts that are new to them.
+ */
+import type { Random } from '../../ports/random.js';
+
+export interface LayerSearchInput {
+  /** Experts of each rank in force. */
+  readonly placement: readonly (readonly number[])[];
+  readonly experts: number;
+  readonly slotsPerRank: number;
+  /** Experts that a rank may copy at most. */
+  readonly newPerRank: number;
+  /** Choices by expert, for each sample. */
+  readonly samples: readonly Float64Array[];
+  readonly random: Random;
+}
+
+/** Load of the most loaded rank, against the mean, that one copied expert has to save. */
+const COPY_COST = 0.012;
+
+/** Gain below which a move is only rounding. */
+const GAIN_MIN = 1e-6;
+
+/** Moves without gain after which the search ends. */
+const IDLE_MOVES_MAX = 700;
+
+/** One place of a rank that changes hands. */
+interface Change {
+  readonly rank: number;
+  readonly added: number | undefined;
+  readonly removed: number | undefined;
+}
+
+/** Search over one layer, in steps of one move. */
+export class LayerSearch {
+  readonly #input: LayerSearchInput;
+
+  /** Experts of each rank. */
+  readonly #held: number[][];
+
+  /** Whether a rank holds an expert in force, by rank and expert. */
+  readonly #original: readonly ReadonlySet<number>[];
+
+  /** Ranks of each expert. */
+  readonly #ranksOf: number[][];
+
+  readonly #newCount: number[];
+
+  /** Share of the sample's choices on each rank, by sample, then rank. */
+  readonly #loads: Float64Array[];
+
+  readonly #totals: readonly number[];
+
+  #cost: number;
+
+  #idleMoves = 0;
+
+  constructor(input: LayerSearchInput) {
+    this.#input = input;
+    this.#held = input.placement.map((experts) => [...experts]);
+    this.#original = input.placement.map((experts) => new Set(experts));
+    this.#ranksOf = Array.from({ length: input.experts }, () => []);
+    this.#held.forEach((experts, rank) => {
+      experts.forEach((expert) => this.#ranksOf[expert]?.push(rank));
+    });
+    this.#newCount = this.#held.map(() => 0);
+    this.#totals = input.samples.map((sample) => sample.reduce((sum, count) => sum + count, 0));
+    this.#loads = input.samples.map(() => new Float64Array(this.#held.length));
+    this.#ranksOf.forEach((_, expert) => this.#addLoad(expert, 1));
+    this.#cost = this.#computeCost();
+  }
+
+  /** Mean over the samples of the most loaded rank's part, against the mean rank's. */
+  get skew(): number {
+    return this.#computeSkew();
+  }
+
+  /** Experts that ranks would have to copy. */
+  get copies(): number {
+    return this.#newCount.reduce((sum, count) => sum + count, 0);
+  }
+
+  get isDone(): boolean {
+    return this.#input.samples.length === 0 || this.#idleMoves >= IDLE_MOVES_MAX;
+  }
+
+  get placement(): readonly (readonly number[])[] {
+    return this.#held;
+  }
+
+  /** Tries one move. */
+  step(): void {
+    const isBetter = this.#input.random.next() < 0.5 ? this.#tryReplace() : this.#trySwap();
+    this.#idleMoves = isBetter ? 0 : this.#idleMoves + 1;
+  }
+
+  /** Gives one place of a rank to another expert, or fills an empty one. */
+  #tryReplace(): boolean {
+    const { random, experts, slotsPerRank } = this.#input;
+    const rank = random.nextInt(this.#held.length);
+    const added = random.nextInt(experts);
+    const held = this.#held[rank] ?? [];
+    if (held.includes(added)) return false;
+    const isFree = held.length < slotsPerRank;
+    const removed = isFree ? undefined : held[random.nextInt(held.length)];
+    const isLastReplica = removed !== undefined && (this.#ranksOf[removed]?.length ?? 0) < 2;
+    if (isLastReplica) return false;
+    return this.#tryChange([{ rank, added, removed }]);
+  }
+
+  /** Lets two ranks swap one expert each. */
+  #trySwap(): boolean {
+    const { random } = this.#input;
+    const one = random.nextInt(this.#held.length);
+    const other = random.nextInt(this.#held.length);
+    const ofOne = this.#held[one] ?? [];
+    const ofOther = this.#held[other] ?? [];
+    const fromOne = ofOne[random.nextInt(ofOne.length)];
+    const fromOther = ofOther[random.nextInt(ofOther.length)];
+    if (one === other || fromOne === undefined || fromOther === undefined) return false;
+    if (ofOne.includes(fromOther) || ofOther.includes(fromOne)) return false;
+    return this.#tryChange([
+      { rank: one, added: fromOther, removed: fromOne },
+      { rank: other, added: fromOne, removed: fromOther },
+    ]);
+  }
+
+  /** Makes changes, and takes them back where they bring nothing or copy too much. */
+  #tryChange(changes: readonly Change[]): boolean {
+    const touched = changes.flatMap(({ added, removed }) =>
+      [added, removed].filter((expert) => expert !== undefined),
+    );
+    const experts = [...new Set(touched)];
+    this.#change(changes, experts);
+    const isAllowed = changes.every(
+      ({ rank }) => (this.#newCount[rank] ?? 0) <= this.#input.newPerRank,
+    );
+    const cost = isAllowed ? this.#computeCost() : Number.POSITIVE_INFINITY;
+    if (cost < this.#cost - GAIN_MIN) {
+      this.#cost = cost;
+      return true;
+    }
+    const inverse = [...changes].reverse().map(({ rank, added, removed }) => ({
+      rank,
+      added: removed,
+      removed: added,
+    }));
+    this.#change(inverse, experts);
+    return false;
+  }
+
+  #change(changes: readonly Change[], experts: readonly number[]): void {
+    experts.forEach((expert) => this.#addLoad(expert, -1));
+    changes.forEach((change) => this.#apply(change));
+    experts.forEach((expert) => this.#addLoad(expert, 1));
+  }
+
+  #apply({ rank, added, removed }: Change): void {
+    const held = this.#held[rank] ?? [];
+    const original = this.#original[rank];
+    if (removed !== undefined) {
+      held.splice(held.indexOf(removed), 1);
+      const ranks = this.#ranksOf[removed] ?? [];
+      ranks.splice(ranks.indexOf(rank), 1);
+      if (!original?.has(removed)) this.#newCount[rank] = (this.#newCount[rank] ?? 0) - 1;
+    }
+    if (added === undefined) return;
+    held.push(added);
+    this.#ranksOf[added]?.push(rank);
+    if (!original?.has(added)) this.#newCount[rank] = (this.#newCount[rank] ?? 0) + 1;
+  }
+
+  /** Adds an expert's choices to its ranks, or takes them away. */
+  #addLoad(expert: number, sign: 1 | -1): void {
+    const ranks = this.#ranksOf[expert] ?? [];
+    this.#input.samples.forEach((sample, at) => {
+      const loads = this.#loads[at];
+      const part = (sign * (sample[expert] ?? 0)) / ranks.length;
+      if (!loads || part === 0) return;
+      ranks.forEach((rank) => {
+        loads[rank] = (loads[rank] ?? 0) + part;
+      });
+    });
+  }
+
+  /** Skew, and what the copies have to save. */
+  #computeCost(): number {
+    return this.#computeSkew() + this.copies * COPY_COST;
+  }
+
+  #computeSkew(): number {
+    const ranks = this.#held.length;
+    let sum = 0;
+    for (let at = 0; at < this.#loads.length; at += 1) {
+      const loads = this.#loads[at];
+      let most = 0;
+      for (let rank = 0; loads && rank < ranks; rank += 1) most = Math.max(most, loads[rank] ?? 0);
+      sum += (most * ranks) / Math.max(1, this.#totals[at] ?? 1);
+    }
+    return this.#loads.length > 0 ? sum / this.#loads.length : 1;
+  }
+}
--- /dev/null
+++ b/packages/core/src/direct/experts/mapGiver.ts
@@ -0,0 +1,275 @@
+/**
+ * Keeps the expert maps of one pool's groups close to what is in demand.
+ *
+ * One entry does so at a time: the one with the lowest name among those that hear each other. That
+ * is no lock; what keeps two of them from harm is the switch itself. Its versions and passes are of
+ * residues that belong to one entry alone, and a rank holds one pass at a time.
+ */
+import { LogLevel, type Log } from '../../ports/log.js';
+import type { Metrics } from '../../ports/metrics.js';
+import type { Random } from '../../ports/random.js';
+import type { FleetBoard } from '../fleetBoard.js';
+import type { GroupProfile } from '../routeTable.js';
+
+import { DemandSamples } from './demandSamples.js';
+import { areSame, surveyGroups, type GroupSurvey } from './groupSurvey.js';
+import { searchMap, type Placement } from './mapSearch.js';
+import type { RankCaller } from './rankCaller.js';
+import { SteppedSwitch, SwitchOutcome } from './steppedSwitch.js';
+
+const LOG_PART = 'experts';
+
+/** Interval of the loop. */
+const LOOP_MS = 250;
+
+/** Time between two rounds after which this process must have been paused. */
+const PAUSE_LIMIT_MS = 1_200;
+
+/** Time for which a process that was paused or has just started leaves the groups alone. */
+const STAND_BACK_MS = 2_500;
+
+/** Interval at which counts are read; each reading is priced and stops the group for a moment. */
+const READ_MS = 800;
+
+/** Part of a group's ranks whose counts are read: their requests are a sample of all. */
+const READ_PART = 1 / 6;
+
+/** Samples from which a map is planned. */
+const SAMPLES_MIN = 4;
+
+/** Shortest time between two plans. */
+const PLAN_MS = 1_200;
+
+/** Part by which a plan has to lower the most loaded rank's part to be worth its copies. */
+const GAIN_MIN = 0.06;
+
+/** Interval of surveys of a group that is well; a doubt calls for one at once. */
+const SURVEY_MS = 5_000;
+
+/** Versions of one entry are this far apart, and so are the passes that it holds. */
+const VERSION_STRIDE = 1_024;
+
+export interface MapGiverOptions {
+  readonly board: FleetBoard;
+  readonly pool: string;
+  readonly profile: GroupProfile;
+  readonly caller: RankCaller;
+  readonly random: Random;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  /** Names of all entries, this one included, in order. */
+  readonly listEntries: () => readonly string[];
+}
+
+interface KnownGroup {
+  survey: GroupSurvey;
+  placement: Placement;
+  mapVersion: number;
+  readonly samples: DemandSamples;
+}
+
+/** Keeper of the maps of one pool. */
+export class MapGiver {
+  readonly #options: MapGiverOptions;
+
+  #group: KnownGroup | undefined;
+
+  #timer: NodeJS.Timeout | undefined;
+
+  #quietUntilMs = 0;
+
+  #loopedAtMs = 0;
+
+  #surveyAtMs = 0;
+
+  #readAtMs = 0;
+
+  #planAtMs = 0;
+
+  #lastVersion = 0;
+
+  #isRunning = false;
+
+  constructor(options: MapGiverOptions) {
+    this.#options = options;
+  }
+
+  start(): void {
+    this.#isRunning = true;
+    this.#loopedAtMs = performance.now();
+    this.#quietUntilMs = this.#loopedAtMs + STAND_BACK_MS;
+    this.#schedule();
+  }
+
+  stop(): void {
+    this.#isRunning = false;
+    clearTimeout(this.#timer);
+  }
+
+  #schedule(): void {
+    if (!this.#isRunning) return;
+    this.#timer = setTimeout(() => {
+      this.#round().then(() => this.#schedule());
+    }, LOOP_MS);
+  }
+
+  async #round(): Promise<void> {
+    const nowMs = performance.now();
+    const wasPaused = nowMs - this.#loopedAtMs > PAUSE_LIMIT_MS;
+    if (wasPaused) this.#quietUntilMs = nowMs + STAND_BACK_MS;
+    if (nowMs >= this.#quietUntilMs && this.#isGiver()) await this.#work(nowMs);
+    else this.#group = undefined;
+    this.#loopedAtMs = performance.now();
+  }
+
+  /** Whether this entry is the one that gives orders now. */
+  #isGiver(): boolean {
+    const { board } = this.#options;
+    return !board.isStopping && [...board.heardPeers].every((peer) => board.name < peer);
+  }
+
+  async #work(nowMs: number): Promise<void> {
+    if (!this.#group || nowMs >= this.#surveyAtMs) await this.#survey(nowMs);
+    const group = this.#group;
+    if (!group) return;
+    if (nowMs >= this.#readAtMs) await this.#readCounts(group, nowMs);
+    if (nowMs >= this.#planAtMs && this.#group === group) await this.#plan(group, nowMs);
+  }
+
+  async #survey(nowMs: number): Promise<void> {
+    const { board, pool, caller } = this.#options;
+    this.#surveyAtMs = nowMs + SURVEY_MS;
+    const [survey] = await surveyGroups(caller, board.listPool(pool));
+    const known = this.#group;
+    this.#group = undefined;
+    if (!survey) return;
+    if (!(await this.#settle(survey))) {
+      this.#surveyAtMs = performance.now();
+      return;
+    }
+    const mapVersion = survey.ranks[0]?.report.mapVersion ?? 0;
+    if (known?.survey.epoch === survey.epoch && known.mapVersion === mapVersion) {
+      known.survey = survey;
+      this.#group = known;
+      return;
+    }
+    const placement = await this.#readPlacement(survey);
+    if (!placement) return;
+    this.#group = { survey, placement, mapVersion, samples: known?.samples ?? new DemandSamples() };
+  }
+
+  /**
+   * Completes or takes back what another entry, or this one before a pause, has left.
+   *
+   * @returns whether nothing is held or armed and all ranks have one map
+   */
+  async #settle(survey: GroupSurvey): Promise<boolean> {
+    const holder = survey.ranks.find(({ report }) => report.heldStep !== undefined);
+    const armed = survey.ranks.find(({ report }) => report.armed !== undefined)?.report.armed;
+    const versions = survey.ranks.map(({ report }) => report.mapVersion);
+    if (holder?.report.heldStep === undefined) return !armed && areSame(versions);
+
+    const step = holder.report.heldStep;
+    const prepared = survey.ranks.map(({ report }) => report.preparedVersion);
+    const version = armed?.version ?? (areSame(prepared) ? prepared[0] : undefined);
+    const change = this.#createSwitch(survey);
+    this.#options.metrics.count('experts.hold_found');
+    this.#write(LogLevel.Warn, 'A pass is held that nobody lets begin.', { step, version });
+    const isNewer = version !== undefined && version > Math.max(...versions);
+    if (!isNewer) await change.release(step, holder);
+    else await change.complete(version, step);
+    return false;
+  }
+
+  async #readPlacement(survey: GroupSurvey): Promise<Placement | undefined> {
+    const { caller, profile } = this.#options;
+    const read = await Promise.all(
+      survey.ranks.map(({ upstream }) => caller.readExperts(upstream.entry)),
+    );
+    const ranks = read.map((experts) => (experts.ok ? experts.val : undefined));
+    if (!areSame(ranks.map((rank) => rank?.mapVersion))) return undefined;
+    const isWhole = ranks.every((rank) => rank?.experts.length === profile.layers);
+    if (!isWhole) return undefined;
+    return Array.from({ length: profile.layers }, (_, layer) =>
+      ranks.map((rank) => rank?.experts[layer] ?? []),
+    );
+  }
+
+  async #readCounts(group: KnownGroup, nowMs: number): Promise<void> {
+    const { caller } = this.#options;
+    const { ranks, epoch } = group.survey;
+    this.#readAtMs = nowMs + READ_MS;
+    // Always the same ranks: what lies between two readings of one is a sample.
+    const chosen = ranks.slice(0, Math.max(1, Math.ceil(ranks.length * READ_PART)));
+    const read = await Promise.all(chosen.map(({ upstream }) => caller.readCounts(upstream.entry)));
+    read.forEach((counts, at) => {
+      const rank = chosen[at];
+      if (!rank) return;
+      if (counts.ok && counts.val.epoch === epoch) {
+        group.samples.add(rank.upstream.id, counts.val, performance.now());
+      } else this.#surveyAtMs = 0;
+    });
+  }
+
+  async #plan(group: KnownGroup, nowMs: number): Promise<void> {
+    const { profile, random } = this.#options;
+    const samples = group.samples.list(nowMs);
+    if (samples.length < SAMPLES_MIN) return;
+    this.#planAtMs = nowMs + PLAN_MS;
+    const found = await searchMap({ profile, placement: group.placement, samples, random });
+    const { skewBefore, skewAfter } = found;
+    const isWorth = skewAfter < skewBefore * (1 - GAIN_MIN);
+    const fields = {
+      skewBefore: Math.round(skewBefore * 100) / 100,
+      skewAfter: Math.round(skewAfter * 100) / 100,
+      copies: found.copies,
+      samples: samples.length,
+    };
+    this.#write(LogLevel.Info, isWorth ? 'A better map is planned.' : 'The map stays.', fields);
+    if (isWorth && this.#isGiver()) await this.#switch(group, found.placement);
+  }
+
+  async #switch(group: KnownGroup, placement: Placement): Promise<void> {
+    const version = this.#chooseVersion(group);
+    const startedAtMs = performance.now();
+    const { outcome, stage } = await this.#createSwitch(group.survey).run(version, placement);
+    this.#options.metrics.count('experts.switch', { outcome });
+    this.#write(LogLevel.Info, 'A switch of maps has ended.', {
+      outcome,
+      stage,
+      version,
+      tookMs: Math.round(performance.now() - startedAtMs),
+    });
+    if (outcome === SwitchOutcome.Done) Object.assign(group, { placement, mapVersion: version });
+    else this.#surveyAtMs = 0;
+  }
+
+  #createSwitch(survey: GroupSurvey): SteppedSwitch {
+    const entries = this.#options.listEntries();
+    return new SteppedSwitch({
+      caller: this.#options.caller,
+      survey,
+      passModulus: Math.max(1, entries.length),
+      passRemainder: Math.max(0, entries.indexOf(this.#options.board.name)),
+    });
+  }
+
+  /** Higher than all that a rank has had, and of a residue that is this entry's alone. */
+  #chooseVersion(group: KnownGroup): number {
+    const { board, listEntries } = this.#options;
+    const seen = group.survey.ranks.flatMap(({ report }) => [
+      report.mapVersion,
+      report.preparedVersion ?? 0,
+    ]);
+    const round = Math.floor(
+      Math.max(group.mapVersion, ...seen, this.#lastVersion) / VERSION_STRIDE,
+    );
+    this.#lastVersion = (round + 1) * VERSION_STRIDE + listEntries().indexOf(board.name) + 1;
+    return this.#lastVersion;
+  }
+
+  #write(level: LogLevel, sentence: string, fields: Record<string, number | string | undefined>) {
+    const { log, pool } = this.#options;
+    log.write(level, LOG_PART, sentence, { pool, ...fields });
+  }
+}
--- /dev/null
+++ b/packages/core/src/direct/experts/steppedSwitch.ts
@@ -0,0 +1,205 @@
+/**
+ * Puts a map in force on all ranks of a group as one pass begins.
+ *
+ * All ranks copy the map's experts. Then one rank holds a pass some way ahead, all ranks are armed
+ * for that pass, and only when every one has confirmed it is the pass let begin. As the group makes
+ * passes only together, none begins while a rank is not armed.
+ *
+ * An order without an answer may be carried out seconds later. Each is therefore one that does no
+ * harm then: a late `prepare` has too low a version, a late `arm`, `hold` or `go` is for a pass
+ * that has begun. A switch that has been armed anywhere is completed, not undone, as an `arm` that is
+ * still under way could follow a `disarm`; it is undone only where a rank can no longer be armed,
+ * while the pass is held.
+ */
+import type { GroupRank, GroupSurvey } from './groupSurvey.js';
+import { OrderOutcome, RankOrderKind, type RankCaller, type RankCommand } from './rankCaller.js';
+import type { Placement } from './mapSearch.js';
+
+/** Passes between the last one that was begun and the one that is held. */
+const LEAD_PASSES = 5;
+
+/** Times that an order without an answer is given again. */
+const TRIES_MAX = 40;
+
+/** Time between two looks at a rank that copies. */
+const COPY_LOOK_MS = 150;
+
+/** Longest time that ranks may take to copy. */
+const COPY_LIMIT_MS = 5_000;
+
+/** Holds that are tried, each for a later pass. */
+const HOLDS_MAX = 3;
+
+/** Time between two steps after which this process must have been paused; others may act then. */
+const PAUSE_LIMIT_MS = 600;
+
+export enum SwitchOutcome {
+  Done = 'done',
+  /** Nothing was armed; the map in force stays. */
+  NotBegun = 'not-begun',
+  /** It is not known how it stands: all ranks have to be read. */
+  Doubtful = 'doubtful',
+}
+
+export interface SwitchResult {
+  readonly outcome: SwitchOutcome;
+  /** Stage at which it ended. */
+  readonly stage: string;
+}
+
+export interface SteppedSwitchOptions {
+  readonly caller: RankCaller;
+  readonly survey: GroupSurvey;
+  /**
+   * Passes that this entry may hold: those whose number leaves this remainder. Two entries never
+   * hold the same pass, and a rank holds one pass at a time, so a hold is a lock.
+   */
+  readonly passModulus: number;
+  readonly passRemainder: number;
+}
+
+function wait(spanMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, spanMs);
+  });
+}
+
+/** One switch of one group. */
+export class SteppedSwitch {
+  readonly #options: SteppedSwitchOptions;
+
+  #steppedAtMs = performance.now();
+
+  #wasPaused = false;
+
+  constructor(options: SteppedSwitchOptions) {
+    this.#options = options;
+  }
+
+  /** Puts a new map in force. */
+  async run(version: number, placement: Placement): Promise<SwitchResult> {
+    const isTaken = await this.#prepareAll(version, placement);
+    if (!isTaken) return { outcome: SwitchOutcome.NotBegun, stage: 'prepare' };
+    const isCopied = await this.#waitForCopies(version);
+    if (!isCopied) return { outcome: SwitchOutcome.NotBegun, stage: 'copy' };
+    const step = await this.#hold();
+    if (step === undefined) return { outcome: SwitchOutcome.Doubtful, stage: 'hold' };
+    return this.complete(version, step);
+  }
+
+  /** Arms all ranks for a pass that is held, and lets it begin. */
+  async complete(version: number, step: number): Promise<SwitchResult> {
+    const { ranks } = this.#options.survey;
+    const command = { kind: RankOrderKind.Arm, version, step };
+    const armed = await Promise.all(ranks.map((rank) => this.#insist(rank, command)));
+    if (this.#wasPaused) return { outcome: SwitchOutcome.Doubtful, stage: 'arm' };
+    if (armed.every((isArmed) => isArmed)) return this.#finish(step, SwitchOutcome.Done);
+    return this.undo(version, step);
+  }
+
+  /** Takes a switch back that cannot be completed, while its pass is held. */
+  async undo(version: number, step: number): Promise<SwitchResult> {
+    const { ranks } = this.#options.survey;
+    const command = { kind: RankOrderKind.Disarm, version };
+    await Promise.all(ranks.map((rank) => this.#insist(rank, command)));
+    const reports = await Promise.all(ranks.map((rank) => this.#readReport(rank)));
+    const isClean = reports.every((report) => report !== undefined && report.armed === undefined);
+    if (!isClean || this.#wasPaused) return { outcome: SwitchOutcome.Doubtful, stage: 'disarm' };
+    return this.#finish(step, SwitchOutcome.NotBegun);
+  }
+
+  /** Lets a held pass begin, at whichever rank holds it. */
+  async release(step: number, rank = this.#options.survey.ranks[0]): Promise<boolean> {
+    return rank ? this.#insist(rank, { kind: RankOrderKind.Go, step }) : false;
+  }
+
+  async #finish(step: number, outcome: SwitchOutcome): Promise<SwitchResult> {
+    const isReleased = await this.release(step);
+    return { outcome: isReleased ? outcome : SwitchOutcome.Doubtful, stage: 'go' };
+  }
+
+  async #prepareAll(version: number, placement: Placement): Promise<boolean> {
+    const { ranks } = this.#options.survey;
+    const command = { kind: RankOrderKind.Prepare, version, map: placement };
+    const taken = await Promise.all(ranks.map((rank) => this.#insist(rank, command)));
+    return taken.every((isTaken) => isTaken) && !this.#wasPaused;
+  }
+
+  async #waitForCopies(version: number): Promise<boolean> {
+    const endAtMs = performance.now() + COPY_LIMIT_MS;
+    let open = [...this.#options.survey.ranks];
+    while (open.length > 0 && performance.now() < endAtMs) {
+      // eslint-disable-next-line no-await-in-loop -- a rank copies for a while
+      await wait(COPY_LOOK_MS);
+      // eslint-disable-next-line no-await-in-loop -- see above
+      const reports = await Promise.all(open.map((rank) => this.#readReport(rank)));
+      open = open.filter((_, at) => reports[at]?.preparedVersion !== version);
+      this.#noteStep();
+    }
+    return open.length === 0 && !this.#wasPaused;
+  }
+
+  /** @returns the pass that is held now; undefined where that is not certain */
+  async #hold(): Promise<number | undefined> {
+    const [rank] = this.#options.survey.ranks;
+    for (let tries = 0; rank && tries < HOLDS_MAX; tries += 1) {
+      // eslint-disable-next-line no-await-in-loop -- a pass that has begun is followed by another
+      const report = await this.#readReport(rank);
+      if (!report || report.epoch !== this.#options.survey.epoch) return undefined;
+      if (report.heldStep !== undefined) return undefined;
+      const step = this.#chooseStep(report.step);
+      // eslint-disable-next-line no-await-in-loop -- see above
+      const isHeld = await this.#insist(rank, { kind: RankOrderKind.Hold, step });
+      if (this.#wasPaused) return undefined;
+      if (isHeld) return step;
+    }
+    return undefined;
+  }
+
+  #chooseStep(begunStep: number): number {
+    const { passModulus, passRemainder } = this.#options;
+    const earliest = begunStep + LEAD_PASSES;
+    const offset = (passRemainder - (earliest % passModulus) + passModulus) % passModulus;
+    return earliest + offset;
+  }
+
+  /** Gives an order until it is answered; a lost one is given again at once. */
+  async #insist(rank: GroupRank, command: Omit<RankCommand, 'epoch'>): Promise<boolean> {
+    const { caller, survey } = this.#options;
+    const full = { ...command, epoch: survey.epoch };
+    for (let tries = 0; tries < TRIES_MAX; tries += 1) {
+      if (!this.#noteStep()) return false;
+      // eslint-disable-next-line no-await-in-loop -- one try after the other
+      const outcome = await caller.order(rank.upstream.entry, full);
+      if (outcome === OrderOutcome.Done) return true;
+      // An earlier try may have been carried out although its answer was lost.
+
+      if (outcome === OrderOutcome.Refused) return tries > 0 && this.#hasTaken(rank, command);
+    }
+    return false;
+  }
+
+  async #hasTaken(rank: GroupRank, command: Omit<RankCommand, 'epoch'>): Promise<boolean> {
+    const report = await this.#readReport(rank);
+    if (!report || report.epoch !== this.#options.survey.epoch) return false;
+    const { kind, version, step } = command;
+    if (kind === RankOrderKind.Prepare) return true;
+    if (kind === RankOrderKind.Hold) return report.heldStep === step;
+    if (kind === RankOrderKind.Go) return report.heldStep !== step;
+    if (kind === RankOrderKind.Disarm) return report.armed === undefined;
+    return report.armed?.version === version && report.armed?.step === step;
+  }
+
+  async #readReport(rank: GroupRank) {
+    const report = await this.#options.caller.readReport(rank.upstream.entry);
+    return report.ok ? report.val : undefined;
+  }
+
+  /** @returns false once this process has been paused: another one may act by now */
+  #noteStep(): boolean {
+    const nowMs = performance.now();
+    if (nowMs - this.#steppedAtMs > PAUSE_LIMIT_MS) this.#wasPaused = true;
+    this.#steppedAtMs = nowMs;
+    return !this.#wasPaused;
+  }
+}
--- a/packages/core/src/direct/loadExchange.ts
+++ b/packages/core/src/direct/loadExchange.ts
@@ -84,6 +84,12 @@
     this.#dialMissing();
   }
 
+  /** Names of all entries, this one included, in order. */
+  listEntries(): readonly string[] {
+    const names = this.#addresses.map(({ name }) => name);
+    return [...new Set([...names, this.#options.board.name])].sort();
+  }
+
   /** Takes a link that another entry has dialled. */
   attach(link: Link): void {
     this.#follow(link, undefined);
--- a/packages/core/src/direct/poolDesk.ts
+++ b/packages/core/src/direct/poolDesk.ts
@@ -201,7 +201,7 @@
   readonly #pump = (): void => {
     this.#pumpTimer = undefined;
     const nowMs = performance.now();
-    for (let next = this.#waiters[0]; next; next = this.#waiters[0]) {
+    for (let [next] = this.#waiters; next; [next] = this.#waiters) {
       const { upstream } = this.#place(new Set(), nowMs, this.#readLimit(next.ticket));
       if (!upstream) break;
       this.#remove(0);
--- a/packages/core/src/direct/routeTable.ts
+++ b/packages/core/src/direct/routeTable.ts
@@ -43,10 +43,23 @@
   readonly isResumable: boolean;
 }
 
+/** How a group's experts may be placed. */
+export interface GroupProfile {
+  /** Layers, or sets of layers, that are placed apart. */
+  readonly layers: number;
+  readonly experts: number;
+  /** Experts of a layer that a rank holds at most. */
+  readonly slotsPerRank: number;
+  /** Experts of a layer that a rank may copy beside those it holds. */
+  readonly spareExperts: number;
+}
+
 /** What a pool's model engines bear; undefined for plain services. */
 export interface EngineProfile {
   /** Requests that are worked on at the same time. */
   readonly slots: number;
+  /** Set where the pool's engines are ranks of expert-parallel groups. */
+  readonly group: GroupProfile | undefined;
 }
 
 export interface DirectPool {
--- a/packages/daemon/src/direct/directEntryDaemon.ts
+++ b/packages/daemon/src/direct/directEntryDaemon.ts
@@ -160,6 +160,7 @@
     board.isStopping = true;
     this.#callers.beginClose();
     await wait(noticeMs);
+    this.#controller.refuseNew();
     const stopped = this.#callers.stop();
     await this.#waitForRequests(endAtMs);
     this.#controller.breakOff();
