Pass an answer without a length on without one

Ruled out: a reset that Node hides (tried on loopback: the request's error comes first, and the attempt fails). Change: such an answer goes on until the connection's end; what is broken off ends by a reset, as a closed connection would look whole.

--- a/packages/core/src/direct/answerBuilder.ts
+++ b/packages/core/src/direct/answerBuilder.ts
@@ -5,7 +5,7 @@
  * one is passed on from a bound on. Of a stream, whole events are passed on as they come, under the
  * head of the first upstream that gave one.
  */
-import type { Caller } from '../ports/caller.js';
+import { AnswerFraming, type Caller } from '../ports/caller.js';
 import type { AnswerHead } from '../ports/upstreamCaller.js';
 
 import { EventSplitter } from './eventSplitter.js';
@@ -71,7 +71,8 @@
     if (this.#splitter.isMidEvent) return false;
     if (!this.#isCommitted) {
       const body = Buffer.concat(this.#held);
-      this.#commit({ 'content-length': String(body.length) });
+      const isTold = this.#head?.framing === AnswerFraming.Told;
+      this.#commit(isTold ? { 'content-length': String(body.length) } : {});
       if (body.length > 0) this.#caller.writeData(body);
     }
     this.#caller.end();
@@ -104,6 +105,7 @@
   #commit(extra: Readonly<Record<string, string>>): void {
     if (this.#isCommitted || !this.#head) return;
     this.#isCommitted = true;
-    this.#caller.writeHead(this.#head.status, { ...this.#head.headers, ...extra });
+    const { status, headers, framing } = this.#head;
+    this.#caller.writeHead(status, { ...headers, ...extra }, framing);
   }
 }
--- a/packages/core/src/direct/experts/steppedSwitch.ts
+++ b/packages/core/src/direct/experts/steppedSwitch.ts
@@ -7,9 +7,9 @@
  *
  * An order without an answer may be carried out seconds later. Each is therefore one that does no
  * harm then: a late `prepare` has too low a version, a late `arm`, `hold` or `go` is for a pass
- * that has begun. A switch that has been armed anywhere is completed, not undone, as an `arm` that is
- * still under way could follow a `disarm`; it is undone only where a rank can no longer be armed,
- * while the pass is held.
+ * that has begun. A switch that has been armed anywhere is completed, not undone, as an `arm` that
+ * is still under way could follow a `disarm`; it is undone only where a rank can no longer be
+ * armed, while the pass is held.
  */
 import type { GroupRank, GroupSurvey } from './groupSurvey.js';
 import { OrderOutcome, RankOrderKind, type RankCaller, type RankCommand } from './rankCaller.js';
--- a/packages/core/src/ports/caller.ts
+++ b/packages/core/src/ports/caller.ts
@@ -2,10 +2,22 @@
 import type { HeaderMap } from '../model/request.js';
 import type { Refusal } from '../model/reason.js';
 
+/** How the end of an answer's body is told. */
+export enum AnswerFraming {
+  /** By its length, or by a last chunk. */
+  Told = 'told',
+  /** By the end of the connection: whoever passes it on cannot know more than that. */
+  UntilClose = 'until-close',
+}
+
 /** Answers one request; the adapter over HTTP is thin. */
 export abstract class Caller {
-  /** Begins the answer. */
-  abstract writeHead(status: number, headers: HeaderMap): void;
+  /**
+   * Begins the answer.
+   *
+   * @param framing how the caller can tell that the answer is whole
+   */
+  abstract writeHead(status: number, headers: HeaderMap, framing?: AnswerFraming): void;
 
   /**
    * Writes bytes of the answer.
--- a/packages/core/src/ports/upstreamCaller.ts
+++ b/packages/core/src/ports/upstreamCaller.ts
@@ -2,6 +2,8 @@
 import type { HeaderMap } from '../model/request.js';
 import type { UpstreamEntry, UpstreamLoad } from '../direct/directUpstream.js';
 
+import type { AnswerFraming } from './caller.js';
+
 /** A caller's request that is forwarded as it is. */
 export interface ForwardedRequest {
   /** The caller's id of it; the upstream names it in its answer. */
@@ -46,6 +48,7 @@
   readonly isMisdirected: boolean;
   /** Whether it is the upstream's own answer, unaltered on its way. */
   readonly isGenuine: boolean;
+  readonly framing: AnswerFraming;
   readonly load: UpstreamLoad | undefined;
   /** Upstream whose fault a refusal is, where it names one. */
   readonly faultyUpstream: string | undefined;
--- a/packages/daemon/src/callers/httpCaller.ts
+++ b/packages/daemon/src/callers/httpCaller.ts
@@ -1,7 +1,7 @@
 /** The caller's end of one HTTP request. */
 import type http from 'node:http';
 
-import { Caller } from '@radishbay/core/ports/caller.js';
+import { AnswerFraming, Caller } from '@radishbay/core/ports/caller.js';
 import type { Refusal } from '@radishbay/core/model/reason.js';
 import type { HeaderMap } from '@radishbay/core/model/request.js';
 
@@ -19,7 +19,12 @@
     this.#retryAfterFormat = retryAfterFormat;
   }
 
-  override writeHead(status: number, headers: HeaderMap): void {
+  override writeHead(status: number, headers: HeaderMap, framing = AnswerFraming.Told): void {
+    if (framing === AnswerFraming.UntilClose) {
+      // Without both, Node ends the body with the connection.
+      this.#response.useChunkedEncodingByDefault = false;
+      this.#response.shouldKeepAlive = false;
+    }
     this.#response.writeHead(status, headers);
     this.#response.flushHeaders();
   }
@@ -34,6 +39,7 @@
 
   /** The connection is reset, so that no client takes the answer for a whole one. */
   override abort(): void {
+    this.#response.socket?.resetAndDestroy();
     this.#response.destroy();
   }
 
