--- a/packages/core/src/direct/experts/mapGiver.ts
+++ b/packages/core/src/direct/experts/mapGiver.ts
@@ -68,7 +68,6 @@
   survey: GroupSurvey;
   placement: Placement;
   mapVersion: number;
-  readonly samples: DemandSamples;
 }
 
 /** Keeper of the maps of one pool. */
@@ -77,6 +76,9 @@
 
   #group: KnownGroup | undefined;
 
+  /** Kept while a group is surveyed anew: demand does not change with that. */
+  readonly #samples = new DemandSamples();
+
   #timer: NodeJS.Timeout | undefined;
 
   #quietUntilMs = 0;
@@ -164,7 +166,7 @@
     }
     const placement = await this.#readPlacement(survey);
     if (!placement) return;
-    this.#group = { survey, placement, mapVersion, samples: known?.samples ?? new DemandSamples() };
+    this.#group = { survey, placement, mapVersion };
   }
 
   #notePaces({ ranks }: GroupSurvey): void {
@@ -226,14 +228,14 @@
       const rank = chosen[at];
       if (!rank) return;
       if (counts.ok && counts.val.epoch === epoch) {
-        group.samples.add(rank.upstream.id, counts.val, performance.now());
+        this.#samples.add(rank.upstream.id, counts.val, performance.now());
       } else this.#surveyAtMs = 0;
     });
   }
 
   async #plan(group: KnownGroup, nowMs: number): Promise<void> {
     const { profile, random } = this.#options;
-    const samples = group.samples.list(nowMs);
+    const samples = this.#samples.list(nowMs);
     if (samples.length < SAMPLES_MIN) return;
     this.#planAtMs = nowMs + PLAN_MS;
     const found = await searchMap({
@@ -266,8 +268,11 @@
       version,
       tookMs: Math.round(performance.now() - startedAtMs),
     });
-    if (outcome === SwitchOutcome.Done) Object.assign(group, { placement, mapVersion: version });
-    else this.#surveyAtMs = 0;
+    if (outcome === SwitchOutcome.Done) {
+      Object.assign(group, { placement, mapVersion: version });
+      // By then the pass has begun, and reports are as new as that.
+      this.#surveyAtMs = performance.now() + SURVEY_MS;
+    } else this.#surveyAtMs = 0;
   }
 
   #createSwitch(survey: GroupSurvey): SteppedSwitch {
