Let the limit fall by the overshoot, and keep maps close in a slow or new group

Ruled out: a higher limit as the cause of late streams: with all eight places and a fitting map passes take 85 to 115 ms, below the 120 of the target. Change: the limit starts at all places and falls by how far pauses are over their target; a pass is held by time ahead; the search may take a replica away; the last samples serve after a stall; ranks are read faster while samples are few; a silent group, and one that refuses connections, is refused at once; a rank with a pace of 2.5 or more gets no requests.

--- a/packages/core/src/direct/directAttempt.ts
+++ b/packages/core/src/direct/directAttempt.ts
@@ -100,6 +100,7 @@
     this.#options.context.board.addInFlight(this.upstream, 1);
     this.upstream.unanswered += 1;
     this.upstream.starts.note(this.#sentAtMs);
+    this.#options.desk.noteStart(this.#sentAtMs);
     this.#watchSilence(this.#options.silenceLimitMs);
     this.#call = upstreams.call(this.#options.call, {
       onHead: (head) => this.#readHead(head),
@@ -178,6 +179,7 @@
       this.#fail(describeLost(RefusalReason.UpstreamFailed, detail));
       return;
     }
+    this.#options.desk.noteRefusal();
     this.#fail({
       isNotRun: true,
       reason: RefusalReason.NoUpstream,
--- a/packages/core/src/direct/experts/demandSamples.ts
+++ b/packages/core/src/direct/experts/demandSamples.ts
@@ -10,9 +10,12 @@
 /** Samples that are kept; older demand says little after a shift. */
 const SAMPLES_MAX = 36;
 
-/** Age from which a sample is dropped. */
+/** Age from which a sample says little; demand shifts every few seconds at the worst. */
 const SAMPLE_AGE_MS = 3_500;
 
+/** Samples of any age that are better than none, as after a time in which a group was down. */
+const SAMPLES_MIN = 4;
+
 /** Choices below which a sample is only noise: about one prompt's. */
 const CHOICES_MIN = 2_000;
 
@@ -52,16 +55,16 @@
     this.#last.set(rank, { counts, atMs: nowMs });
   }
 
-  /** Recent samples, each by layer and expert. */
-  list(nowMs: number): readonly Float64Array[] {
-    this.#samples = this.#samples
-      .filter(({ atMs }) => nowMs - atMs < SAMPLE_AGE_MS)
-      .slice(-SAMPLES_MAX);
-    return this.#samples.map(({ choices }) => choices);
+  /** Samples that are recent. */
+  countRecent(nowMs: number): number {
+    return this.#samples.filter(({ atMs }) => nowMs - atMs < SAMPLE_AGE_MS).length;
   }
 
-  clear(): void {
-    this.#last.clear();
-    this.#samples = [];
+  /** Recent samples, or the last ones that there were; each by layer and expert. */
+  list(nowMs: number): readonly Float64Array[] {
+    const recent = this.#samples.filter(({ atMs }) => nowMs - atMs < SAMPLE_AGE_MS);
+    this.#samples = (recent.length >= SAMPLES_MIN ? recent : this.#samples).slice(-SAMPLES_MAX);
+    const told = recent.length >= SAMPLES_MIN ? recent : this.#samples.slice(-SAMPLES_MIN);
+    return told.map(({ choices }) => choices);
   }
 }
--- a/packages/core/src/direct/experts/layerSearch.ts
+++ b/packages/core/src/direct/experts/layerSearch.ts
@@ -1,7 +1,7 @@
 /**
  * Searches a placement of one layer's experts that keeps the most loaded rank of each sample low.
  *
- * Local search from the placement in force: an expert's extra replica gives its place to another
+ * Local search from the placement in force: a replica is taken away or gives its place to another
  * expert, or two ranks swap one expert each. A move is kept where the sum over all samples of the
  * most loaded rank's part falls. Ranks copy only so many experts that are new to them.
  */
@@ -24,6 +24,10 @@
 /** Load of the most loaded rank, against the mean, that one copied expert has to save. */
 const COPY_COST = 0.012;
 
+/** Parts of the moves that take a replica away, and that give its place to another expert. */
+const DROP_PART = 0.1;
+const REPLACE_PART = 0.45;
+
 /** Gain below which a move is only rounding. */
 const GAIN_MIN = 1e-6;
 
@@ -96,10 +100,26 @@
 
   /** Tries one move. */
   step(): void {
-    const isBetter = this.#input.random.next() < 0.5 ? this.#tryReplace() : this.#trySwap();
+    const draw = this.#input.random.next();
+    const isBetter = this.#tryMove(draw);
     this.#idleMoves = isBetter ? 0 : this.#idleMoves + 1;
   }
 
+  #tryMove(draw: number): boolean {
+    if (draw < DROP_PART) return this.#tryDrop();
+    return draw < DROP_PART + REPLACE_PART ? this.#tryReplace() : this.#trySwap();
+  }
+
+  /** Takes a replica away: a slow rank is better off with fewer experts. */
+  #tryDrop(): boolean {
+    const { random } = this.#input;
+    const rank = random.nextInt(this.#held.length);
+    const held = this.#held[rank] ?? [];
+    const removed = held[random.nextInt(held.length)];
+    if (removed === undefined || (this.#ranksOf[removed]?.length ?? 0) < 2) return false;
+    return this.#tryChange([{ rank, added: undefined, removed }]);
+  }
+
   /** Gives one place of a rank to another expert, or fills an empty one. */
   #tryReplace(): boolean {
     const { random, experts, slotsPerRank } = this.#input;
--- a/packages/core/src/direct/experts/mapGiver.ts
+++ b/packages/core/src/direct/experts/mapGiver.ts
@@ -25,11 +25,17 @@
 /** Time between two rounds after which this process must have been paused. */
 const PAUSE_LIMIT_MS = 1_200;
 
-/** Time for which a process that was paused or has just started leaves the groups alone. */
+/** Time for which a process that was paused leaves the groups alone: others may act by then. */
 const STAND_BACK_MS = 2_500;
 
+/** The same after the start, in which it hears of the others. */
+const START_MS = 1_000;
+
 /** Interval at which counts are read; each reading is priced and stops the group for a moment. */
-const READ_MS = 800;
+const READ_MS = 900;
+
+/** The same while there are too few samples to plan. */
+const READ_SOON_MS = 400;
 
 /** Part of a group's ranks whose counts are read: their requests are a sample of all. */
 const READ_PART = 1 / 6;
@@ -43,8 +49,11 @@
 /** Shortest time between two plans. */
 const PLAN_MS = 1_200;
 
-/** Part by which a plan has to lower the most loaded rank's part to be worth its copies. */
-const GAIN_MIN = 0.06;
+/**
+ * Part by which a plan has to lower the load of the most loaded rank: it is fitted to a few
+ * samples, and the next ones differ by a tenth.
+ */
+const GAIN_MIN = 0.15;
 
 /** Interval of surveys, by which a rank that turns slow is found; a doubt calls for one at once. */
 const SURVEY_MS = 2_000;
@@ -102,7 +111,7 @@
   start(): void {
     this.#isRunning = true;
     this.#loopedAtMs = performance.now();
-    this.#quietUntilMs = this.#loopedAtMs + STAND_BACK_MS;
+    this.#quietUntilMs = this.#loopedAtMs + START_MS;
     this.#schedule();
   }
 
@@ -216,7 +225,8 @@
   async #readCounts(group: KnownGroup, nowMs: number): Promise<void> {
     const { caller } = this.#options;
     const { ranks, epoch } = group.survey;
-    this.#readAtMs = nowMs + READ_MS;
+    const isShort = this.#samples.countRecent(nowMs) < SAMPLES_MIN;
+    this.#readAtMs = nowMs + (isShort ? READ_SOON_MS : READ_MS);
     // The same ranks as long as they get requests: what lies between two readings is a sample.
     const { board } = this.#options;
     const served = ranks.filter(
--- a/packages/core/src/direct/experts/steppedSwitch.ts
+++ b/packages/core/src/direct/experts/steppedSwitch.ts
@@ -16,10 +16,14 @@
 import type { Placement } from './mapSearch.js';
 
 /**
- * Passes between the last one that a rank told of and the one that is held: reports are some passes
- * old, and all ranks have to be armed before it.
+ * Time between the last pass that a rank told of and the one that is held: reports are a fifth of
+ * a second old, and all ranks have to be armed before it.
  */
-const LEAD_PASSES = 9;
+const LEAD_MS = 550;
+
+/** Bounds of that in passes, whatever their time. */
+const LEAD_PASSES_MIN = 2;
+const LEAD_PASSES_MAX = 10;
 
 /** Times that an order without an answer is given again. */
 const TRIES_MAX = 40;
@@ -71,7 +75,9 @@
 export class SteppedSwitch {
   readonly #options: SteppedSwitchOptions;
 
-  #steppedAtMs = performance.now();
+  readonly #startedAtMs = performance.now();
+
+  #steppedAtMs = this.#startedAtMs;
 
   #wasPaused = false;
 
@@ -159,9 +165,17 @@
     return undefined;
   }
 
+  /** Passes that are made in the lead time, by those made since the survey. */
+  #chooseLead(begunStep: number): number {
+    const surveyedStep = this.#options.survey.ranks[0]?.report.step ?? begunStep;
+    const spanMs = performance.now() - this.#startedAtMs;
+    const passes = Math.ceil(LEAD_MS * ((begunStep - surveyedStep) / Math.max(1, spanMs)));
+    return Math.min(LEAD_PASSES_MAX, Math.max(LEAD_PASSES_MIN, passes));
+  }
+
   #chooseStep(begunStep: number): number {
     const { passModulus, passRemainder } = this.#options;
-    const earliest = begunStep + LEAD_PASSES;
+    const earliest = begunStep + this.#chooseLead(begunStep);
     const offset = (passRemainder - (earliest % passModulus) + passModulus) % passModulus;
     return earliest + offset;
   }
--- a/packages/core/src/direct/latencyLimit.ts
+++ b/packages/core/src/direct/latencyLimit.ts
@@ -1,56 +1,60 @@
 /**
  * How many requests each engine of a pool works on at a time, from the pauses that callers see.
  *
- * Answers the load pattern of more streams than the engines can keep on time: an engine with all
- * places taken makes every stream late, so the limit falls while too many pauses near their target
- * and rises, while it binds, as long as few do.
+ * Answers the load pattern of more streams than the engines can keep on time: with all places taken
+ * a slow group makes every stream late. The limit falls by as much as the longest pauses are over
+ * their target, and rises, while it binds, some time after they are below.
  */
 
 /** Interval between two judgements; some events of every stream fall into it. */
 const JUDGE_MS = 500;
 
-/** Pauses from which a share of them means something. */
+/** Pauses from which their quantile means something. */
 const SAMPLES_MIN = 20;
 
-/** Part of the target from which a pause counts as long. */
-const LONG_PART = 0.85;
+/** Quantile that is judged: a stream of thirty events is late by one long pause. */
+const QUANTILE = 0.97;
 
-/** Share of long pauses above which the limit falls; a stream has about thirty pauses. */
-const LONG_SHARE_MAX = 0.03;
+/** Part of the target that the quantile is brought below. */
+const AIM = 0.94;
 
-/** Share of long pauses below which the limit may rise. */
-const LONG_SHARE_CALM = 0.01;
+/** Part of the target below which the limit may rise. */
+const CALM = 0.88;
 
-/** Factor by which the limit falls, as in AIMD. */
-const FALL = 0.93;
+/** Part that the limit falls for each part that pauses are too long: two fifths hang on it. */
+const SENSITIVITY = 2.5;
+
+/** Smallest factor of one fall. */
+const FALL_MIN = 0.7;
 
 /** Step by which it rises. */
-const RISE = 0.25;
+const RISE = 0.5;
+
+/** Time after a fall in which it does not rise: about one stream. */
+const REST_MS = 1_500;
 
 /** Part of the places that is used whatever the pauses are. */
 const FLOOR_PART = 0.5;
 
-/** Part of the places that is used at first. */
-const START_PART = 0.75;
-
 /** Limit of one pool, for each of its engines. */
 export class LatencyLimit {
   readonly #slots: number;
 
   #value: number;
 
-  #pauses = 0;
-
-  #longPauses = 0;
+  /** Pauses since the last judgement, against their targets. */
+  #ratios: number[] = [];
 
   #isBinding = false;
 
   #judgedAtMs = 0;
 
-  /** @param slots requests that one engine works on at the same time */
+  #fellAtMs = Number.NEGATIVE_INFINITY;
+
+  /** @param slots requests that one engine works on at the same time, and the limit at first */
   constructor(slots: number) {
     this.#slots = slots;
-    this.#value = slots * START_PART;
+    this.#value = slots;
   }
 
   /** Requests in flight at one engine, from all entries. */
@@ -63,22 +67,29 @@
     this.#isBinding = true;
   }
 
-  /** Takes in a pause between two events of a stream, or before the first one. */
+  /** Takes in a pause between two events of a stream. */
   notePause(pauseMs: number, targetMs: number, nowMs: number): void {
-    this.#pauses += 1;
-    if (pauseMs > targetMs * LONG_PART) this.#longPauses += 1;
+    this.#ratios.push(pauseMs / targetMs);
     if (nowMs - this.#judgedAtMs >= JUDGE_MS) this.#judge(nowMs);
   }
 
   #judge(nowMs: number): void {
-    if (this.#pauses < SAMPLES_MIN) return;
-    const share = this.#longPauses / this.#pauses;
-    if (share > LONG_SHARE_MAX) this.#value *= FALL;
-    else if (share < LONG_SHARE_CALM && this.#isBinding) this.#value += RISE;
-    this.#value = Math.min(this.#slots, Math.max(this.#slots * FLOOR_PART, this.#value));
-    this.#pauses = 0;
-    this.#longPauses = 0;
+    if (this.#ratios.length < SAMPLES_MIN) return;
+    const sorted = this.#ratios.sort((a, b) => a - b);
+    const ratio = sorted[Math.floor(sorted.length * QUANTILE)] ?? 0;
+    if (ratio > AIM) this.#fall(ratio, nowMs);
+    else if (ratio < CALM && this.#isBinding && nowMs - this.#fellAtMs > REST_MS) {
+      this.#value = Math.min(this.#slots, this.#value + RISE);
+    }
+    this.#ratios = [];
     this.#isBinding = false;
     this.#judgedAtMs = nowMs;
   }
+
+  #fall(ratio: number, nowMs: number): void {
+    const factor = 1 - SENSITIVITY * (1 - AIM / ratio);
+    const value = this.#value * Math.max(FALL_MIN, factor);
+    this.#value = Math.max(this.#slots * FLOOR_PART, value);
+    this.#fellAtMs = nowMs;
+  }
 }
--- a/packages/core/src/direct/placement.ts
+++ b/packages/core/src/direct/placement.ts
@@ -17,6 +17,9 @@
 /** Range of the random part: it spreads the entries' choices among equals. */
 const JITTER = 0.3;
 
+/** Pace from which an upstream gets no requests while there are others. */
+const SLOW_PACE = 2.5;
+
 /** Part of a pool that has to be trusted; with fewer, distrusted upstreams are used as well. */
 const TRUSTED_PART_MIN = 0.5;
 
@@ -51,8 +54,11 @@
   return load - bonus + query.draw() * JITTER;
 }
 
+/** Upstreams that neither fail nor are so slow that they would hold their group up. */
 function pickTrusted(open: readonly DirectUpstream[], nowMs: number): readonly DirectUpstream[] {
-  const trusted = open.filter(({ trust }) => !trust.isBlocked(nowMs));
+  const trusted = open.filter(
+    (upstream) => !upstream.trust.isBlocked(nowMs) && upstream.readPace(nowMs) < SLOW_PACE,
+  );
   return trusted.length >= open.length * TRUSTED_PART_MIN ? trusted : open;
 }
 
--- a/packages/core/src/direct/poolDesk.ts
+++ b/packages/core/src/direct/poolDesk.ts
@@ -44,6 +44,12 @@
 /** Places of each engine that are kept for requests that can still be on time. */
 const LATE_RESERVE = 1;
 
+/** Silence of a whole group that is more than a few slow passes. */
+const SILENT_MS = 450;
+
+/** Requests in flight without any event from which silence is the group's. */
+const SILENT_REQUESTS = 4;
+
 /** Time between two looks at requests that wait for a second's starts to pass. */
 const PUMP_MS = 20;
 
@@ -105,6 +111,12 @@
   /** When an upstream of the pool last gave something of an answer. */
   #servedAtMs = Number.NEGATIVE_INFINITY;
 
+  /** Requests of this entry at upstreams of the pool. */
+  #inFlight = 0;
+
+  /** When they became as many as it takes to judge silence. */
+  #busyAtMs = Number.NEGATIVE_INFINITY;
+
   #pumpTimer: NodeJS.Timeout | undefined;
 
   constructor(options: PoolDeskOptions, pool: DirectPool) {
@@ -142,8 +154,8 @@
 
   /** Takes a request; it hears of its turn or its refusal, possibly at once. */
   enter(ticket: Ticket, nowMs: number): void {
-    if (!this.breaker.mayPass(nowMs)) {
-      ticket.onRefused(this.#refuseStalled(ticket));
+    if (this.#isSilent(nowMs) || !this.breaker.mayPass(nowMs)) {
+      ticket.onRefused(this.#refuseStalled(ticket.returnLimitMs));
       return;
     }
     const isFirst = this.#waiters.every((waiter) => isBefore(ticket, waiter.ticket));
@@ -167,12 +179,19 @@
 
   /** A refusal that tells when there will be room. */
   refuseFull(returnLimitMs: number, nowMs: number): Refusal {
+    if (this.breaker.isOpen) return this.#refuseStalled(returnLimitMs);
     const wantedMs = this.#returns.choose(RETURN_MIN_MS, this.#turnMs, nowMs);
     const detail = `pool ${this.#pool.name} has no room in time`;
     const retryAfterMs = Math.max(1, Math.min(wantedMs, returnLimitMs));
     return refuseNotRun(RefusalReason.QueueFull, retryAfterMs, detail);
   }
 
+  /** Notes that a request was sent to an upstream. */
+  noteStart(nowMs: number): void {
+    this.#inFlight += 1;
+    if (this.#inFlight === SILENT_REQUESTS) this.#busyAtMs = nowMs;
+  }
+
   /** Notes the first of an answer, after a time since the request was sent. */
   noteFirst(tookMs: number, nowMs: number): void {
     this.#firstMs += SMOOTHING * (tookMs - this.#firstMs);
@@ -187,6 +206,7 @@
 
   /** Notes that a request has ended and its place is free. */
   noteEnd(nowMs: number): void {
+    this.#inFlight -= 1;
     if (this.#endedAtMs !== undefined) {
       this.#turnMs += SMOOTHING * (nowMs - this.#endedAtMs - this.#turnMs);
     }
@@ -267,8 +287,14 @@
     return waiter;
   }
 
-  #refuseStalled(ticket: Ticket): Refusal {
-    const latestMs = Math.min(STALLED_RETRY_MS, ticket.returnLimitMs);
+  /** Whether a group whose events come at every pass has given none for some passes. */
+  #isSilent(nowMs: number): boolean {
+    if (!this.#pool.engine || this.#inFlight < SILENT_REQUESTS) return false;
+    return nowMs - Math.max(this.#servedAtMs, this.#busyAtMs) > SILENT_MS;
+  }
+
+  #refuseStalled(returnLimitMs: number): Refusal {
+    const latestMs = Math.min(STALLED_RETRY_MS, returnLimitMs);
     const spread = 1 - STALLED_SPREAD * this.#options.random.next();
     const retryAfterMs = Math.max(1, latestMs * spread);
     const detail = `pool ${this.#pool.name} has stalled`;
