Give late requests no reserve to respect, only their turn after others

Cause: the reserve of one place an engine dates from a limit of six; with all eight places in use it only leaves engines idle.

--- a/packages/core/src/direct/poolDesk.ts
+++ b/packages/core/src/direct/poolDesk.ts
@@ -3,7 +3,7 @@
  *
  * Answers the load pattern of more requests than can be served on time. A request waits only while
  * its answer can still be on time; otherwise it is refused at once, with a time at which there will
- * be room. A request that came back after a refusal goes before new ones.
+ * be room. A request that is late already goes after those that can still be on time.
  */
 import { refuseNotRun } from '../entry/refusal.js';
 import { ReturnTimes } from '../limits/returnTimes.js';
@@ -41,9 +41,6 @@
 /** Assumed time between two ends of requests before two were seen. */
 const TURN_MS = 100;
 
-/** Places of each engine that are kept for requests that can still be on time. */
-const LATE_RESERVE = 1;
-
 /** Silence of a whole group that is more than a few slow passes. */
 const SILENT_MS = 450;
 
@@ -159,7 +156,7 @@
       return;
     }
     const isFirst = this.#waiters.every((waiter) => isBefore(ticket, waiter.ticket));
-    const { upstream, openCount } = this.#place(new Set(), nowMs, this.#readLimit(ticket));
+    const { upstream, openCount } = this.#place(new Set(), nowMs);
     if (isFirst && upstream) ticket.onTurn(upstream);
     else if (openCount === 0) ticket.onRefused(this.#refuseEmpty());
     else this.#wait(ticket, nowMs);
@@ -174,7 +171,7 @@
   /** An upstream for one more attempt at a request, which does not wait. */
   choose(excluded: ReadonlySet<string>, nowMs: number): DirectUpstream | undefined {
     if (!this.breaker.mayPass(nowMs)) return undefined;
-    return this.#place(excluded, nowMs, this.limitPerUpstream).upstream;
+    return this.#place(excluded, nowMs).upstream;
   }
 
   /** A refusal that tells when there will be room. */
@@ -225,7 +222,7 @@
     this.#pumpTimer = undefined;
     const nowMs = performance.now();
     for (let [next] = this.#waiters; next; [next] = this.#waiters) {
-      const { upstream } = this.#place(new Set(), nowMs, this.#readLimit(next.ticket));
+      const { upstream } = this.#place(new Set(), nowMs);
       if (!upstream) break;
       this.#remove(0);
       next.ticket.onTurn(upstream);
@@ -238,12 +235,12 @@
     return Math.max(1, ...slots);
   }
 
-  #place(excluded: ReadonlySet<string>, nowMs: number, limit: number): PlacementResult {
+  #place(excluded: ReadonlySet<string>, nowMs: number): PlacementResult {
     const { board, random } = this.#options;
     const result = choosePlacement(board, {
       pool: this.#pool.name,
       excluded,
-      limit,
+      limit: this.limitPerUpstream,
       startsPerS: this.#startsPerS,
       nowMs,
       draw: () => random.next(),
@@ -252,12 +249,6 @@
     return result;
   }
 
-  /** Requests that are late already leave room for those that can be on time. */
-  #readLimit({ isReturned }: Ticket): number {
-    const limit = this.limitPerUpstream;
-    return isReturned && this.#limit ? limit - LATE_RESERVE : limit;
-  }
-
   /** This entry's part of the starts that an upstream bears should it be cold. */
   get #startsPerS(): number {
     const bound = this.#options.readStartBound(this.#pool);
