--- a/packages/core/src/direct/experts/layerSearch.ts
+++ b/packages/core/src/direct/experts/layerSearch.ts
@@ -22,7 +22,7 @@
 }
 
 /** Load of the most loaded rank, against the mean, that one copied expert has to save. */
-const COPY_COST = 0.022;
+const COPY_COST = 0.035;
 
 /** Parts of the moves that take a replica away, and that give its place to another expert. */
 const DROP_PART = 0.1;
