Let an entry that has just started count on the others, and one that stops leave the maps

Change: in its first 3 s an entry takes peers that it does not hear to be like itself; a planned stop is told to peers.

--- a/packages/core/src/direct/directUpstream.ts
+++ b/packages/core/src/direct/directUpstream.ts
@@ -91,13 +91,15 @@
   /**
    * Requests in flight from all entries, as far as this one knows.
    *
-   * @param areAllPeersHeard whether all other entries tell their counts
+   * @param unheardPeers entries that do not tell their counts; those of entries that this one has
+   *   had no time to hear are taken to be like its own
    */
-  countLoad(nowMs: number, areAllPeersHeard: boolean): number {
+  countLoad(nowMs: number, unheardPeers: number, isNew: boolean): number {
     const byPeers = [...this.#peerInFlight.values()].reduce((sum, count) => sum + count, 0);
-    if (areAllPeersHeard) return this.inFlight + byPeers;
-    const isKnown = nowMs - this.#loadAtMs < LOAD_VALID_MS;
-    return this.inFlight + Math.max(byPeers, isKnown ? this.#othersInFlight : 0);
+    if (unheardPeers <= 0) return this.inFlight + byPeers;
+    const isTold = nowMs - this.#loadAtMs < LOAD_VALID_MS;
+    const assumed = isNew ? this.inFlight * unheardPeers : 0;
+    return this.inFlight + Math.max(byPeers, isTold ? this.#othersInFlight : assumed);
   }
 
   /** Takes in how long the upstream takes for its work against a sound one. */
--- a/packages/core/src/direct/experts/mapGiver.ts
+++ b/packages/core/src/direct/experts/mapGiver.ts
@@ -1,9 +1,10 @@
 /**
  * Keeps the expert maps of one pool's groups close to what is in demand.
  *
- * One entry does so at a time: the one with the lowest name among those that hear each other. That
- * is no lock; what keeps two of them from harm is the switch itself. Its versions and passes are of
- * residues that belong to one entry alone, and a rank holds one pass at a time.
+ * One entry does so at a time: the one with the lowest name among those that hear each other and
+ * are not in a planned stop. That is no lock; what keeps two of them from harm is the switch
+ * itself. Its versions and passes are of residues that belong to one entry alone, and a rank holds
+ * one pass at a time.
  */
 import { LogLevel, type Log } from '../../ports/log.js';
 import type { Metrics } from '../../ports/metrics.js';
@@ -144,7 +145,8 @@
   /** Whether this entry is the one that gives orders now. */
   #isGiver(): boolean {
     const { board } = this.#options;
-    return !board.isStopping && [...board.heardPeers].every((peer) => board.name < peer);
+    const others = [...board.heardPeers].filter((peer) => !board.stoppingPeers.has(peer));
+    return !board.isStopping && others.every((peer) => board.name < peer);
   }
 
   async #work(nowMs: number): Promise<void> {
--- a/packages/core/src/direct/fleetBoard.ts
+++ b/packages/core/src/direct/fleetBoard.ts
@@ -5,12 +5,17 @@
 /** Entries that are assumed before the registry has told how many there are. */
 const ENTRIES_ASSUMED = 4;
 
+/** Time after the start in which other entries are only about to be heard. */
+const NEW_MS = 3_000;
+
 /** Facts shared by the controllers of one entry. */
 export class FleetBoard {
   readonly name: string;
 
   readonly domain: string;
 
+  readonly #startedAtMs = performance.now();
+
   #table: RouteTable | undefined;
 
   readonly #upstreams = new Map<string, DirectUpstream>();
@@ -30,6 +35,9 @@
   /** Other entries whose counts are fresh. */
   heardPeers: ReadonlySet<string> = new Set();
 
+  /** Those of them that are in a planned stop. */
+  stoppingPeers: ReadonlySet<string> = new Set();
+
   /** Paces of upstreams that this entry has read itself, by id; others are told of them. */
   knownPaces: ReadonlyMap<string, number> = new Map();
 
@@ -85,14 +93,10 @@
     this.#closedDomains = domains;
   }
 
-  /** Whether the counts of all other entries are known. */
-  get areAllPeersHeard(): boolean {
-    return this.heardPeers.size >= this.entryCount - 1;
-  }
-
   /** Requests in flight at an upstream, from all entries. */
   countLoad(upstream: DirectUpstream, nowMs: number): number {
-    return upstream.countLoad(nowMs, this.areAllPeersHeard);
+    const unheardPeers = this.entryCount - 1 - this.heardPeers.size;
+    return upstream.countLoad(nowMs, unheardPeers, nowMs - this.#startedAtMs < NEW_MS);
   }
 
   /** Names the listener for changes of this entry's own counts. */
--- a/packages/core/src/direct/loadExchange.ts
+++ b/packages/core/src/direct/loadExchange.ts
@@ -135,6 +135,7 @@
       board.heardPeers = new Set([...board.heardPeers, entry]);
       log.write(LogLevel.Info, LOG_PART, 'Hears another entry.', { entry });
     }
+    this.#noteStopping(entry, message.isStopping ?? false);
     if (isFull) board.upstreams.forEach((upstream) => upstream.notePeer(entry, 0));
     Object.entries(counts).forEach(([id, count]) => board.findUpstream(id)?.notePeer(entry, count));
     const nowMs = performance.now();
@@ -143,6 +144,13 @@
     });
   }
 
+  #noteStopping(entry: string, isStopping: boolean): void {
+    const { board } = this.#options;
+    if (board.stoppingPeers.has(entry) === isStopping) return;
+    const others = [...board.stoppingPeers].filter((each) => each !== entry);
+    board.stoppingPeers = new Set(isStopping ? [...others, entry] : others);
+  }
+
   #drop(peer: Peer, detail: string): void {
     if (!this.#peers.delete(peer)) return;
     peer.link.close(detail);
@@ -168,8 +176,8 @@
   }
 
   #send(link: Link, counts: Record<string, number>, isFull: boolean): void {
-    const { name: entry, knownPaces: paces } = this.#options.board;
-    const told = isFull && paces.size > 0 ? { paces: Object.fromEntries(paces) } : {};
-    link.send({ type: MessageType.UpstreamCounts, entry, isFull, counts, ...told });
+    const { name: entry, isStopping, knownPaces } = this.#options.board;
+    const paces = isFull && knownPaces.size > 0 ? { paces: Object.fromEntries(knownPaces) } : {};
+    link.send({ type: MessageType.UpstreamCounts, entry, isFull, counts, isStopping, ...paces });
   }
 }
--- a/packages/core/src/messages/message.ts
+++ b/packages/core/src/messages/message.ts
@@ -289,6 +289,8 @@
   isFull: z.boolean(),
   /** By the upstream's id. */
   counts: z.record(z.string(), COUNT),
+  /** Whether the entry is in a planned stop, and leaves shared duties to others. */
+  isStopping: z.boolean().optional(),
   /** Time that slow upstreams take for their work against a sound one, where the entry knows. */
   paces: z.record(z.string(), z.number().positive()).optional(),
 });
--- /dev/null
+++ b/packages/core/test/direct/loadExchange.test.ts
@@ -0,0 +1,158 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { LoadExchange } from '../../src/direct/loadExchange.js';
+import { FleetBoard } from '../../src/direct/fleetBoard.js';
+import { UpstreamRegistry } from '../../src/direct/upstreamRegistry.js';
+import type { Message } from '../../src/messages/message.js';
+import { Link, type LinkHandlers } from '../../src/ports/link.js';
+import { LinkDialer } from '../../src/ports/linkDialer.js';
+import { SilentLog } from '../../src/ports/silentLog.js';
+
+import { withClock } from './directFixture.js';
+
+/** One end of a link whose messages arrive with the next turn. */
+class PairedLink extends Link {
+  other: PairedLink | undefined;
+
+  isSilent = false;
+
+  #handlers: LinkHandlers | undefined;
+
+  #isClosed = false;
+
+  override get isOpen(): boolean {
+    return !this.#isClosed;
+  }
+
+  override get bufferedBytes(): number {
+    return 0;
+  }
+
+  override send(message: Message): void {
+    if (this.#isClosed || this.isSilent) return;
+    setTimeout(() => this.other?.deliver(message), 1);
+  }
+
+  override close(detail: string): void {
+    if (this.#isClosed) return;
+    this.#isClosed = true;
+    this.#handlers?.onClose(detail);
+    this.other?.close(detail);
+  }
+
+  override listen(handlers: LinkHandlers): void {
+    this.#handlers = handlers;
+  }
+
+  deliver(message: Message): void {
+    if (!this.#isClosed) this.#handlers?.onMessage(message);
+  }
+}
+
+interface Entry {
+  readonly board: FleetBoard;
+  readonly exchange: LoadExchange;
+}
+
+function createEntries(names: readonly string[], links: PairedLink[]): readonly Entry[] {
+  const entries = new Map<string, Entry>();
+  const dialer = Object.assign(Object.create(LinkDialer.prototype) as LinkDialer, {
+    dial: (address: string): Link => {
+      const [one, other] = [new PairedLink(), new PairedLink()];
+      one.other = other;
+      other.other = one;
+      links.push(one, other);
+      setTimeout(() => entries.get(address)?.exchange.attach(other), 0);
+      return one;
+    },
+  });
+  names.forEach((name) => {
+    const board = new FleetBoard(name, 'zone-a');
+    board.entryCount = names.length;
+    new UpstreamRegistry(board, new SilentLog()).put({
+      id: 'm-1',
+      address: '10.0.0.1:80',
+      domain: 'zone-a',
+      pool: 'models',
+      slots: 8,
+      isLeaving: false,
+      coldLeftMs: 0,
+      startedAtUnixMs: 1,
+    });
+    entries.set(name, {
+      board,
+      exchange: new LoadExchange({ board, dialer, log: new SilentLog() }),
+    });
+  });
+  const list = [...entries.values()];
+  const addresses = names.map((name) => ({ name, address: name }));
+  list.forEach(({ exchange }) => {
+    exchange.start();
+    exchange.setAddresses(addresses);
+  });
+  return list;
+}
+
+function countLoad({ board }: Entry): number {
+  const upstream = board.findUpstream('m-1');
+  return upstream ? board.countLoad(upstream, performance.now()) : Number.NaN;
+}
+
+function addRequest({ board }: Entry): void {
+  const upstream = board.findUpstream('m-1');
+  if (upstream) board.addInFlight(upstream, 1);
+}
+
+test('each entry soon knows what all of them have in flight', () =>
+  withClock(async (clock) => {
+    const entries = createEntries(['a', 'b', 'c'], []);
+    await clock.tickAsync(100);
+    entries.forEach(addRequest);
+    await clock.tickAsync(50);
+    assert.equal(entries.map(countLoad), [3, 3, 3]);
+    entries.forEach(({ exchange }) => exchange.stop());
+  }));
+
+test('what a silent entry had in flight is forgotten, and it is dialled again', () =>
+  withClock(async (clock) => {
+    const links: PairedLink[] = [];
+    const entries = createEntries(['a', 'b'], links);
+    await clock.tickAsync(100);
+    entries.forEach(addRequest);
+    await clock.tickAsync(4_000);
+    links.forEach((link) => Object.assign(link, { isSilent: true }));
+    const seen: (number | undefined)[] = [];
+    for (let step = 0; step < 3_000; step += 1) {
+      // eslint-disable-next-line no-await-in-loop -- looks at every millisecond
+      await clock.tickAsync(1);
+      seen.push(entries[0] && countLoad(entries[0]));
+    }
+    assert.ok(seen.includes(1), 'forgotten for a moment');
+    assert.equal(entries.map(countLoad), [2, 2]);
+    entries.forEach(({ exchange }) => exchange.stop());
+  }));
+
+test('an entry that has just started takes others that it does not hear yet to be like itself', () =>
+  withClock(async (clock) => {
+    const [entry] = createEntries(['a'], []);
+    if (!entry) throw new Error('no entry');
+    entry.board.entryCount = 3;
+    addRequest(entry);
+    assert.is(countLoad(entry), 3);
+    await clock.tickAsync(4_000);
+    assert.is(countLoad(entry), 1);
+    entry.exchange.stop();
+  }));
+
+test('an entry in a planned stop is known as such', () =>
+  withClock(async (clock) => {
+    const entries = createEntries(['a', 'b'], []);
+    await clock.tickAsync(100);
+    if (entries[0]) entries[0].board.isStopping = true;
+    await clock.tickAsync(600);
+    assert.equal([...(entries[1]?.board.stoppingPeers ?? [])], ['a']);
+    entries.forEach(({ exchange }) => exchange.stop());
+  }));
+
+test.run();
