Print one request's history from the logs, and log what each choice was made by

Cause: an engineer had to search the lines of several processes by hand, and a send was not logged with the load and limit that decided it. Change: radishbay explain ID [FILES]; lines at each wait and send with their inputs.

--- a/packages/client/src/commandLine.ts
+++ b/packages/client/src/commandLine.ts
@@ -3,6 +3,7 @@
 
 import { declareAsk } from './askCommand.js';
 import { ExitCode } from './exitCode.js';
+import { declareExplain } from './explainCommand.js';
 import { declareGlobalOptions, type Environment } from './globalOptions.js';
 import { declareOrder } from './orderCommand.js';
 import type { Output } from './output.js';
@@ -28,6 +29,7 @@
   const parser = declareGlobalOptions(yargs([]), environment);
   declareAsk(parser, output, finish);
   declareOrder(parser, output, finish);
+  declareExplain(parser, output, finish);
   parser
     .scriptName('radishbay')
     .strict()
--- a/packages/client/src/globalOptions.ts
+++ b/packages/client/src/globalOptions.ts
@@ -26,6 +26,9 @@
   readonly pollMs: number;
 }
 
+/** Commands that call no entry. */
+const LOCAL_COMMANDS: ReadonlySet<string> = new Set(['explain']);
+
 function splitList(text: string | undefined): string[] {
   return (text ?? '').split(',').filter((part) => part !== '');
 }
@@ -55,7 +58,7 @@
       default: DEFAULT_TIMEOUT_MS,
     })
     .check((options) => {
-      if (options.help) return true;
+      if (options.help || LOCAL_COMMANDS.has(String(options._[0]))) return true;
       if (options.entry.length === 0) throw new Error(NO_ENTRY);
       const malformed = options.entry.find((entry) => !URL.canParse(entry));
       if (malformed !== undefined) throw new Error(`--entry is not a URL: ${malformed}`);
--- a/packages/core/src/direct/directRun.ts
+++ b/packages/core/src/direct/directRun.ts
@@ -133,6 +133,7 @@
     const leftMs = this.#endAtMs - nowMs;
     this.#sends += 1;
     this.#runs += 1;
+    this.#writeSent(upstream, isResumed);
     this.#attempt = new DirectAttempt({
       context,
       desk,
@@ -156,6 +157,20 @@
     this.#attempt.start();
   }
 
+  /** The choice, with what it was made by. */
+  #writeSent(upstream: DirectUpstream, isResumed: boolean): void {
+    const { board } = this.#options.context;
+    const nowMs = performance.now();
+    this.#write(LogLevel.Info, 'Sent.', {
+      upstream: upstream.id,
+      load: board.countLoad(upstream, nowMs),
+      pace: upstream.readPace(nowMs),
+      peersHeard: board.heardPeers.size,
+      configVersion: board.table?.version,
+      isResumed,
+    });
+  }
+
   /** What may run only once is waited for to the end. */
   #chooseSilenceMs(leftMs: number): number {
     const { route } = this.#options;
--- a/packages/core/src/direct/poolDesk.ts
+++ b/packages/core/src/direct/poolDesk.ts
@@ -8,7 +8,7 @@
 import { refuseNotRun } from '../entry/refusal.js';
 import { ReturnTimes } from '../limits/returnTimes.js';
 import { RefusalReason, type Refusal } from '../model/reason.js';
-import { LogLevel, type Log } from '../ports/log.js';
+import { LogLevel, type Log, type LogFields } from '../ports/log.js';
 import type { Random } from '../ports/random.js';
 
 import type { DirectUpstream } from './directUpstream.js';
@@ -264,6 +264,14 @@
     }
     const timer = setTimeout(() => this.#expire(ticket), ticket.waitBudgetMs);
     this.#waiters.splice(ahead, 0, { ticket, timer });
+    this.#write(LogLevel.Info, 'Waits.', {
+      id: ticket.id,
+      ahead,
+      turnMs: Math.round(this.#turnMs),
+      budgetMs: Math.round(ticket.waitBudgetMs),
+      limit: this.limitPerUpstream,
+      isReturned: ticket.isReturned,
+    });
     this.#pumpTimer ??= setTimeout(this.#pump, PUMP_MS);
   }
 
@@ -302,7 +310,8 @@
     if (this.breaker.noteService()) this.#write(LogLevel.Info, 'A pool takes work again.');
   }
 
-  #write(level: LogLevel, sentence: string): void {
-    this.#options.log.write(level, LOG_PART, sentence, { pool: this.#pool.name });
+  #write(level: LogLevel, sentence: string, fields: LogFields = {}): void {
+    const { log } = this.#options;
+    log.write(level, LOG_PART, sentence, { pool: this.#pool.name, ...fields });
   }
 }
