--- a/packages/core/src/direct/poolDesk.ts
+++ b/packages/core/src/direct/poolDesk.ts
@@ -41,6 +41,12 @@
 /** Assumed time between two ends of requests before two were seen. */
 const TURN_MS = 100;
 
+/** Prompts that one engine reads at a time, from all entries. */
+const READING_PER_ENGINE = 3;
+
+/** Prompts of one entry that are read at a time at least. */
+const READING_MIN = 2;
+
 /** Silence of a whole group that is more than a few slow passes. */
 const SILENT_MS = 450;
 
@@ -193,6 +199,7 @@
   noteFirst(tookMs: number, nowMs: number): void {
     this.#firstMs += SMOOTHING * (tookMs - this.#firstMs);
     this.#noteService(nowMs);
+    this.#pump();
   }
 
   /** Notes a pause between two events of a stream. */
@@ -237,6 +244,7 @@
 
   #place(excluded: ReadonlySet<string>, nowMs: number): PlacementResult {
     const { board, random } = this.#options;
+    if (this.#isReadingFull) return { upstream: undefined, openCount: 1 };
     const result = choosePlacement(board, {
       pool: this.#pool.name,
       excluded,
@@ -249,6 +257,19 @@
     return result;
   }
 
+  /**
+   * Whether as many prompts are read as the engines read between the events of other streams. After
+   * a restart all callers come at once: with every prompt read together, a pass takes twice as long.
+   */
+  get #isReadingFull(): boolean {
+    if (!this.#pool.engine) return false;
+    const { board } = this.#options;
+    const upstreams = board.listPool(this.#pool.name);
+    const unanswered = upstreams.reduce((sum, upstream) => sum + upstream.unanswered, 0);
+    const share = (upstreams.length * READING_PER_ENGINE) / board.entryCount;
+    return unanswered >= Math.max(READING_MIN, Math.ceil(share));
+  }
+
   /** This entry's part of the starts that an upstream bears should it be cold. */
   get #startsPerS(): number {
     const bound = this.#options.readStartBound(this.#pool);
