--- a/packages/core/src/direct/poolDesk.ts
+++ b/packages/core/src/direct/poolDesk.ts
@@ -258,8 +258,9 @@
   }
 
   /**
-   * Whether as many prompts are read as the engines read between the events of other streams. After
-   * a restart all callers come at once: with every prompt read together, a pass takes twice as long.
+   * Whether as many prompts are read as the engines read between the events of other streams.
+   * After a restart all callers come at once: with every prompt read together, a pass takes twice
+   * as long.
    */
   get #isReadingFull(): boolean {
     if (!this.#pool.engine) return false;
