Let any entry free a group whose giver is lost, and hold passes further ahead after losses

The lead was reckoned from the switch's start with passes since an older survey. Ruled out: harm by two that complete one switch (tests with two givers, and a giver paused at every order). The test of the look fails without it.

--- a/packages/core/src/direct/experts/groupSurvey.ts
+++ b/packages/core/src/direct/experts/groupSurvey.ts
@@ -13,6 +13,8 @@
 export interface GroupSurvey {
   readonly group: string;
   readonly epoch: number;
+  /** When the ranks were read. */
+  readonly takenAtMs: number;
   /** In the order of their ranks. */
   readonly ranks: readonly GroupRank[];
 }
@@ -39,7 +41,8 @@
   const isOpen = ordered.every(({ report }) => report.isOpen);
   const isOneEpoch = areSame(ordered.map(({ report }) => report.epoch));
   if (!isComplete || !isOpen || !isOneEpoch) return undefined;
-  return { group: first.group, epoch: first.epoch, ranks: ordered };
+  const { group, epoch } = first;
+  return { group, epoch, takenAtMs: performance.now(), ranks: ordered };
 }
 
 /**
--- a/packages/core/src/direct/experts/mapGiver.ts
+++ b/packages/core/src/direct/experts/mapGiver.ts
@@ -32,6 +32,9 @@
 /** The same after the start, in which it hears of the others. */
 const START_MS = 1_000;
 
+/** Silence of a group after which any entry looks whether it is held. */
+const STUCK_MS = 700;
+
 /** Interval at which counts are read; each reading is priced and stops the group for a moment. */
 const READ_MS = 900;
 
@@ -132,11 +135,31 @@
     const nowMs = performance.now();
     const wasPaused = nowMs - this.#loopedAtMs > PAUSE_LIMIT_MS;
     if (wasPaused) this.#quietUntilMs = nowMs + STAND_BACK_MS;
-    if (nowMs >= this.#quietUntilMs && this.#isGiver()) await this.#work(nowMs);
-    else this.#standBack();
+    const isQuiet = nowMs < this.#quietUntilMs;
+    if (!isQuiet && this.#isGiver()) await this.#work(nowMs);
+    else {
+      this.#standBack();
+      if (!isQuiet && this.#isStuck(nowMs)) await this.#rescue();
+    }
     this.#loopedAtMs = performance.now();
   }
 
+  /** Whether the pool's group has given nothing for longer than any switch takes. */
+  #isStuck(nowMs: number): boolean {
+    const { board, pool } = this.#options;
+    return !board.isStopping && board.readActivity(pool).isSilent(nowMs, STUCK_MS);
+  }
+
+  /**
+   * Lets a group go on whose giver is lost, before its loss is certain. That does no harm to a
+   * giver that is still at work: what is completed is its own switch, by the same orders.
+   */
+  async #rescue(): Promise<void> {
+    const { board, pool, caller } = this.#options;
+    const [survey] = await surveyGroups(caller, board.listPool(pool));
+    if (survey) await this.#settle(survey);
+  }
+
   #standBack(): void {
     this.#group = undefined;
     this.#options.board.knownPaces = new Map();
@@ -150,7 +173,8 @@
   }
 
   async #work(nowMs: number): Promise<void> {
-    if (!this.#group || nowMs >= this.#surveyAtMs) await this.#survey(nowMs);
+    const isDue = !this.#group || nowMs >= this.#surveyAtMs || this.#isStuck(nowMs);
+    if (isDue) await this.#survey(nowMs);
     const group = this.#group;
     if (!group) return;
     if (nowMs >= this.#readAtMs) await this.#readCounts(group, nowMs);
--- a/packages/core/src/direct/experts/steppedSwitch.ts
+++ b/packages/core/src/direct/experts/steppedSwitch.ts
@@ -21,9 +21,13 @@
  */
 const LEAD_MS = 550;
 
+/** What each order that was lost on the way adds to it: others will be, and are given again. */
+const LEAD_PER_LOSS_MS = 100;
+const LOSSES_MAX = 8;
+
 /** Bounds of that in passes, whatever their time. */
 const LEAD_PASSES_MIN = 2;
-const LEAD_PASSES_MAX = 10;
+const LEAD_PASSES_MAX = 20;
 
 /** Times that an order without an answer is given again. */
 const TRIES_MAX = 40;
@@ -75,12 +79,13 @@
 export class SteppedSwitch {
   readonly #options: SteppedSwitchOptions;
 
-  readonly #startedAtMs = performance.now();
-
-  #steppedAtMs = this.#startedAtMs;
+  #steppedAtMs = performance.now();
 
   #wasPaused = false;
 
+  /** Orders without an answer so far. */
+  #losses = 0;
+
   constructor(options: SteppedSwitchOptions) {
     this.#options = options;
   }
@@ -167,9 +172,11 @@
 
   /** Passes that are made in the lead time, by those made since the survey. */
   #chooseLead(begunStep: number): number {
-    const surveyedStep = this.#options.survey.ranks[0]?.report.step ?? begunStep;
-    const spanMs = performance.now() - this.#startedAtMs;
-    const passes = Math.ceil(LEAD_MS * ((begunStep - surveyedStep) / Math.max(1, spanMs)));
+    const { ranks, takenAtMs } = this.#options.survey;
+    const surveyedStep = ranks[0]?.report.step ?? begunStep;
+    const spanMs = performance.now() - takenAtMs;
+    const leadMs = LEAD_MS + Math.min(LOSSES_MAX, this.#losses) * LEAD_PER_LOSS_MS;
+    const passes = Math.ceil(leadMs * ((begunStep - surveyedStep) / Math.max(1, spanMs)));
     return Math.min(LEAD_PASSES_MAX, Math.max(LEAD_PASSES_MIN, passes));
   }
 
@@ -189,6 +196,7 @@
       // eslint-disable-next-line no-await-in-loop -- one try after the other
       const outcome = await caller.order(rank.upstream.entry, full);
       if (outcome === OrderOutcome.Done) return true;
+      if (outcome === OrderOutcome.Lost) this.#losses += 1;
       // An earlier try may have been carried out although its answer was lost.
 
       if (outcome === OrderOutcome.Refused) return tries > 0 && this.#hasTaken(rank, command);
--- a/packages/core/src/direct/fleetBoard.ts
+++ b/packages/core/src/direct/fleetBoard.ts
@@ -1,5 +1,6 @@
 /** Blackboard of an entry that calls upstreams itself: followers write it, requests read it. */
 import { DirectUpstream, type UpstreamEntry } from './directUpstream.js';
+import { PoolActivity } from './poolActivity.js';
 import type { RouteTable } from './routeTable.js';
 
 /** Entries that are assumed before the registry has told how many there are. */
@@ -22,6 +23,8 @@
 
   readonly #byPool = new Map<string, DirectUpstream[]>();
 
+  readonly #activities = new Map<string, PoolActivity>();
+
   #closedDomains: ReadonlySet<string> = new Set();
 
   /** Entries that share the upstreams, this one included. */
@@ -93,6 +96,15 @@
     this.#closedDomains = domains;
   }
 
+  /** What this entry sees of a pool. */
+  readActivity(pool: string): PoolActivity {
+    const known = this.#activities.get(pool);
+    if (known) return known;
+    const activity = new PoolActivity();
+    this.#activities.set(pool, activity);
+    return activity;
+  }
+
   /** Requests in flight at an upstream, from all entries. */
   countLoad(upstream: DirectUpstream, nowMs: number): number {
     const unheardPeers = this.entryCount - 1 - this.heardPeers.size;
--- a/packages/core/src/direct/poolDesk.ts
+++ b/packages/core/src/direct/poolDesk.ts
@@ -15,6 +15,7 @@
 import type { FleetBoard } from './fleetBoard.js';
 import { LatencyLimit } from './latencyLimit.js';
 import { choosePlacement, type PlacementResult } from './placement.js';
+import type { PoolActivity } from './poolActivity.js';
 import { PoolBreaker } from './poolBreaker.js';
 import type { DirectPool } from './routeTable.js';
 
@@ -50,9 +51,6 @@
 /** Silence of a whole group that is more than a few slow passes. */
 const SILENT_MS = 450;
 
-/** Requests in flight without any event from which silence is the group's. */
-const SILENT_REQUESTS = 4;
-
 /** Time between two looks at requests that wait for a second's starts to pass. */
 const PUMP_MS = 20;
 
@@ -111,15 +109,6 @@
 
   #endedAtMs: number | undefined;
 
-  /** When an upstream of the pool last gave something of an answer. */
-  #servedAtMs = Number.NEGATIVE_INFINITY;
-
-  /** Requests of this entry at upstreams of the pool. */
-  #inFlight = 0;
-
-  /** When they became as many as it takes to judge silence. */
-  #busyAtMs = Number.NEGATIVE_INFINITY;
-
   #pumpTimer: NodeJS.Timeout | undefined;
 
   constructor(options: PoolDeskOptions, pool: DirectPool) {
@@ -136,6 +125,10 @@
     this.#pool = pool;
   }
 
+  get #activity(): PoolActivity {
+    return this.#options.board.readActivity(this.#pool.name);
+  }
+
   get waitingCount(): number {
     return this.#waiters.length;
   }
@@ -152,7 +145,7 @@
 
   /** Whether other requests are being answered, so that a silent upstream stands out. */
   isLive(nowMs: number, withinMs: number): boolean {
-    return nowMs - this.#servedAtMs < withinMs;
+    return this.#activity.isLive(nowMs, withinMs);
   }
 
   /** Takes a request; it hears of its turn or its refusal, possibly at once. */
@@ -191,8 +184,7 @@
 
   /** Notes that a request was sent to an upstream. */
   noteStart(nowMs: number): void {
-    this.#inFlight += 1;
-    if (this.#inFlight === SILENT_REQUESTS) this.#busyAtMs = nowMs;
+    this.#activity.noteStart(nowMs);
   }
 
   /** Notes the first of an answer, after a time since the request was sent. */
@@ -210,7 +202,7 @@
 
   /** Notes that a request has ended and its place is free. */
   noteEnd(nowMs: number): void {
-    this.#inFlight -= 1;
+    this.#activity.noteEnd();
     if (this.#endedAtMs !== undefined) {
       this.#turnMs += SMOOTHING * (nowMs - this.#endedAtMs - this.#turnMs);
     }
@@ -310,8 +302,7 @@
 
   /** Whether a group whose events come at every pass has given none for some passes. */
   #isSilent(nowMs: number): boolean {
-    if (!this.#pool.engine || this.#inFlight < SILENT_REQUESTS) return false;
-    return nowMs - Math.max(this.#servedAtMs, this.#busyAtMs) > SILENT_MS;
+    return this.#pool.engine !== undefined && this.#activity.isSilent(nowMs, SILENT_MS);
   }
 
   #refuseStalled(returnLimitMs: number): Refusal {
@@ -328,7 +319,7 @@
   }
 
   #noteService(nowMs: number): void {
-    this.#servedAtMs = nowMs;
+    this.#activity.noteService(nowMs);
     if (this.breaker.noteService()) this.#write(LogLevel.Info, 'A pool takes work again.');
   }
 
--- a/packages/core/test/direct/experts/steppedSwitch.test.ts
+++ b/packages/core/test/direct/experts/steppedSwitch.test.ts
@@ -246,6 +246,30 @@
   }
 });
 
+test('a group whose giver is lost while it holds a pass goes on within a second and a half', () =>
+  withClock(async (clock) => {
+    const group = createGroup(8);
+    const lost = new PausedCaller(group, SIZE + 1 + 2);
+    switchMap(lost, createBoard('entry-1'), 1_025, 0).catch(() => {});
+    const { board, giver } = createGiver('entry-2', group);
+    // It still hears the one that is lost, so it is not the giver itself.
+    board.heardPeers = new Set(['entry-1']);
+    giver.start();
+    while (!group.isHeld) {
+      // eslint-disable-next-line no-await-in-loop -- the clock advances step by step
+      await clock.tickAsync(10);
+    }
+    const activity = board.readActivity('models');
+    for (let request = 0; request < 6; request += 1) activity.noteStart(performance.now());
+    activity.noteService(performance.now());
+    await clock.tickAsync(600 + 1_500);
+    assert.not.ok(group.isHeld);
+    assert.equal(group.versions, [0, 1_025]);
+    assert.equal(group.broken, []);
+    giver.stop();
+    group.stop();
+  }));
+
 test('a group that forms anew during a switch goes on with map 0', () =>
   withClock(async (clock) => {
     const group = createGroup(3);
