Share what store clients make of answers; take the recovery of a hold out of the giver

Ruled out: one client for both stores, as their protocols differ in every call. Change: objects/storeAnswer and direct/experts/holdRecovery.

--- a/packages/core/src/direct/experts/mapGiver.ts
+++ b/packages/core/src/direct/experts/mapGiver.ts
@@ -14,6 +14,7 @@
 
 import { DemandSamples } from './demandSamples.js';
 import { areSame, surveyGroups, type GroupSurvey } from './groupSurvey.js';
+import { findHold, isSettled, recoverHold } from './holdRecovery.js';
 import { searchMap, type Placement } from './mapSearch.js';
 import type { RankCaller } from './rankCaller.js';
 import { SteppedSwitch, SwitchOutcome } from './steppedSwitch.js';
@@ -211,26 +212,14 @@
     this.#options.board.knownPaces = new Map(paces.filter(([, pace]) => pace > 1));
   }
 
-  /**
-   * Completes or takes back what another entry, or this one before a pause, has left.
-   *
-   * @returns whether nothing is held or armed and all ranks have one map
-   */
+  /** @returns whether nothing is held or armed and all ranks have one map */
   async #settle(survey: GroupSurvey): Promise<boolean> {
-    const holder = survey.ranks.find(({ report }) => report.heldStep !== undefined);
-    const armed = survey.ranks.find(({ report }) => report.armed !== undefined)?.report.armed;
-    const versions = survey.ranks.map(({ report }) => report.mapVersion);
-    if (holder?.report.heldStep === undefined) return !armed && areSame(versions);
-
-    const step = holder.report.heldStep;
-    const prepared = survey.ranks.map(({ report }) => report.preparedVersion);
-    const version = armed?.version ?? (areSame(prepared) ? prepared[0] : undefined);
-    const change = this.#createSwitch(survey);
+    const hold = findHold(survey);
+    if (!hold) return isSettled(survey);
+    const { step, version } = hold;
     this.#options.metrics.count('experts.hold_found');
     this.#write(LogLevel.Warn, 'A pass is held that nobody lets begin.', { step, version });
-    const isNewer = version !== undefined && version > Math.max(...versions);
-    if (!isNewer) await change.release(step, holder);
-    else await change.complete(version, step);
+    await recoverHold(this.#createSwitch(survey), hold);
     return false;
   }
 
--- a/packages/objects/src/httpObjectStore.ts
+++ b/packages/objects/src/httpObjectStore.ts
@@ -18,6 +18,13 @@
 } from '@radishbay/core/ports/objectStore.js';
 
 import { sendCall, type HttpAnswer, type HttpFailure } from './httpCall.js';
+import {
+  dropIdleConnections,
+  findErrorKind,
+  isJsonObject,
+  parseJsonObject,
+  type JsonObject,
+} from './storeAnswer.js';
 
 /** Time beyond a watch's own bound after which its connection counts as silent. */
 const WATCH_MARGIN_MS = 1_000;
@@ -25,19 +32,6 @@
 const STATUS_OK = 200;
 const STATUS_NOT_FOUND = 404;
 
-/** Statuses that prove that nothing was written. */
-const ERROR_KINDS: ReadonlyMap<number, StoreErrorKind> = new Map([
-  [400, StoreErrorKind.Invalid],
-  [401, StoreErrorKind.Invalid],
-  [403, StoreErrorKind.Invalid],
-  [404, StoreErrorKind.Conflict],
-  [409, StoreErrorKind.Conflict],
-  [410, StoreErrorKind.Compacted],
-  [413, StoreErrorKind.Invalid],
-  [429, StoreErrorKind.Throttled],
-  [503, StoreErrorKind.Unavailable],
-]);
-
 export interface HttpObjectStoreOptions {
   /** Such as `http://127.0.0.1:7000`. */
   readonly baseUrl: string;
@@ -47,8 +41,6 @@
   readonly token?: string;
 }
 
-type JsonObject = Readonly<Record<string, unknown>>;
-
 interface StoreCall {
   readonly method: string;
   readonly url: URL;
@@ -57,19 +49,6 @@
   readonly timeoutMs?: number;
 }
 
-function isJsonObject(value: unknown): value is JsonObject {
-  return typeof value === 'object' && value !== null && !Array.isArray(value);
-}
-
-function parseJson(text: string): JsonObject | undefined {
-  try {
-    const value: unknown = JSON.parse(text);
-    return isJsonObject(value) ? value : undefined;
-  } catch {
-    return undefined;
-  }
-}
-
 function parseEntry(value: unknown): ObjectChange | undefined {
   if (!isJsonObject(value)) return undefined;
   const { key, version } = value;
@@ -100,8 +79,8 @@
 }
 
 function describeStatus(call: StoreCall, answer: HttpAnswer): StoreError {
-  const kind = ERROR_KINDS.get(answer.status);
-  const told = parseJson(answer.text)?.detail;
+  const kind = findErrorKind(answer.status);
+  const told = parseJsonObject(answer.text)?.detail;
   const detail = typeof told === 'string' ? told : `status ${answer.status}`;
   return kind === undefined ? describeLost(call, detail) : { kind, detail };
 }
@@ -129,7 +108,7 @@
     if (answer.err) return answer;
     if (answer.val.status === STATUS_NOT_FOUND) return Ok(undefined);
     if (answer.val.status !== STATUS_OK) return Err(describeStatus(call, answer.val));
-    const object = parseEntry(parseJson(answer.val.text));
+    const object = parseEntry(parseJsonObject(answer.val.text));
     return object ? Ok(object) : Err(describeLost(call, 'answer is not an object'));
   }
 
@@ -203,22 +182,15 @@
       agent: isWatch ? false : this.#agent,
     });
     if (answer.ok) return answer;
-    if (answer.val.isTimeout) this.#dropIdleConnections();
+    if (answer.val.isTimeout) dropIdleConnections(this.#agent);
     return Err(describeFailure(call, answer.val));
   }
 
-  /** Where one connection has gone silent, the idle ones may have as well. */
-  #dropIdleConnections(): void {
-    Object.values(this.#agent.freeSockets).forEach((sockets) => {
-      sockets?.forEach((socket) => socket.destroy());
-    });
-  }
-
   async #read(call: StoreCall): Promise<Result<JsonObject, StoreError>> {
     const answer = await this.#send(call);
     if (answer.err) return answer;
     if (answer.val.status !== STATUS_OK) return Err(describeStatus(call, answer.val));
-    const body = parseJson(answer.val.text);
+    const body = parseJsonObject(answer.val.text);
     return body ? Ok(body) : Err(describeLost(call, 'answer is not JSON'));
   }
 
