Let a stopping entry take short requests until its last stream has ended

Ruled out: accepting streams as well: they last up to 7 s of the 8 that are left at best, and would be cut. Change: after its notice an entry takes requests whose route's time fits before its end, refuses streams as not run, and closes when its last stream has ended.

--- a/packages/core/src/direct/directController.ts
+++ b/packages/core/src/direct/directController.ts
@@ -18,6 +18,7 @@
 import { PoolDesk } from './poolDesk.js';
 import {
   choosePool,
+  RouteKind,
   type DirectPool,
   type DirectWorkspace,
   type Route,
@@ -32,6 +33,9 @@
 /** The same for an entry in a planned stop: the balancer has others by then. */
 const STOPPING_RETRY_MS = 100;
 
+/** The same for a request that it cannot finish: another entry is back in about a second. */
+const STOPPING_STREAM_RETRY_MS = 1_000;
+
 /** Part of the shared retry allowance that is used: entries count their windows apart. */
 const BUDGET_PART = 0.7;
 
@@ -82,6 +86,9 @@
 
   #isRefusing = false;
 
+  /** When the process ends; undefined where no planned stop has come that far. */
+  #endAtMs: number | undefined;
+
   #tableVersion = 0;
 
   constructor(options: DirectControllerOptions) {
@@ -97,6 +104,19 @@
     return this.#runs.size;
   }
 
+  /** Streams in progress. */
+  get streamCount(): number {
+    return [...this.#runs].filter(({ isStream }) => isStream).length;
+  }
+
+  /**
+   * Takes only what is over before the process ends. Callers that still come have no other entry:
+   * all of them may be stopping.
+   */
+  takeShortOnly(endAtMs: number): void {
+    this.#endAtMs = endAtMs;
+  }
+
   /** Refuses new requests from now on. */
   refuseNew(): void {
     this.#isRefusing = true;
@@ -115,6 +135,12 @@
       return;
     }
     const { route, workspace, pool } = target.val;
+    if (!this.#isShortEnough(route)) {
+      const detail = 'this entry is in a planned stop, and a request of this route may last longer';
+      const retryAfterMs = STOPPING_STREAM_RETRY_MS;
+      this.#refuse(request, caller, refuseNotRun(RefusalReason.ShuttingDown, retryAfterMs, detail));
+      return;
+    }
     this.#findBudget(pool.name).noteRequest(performance.now());
     const run = new DirectRun({
       context: this.#context,
@@ -131,6 +157,11 @@
     run.start();
   }
 
+  #isShortEnough({ kind, timeoutMs }: Route): boolean {
+    if (this.#endAtMs === undefined) return true;
+    return kind !== RouteKind.Stream && performance.now() + timeoutMs < this.#endAtMs;
+  }
+
   #findTarget(request: ForwardedRequest): Result<Target, Refusal> {
     const { table } = this.#options.board;
     if (this.#isRefusing) {
--- a/packages/core/src/direct/directRun.ts
+++ b/packages/core/src/direct/directRun.ts
@@ -84,6 +84,10 @@
     options.caller.onDrain(() => this.#attempt?.resume());
   }
 
+  get isStream(): boolean {
+    return this.#options.route.kind === RouteKind.Stream;
+  }
+
   start(): void {
     const { desk, route, request, workspace } = this.#options;
     const nowMs = performance.now();
--- a/packages/daemon/src/direct/directEntryDaemon.ts
+++ b/packages/daemon/src/direct/directEntryDaemon.ts
@@ -71,6 +71,13 @@
   });
 }
 
+/** Waits until something holds, at most until a time. */
+async function waitUntil(isDone: () => boolean, endAtMs: number): Promise<void> {
+  if (isDone() || performance.now() >= endAtMs) return;
+  await wait(STOP_LOOK_MS);
+  await waitUntil(isDone, endAtMs);
+}
+
 function listen(server: http.Server, { host, port }: Listener): Promise<Result<void, string>> {
   return new Promise((resolve) => {
     server.once('error', (error) => resolve(Err(error.message)));
@@ -151,8 +158,9 @@
   }
 
   /**
-   * The balancer is told first, and requests that still come meanwhile are served. New ones are
-   * refused only when the balancer has had time to look twice.
+   * The balancer is told first, and requests that still come meanwhile are served. When it has had
+   * time to look twice, only short ones are taken, until the last stream has ended: whoever still
+   * comes has no other entry, as all of them may be stopping.
    */
   override async stop(): Promise<void> {
     const { board, noticeMs, stopLimitMs, sources, exchange } = this.#options;
@@ -160,9 +168,11 @@
     board.isStopping = true;
     this.#callers.beginClose();
     await wait(noticeMs);
+    this.#controller.takeShortOnly(endAtMs);
+    await waitUntil(() => this.#controller.streamCount === 0, endAtMs);
     this.#controller.refuseNew();
     const stopped = this.#callers.stop();
-    await this.#waitForRequests(endAtMs);
+    await waitUntil(() => this.#controller.inFlightCount === 0, endAtMs);
     this.#controller.breakOff();
     await Promise.race([stopped, wait(STOP_LOOK_MS)]);
     sources.forEach((source) => source.stop());
@@ -173,12 +183,6 @@
     this.#metrics.close();
   }
 
-  async #waitForRequests(endAtMs: number): Promise<void> {
-    if (this.#controller.inFlightCount === 0 || performance.now() >= endAtMs) return;
-    await wait(STOP_LOOK_MS);
-    await this.#waitForRequests(endAtMs);
-  }
-
   #serveHealth(message: http.IncomingMessage, response: http.ServerResponse): void {
     message.resume();
     const isOk = isReady(this.#options.board);
