Drop what is decoded and read nowhere

Cause: reading the change as a newcomer: three fields of answers and registry entries had no reader. Change: removed; starts are bounded at all times, so no cold span is needed. Figures: tests of core/test/direct and platform passed.

--- a/packages/core/src/direct/directUpstream.ts
+++ b/packages/core/src/direct/directUpstream.ts
@@ -13,8 +13,6 @@
   readonly slots: number;
   /** Whether it is about to end and takes no new work. */
   readonly isLeaving: boolean;
-  /** How much longer it is cold, as of this entry's writing. */
-  readonly coldLeftMs: number;
   /** Unix time of its start; 0 where it is not told. A new one means a new life. */
   readonly startedAtUnixMs: number;
 }
--- a/packages/core/src/ports/upstreamCaller.ts
+++ b/packages/core/src/ports/upstreamCaller.ts
@@ -50,10 +50,6 @@
   readonly isGenuine: boolean;
   readonly framing: AnswerFraming;
   readonly load: UpstreamLoad | undefined;
-  /** Upstream whose fault a refusal is, where it names one. */
-  readonly faultyUpstream: string | undefined;
-  /** When the upstream asks to be asked again; 0 where it does not say. */
-  readonly retryAfterMs: number;
 }
 
 export enum CallFailureKind {
--- a/packages/core/test/direct/directFixture.ts
+++ b/packages/core/test/direct/directFixture.ts
@@ -132,7 +132,6 @@
         pool,
         slots,
         isLeaving: false,
-        coldLeftMs: 0,
         startedAtUnixMs: 1,
       }),
     );
--- a/packages/core/test/direct/experts/steppedSwitch.test.ts
+++ b/packages/core/test/direct/experts/steppedSwitch.test.ts
@@ -61,7 +61,6 @@
       pool: 'models',
       slots: 8,
       isLeaving: false,
-      coldLeftMs: 0,
       startedAtUnixMs: 1,
     }),
   );
--- a/packages/core/test/direct/fakeCall.ts
+++ b/packages/core/test/direct/fakeCall.ts
@@ -18,8 +18,6 @@
   isGenuine: true,
   framing: AnswerFraming.Told,
   load: undefined,
-  faultyUpstream: undefined,
-  retryAfterMs: 0,
 };
 
 /** A head by which an upstream says that it did not take the request. */
--- a/packages/core/test/direct/loadExchange.test.ts
+++ b/packages/core/test/direct/loadExchange.test.ts
@@ -77,7 +77,6 @@
       pool: 'models',
       slots: 8,
       isLeaving: false,
-      coldLeftMs: 0,
       startedAtUnixMs: 1,
     });
     entries.set(name, {
