Find the names of failed tests in suites of several words

Cause: the runner took a suite's name for one word, so a listed test of the suite 'process links' still counted as an unexpected failure. Change: the pattern takes any words before the quoted name. Conclusion: kept; no check is passed over but those listed.

--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -67,7 +67,7 @@
 }
 
 function listFailures(output) {
-  return [...output.matchAll(/^\s*FAIL\s+(?:\S+\s+)?"(.*)"$/gm)].map((match) => match[1]);
+  return [...output.matchAll(/^\s*FAIL\s+(?:[^"]*\s)?"(.*)"$/gm)].map((match) => match[1]);
 }
 
 /** Counts one file's outcome; a file that breaks before it reports is one failure. */
