--- /dev/null
+++ b/packages/core/src/direct/answerTimes.ts
@@ -0,0 +1,60 @@
+/** When a request got its turn, and when the events of its answer came. */
+
+/** Rounds a time for a log line; what has not come stays undefined. */
+function round(spanMs: number | undefined): number | undefined {
+  return spanMs === undefined ? undefined : Math.round(spanMs);
+}
+
+/** Times of one request, since its arrival. */
+export class AnswerTimes {
+  readonly #arrivedAtMs: number;
+
+  #waitedMs: number | undefined;
+
+  #firstMs: number | undefined;
+
+  #longestPauseMs = 0;
+
+  #eventAtMs = 0;
+
+  constructor(arrivedAtMs: number) {
+    this.#arrivedAtMs = arrivedAtMs;
+  }
+
+  /** Time to the first event; undefined before it. */
+  get firstMs(): number | undefined {
+    return this.#firstMs;
+  }
+
+  /** Time to the turn; undefined before it. */
+  get waitedMs(): number | undefined {
+    return this.#waitedMs;
+  }
+
+  noteTurn(nowMs: number): void {
+    this.#waitedMs = nowMs - this.#arrivedAtMs;
+  }
+
+  /**
+   * Notes events that have come.
+   *
+   * @returns the pause since the events before; undefined with the first ones
+   */
+  noteEvents(nowMs: number): number | undefined {
+    const pauseMs = this.#firstMs === undefined ? undefined : nowMs - this.#eventAtMs;
+    this.#firstMs ??= nowMs - this.#arrivedAtMs;
+    this.#longestPauseMs = Math.max(this.#longestPauseMs, pauseMs ?? 0);
+    this.#eventAtMs = nowMs;
+    return pauseMs;
+  }
+
+  /** Fields of a log line. */
+  describe(nowMs: number) {
+    return {
+      ageMs: round(nowMs - this.#arrivedAtMs),
+      waitedMs: round(this.#waitedMs),
+      firstMs: round(this.#firstMs),
+      longestPauseMs: round(this.#longestPauseMs),
+    };
+  }
+}
--- a/packages/core/src/direct/directAttempt.ts
+++ b/packages/core/src/direct/directAttempt.ts
@@ -169,6 +169,7 @@
     const nowMs = performance.now();
     this.#noteAnswer(nowMs);
     this.upstream.trust.noteSuccess();
+    this.#options.context.metrics.timing('upstream.time', nowMs - this.#sentAtMs);
     this.#finish();
     this.#options.events.onEnd();
   }
--- a/packages/core/src/direct/directContext.ts
+++ b/packages/core/src/direct/directContext.ts
@@ -3,7 +3,6 @@
 import type { Metrics } from '../ports/metrics.js';
 import type { Random } from '../ports/random.js';
 import type { UpstreamCaller } from '../ports/upstreamCaller.js';
-import type { RetryBudget } from '../retry/retryBudget.js';
 
 import type { FleetBoard } from './fleetBoard.js';
 
@@ -13,7 +12,6 @@
   readonly random: Random;
   readonly log: Log;
   readonly metrics: Metrics;
-  readonly findBudget: (pool: string) => RetryBudget;
-  /** Retries allowed for each request. */
-  readonly retryShare: number;
+  /** Takes one retry of a pool from what all entries may retry; false where that is spent. */
+  readonly takeRetry: (pool: string, nowMs: number) => boolean;
 }
--- a/packages/core/src/direct/directController.ts
+++ b/packages/core/src/direct/directController.ts
@@ -42,24 +42,12 @@
 /** Part of a cold upstream's bound that is used: requests bunch up on their way. */
 const COLD_PART = 0.8;
 
-/** Bounds that all entries keep together. */
-export interface SharedBounds {
-  readonly retryShare: number;
-  readonly retryWindowMs: number;
-  /** Retries of one pool in a window that are allowed beyond the share, over all entries. */
-  readonly retryFloor: number;
-  /** Factor and addition on what a cold upstream bears in a second. */
-  readonly coldFactor: number;
-  readonly coldAddition: number;
-}
-
 export interface DirectControllerOptions {
   readonly board: FleetBoard;
   readonly upstreams: UpstreamCaller;
   readonly random: Random;
   readonly log: Log;
   readonly metrics: Metrics;
-  readonly bounds: SharedBounds;
 }
 
 /** Where a request goes. */
@@ -95,8 +83,8 @@
     this.#options = options;
     this.#context = {
       ...options,
-      retryShare: options.bounds.retryShare * BUDGET_PART,
-      findBudget: (pool) => this.#findBudget(pool),
+      takeRetry: (pool, nowMs) =>
+        this.#findBudget(pool).take(options.board.bounds.retryShare * BUDGET_PART, nowMs),
     };
   }
 
@@ -209,21 +197,17 @@
   #findDesk(pool: DirectPool): PoolDesk {
     const known = this.#desks.get(pool.name);
     if (known) return known;
-    const { bounds } = this.#options;
-    const desk = new PoolDesk(
-      {
-        ...this.#options,
-        readStartBound: ({ coldPerS }) =>
-          coldPerS > 0
-            ? (coldPerS * bounds.coldFactor + bounds.coldAddition) * COLD_PART
-            : undefined,
-      },
-      pool,
-    );
+    const options = { ...this.#options, readStartBound: this.#readStartBound };
+    const desk = new PoolDesk(options, pool);
     this.#desks.set(pool.name, desk);
     return desk;
   }
 
+  readonly #readStartBound = ({ coldPerS }: DirectPool): number | undefined => {
+    const { coldFactor, coldAddition } = this.#options.board.bounds;
+    return coldPerS > 0 ? (coldPerS * coldFactor + coldAddition) * COLD_PART : undefined;
+  };
+
   /** Desks follow the pools of the table in force. */
   #dropOldDesks(table: RouteTable): void {
     if (table.version === this.#tableVersion) return;
@@ -238,9 +222,11 @@
   #findBudget(pool: string): RetryBudget {
     const known = this.#budgets.get(pool);
     if (known) return known;
-    const { retryWindowMs, retryFloor } = this.#options.bounds;
-    const floor = (retryFloor * BUDGET_PART) / this.#options.board.entryCount;
-    const budget = new RetryBudget({ windowMs: retryWindowMs, floor });
+    const { board } = this.#options;
+    const budget = new RetryBudget(() => ({
+      windowMs: board.bounds.retryWindowMs,
+      floor: (board.bounds.retryFloor * BUDGET_PART) / board.entryCount,
+    }));
     this.#budgets.set(pool, budget);
     return budget;
   }
--- a/packages/core/src/direct/directRun.ts
+++ b/packages/core/src/direct/directRun.ts
@@ -4,37 +4,28 @@
  * It ends exactly once: by an upstream's answer, by a refusal, or by an answer that is visibly
  * broken off; at the latest when its route's or its caller's time is over.
  */
-import { LogLevel, type LogFields } from '../ports/log.js';
 import { Outcome, RefusalReason, RetryReason, type Refusal } from '../model/reason.js';
+import { Err, Ok, type Result } from '../outcome.js';
 import type { Caller } from '../ports/caller.js';
 import type { AnswerHead, ForwardedRequest } from '../ports/upstreamCaller.js';
 
 import { AnswerBuilder } from './answerBuilder.js';
+import { AnswerTimes } from './answerTimes.js';
 import { DirectAttempt, type AttemptFailure } from './directAttempt.js';
 import type { DirectContext } from './directContext.js';
 import type { DirectUpstream } from './directUpstream.js';
 import type { PoolDesk } from './poolDesk.js';
 import { RouteKind, type DirectWorkspace, type Route } from './routeTable.js';
+import { NoRetryReason, RunReport } from './runReport.js';
+import { SendTally } from './sendTally.js';
+import { chooseSilenceMs, mayRunAgain } from './silenceLimit.js';
 import { planTurn } from './turnPlan.js';
 
-const LOG_PART = 'request';
-
 const STATUS_SERVER_ERROR = 500;
 
 /** Part of the caller's remaining time after which it does not wait to come back. */
 const RETURN_PART = 0.3;
 
-/** Sends beyond the route's attempts where upstreams proved not to have run the request. */
-const NOT_RUN_SENDS_MAX = 2;
-
-/** Time targets after which a plain upstream that is silent is given up. */
-const PLAIN_SILENCE_TARGETS = 2;
-
-/** Silence of an engine before the first event, or after one, that is more than a slow pass. */
-const STREAM_SILENCE_TARGETS = 2.5;
-
-const STREAM_SILENCE_PAUSES = 6;
-
 export interface DirectRunOptions {
   readonly context: DirectContext;
   readonly request: ForwardedRequest;
@@ -54,25 +45,16 @@
 
   readonly #answer: AnswerBuilder;
 
-  readonly #failed = new Set<string>();
+  readonly #times: AnswerTimes;
 
-  #attempt: DirectAttempt | undefined;
+  readonly #report: RunReport;
 
-  #sends = 0;
+  readonly #tally = new SendTally();
 
-  /** Sends of which it is not proved that they did not run. */
-  #runs = 0;
+  #attempt: DirectAttempt | undefined;
 
   #answerStatus = 0;
 
-  #waitedMs = 0;
-
-  #firstMs: number | undefined;
-
-  #longestPauseMs = 0;
-
-  #eventAtMs = 0;
-
   #isOver = false;
 
   #timer: NodeJS.Timeout | undefined;
@@ -80,33 +62,24 @@
   constructor(options: DirectRunOptions) {
     this.#options = options;
     this.#answer = new AnswerBuilder(options.caller, options.route.kind === RouteKind.Stream);
+    this.#times = new AnswerTimes(options.request.arrivedAtMs);
+    this.#report = new RunReport({ ...options, times: this.#times, tally: this.#tally });
     options.caller.onGone(() => this.#leave());
     options.caller.onDrain(() => this.#attempt?.resume());
+    options.request.body.onTooLarge(() => this.#refuseBody());
   }
 
   get isStream(): boolean {
     return this.#options.route.kind === RouteKind.Stream;
   }
 
+  /** Asks for a turn, once enough of the body is here: a slow caller holds no place. */
   start(): void {
-    const { desk, route, request, workspace } = this.#options;
-    const nowMs = performance.now();
-    this.#timer = setTimeout(() => this.#readTimeout(), this.#endAtMs - nowMs);
-    desk.enter(
-      {
-        id: request.id,
-        priority: workspace?.priority ?? route.priority,
-        ...planTurn(this.#options, desk.expectedFirstMs, nowMs),
-        returnLimitMs: this.#returnLimitMs(nowMs),
-        arrivedAtMs: request.arrivedAtMs,
-        onTurn: (upstream) => {
-          this.#waitedMs = performance.now() - request.arrivedAtMs;
-          this.#send(upstream, false);
-        },
-        onRefused: (refusal) => this.#refuse(refusal),
-      },
-      nowMs,
-    );
+    const { request } = this.#options;
+    this.#timer = setTimeout(() => this.#readTimeout(), this.#endAtMs - performance.now());
+    request.body.onReady(() => {
+      if (!this.#isOver) this.#enter();
+    });
   }
 
   /** Ends the request as its entry is about to end. */
@@ -126,23 +99,37 @@
     return Math.max(0, request.arrivedAtMs + deadlineMs - nowMs) * RETURN_PART;
   }
 
-  get #isRepeatable(): boolean {
-    const { kind, isResumable } = this.#options.route;
-    return kind === RouteKind.Repeatable || (kind === RouteKind.Stream && isResumable);
+  #enter(): void {
+    const { desk, route, request, workspace } = this.#options;
+    const nowMs = performance.now();
+    desk.enter(
+      {
+        id: request.id,
+        priority: workspace?.priority ?? route.priority,
+        ...planTurn(this.#options, desk.expectedFirstMs, nowMs),
+        returnLimitMs: this.#returnLimitMs(nowMs),
+        arrivedAtMs: request.arrivedAtMs,
+        onTurn: (upstream) => {
+          this.#times.noteTurn(performance.now());
+          this.#send(upstream, false);
+        },
+        onRefused: (refusal) => this.#refuse(refusal),
+      },
+      nowMs,
+    );
   }
 
   #send(upstream: DirectUpstream, isResumed: boolean): void {
     const { context, desk, request, route, workspace } = this.#options;
     const nowMs = performance.now();
     const leftMs = this.#endAtMs - nowMs;
-    this.#sends += 1;
-    this.#runs += 1;
-    this.#writeSent(upstream, isResumed);
+    this.#tally.noteSent();
+    this.#report.noteSent(upstream, isResumed);
     this.#attempt = new DirectAttempt({
       context,
       desk,
       upstream,
-      silenceLimitMs: this.#chooseSilenceMs(leftMs),
+      silenceLimitMs: this.#isOtherPossible ? chooseSilenceMs(route) : leftMs + 1,
       call: {
         request,
         upstream: upstream.entry,
@@ -161,27 +148,10 @@
     this.#attempt.start();
   }
 
-  /** The choice, with what it was made by. */
-  #writeSent(upstream: DirectUpstream, isResumed: boolean): void {
-    const { board } = this.#options.context;
-    const nowMs = performance.now();
-    this.#write(LogLevel.Info, 'Sent.', {
-      upstream: upstream.id,
-      load: board.countLoad(upstream, nowMs),
-      pace: upstream.readPace(nowMs),
-      peersHeard: board.heardPeers.size,
-      configVersion: board.table?.version,
-      isResumed,
-    });
-  }
-
-  /** What may run only once is waited for to the end. */
-  #chooseSilenceMs(leftMs: number): number {
-    const { route } = this.#options;
-    if (!this.#isRepeatable || this.#sends >= route.attempts) return leftMs + 1;
-    if (route.kind !== RouteKind.Stream) return route.targetMs * PLAIN_SILENCE_TARGETS;
-    const byTargetMs = route.targetMs * STREAM_SILENCE_TARGETS;
-    return Math.max(byTargetMs, route.pauseTargetMs * STREAM_SILENCE_PAUSES);
+  /** Whether another upstream could be asked; what has no other chance is waited for to the end. */
+  get #isOtherPossible(): boolean {
+    const { route, request } = this.#options;
+    return mayRunAgain(route) && this.#tally.sends < route.attempts && request.body.isComplete;
   }
 
   #readHead(head: AnswerHead): boolean {
@@ -190,9 +160,7 @@
       this.#end(RefusalReason.UpstreamFailed, `a resumed stream was answered ${head.status}`);
       return false;
     }
-    if (head.status >= STATUS_SERVER_ERROR && this.#isRepeatable && this.#retryElsewhere(head)) {
-      return false;
-    }
+    if (head.status >= STATUS_SERVER_ERROR && this.#retryElsewhere(head)) return false;
     this.#answerStatus = head.status;
     this.#answer.begin(head);
     return true;
@@ -201,32 +169,26 @@
   /** Tries another upstream in place of passing a failure on. */
   #retryElsewhere(head: AnswerHead): boolean {
     const failed = this.#attempt;
-    if (!failed) return false;
-    this.#failed.add(failed.upstream.id);
+    if (!failed || !mayRunAgain(this.#options.route)) return false;
+    this.#tally.noteFailed(failed.upstream.id);
     const upstream = this.#takeRetry(RetryReason.UpstreamFailed);
     if (!upstream) return false;
-    this.#write(LogLevel.Info, 'Tries another upstream after a failure.', {
-      upstream: failed.upstream.id,
-      status: head.status,
-    });
+    this.#report.noteFailedAnswer(failed, head.status);
     failed.cancel();
     this.#send(upstream, false);
     return true;
   }
 
   #readData(data: Buffer): void {
-    const { route, desk, request } = this.#options;
+    const { route, desk } = this.#options;
     const nowMs = performance.now();
     const { events, isCallerReady } = this.#answer.push(data);
     if (!isCallerReady) this.#attempt?.pause();
     if (events === 0) return;
-    if (this.#firstMs === undefined) this.#firstMs = nowMs - request.arrivedAtMs;
-    else {
-      const pauseMs = nowMs - this.#eventAtMs;
-      this.#longestPauseMs = Math.max(this.#longestPauseMs, pauseMs);
-      desk.notePause(pauseMs, route.pauseTargetMs, nowMs);
-    }
-    this.#eventAtMs = nowMs;
+    const pauseMs = this.#times.noteEvents(nowMs);
+    if (pauseMs === undefined) return;
+    desk.notePause(pauseMs, route.pauseTargetMs, nowMs);
+    this.#report.notePause(pauseMs);
   }
 
   #readEnd(): void {
@@ -239,13 +201,7 @@
       });
       return;
     }
-    this.#options.context.metrics.count('request.answered', {
-      status: String(this.#answerStatus),
-    });
-    this.#write(LogLevel.Info, 'Answered.', {
-      upstream: this.#attempt?.upstream.id,
-      status: this.#answerStatus,
-    });
+    this.#report.noteAnswered(this.#attempt?.upstream.id, this.#answerStatus);
     this.#finish();
   }
 
@@ -253,32 +209,42 @@
     const failed = this.#attempt;
     if (!failed || this.#isOver) return;
     this.#attempt = undefined;
-    this.#failed.add(failed.upstream.id);
-    if (failure.isNotRun) this.#runs -= 1;
-    this.#write(LogLevel.Info, 'An attempt failed.', {
-      upstream: failed.upstream.id,
-      reason: failure.reason,
-      detail: failure.detail,
-      isNotRun: failure.isNotRun,
-      attemptMs: Math.round(failed.ageMs),
-    });
-    const isSafe = failure.isNotRun || this.#isRepeatable;
-    const isResumable = !this.#answer.isCommitted || this.#options.route.isResumable;
-    const upstream = isSafe && isResumable ? this.#takeRetry(failure.retryReason) : undefined;
+    this.#tally.noteFailed(failed.upstream.id);
+    if (failure.isNotRun) this.#tally.noteNotRun();
+    this.#report.noteFailed(failed, failure);
+    const upstream = this.#mayFollow(failure) ? this.#takeRetry(failure.retryReason) : undefined;
     if (upstream) this.#send(upstream, this.#answer.isCommitted);
     else this.#end(failure.reason, failure.detail);
   }
 
-  /** An upstream for another attempt, where route, budget and time allow one. */
+  /** Whether another attempt after a failed one can neither do harm nor mix two answers. */
+  #mayFollow({ isNotRun }: AttemptFailure): boolean {
+    const { route } = this.#options;
+    const isSafe = isNotRun || mayRunAgain(route);
+    if (isSafe && (!this.#answer.isCommitted || route.isResumable)) return true;
+    this.#report.noteNoRetry(NoRetryReason.MayHaveRun);
+    return false;
+  }
+
   #takeRetry(reason: RetryReason): DirectUpstream | undefined {
-    const { context, desk, pool, route } = this.#options;
-    const nowMs = performance.now();
-    if (this.#runs >= route.attempts || nowMs >= this.#endAtMs) return undefined;
-    if (this.#sends >= route.attempts + NOT_RUN_SENDS_MAX) return undefined;
-    const upstream = desk.choose(this.#failed, nowMs);
-    if (!upstream || !context.findBudget(pool).take(context.retryShare, nowMs)) return undefined;
-    context.metrics.count('request.retried', { reason });
-    return upstream;
+    const chosen = this.#chooseRetry(performance.now());
+    if (chosen.err) {
+      this.#report.noteNoRetry(chosen.val);
+      return undefined;
+    }
+    this.#report.noteRetry(reason);
+    return chosen.val;
+  }
+
+  /** An upstream for another attempt, where route, budget and time allow one. */
+  #chooseRetry(nowMs: number): Result<DirectUpstream, NoRetryReason> {
+    const { context, desk, pool, request, route } = this.#options;
+    if (nowMs >= this.#endAtMs) return Err(NoRetryReason.TimeOver);
+    if (!request.body.isRepeatable) return Err(NoRetryReason.BodyPassedOn);
+    if (!this.#tally.allowsAnother(route)) return Err(NoRetryReason.AttemptsSpent);
+    const upstream = desk.choose(this.#tally.failed, nowMs);
+    if (!upstream) return Err(NoRetryReason.NoUpstream);
+    return context.takeRetry(pool, nowMs) ? Ok(upstream) : Err(NoRetryReason.BudgetSpent);
   }
 
   #readTimeout(): void {
@@ -289,8 +255,7 @@
   #end(reason: RefusalReason, detail: string): void {
     const { desk, request } = this.#options;
     const nowMs = performance.now();
-    const mayHaveRun = this.#runs > 0;
-    if (mayHaveRun) {
+    if (this.#tally.mayHaveRun) {
       this.#refuse({ reason, outcome: Outcome.Unknown, retryAfterMs: 0, detail });
       return;
     }
@@ -301,20 +266,19 @@
     this.#refuse({ reason: told, outcome: Outcome.NotRun, retryAfterMs, detail });
   }
 
+  /** What was sent of a body that turns out too large may have had an effect already. */
+  #refuseBody(): void {
+    const outcome = this.#tally.mayHaveRun ? Outcome.Unknown : Outcome.NotRun;
+    const detail = 'the body is larger than the configuration allows';
+    this.#options.desk.leave(this.#options.request.id);
+    this.#refuse({ reason: RefusalReason.BodyTooLarge, outcome, retryAfterMs: 0, detail });
+  }
+
   #refuse(refusal: Refusal): void {
     if (this.#isOver) return;
-    const { context, caller, desk, pool } = this.#options;
+    const { caller } = this.#options;
     this.#attempt?.cancel();
-    context.metrics.count('request.refused', { reason: refusal.reason });
-    this.#write(LogLevel.Info, 'Not answered.', {
-      reason: refusal.reason,
-      outcome: refusal.outcome,
-      retryAfterMs: Math.round(refusal.retryAfterMs),
-      detail: refusal.detail,
-      isBegun: this.#answer.isCommitted,
-      waiting: desk.waitingCount,
-      pool,
-    });
+    this.#report.noteRefused(refusal, this.#answer.isCommitted);
     if (this.#answer.isCommitted) caller.abort(refusal);
     else caller.refuse(refusal);
     this.#finish();
@@ -325,8 +289,7 @@
     if (this.#isOver) return;
     this.#options.desk.leave(this.#options.request.id);
     this.#attempt?.cancel();
-    this.#options.context.metrics.count('request.refused', { reason: RefusalReason.CallerGone });
-    this.#write(LogLevel.Info, 'The caller has left.', { upstream: this.#attempt?.upstream.id });
+    this.#report.noteLeft(this.#attempt?.upstream.id);
     this.#finish();
   }
 
@@ -334,21 +297,7 @@
     if (this.#isOver) return;
     this.#isOver = true;
     clearTimeout(this.#timer);
+    this.#report.noteEnd();
     this.#options.onDone(this);
   }
-
-  #write(level: LogLevel, sentence: string, fields: LogFields): void {
-    const { context, request, route } = this.#options;
-    context.log.write(level, LOG_PART, sentence, {
-      id: request.id,
-      route: route.name,
-      ageMs: Math.round(performance.now() - request.arrivedAtMs),
-      waitedMs: Math.round(this.#waitedMs),
-      firstMs: this.#firstMs === undefined ? undefined : Math.round(this.#firstMs),
-      longestPauseMs: Math.round(this.#longestPauseMs),
-      sends: this.#sends,
-      limit: Math.round(this.#options.desk.limitPerUpstream * 10) / 10,
-      ...fields,
-    });
-  }
 }
--- a/packages/core/src/direct/fleetBoard.ts
+++ b/packages/core/src/direct/fleetBoard.ts
@@ -1,5 +1,6 @@
 /** Blackboard of an entry that calls upstreams itself: followers write it, requests read it. */
 import { DirectUpstream, type UpstreamEntry } from './directUpstream.js';
+import type { FleetBounds } from './fleetBounds.js';
 import { PoolActivity } from './poolActivity.js';
 import type { RouteTable } from './routeTable.js';
 
@@ -15,6 +16,9 @@
 
   readonly domain: string;
 
+  /** Bounds in force; replaced as a whole when the settings change. */
+  bounds: FleetBounds;
+
   readonly #startedAtMs = performance.now();
 
   #table: RouteTable | undefined;
@@ -46,9 +50,10 @@
 
   #onCount: ((upstream: DirectUpstream) => void) | undefined;
 
-  constructor(name: string, domain: string) {
+  constructor(name: string, domain: string, bounds: FleetBounds) {
     this.name = name;
     this.domain = domain;
+    this.bounds = bounds;
   }
 
   get table(): RouteTable | undefined {
--- /dev/null
+++ b/packages/core/src/direct/runReport.ts
@@ -0,0 +1,134 @@
+/** What logs and metrics say of one request: each decision, with what it was made by. */
+import { RefusalReason, type Refusal, type RetryReason } from '../model/reason.js';
+import { LogLevel, type LogFields } from '../ports/log.js';
+import type { ForwardedRequest } from '../ports/upstreamCaller.js';
+
+import type { AnswerTimes } from './answerTimes.js';
+import type { AttemptFailure, DirectAttempt } from './directAttempt.js';
+import type { DirectContext } from './directContext.js';
+import type { DirectUpstream } from './directUpstream.js';
+import type { PoolDesk } from './poolDesk.js';
+import type { Route } from './routeTable.js';
+import type { SendTally } from './sendTally.js';
+
+const LOG_PART = 'request';
+
+/** Why a failed attempt is not followed by another one. */
+export enum NoRetryReason {
+  TimeOver = 'time-over',
+  BodyPassedOn = 'body-passed-on',
+  AttemptsSpent = 'attempts-spent',
+  NoUpstream = 'no-upstream',
+  BudgetSpent = 'budget-spent',
+  MayHaveRun = 'may-have-run',
+}
+
+export interface RunReportOptions {
+  readonly context: DirectContext;
+  readonly request: ForwardedRequest;
+  readonly route: Route;
+  readonly pool: string;
+  readonly desk: PoolDesk;
+  readonly times: AnswerTimes;
+  readonly tally: SendTally;
+}
+
+/** Writes the lines and counts of one request. */
+export class RunReport {
+  readonly #options: RunReportOptions;
+
+  constructor(options: RunReportOptions) {
+    this.#options = options;
+  }
+
+  noteSent(upstream: DirectUpstream, isResumed: boolean): void {
+    const { board } = this.#options.context;
+    const nowMs = performance.now();
+    this.#write('Sent.', {
+      upstream: upstream.id,
+      load: board.countLoad(upstream, nowMs),
+      pace: upstream.readPace(nowMs),
+      peersHeard: board.heardPeers.size,
+      configVersion: board.table?.version,
+      isResumed,
+    });
+  }
+
+  noteFailedAnswer(failed: DirectAttempt, status: number): void {
+    this.#write('Tries another upstream after a failure.', {
+      upstream: failed.upstream.id,
+      status,
+    });
+  }
+
+  noteFailed(failed: DirectAttempt, { reason, detail, isNotRun }: AttemptFailure): void {
+    const attemptMs = Math.round(failed.ageMs);
+    this.#write('An attempt failed.', {
+      upstream: failed.upstream.id,
+      reason,
+      detail,
+      isNotRun,
+      attemptMs,
+    });
+  }
+
+  noteRetry(reason: RetryReason): void {
+    this.#options.context.metrics.count('request.retried', { reason });
+  }
+
+  noteNoRetry(reason: NoRetryReason): void {
+    this.#options.context.metrics.count('request.not.retried', { reason });
+    this.#write('No other upstream is tried.', { reason });
+  }
+
+  notePause(pauseMs: number): void {
+    this.#options.context.metrics.timing('stream.pause', pauseMs);
+  }
+
+  noteAnswered(upstream: string | undefined, status: number): void {
+    const { context, request } = this.#options;
+    context.metrics.count('request.answered', { status: String(status) });
+    context.metrics.timing('request.time', performance.now() - request.arrivedAtMs);
+    this.#write('Answered.', { upstream, status });
+  }
+
+  noteRefused(refusal: Refusal, isBegun: boolean): void {
+    const { context, desk, pool } = this.#options;
+    const { reason, outcome, detail, retryAfterMs } = refusal;
+    context.metrics.count('request.refused', { reason });
+    this.#write('Not answered.', {
+      reason,
+      outcome,
+      retryAfterMs: Math.round(retryAfterMs),
+      detail,
+      isBegun,
+      waiting: desk.waitingCount,
+      pool,
+    });
+  }
+
+  noteLeft(upstream: string | undefined): void {
+    this.#options.context.metrics.count('request.refused', { reason: RefusalReason.CallerGone });
+    this.#write('The caller has left.', { upstream });
+  }
+
+  /** Counts the times of a request that has ended. */
+  noteEnd(): void {
+    const { context, times } = this.#options;
+    const { waitedMs, firstMs } = times;
+    if (waitedMs !== undefined) context.metrics.timing('request.wait', waitedMs);
+    if (firstMs !== undefined) context.metrics.timing('request.first', firstMs);
+  }
+
+  #write(sentence: string, fields: LogFields): void {
+    const { context, request, route, times, tally, desk } = this.#options;
+    context.log.write(LogLevel.Info, LOG_PART, sentence, {
+      id: request.id,
+      route: route.name,
+      ...times.describe(performance.now()),
+      sends: tally.sends,
+      limit: Math.round(desk.limitPerUpstream * 10) / 10,
+      ...fields,
+    });
+  }
+}
--- a/packages/core/src/model/reason.ts
+++ b/packages/core/src/model/reason.ts
@@ -19,6 +19,7 @@
   MalformedRequest = 'malformed-request',
   BodyTooLarge = 'body-too-large',
   HeadersTooLarge = 'headers-too-large',
+  RequestTooSlow = 'request-too-slow',
   BadDeadline = 'bad-deadline',
   UnknownWorkspace = 'unknown-workspace',
   UnknownClass = 'unknown-class',
--- /dev/null
+++ b/packages/core/src/ports/heldBody.ts
@@ -0,0 +1,37 @@
+/** A request's body that is in memory as a whole. */
+import { RequestBody, type BodySink, type BodyTransfer } from './requestBody.js';
+
+const NOTHING_LEFT: BodyTransfer = { resume: () => {}, stop: () => {} };
+
+export class HeldBody extends RequestBody {
+  readonly #data: Buffer;
+
+  constructor(data: Buffer) {
+    super();
+    this.#data = data;
+  }
+
+  override get lengthBytes(): number {
+    return this.#data.length;
+  }
+
+  override get isComplete(): boolean {
+    return true;
+  }
+
+  override get isRepeatable(): boolean {
+    return true;
+  }
+
+  override onReady(listener: () => void): void {
+    listener();
+  }
+
+  override onTooLarge(): void {}
+
+  override sendTo(sink: BodySink): BodyTransfer {
+    if (this.#data.length > 0) sink.write(this.#data);
+    sink.end();
+    return NOTHING_LEFT;
+  }
+}
--- a/packages/core/src/ports/upstreamCaller.ts
+++ b/packages/core/src/ports/upstreamCaller.ts
@@ -3,6 +3,7 @@
 import type { UpstreamEntry, UpstreamLoad } from '../direct/directUpstream.js';
 
 import type { AnswerFraming } from './caller.js';
+import type { RequestBody } from './requestBody.js';
 
 /** A caller's request that is forwarded as it is. */
 export interface ForwardedRequest {
@@ -14,7 +15,7 @@
   readonly host: string;
   /** Headers that travel end to end, without those that an entry sets itself. */
   readonly headers: HeaderMap;
-  readonly body: Buffer;
+  readonly body: RequestBody;
   /** How long the caller waits, from arrival; undefined where it does not say. */
   readonly deadlineMs: number | undefined;
   /** Value of the workspace's key; never logged. */
--- a/packages/core/src/retry/retryBudget.ts
+++ b/packages/core/src/retry/retryBudget.ts
@@ -24,16 +24,17 @@
   readonly floor: number;
 }
 
-const DEFAULT_OPTIONS: RetryBudgetOptions = { windowMs: WINDOW_MS, floor: RETRY_FLOOR };
+const readDefaults = (): RetryBudgetOptions => ({ windowMs: WINDOW_MS, floor: RETRY_FLOOR });
 
 /** Counts of the last window, in slots; it needs no timer. */
 export class RetryBudget {
-  readonly #options: RetryBudgetOptions;
+  readonly #readOptions: () => RetryBudgetOptions;
 
   #slots: Slot[] = [];
 
-  constructor(options: RetryBudgetOptions = DEFAULT_OPTIONS) {
-    this.#options = options;
+  /** @param readOptions read for each retry, as settings change and entries come and go */
+  constructor(readOptions = readDefaults) {
+    this.#readOptions = readOptions;
   }
 
   /** Counts a request. */
@@ -52,13 +53,14 @@
     const slot = this.#openSlot(nowMs);
     const requests = this.#slots.reduce((sum, each) => sum + each.requests, 0);
     const retries = this.#slots.reduce((sum, each) => sum + each.retries, 0);
-    if (retries + 1 > Math.max(this.#options.floor, requests * share)) return false;
+    if (retries + 1 > Math.max(this.#readOptions().floor, requests * share)) return false;
     slot.retries += 1;
     return true;
   }
 
   #openSlot(nowMs: number): Slot {
-    this.#slots = this.#slots.filter((slot) => slot.startedAtMs > nowMs - this.#options.windowMs);
+    const { windowMs } = this.#readOptions();
+    this.#slots = this.#slots.filter((slot) => slot.startedAtMs > nowMs - windowMs);
     const last = this.#slots[this.#slots.length - 1];
     if (last && nowMs < last.startedAtMs + SLOT_MS) return last;
     const slot = { startedAtMs: nowMs, requests: 0, retries: 0 };
--- a/packages/core/test/direct/directFixture.ts
+++ b/packages/core/test/direct/directFixture.ts
@@ -1,7 +1,7 @@
 /** An entry that calls upstreams itself, before fake upstreams, under a fake clock. */
 import { install } from '@sinonjs/fake-timers';
 
-import { DirectController, type SharedBounds } from '../../src/direct/directController.js';
+import { DirectController } from '../../src/direct/directController.js';
 import { FleetBoard } from '../../src/direct/fleetBoard.js';
 import {
   RouteKind,
@@ -10,6 +10,7 @@
   type RouteTableContent,
 } from '../../src/direct/routeTable.js';
 import { UpstreamRegistry } from '../../src/direct/upstreamRegistry.js';
+import { HeldBody } from '../../src/ports/heldBody.js';
 import { CountingMetrics } from '../../src/ports/countingMetrics.js';
 import { Random } from '../../src/ports/random.js';
 import { SilentLog } from '../../src/ports/silentLog.js';
@@ -18,20 +19,13 @@
 
 import type { FakeCall } from './fakeCall.js';
 import { FakeUpstreams } from './fakeUpstreams.js';
+import { BOUNDS } from './sampleBounds.js';
 
 export type TestClock = ReturnType<typeof install>;
 
 /** Time of a request that comes for the first time. */
 export const DEADLINE_MS = 8_000;
 
-export const BOUNDS: SharedBounds = {
-  retryShare: 0.2,
-  retryWindowMs: 10_000,
-  retryFloor: 88,
-  coldFactor: 1.5,
-  coldAddition: 5,
-};
-
 const BASE_ROUTE: Route = {
   name: 'stream',
   host: 'choir.example',
@@ -87,7 +81,7 @@
 
 /** One entry. */
 export class DirectFixture {
-  readonly board = new FleetBoard('entry-1', 'zone-a');
+  readonly board = new FleetBoard('entry-1', 'zone-a', BOUNDS);
 
   readonly metrics = new CountingMetrics();
 
@@ -106,7 +100,6 @@
       random: new Random(seed),
       log: new SilentLog(),
       metrics: this.metrics,
-      bounds: BOUNDS,
     });
     this.board.entryCount = 1;
     this.board.replaceTable(new RouteTable(CONTENT));
@@ -148,7 +141,7 @@
         path: `/${route}/2f`,
         host: 'choir.example',
         headers: {},
-        body: Buffer.from('{}'),
+        body: new HeldBody(Buffer.from('{}')),
         deadlineMs: DEADLINE_MS,
         workspaceKey: 'parish-key',
         arrivedAtMs: performance.now(),
--- a/packages/core/test/direct/experts/steppedSwitch.test.ts
+++ b/packages/core/test/direct/experts/steppedSwitch.test.ts
@@ -24,6 +24,7 @@
 import { withClock, type TestClock } from '../directFixture.js';
 
 import { RankGroup } from './rankGroup.js';
+import { BOUNDS } from '../sampleBounds.js';
 
 const SIZE = 4;
 
@@ -51,7 +52,7 @@
 ];
 
 function createBoard(name: string): FleetBoard {
-  const board = new FleetBoard(name, 'zone-a');
+  const board = new FleetBoard(name, 'zone-a', BOUNDS);
   const registry = new UpstreamRegistry(board, new SilentLog());
   Array.from({ length: SIZE }, (_, at) =>
     registry.put({
--- a/packages/core/test/direct/loadExchange.test.ts
+++ b/packages/core/test/direct/loadExchange.test.ts
@@ -10,6 +10,7 @@
 import { SilentLog } from '../../src/ports/silentLog.js';
 
 import { withClock } from './directFixture.js';
+import { BOUNDS } from './sampleBounds.js';
 
 /** One end of a link whose messages arrive with the next turn. */
 class PairedLink extends Link {
@@ -68,7 +69,7 @@
     },
   });
   names.forEach((name) => {
-    const board = new FleetBoard(name, 'zone-a');
+    const board = new FleetBoard(name, 'zone-a', BOUNDS);
     board.entryCount = names.length;
     new UpstreamRegistry(board, new SilentLog()).put({
       id: 'm-1',
--- a/packages/daemon/src/callers/callerServer.ts
+++ b/packages/daemon/src/callers/callerServer.ts
@@ -1,24 +1,27 @@
 /**
  * The HTTP server for callers and for the balancer's health checks.
  *
- * It reads bodies within their limit, parses, and hands requests to the entry; what cannot be
- * parsed is refused here, with a counter for each reason.
+ * It judges the heads of requests and hands them to its intake; what is out of order is refused
+ * here, with a counter for each reason.
  */
 import http from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 
 import { Outcome, RefusalReason, type Refusal } from '@radishbay/core/model/reason.js';
 import { Err, Ok, type Result } from '@radishbay/core/outcome.js';
-import type { Caller } from '@radishbay/core/ports/caller.js';
 import type { Metrics } from '@radishbay/core/ports/metrics.js';
 
-import { HttpCaller } from './httpCaller.js';
-import { formatProblem, readStatus, writeProblem, type RetryAfterFormat } from './problem.js';
+import { describeTooLarge, dropRest } from './bodyRest.js';
+import type { CallerIntake } from './callerIntake.js';
+import { formatProblem, readStatus, writeProblem } from './problem.js';
 import type { ParseFault } from './requestParser.js';
 
 /** Time for a whole request to arrive. */
 const REQUEST_TIMEOUT_MS = 60_000;
 
+/** Interval at which connections are looked at for timeouts; Node's own is half a minute. */
+const TIMEOUT_LOOK_MS = 500;
+
 /** Largest headers that are read, so that too large ones can be refused by name. */
 const HEADER_READ_BYTES = 64 * 1024;
 
@@ -31,14 +34,7 @@
   readonly idleTimeoutMs: number;
 }
 
-/** Turns what arrived into a request. */
-export type ParseRequest<R> = (
-  message: http.IncomingMessage,
-  body: Buffer,
-  arrivedAtMs: number,
-) => Result<R, ParseFault>;
-
-export interface CallerServerOptions<R> {
+export interface CallerServerOptions {
   readonly host: string;
   readonly port: number;
   readonly connectionLimit: number;
@@ -46,37 +42,46 @@
   readonly readLimits: () => ServerLimits;
   /** Clock by which arrivals are timed. */
   readonly readNowMs: () => number;
-  readonly parse: ParseRequest<R>;
-  readonly accept: (request: R, caller: Caller) => void;
+  readonly intake: CallerIntake;
   /** Whether the balancer may send new requests here; without it health checks are not served. */
   readonly isReady?: () => boolean;
-  /** How a refusal tells when to come back. */
-  readonly retryAfterFormat?: RetryAfterFormat;
 }
 
 function refusalOf(fault: ParseFault): Refusal {
   return { ...fault, outcome: Outcome.NotRun, retryAfterMs: 0 };
 }
 
+/** Why Node's parser could not read a request. */
+function describeBroken({ code }: NodeJS.ErrnoException): ParseFault {
+  if (code === 'HPE_HEADER_OVERFLOW') {
+    return { reason: RefusalReason.HeadersTooLarge, detail: 'the headers are too large' };
+  }
+  if (code === 'ERR_HTTP_REQUEST_TIMEOUT') {
+    return { reason: RefusalReason.RequestTooSlow, detail: 'the request took too long to arrive' };
+  }
+  return { reason: RefusalReason.MalformedRequest, detail: 'the request is no HTTP' };
+}
+
 /** Bytes of the header fields with their separators. */
 function countHeaderBytes({ rawHeaders }: http.IncomingMessage): number {
   return rawHeaders.reduce((sum, part) => sum + part.length + 2, 0);
 }
 
 /** Serves callers. */
-export class CallerServer<R> {
-  readonly #options: CallerServerOptions<R>;
+export class CallerServer {
+  readonly #options: CallerServerOptions;
 
   readonly #server: http.Server;
 
   #isClosing = false;
 
-  constructor(options: CallerServerOptions<R>) {
+  constructor(options: CallerServerOptions) {
     this.#options = options;
     this.#server = http.createServer(
       {
         maxHeaderSize: HEADER_READ_BYTES,
         requestTimeout: REQUEST_TIMEOUT_MS,
+        connectionsCheckingInterval: TIMEOUT_LOOK_MS,
         noDelay: true,
       },
       (message, response) => this.#serve(message, response),
@@ -116,7 +121,7 @@
   }
 
   #serve(message: http.IncomingMessage, response: http.ServerResponse): void {
-    const { parse, accept, readNowMs, readLimits, retryAfterFormat } = this.#options;
+    const { intake, readNowMs, readLimits } = this.#options;
     const arrivedAtMs = readNowMs();
     const limits = readLimits();
     this.#applyLimits(limits);
@@ -124,13 +129,21 @@
     if (this.#serveHealth(message, response)) return;
     if (countHeaderBytes(message) > limits.headerBytes) {
       const detail = `the headers are larger than ${limits.headerBytes} bytes`;
-      this.#refuseAndClose(response, { reason: RefusalReason.HeadersTooLarge, detail });
+      response.setHeader('connection', 'close');
+      this.#refuse(response, { reason: RefusalReason.HeadersTooLarge, detail });
+      return;
+    }
+    if (Number(message.headers['content-length'] ?? 0) > limits.bodyBytes) {
+      this.#refuse(response, describeTooLarge(limits.bodyBytes));
+      dropRest(message);
       return;
     }
-    this.#readBody(message, response, limits.bodyBytes, (body) => {
-      const parsed = parse(message, body, arrivedAtMs);
-      if (!parsed.ok) this.#refuse(response, parsed.val);
-      else accept(parsed.val, new HttpCaller(response, retryAfterFormat));
+    intake.take({
+      message,
+      response,
+      arrivedAtMs,
+      bodyLimitBytes: limits.bodyBytes,
+      refuse: (fault) => this.#refuse(response, fault),
     });
   }
 
@@ -149,38 +162,6 @@
     return true;
   }
 
-  #readBody(
-    message: http.IncomingMessage,
-    response: http.ServerResponse,
-    limitBytes: number,
-    onBody: (body: Buffer) => void,
-  ): void {
-    const chunks: Buffer[] = [];
-    let sizeBytes = 0;
-    let isRefused = false;
-    message.on('data', (chunk: Buffer) => {
-      sizeBytes += chunk.length;
-      if (sizeBytes <= limitBytes) {
-        chunks.push(chunk);
-        return;
-      }
-      if (isRefused) return;
-      isRefused = true;
-      const detail = `the body is larger than ${limitBytes} bytes`;
-      this.#refuseAndClose(response, { reason: RefusalReason.BodyTooLarge, detail });
-    });
-    message.on('end', () => {
-      if (!isRefused) onBody(Buffer.concat(chunks));
-    });
-    // A caller that hangs up while it sends is nobody's request yet.
-    message.on('error', () => {});
-  }
-
-  #refuseAndClose(response: http.ServerResponse, fault: ParseFault): void {
-    response.setHeader('connection', 'close');
-    this.#refuse(response, fault);
-  }
-
   #refuse(response: http.ServerResponse, fault: ParseFault): void {
     this.#options.metrics.count('refusal', { reason: fault.reason });
     writeProblem(response, refusalOf(fault));
@@ -192,11 +173,7 @@
       socket.destroy();
       return;
     }
-    const isHeader = error.code === 'HPE_HEADER_OVERFLOW';
-    const refusal = refusalOf({
-      reason: isHeader ? RefusalReason.HeadersTooLarge : RefusalReason.MalformedRequest,
-      detail: isHeader ? 'the headers are too large' : 'the request is no HTTP',
-    });
+    const refusal = refusalOf(describeBroken(error));
     this.#options.metrics.count('refusal', { reason: refusal.reason });
     const status = readStatus(refusal);
     const body = formatProblem(refusal);
--- a/packages/daemon/src/callers/problem.ts
+++ b/packages/daemon/src/callers/problem.ts
@@ -12,6 +12,7 @@
 const STATUSES: Readonly<Partial<Record<RefusalReason, number>>> = {
   [RefusalReason.MalformedRequest]: 400,
   [RefusalReason.BadDeadline]: 400,
+  [RefusalReason.RequestTooSlow]: 408,
   [RefusalReason.BodyTooLarge]: 413,
   [RefusalReason.HeadersTooLarge]: 431,
   [RefusalReason.Unauthorized]: 401,
--- a/packages/daemon/src/direct/directEntryDaemon.ts
+++ b/packages/daemon/src/direct/directEntryDaemon.ts
@@ -1,13 +1,12 @@
 /** A daemon in the role of an entry that calls upstreams itself. */
 import http from 'node:http';
 
-import { DirectController, type SharedBounds } from '@radishbay/core/direct/directController.js';
+import { DirectController } from '@radishbay/core/direct/directController.js';
 import type { FleetBoard } from '@radishbay/core/direct/fleetBoard.js';
 import type { LoadExchange } from '@radishbay/core/direct/loadExchange.js';
 import { Err, Ok, type Result } from '@radishbay/core/outcome.js';
 import { LogLevel } from '@radishbay/core/ports/log.js';
 import { Random } from '@radishbay/core/ports/random.js';
-import type { ForwardedRequest } from '@radishbay/core/ports/upstreamCaller.js';
 
 import { WsListener } from '@radishbay/link/ws/wsListener.js';
 
@@ -17,6 +16,7 @@
 import { createSeed } from '../roles/incarnation.js';
 
 import { HttpUpstreamCaller } from './httpUpstreamCaller.js';
+import { StreamedIntake } from './streamedIntake.js';
 import type { WireCodec } from './wireCodec.js';
 
 const PART = 'daemon';
@@ -35,8 +35,6 @@
 /** Time between two looks at the requests in progress of a planned stop. */
 const STOP_LOOK_MS = 50;
 
-const MS_PER_SECOND = 1_000;
-
 /** Links of other entries that are accepted. */
 const PEER_LIMIT = 1_024;
 
@@ -49,7 +47,6 @@
   readonly board: FleetBoard;
   readonly codec: WireCodec;
   readonly instruments: Instruments;
-  readonly bounds: SharedBounds;
   readonly callers: Listener;
   readonly health: Listener;
   readonly peers: Listener & { readonly messageLimitBytes: number };
@@ -59,8 +56,6 @@
   readonly connectionLimit: number;
   /** Time for the balancer to see a planned stop before new requests are refused. */
   readonly noticeMs: number;
-  /** Time from the beginning of a planned stop until the process is ended from outside. */
-  readonly stopLimitMs: number;
   /** Followers of the platform, started before callers are let in. */
   readonly sources: readonly { readonly start: () => void; readonly stop: () => void }[];
 }
@@ -98,7 +93,7 @@
 
   readonly #upstreams: HttpUpstreamCaller;
 
-  readonly #callers: CallerServer<ForwardedRequest>;
+  readonly #callers: CallerServer;
 
   readonly #health: http.Server;
 
@@ -109,11 +104,10 @@
   constructor(options: DirectEntryOptions) {
     super();
     this.#options = options;
-    const { board, bounds, codec, instruments } = options;
+    const { board, codec, instruments } = options;
     this.#upstreams = new HttpUpstreamCaller(codec);
     this.#controller = new DirectController({
       board,
-      bounds,
       upstreams: this.#upstreams,
       random: new Random(createSeed()),
       log: instruments.log,
@@ -125,9 +119,10 @@
       metrics: instruments.metrics,
       readLimits: () => board.table?.limits ?? LIMITS_BEFORE_CONFIG,
       readNowMs: () => performance.now(),
-      parse: (message, body, arrivedAtMs) => codec.readRequest(message, body, arrivedAtMs),
-      accept: (request, caller) => this.#controller.accept(request, caller),
-      retryAfterFormat: (retryAfterMs) => (retryAfterMs / MS_PER_SECOND).toFixed(3),
+      intake: new StreamedIntake({
+        codec,
+        accept: (request, caller) => this.#controller.accept(request, caller),
+      }),
     });
     this.#health = http.createServer((message, response) => this.#serveHealth(message, response));
     this.#peers = new WsListener({
@@ -150,7 +145,12 @@
     const healthUp = await listen(this.#health, health);
     if (!healthUp.ok) return Err(`health: ${healthUp.val}`);
     const metricsUp = metrics ? await listen(this.#metrics, metrics) : Ok(undefined);
-    if (!metricsUp.ok) return Err(`metrics: ${metricsUp.val}`);
+    if (!metricsUp.ok) {
+      // Callers are served all the same; that nobody sees how is an error of its own.
+      instruments.log.write(LogLevel.Error, PART, 'Metrics are not served.', {
+        why: metricsUp.val,
+      });
+    }
     const callersUp = await this.#callers.start();
     if (!callersUp.ok) return Err(`callers: ${callersUp.val}`);
     instruments.log.write(LogLevel.Info, PART, 'Entry is up.', { callersPort: callers.port });
@@ -163,8 +163,8 @@
    * comes has no other entry, as all of them may be stopping.
    */
   override async stop(): Promise<void> {
-    const { board, noticeMs, stopLimitMs, sources, exchange } = this.#options;
-    const endAtMs = performance.now() + stopLimitMs * STOP_PART;
+    const { board, noticeMs, sources, exchange } = this.#options;
+    const endAtMs = performance.now() + board.bounds.stopLimitMs * STOP_PART;
     board.isStopping = true;
     this.#callers.beginClose();
     await wait(noticeMs);
--- a/packages/daemon/src/direct/httpUpstreamCall.ts
+++ b/packages/daemon/src/direct/httpUpstreamCall.ts
@@ -8,6 +8,7 @@
   type CallInProgress,
   type UpstreamCall,
 } from '@radishbay/core/ports/upstreamCaller.js';
+import type { BodyTransfer } from '@radishbay/core/ports/requestBody.js';
 
 import type { UpstreamAgent } from './upstreamAgent.js';
 import type { WireCodec } from './wireCodec.js';
@@ -22,6 +23,14 @@
   return { host: address.slice(0, at), port: Number(address.slice(at + 1)) };
 }
 
+/** How the body is told to the upstream: by its length, or in chunks where that is not known. */
+function writeFraming({ request }: UpstreamCall): Readonly<Record<string, string>> {
+  const { lengthBytes } = request.body;
+  if (lengthBytes === undefined) return { 'transfer-encoding': 'chunked' };
+  const hasBody = lengthBytes > 0 || !METHODS_WITHOUT_BODY.has(request.method);
+  return hasBody ? { 'content-length': String(lengthBytes) } : {};
+}
+
 /** One call; tells its end or failure exactly once, unless it is cancelled. */
 export class HttpUpstreamCall implements CallInProgress {
   readonly #call: UpstreamCall;
@@ -34,6 +43,8 @@
 
   readonly #request: http.ClientRequest;
 
+  readonly #body: BodyTransfer;
+
   #response: http.IncomingMessage | undefined;
 
   #connectTimer: NodeJS.Timeout | undefined;
@@ -48,7 +59,6 @@
     this.#agent = agent;
     this.#events = events;
     const { method, path, body } = call.request;
-    const hasBody = body.length > 0 || !METHODS_WITHOUT_BODY.has(method);
     this.#request = http.request({
       ...splitAddress(call.upstream.address),
       method,
@@ -56,18 +66,23 @@
       agent,
       headers: {
         ...codec.writeHeaders(call),
-        ...(hasBody ? { 'content-length': String(body.length) } : {}),
+        ...writeFraming(call),
       },
     });
     this.#request.once('socket', (socket) => this.#watchConnect(socket));
     this.#request.on('error', (error) => this.#fail(error.message || 'the connection failed'));
     this.#request.on('response', (response) => this.#readResponse(response));
-    this.#request.end(hasBody ? body : undefined);
+    this.#request.on('drain', () => this.#body.resume());
+    this.#body = body.sendTo({
+      write: (data) => this.#request.write(data),
+      end: () => this.#request.end(),
+    });
   }
 
   readonly cancel = (): void => {
     this.#isDone = true;
     clearTimeout(this.#connectTimer);
+    this.#body.stop();
     this.#request.destroy();
   };
 
@@ -116,13 +131,22 @@
   #finish(isWhole: boolean): void {
     if (this.#isDone || !isWhole) return;
     this.#isDone = true;
+    this.#stopEarly();
     this.#events.onEnd();
   }
 
+  /** An upstream that has answered before it has the body gets no other bytes in its place. */
+  #stopEarly(): void {
+    if (this.#request.writableEnded) return;
+    this.#body.stop();
+    this.#request.destroy();
+  }
+
   #fail(detail: string): void {
     if (this.#isDone) return;
     this.#isDone = true;
     clearTimeout(this.#connectTimer);
+    this.#body.stop();
     this.#agent.dropIdle(this.#call.upstream.address);
     this.#events.onFailure(this.#isSent ? CallFailureKind.Lost : CallFailureKind.NotSent, detail);
   }
--- a/packages/daemon/src/direct/wireCodec.ts
+++ b/packages/daemon/src/direct/wireCodec.ts
@@ -7,6 +7,7 @@
   ForwardedRequest,
   UpstreamCall,
 } from '@radishbay/core/ports/upstreamCaller.js';
+import type { RequestBody } from '@radishbay/core/ports/requestBody.js';
 
 import type { ParseFault } from '../callers/requestParser.js';
 
@@ -15,7 +16,7 @@
   /** Reads a caller's request. */
   abstract readRequest(
     message: http.IncomingMessage,
-    body: Buffer,
+    body: RequestBody,
     arrivedAtMs: number,
   ): Result<ForwardedRequest, ParseFault>;
 
--- a/packages/daemon/src/roles/entryDaemon.ts
+++ b/packages/daemon/src/roles/entryDaemon.ts
@@ -1,7 +1,6 @@
 /** A daemon in the entry role: callers, operators, and links to side processes and peers. */
 import { EntryNode } from '@radishbay/core/entry/entryNode.js';
 import { LogLevel } from '@radishbay/core/ports/log.js';
-import type { CallerRequest } from '@radishbay/core/model/request.js';
 import { Random } from '@radishbay/core/ports/random.js';
 import { EntryBoard } from '@radishbay/core/state/entryBoard.js';
 import { Err, Ok, type Result } from '@radishbay/core/outcome.js';
@@ -10,6 +9,7 @@
 
 import { CallerServer, type ServerLimits } from '../callers/callerServer.js';
 import { createRequestParser } from '../callers/requestParser.js';
+import { WholeIntake } from '../callers/wholeIntake.js';
 import type { Instruments } from '../observe/instruments.js';
 import { OperatorServer } from '../operators/operatorServer.js';
 import type { EntrySettings } from '../settings/settings.js';
@@ -49,7 +49,7 @@
 
   readonly #node: EntryNode;
 
-  readonly #callers: CallerServer<CallerRequest>;
+  readonly #callers: CallerServer;
 
   readonly #operators: OperatorServer;
 
@@ -78,8 +78,10 @@
       metrics,
       readLimits: () => limits,
       readNowMs: () => Date.now(),
-      parse: createRequestParser(),
-      accept: (request, caller) => this.#node.accept(request, caller),
+      intake: new WholeIntake({
+        parse: createRequestParser(),
+        accept: (request, caller) => this.#node.accept(request, caller),
+      }),
       isReady: () => this.#node.isReady(),
     });
     this.#operators = new OperatorServer({ ...settings.operators, metrics, desk: this.#node });
--- /dev/null
+++ b/packages/daemon/test/arrivingBody.test.ts
@@ -0,0 +1,106 @@
+import type http from 'node:http';
+import { PassThrough } from 'node:stream';
+
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { ArrivingBody } from '../src/direct/arrivingBody.js';
+
+const HELD_BYTES = 64 * 1024;
+const LIMIT_BYTES = 10 * 1024 * 1024;
+const CHUNK = Buffer.alloc(16 * 1024, 'x');
+
+/** A message whose body the test writes. */
+function createMessage(headers: http.IncomingHttpHeaders) {
+  const stream = new PassThrough();
+  const message = Object.assign(stream, { headers }) as unknown as http.IncomingMessage;
+  return { stream, body: new ArrivingBody(message, LIMIT_BYTES) };
+}
+
+/** Lets the stream's events come. */
+function settle(): Promise<void> {
+  return new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+}
+
+async function writeChunks(stream: PassThrough, count: number): Promise<void> {
+  for (let at = 0; at < count; at += 1) {
+    stream.write(CHUNK);
+    // eslint-disable-next-line no-await-in-loop -- chunks come one after the other
+    await settle();
+  }
+}
+
+class Sink {
+  bytes = 0;
+
+  isEnded = false;
+
+  isOpen = true;
+
+  readonly write = (data: Buffer): boolean => {
+    this.bytes += data.length;
+    return this.isOpen;
+  };
+
+  readonly end = (): void => {
+    this.isEnded = true;
+  };
+}
+
+test('a short body is ready when it is whole, and can be sent twice', async () => {
+  const { stream, body } = createMessage({ 'transfer-encoding': 'chunked' });
+  let isReady = false;
+  body.onReady(() => {
+    isReady = true;
+  });
+  await writeChunks(stream, 1);
+  assert.not(isReady);
+  assert.is(body.lengthBytes, undefined);
+  stream.end();
+  await settle();
+  assert.ok(isReady);
+  assert.is(body.lengthBytes, CHUNK.length);
+  const [first, second] = [new Sink(), new Sink()];
+  body.sendTo(first).stop();
+  body.sendTo(second);
+  assert.is(first.bytes, CHUNK.length);
+  assert.is(second.bytes, CHUNK.length);
+  assert.ok(second.isEnded);
+});
+
+test('a long body is held to a bound, and can go elsewhere until more is passed on', async () => {
+  const { stream, body } = createMessage({ 'content-length': String(20 * CHUNK.length) });
+  await writeChunks(stream, 20);
+  const [first, second] = [new Sink(), new Sink()];
+  first.isOpen = false;
+  body.sendTo(first).stop();
+  assert.is(first.bytes, HELD_BYTES);
+  assert.ok(body.isRepeatable);
+  body.sendTo(second);
+  await settle();
+  assert.not(body.isRepeatable);
+});
+
+test('a full sink stops the caller, until it takes more', async () => {
+  const { stream, body } = createMessage({ 'content-length': String(20 * CHUNK.length) });
+  await writeChunks(stream, 20);
+  const sink = new Sink();
+  sink.isOpen = false;
+  const transfer = body.sendTo(sink);
+  await settle();
+  assert.is(sink.bytes, HELD_BYTES);
+  transfer.resume();
+  await settle();
+  assert.is(sink.bytes, HELD_BYTES + CHUNK.length);
+  sink.isOpen = true;
+  stream.end();
+  transfer.resume();
+  await settle();
+  assert.is(sink.bytes, 20 * CHUNK.length);
+  await settle();
+  assert.ok(sink.isEnded);
+});
+
+test.run();
--- a/packages/daemon/test/callerServer.test.ts
+++ b/packages/daemon/test/callerServer.test.ts
@@ -10,12 +10,13 @@
 
 import { CallerServer } from '../src/callers/callerServer.js';
 import { createRequestParser } from '../src/callers/requestParser.js';
+import { WholeIntake } from '../src/callers/wholeIntake.js';
 
 const BODY_LIMIT_BYTES = 512;
 const HEADER_LIMIT_BYTES = 2_048;
 
 interface Context {
-  server: CallerServer<CallerRequest>;
+  server: CallerServer;
   metrics: CountingMetrics;
   port: number;
   accepted: CallerRequest[];
@@ -36,15 +37,17 @@
       idleTimeoutMs: 5_000,
     }),
     readNowMs: () => Date.now(),
-    parse: createRequestParser(),
     connectionLimit: 10,
     metrics: context.metrics,
-    accept: (request, caller) => {
-      context.accepted.push(request);
-      caller.writeHead(200, { 'content-type': 'text/plain' });
-      caller.writeData(request.body);
-      caller.end();
-    },
+    intake: new WholeIntake({
+      parse: createRequestParser(),
+      accept: (request, caller) => {
+        context.accepted.push(request);
+        caller.writeHead(200, { 'content-type': 'text/plain' });
+        caller.writeData(request.body);
+        caller.end();
+      },
+    }),
     isReady: () => context.accepted.length === 0,
   });
   context.port = (await context.server.start()).unwrap();
