Tell returned callers from first ones by the patience that callers have

Cause: callers that come first name time limits between 0.85 and 1 of the longest; everything below 0.97 was taken for a returned request. Four in five first requests lost their turn to others, waited up to a second and came late ("isReturned" beside "Answered." showed it: on a calm stretch 68 answers of returned callers and 20 of first ones, with nobody refused). Change: the shortest time of first requests is learned for each route while nobody was refused; log lines say whether a caller has come back. The replay's other check now leaves out requests that began and were cut by their own time limit (trace: 7.0 s of patience, 4.7 s left, a stream of 70 events), and bounds their number.

--- a/packages/core/src/direct/directController.ts
+++ b/packages/core/src/direct/directController.ts
@@ -16,6 +16,7 @@
 import { DirectRun } from './directRun.js';
 import type { FleetBoard } from './fleetBoard.js';
 import { PoolDesk } from './poolDesk.js';
+import { ReturnWatch } from './returnWatch.js';
 import {
   choosePool,
   RouteKind,
@@ -67,8 +68,7 @@
 
   readonly #budgets = new Map<string, RetryBudget>();
 
-  /** Longest time that callers of each route have named: that of a first try. */
-  readonly #deadlinesMs = new Map<string, number>();
+  readonly #returns = new ReturnWatch();
 
   readonly #runs = new Set<DirectRun>();
 
@@ -129,7 +129,8 @@
       this.#refuse(request, caller, refuseNotRun(RefusalReason.ShuttingDown, retryAfterMs, detail));
       return;
     }
-    this.#findBudget(pool.name).noteRequest(performance.now());
+    const nowMs = performance.now();
+    this.#findBudget(pool.name).noteRequest(nowMs);
     const run = new DirectRun({
       context: this.#context,
       request,
@@ -138,13 +139,18 @@
       workspace,
       pool: pool.name,
       desk: this.#findDesk(pool),
-      firstDeadlineMs: this.#noteDeadline(route, request),
-      onDone: (done) => this.#runs.delete(done),
+      returned: this.#returns.judge(route.name, request.deadlineMs ?? route.timeoutMs, nowMs),
+      onDone: (done, refusal) => this.#remove(done, refusal),
     });
     this.#runs.add(run);
     run.start();
   }
 
+  #remove(run: DirectRun, refusal: Refusal | undefined): void {
+    this.#runs.delete(run);
+    if (refusal) this.#returns.noteRefusal(refusal.retryAfterMs, performance.now());
+  }
+
   #isShortEnough({ kind, timeoutMs }: Route): boolean {
     if (this.#endAtMs === undefined) return true;
     return kind !== RouteKind.Stream && performance.now() + timeoutMs < this.#endAtMs;
@@ -230,11 +236,4 @@
     this.#budgets.set(pool, budget);
     return budget;
   }
-
-  #noteDeadline(route: Route, { deadlineMs }: ForwardedRequest): number {
-    const knownMs = this.#deadlinesMs.get(route.name) ?? 0;
-    const longestMs = Math.max(knownMs, deadlineMs ?? route.timeoutMs);
-    this.#deadlinesMs.set(route.name, longestMs);
-    return longestMs;
-  }
 }
--- a/packages/core/src/direct/directRun.ts
+++ b/packages/core/src/direct/directRun.ts
@@ -16,6 +16,7 @@
 import type { DirectUpstream } from './directUpstream.js';
 import type { PoolDesk } from './poolDesk.js';
 import { RouteKind, type DirectWorkspace, type Route } from './routeTable.js';
+import type { ReturnJudgement } from './returnWatch.js';
 import { NoRetryReason, RunReport } from './runReport.js';
 import { SendTally } from './sendTally.js';
 import { chooseSilenceMs, mayRunAgain } from './silenceLimit.js';
@@ -34,9 +35,10 @@
   readonly pool: string;
   readonly desk: PoolDesk;
   readonly workspace: DirectWorkspace | undefined;
-  /** Time for which callers of the route wait when they come for the first time. */
-  readonly firstDeadlineMs: number;
-  readonly onDone: (run: DirectRun) => void;
+  /** Whether its caller has come back, by the time that it names. */
+  readonly returned: ReturnJudgement;
+  /** Called once; with the refusal, where there was one. */
+  readonly onDone: (run: DirectRun, refusal?: Refusal) => void;
 }
 
 /** One request from its acceptance to its end. */
@@ -109,6 +111,7 @@
         ...planTurn(this.#options, desk.expectedFirstMs, nowMs),
         returnLimitMs: this.#returnLimitMs(nowMs),
         arrivedAtMs: request.arrivedAtMs,
+
         onTurn: (upstream) => {
           this.#times.noteTurn(performance.now());
           this.#send(upstream, false);
@@ -281,7 +284,7 @@
     this.#report.noteRefused(refusal, this.#answer.isCommitted);
     if (this.#answer.isCommitted) caller.abort(refusal);
     else caller.refuse(refusal);
-    this.#finish();
+    this.#finish(refusal);
   }
 
   /** The caller has hung up: nothing is worked on for it any more. */
@@ -293,11 +296,11 @@
     this.#finish();
   }
 
-  #finish(): void {
+  #finish(refusal?: Refusal): void {
     if (this.#isOver) return;
     this.#isOver = true;
     clearTimeout(this.#timer);
     this.#report.noteEnd();
-    this.#options.onDone(this);
+    this.#options.onDone(this, refusal);
   }
 }
--- a/packages/core/src/direct/runReport.ts
+++ b/packages/core/src/direct/runReport.ts
@@ -8,6 +8,7 @@
 import type { DirectContext } from './directContext.js';
 import type { DirectUpstream } from './directUpstream.js';
 import type { PoolDesk } from './poolDesk.js';
+import type { ReturnJudgement } from './returnWatch.js';
 import type { Route } from './routeTable.js';
 import type { SendTally } from './sendTally.js';
 
@@ -27,6 +28,7 @@
   readonly context: DirectContext;
   readonly request: ForwardedRequest;
   readonly route: Route;
+  readonly returned: ReturnJudgement;
   readonly pool: string;
   readonly desk: PoolDesk;
   readonly times: AnswerTimes;
@@ -121,10 +123,11 @@
   }
 
   #write(sentence: string, fields: LogFields): void {
-    const { context, request, route, times, tally, desk } = this.#options;
+    const { context, request, returned, route, times, tally, desk } = this.#options;
     context.log.write(LogLevel.Info, LOG_PART, sentence, {
       id: request.id,
       route: route.name,
+      isReturned: returned.isReturned,
       ...times.describe(performance.now()),
       sends: tally.sends,
       limit: Math.round(desk.limitPerUpstream * 10) / 10,
--- a/packages/core/src/direct/turnPlan.ts
+++ b/packages/core/src/direct/turnPlan.ts
@@ -1,11 +1,9 @@
 /** How long a request may wait for its turn. */
 import type { ForwardedRequest } from '../ports/upstreamCaller.js';
 
+import type { ReturnJudgement } from './returnWatch.js';
 import type { Route } from './routeTable.js';
 
-/** Part of the first deadline below which the caller must have come before. */
-const RETURNED_PART = 0.97;
-
 /** Margin on the expected time to the first of an answer: about nine in ten are below. */
 const FIRST_MARGIN = 1.3;
 
@@ -18,8 +16,7 @@
 export interface TurnPlanInput {
   readonly request: ForwardedRequest;
   readonly route: Route;
-  /** Time for which callers of the route wait when they come for the first time. */
-  readonly firstDeadlineMs: number;
+  readonly returned: ReturnJudgement;
 }
 
 export interface TurnPlan {
@@ -35,10 +32,11 @@
  * @param expectedFirstMs time from sending to the first of an answer
  */
 export function planTurn(input: TurnPlanInput, expectedFirstMs: number, nowMs: number): TurnPlan {
-  const { request, route, firstDeadlineMs } = input;
+  const { request, route, returned } = input;
+  const { firstDeadlineMs, isReturned } = returned;
   const deadlineMs = request.deadlineMs ?? firstDeadlineMs;
-  const isReturned = deadlineMs < firstDeadlineMs * RETURNED_PART;
-  const spentMs = Math.max(0, firstDeadlineMs - deadlineMs) + nowMs - request.arrivedAtMs;
+  const beforeMs = isReturned ? firstDeadlineMs - deadlineMs : 0;
+  const spentMs = beforeMs + nowMs - request.arrivedAtMs;
   const onTimeMs = route.targetMs - spentMs - expectedFirstMs * FIRST_MARGIN;
   if (!isReturned) return { isReturned, waitBudgetMs: Math.max(0, onTimeMs) };
   const lateMs = Math.min(RETURNED_WAIT_MAX_MS, deadlineMs * RETURNED_WAIT_PART);
--- a/packages/core/test/direct/worstLoad.test.ts
+++ b/packages/core/test/direct/worstLoad.test.ts
@@ -2,12 +2,13 @@
  * The worst load of the users' sheets, replayed against admission, placement and the limit.
  *
  * Arrivals are open-loop and Poisson by a seed, with the sheets' means: 835 prompt tokens and 28
- * events. A caller that is refused comes back once, when it was told to.
+ * events. A caller that is refused comes back once, when it was told to. Callers differ in patience
+ * as in the recorded days: their first time limits lie between 0.85 and 1 of the longest.
  */
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
-import { Outcome } from '../../src/model/reason.js';
+import { Outcome, RefusalReason } from '../../src/model/reason.js';
 import { Random } from '../../src/ports/random.js';
 import type { FakeCaller } from '../entry/fakeCaller.js';
 
@@ -28,9 +29,17 @@
 /** The same with experts placed in turn. */
 const FIRST_SKEW = 3.3;
 
-interface Arrival {
-  readonly atMs: number;
+/** Part by which callers' time limits differ. */
+const PATIENCE_SPREAD = 0.15;
+
+/** A caller's first try. */
+interface First {
   readonly firstAtMs: number;
+  readonly firstDeadlineMs: number;
+}
+
+interface Arrival extends First {
+  readonly atMs: number;
   readonly caller: FakeCaller;
   readonly isReturned: boolean;
 }
@@ -55,9 +64,12 @@
 
   readonly #random = new Random(11);
 
+  /** Apart from the other, so that arrivals do not depend on it. */
+  readonly #patience = new Random(12);
+
   readonly #seen = new Map<FakeCaller, Seen>();
 
-  readonly #returns: { readonly atMs: number; readonly firstAtMs: number }[] = [];
+  readonly #returns: (First & { readonly atMs: number })[] = [];
 
   #calls = 0;
 
@@ -71,7 +83,7 @@
   async run(perS: number, spanMs: number): Promise<void> {
     const endAtMs = performance.now() + spanMs;
     while (performance.now() < endAtMs) {
-      if (this.#random.next() < (perS * STEP_MS) / 1_000) this.#ask(performance.now());
+      if (this.#random.next() < (perS * STEP_MS) / 1_000) this.#askFirst();
       this.#askAgain();
       // eslint-disable-next-line no-await-in-loop -- the clock advances step by step
       await this.#step();
@@ -94,11 +106,16 @@
     return isPrompt && seen.longestPauseMs <= PAUSE_TARGET_MS;
   }
 
-  #ask(firstAtMs: number): void {
+  #askFirst(): void {
+    const patience = 1 - PATIENCE_SPREAD * this.#patience.next();
+    this.#ask({ firstAtMs: performance.now(), firstDeadlineMs: DEADLINE_MS * patience });
+  }
+
+  #ask({ firstAtMs, firstDeadlineMs }: First): void {
     const atMs = performance.now();
     const spentMs = atMs - firstAtMs;
-    const caller = this.entry.ask('stream', { deadlineMs: DEADLINE_MS - spentMs });
-    this.arrivals.push({ atMs, firstAtMs, caller, isReturned: spentMs > 0 });
+    const caller = this.entry.ask('stream', { deadlineMs: firstDeadlineMs - spentMs });
+    this.arrivals.push({ atMs, firstAtMs, firstDeadlineMs, caller, isReturned: spentMs > 0 });
     this.#seen.set(caller, { longestPauseMs: 0, text: '' });
   }
 
@@ -107,7 +124,7 @@
     const due = this.#returns.filter(({ atMs }) => atMs <= nowMs);
     due.forEach((each) => {
       this.#returns.splice(this.#returns.indexOf(each), 1);
-      this.#ask(each.firstAtMs);
+      this.#ask(each);
     });
   }
 
@@ -129,7 +146,8 @@
     this.arrivals.forEach((arrival) => this.#look(arrival));
   }
 
-  #look({ caller, firstAtMs, isReturned }: Arrival): void {
+  #look(arrival: Arrival): void {
+    const { caller, isReturned } = arrival;
     const seen = this.#seen.get(caller);
     if (!seen) return;
     const nowMs = performance.now();
@@ -142,7 +160,7 @@
     const { refusal } = caller;
     if (!refusal || isReturned || refusal.outcome !== Outcome.NotRun || !seen) return;
     this.#seen.delete(caller);
-    this.#returns.push({ atMs: nowMs + refusal.retryAfterMs, firstAtMs });
+    this.#returns.push({ ...arrival, atMs: nowMs + refusal.retryAfterMs });
   }
 }
 
@@ -167,11 +185,14 @@
     const perS = readCapacityPerS(90) * 1.3;
     const startMs = performance.now();
     await run.run(perS, 16_000);
-    // Of 1.3 only 1 can be served; the users' target for such days is 0.68 of all.
+    // Of 1.3 about 1 can be served; the users' target for such days is 0.68 of all.
     const onTime = run.readOnTime(startMs + 2_000, startMs + 12_000);
-    assert.ok(onTime > 0.5, `${onTime} are on time`);
-    const refused = run.arrivals.filter(({ caller }) => caller.refusal);
-    assert.ok(refused.every(({ caller }) => caller.refusal?.outcome === Outcome.NotRun));
+    assert.ok(onTime > 0.8, `${onTime} are on time`);
+    // A returned caller with 5 s left may have its stream of 70 events cut by its own time limit.
+    const refusals = run.arrivals.flatMap(({ caller: { refusal } }) => (refusal ? [refusal] : []));
+    const early = refusals.filter(({ reason }) => reason !== RefusalReason.DeadlinePassed);
+    assert.ok(early.every(({ outcome }) => outcome === Outcome.NotRun));
+    assert.ok(refusals.length - early.length < refusals.length / 50, 'hardly any is cut');
   }));
 
 test('after an overload the next streams are on time again within seconds', () =>
