Bound lines by whole requests, and log each change of belief

Change: routine lines have a level of their own and are sampled by request beyond 150 a second, the rest of 300 is for failures and beliefs; bytes of a second are bounded; lines for upstreams distrusted, limits that change, who gives maps, orders without an answer. Ruled out: a random sample of lines, which leaves no history whole. Figures: at four times 60 requests a second, under the paused clock: never more than 300 lines a second, all failures and warnings kept, left-out lines counted exactly (boundedLog.test). Conclusion: kept; cost not measured yet.

--- a/packages/core/src/direct/directAttempt.ts
+++ b/packages/core/src/direct/directAttempt.ts
@@ -5,6 +5,7 @@
  * whole events or bytes, and how it ended. It ends exactly once.
  */
 import { RefusalReason, RetryReason } from '../model/reason.js';
+import { LogLevel } from '../ports/log.js';
 import {
   CallFailureKind,
   type AnswerHead,
@@ -16,6 +17,8 @@
 import type { DirectUpstream } from './directUpstream.js';
 import type { PoolDesk } from './poolDesk.js';
 
+const LOG_PART = 'membership';
+
 /** Time between two looks at an upstream that is silent while its whole pool is. */
 const SILENCE_RECHECK_MS = 200;
 
@@ -216,6 +219,12 @@
     const { context } = this.#options;
     if (this.upstream.trust.noteFailure(nowMs)) {
       context.metrics.count('upstream.distrusted');
+      context.log.write(LogLevel.Warn, LOG_PART, 'An upstream is distrusted.', {
+        id: this.upstream.id,
+        forMs: Math.round(this.upstream.trust.readBlockedMs(nowMs)),
+        reason: failure.reason,
+        detail: failure.detail,
+      });
     }
     this.#end(failure);
   }
--- a/packages/core/src/direct/experts/mapGiver.ts
+++ b/packages/core/src/direct/experts/mapGiver.ts
@@ -6,7 +6,7 @@
  * itself. Its versions and passes are of residues that belong to one entry alone, and a rank holds
  * one pass at a time.
  */
-import { LogLevel, type Log } from '../../ports/log.js';
+import type { Log } from '../../ports/log.js';
 import type { Metrics } from '../../ports/metrics.js';
 import type { Random } from '../../ports/random.js';
 import type { FleetBoard } from '../fleetBoard.js';
@@ -15,12 +15,11 @@
 import { DemandSamples } from './demandSamples.js';
 import { areSame, surveyGroups, type GroupSurvey } from './groupSurvey.js';
 import { findHold, isSettled, recoverHold } from './holdRecovery.js';
+import { MapReport } from './mapReport.js';
 import { searchMap, type Placement } from './mapSearch.js';
 import type { RankCaller } from './rankCaller.js';
 import { SteppedSwitch, SwitchOutcome } from './steppedSwitch.js';
 
-const LOG_PART = 'experts';
-
 /** Interval of the loop. */
 const LOOP_MS = 250;
 
@@ -88,6 +87,8 @@
 export class MapGiver {
   readonly #options: MapGiverOptions;
 
+  readonly #report: MapReport;
+
   #group: KnownGroup | undefined;
 
   /** Kept while a group is surveyed anew: demand does not change with that. */
@@ -111,6 +112,7 @@
 
   constructor(options: MapGiverOptions) {
     this.#options = options;
+    this.#report = new MapReport(options);
   }
 
   start(): void {
@@ -137,7 +139,9 @@
     const wasPaused = nowMs - this.#loopedAtMs > PAUSE_LIMIT_MS;
     if (wasPaused) this.#quietUntilMs = nowMs + STAND_BACK_MS;
     const isQuiet = nowMs < this.#quietUntilMs;
-    if (!isQuiet && this.#isGiver()) await this.#work(nowMs);
+    const isGiver = !isQuiet && this.#isGiver();
+    this.#report.noteGiver(isGiver, this.#options.board.heardPeers.size);
+    if (isGiver) await this.#work(nowMs);
     else {
       this.#standBack();
       if (!isQuiet && this.#isStuck(nowMs)) await this.#rescue();
@@ -216,9 +220,7 @@
   async #settle(survey: GroupSurvey): Promise<boolean> {
     const hold = findHold(survey);
     if (!hold) return isSettled(survey);
-    const { step, version } = hold;
-    this.#options.metrics.count('experts.hold_found');
-    this.#write(LogLevel.Warn, 'A pass is held that nobody lets begin.', { step, version });
+    this.#report.noteHold(hold);
     await recoverHold(this.#createSwitch(survey), hold);
     return false;
   }
@@ -272,28 +274,16 @@
     });
     const { skewBefore, skewAfter } = found;
     const isWorth = skewAfter < skewBefore * (1 - GAIN_MIN);
-    const fields = {
-      skewBefore: Math.round(skewBefore * 100) / 100,
-      skewAfter: Math.round(skewAfter * 100) / 100,
-      copies: found.copies,
-      samples: samples.length,
-    };
-    this.#write(LogLevel.Info, isWorth ? 'A better map is planned.' : 'The map stays.', fields);
+    this.#report.notePlan(found, samples.length, isWorth);
     if (isWorth && this.#isGiver()) await this.#switch(group, found.placement);
   }
 
   async #switch(group: KnownGroup, placement: Placement): Promise<void> {
     const version = this.#chooseVersion(group);
     const startedAtMs = performance.now();
-    const { outcome, stage } = await this.#createSwitch(group.survey).run(version, placement);
-    this.#options.metrics.count('experts.switch', { outcome });
-    this.#write(LogLevel.Info, 'A switch of maps has ended.', {
-      outcome,
-      stage,
-      version,
-      tookMs: Math.round(performance.now() - startedAtMs),
-    });
-    if (outcome === SwitchOutcome.Done) {
+    const result = await this.#createSwitch(group.survey).run(version, placement);
+    this.#report.noteSwitch(result, version, performance.now() - startedAtMs);
+    if (result.outcome === SwitchOutcome.Done) {
       Object.assign(group, { placement, mapVersion: version });
       // By then the pass has begun, and reports are as new as that.
       this.#surveyAtMs = performance.now() + SURVEY_MS;
@@ -307,6 +297,7 @@
       survey,
       passModulus: Math.max(1, entries.length),
       passRemainder: Math.max(0, entries.indexOf(this.#options.board.name)),
+      onDoubt: (rank, command, outcome) => this.#report.noteDoubt(rank, command, outcome),
     });
   }
 
@@ -323,9 +314,4 @@
     this.#lastVersion = (round + 1) * VERSION_STRIDE + listEntries().indexOf(board.name) + 1;
     return this.#lastVersion;
   }
-
-  #write(level: LogLevel, sentence: string, fields: Record<string, number | string | undefined>) {
-    const { log, pool } = this.#options;
-    log.write(level, LOG_PART, sentence, { pool, ...fields });
-  }
 }
--- a/packages/core/src/direct/experts/steppedSwitch.ts
+++ b/packages/core/src/direct/experts/steppedSwitch.ts
@@ -56,6 +56,9 @@
   readonly outcome: SwitchOutcome;
   /** Stage at which it ended. */
   readonly stage: string;
+  /** Orders that were given, and those of them that had no answer. */
+  readonly orders: number;
+  readonly losses: number;
 }
 
 export interface SteppedSwitchOptions {
@@ -67,6 +70,8 @@
    */
   readonly passModulus: number;
   readonly passRemainder: number;
+  /** Hears of each order that was refused or had no answer. */
+  readonly onDoubt?: (rank: GroupRank, command: RankCommand, outcome: OrderOutcome) => void;
 }
 
 function wait(spanMs: number): Promise<void> {
@@ -83,6 +88,8 @@
 
   #wasPaused = false;
 
+  #orders = 0;
+
   /** Orders without an answer so far. */
   #losses = 0;
 
@@ -93,11 +100,11 @@
   /** Puts a new map in force. */
   async run(version: number, placement: Placement): Promise<SwitchResult> {
     const isTaken = await this.#prepareAll(version, placement);
-    if (!isTaken) return { outcome: SwitchOutcome.NotBegun, stage: 'prepare' };
+    if (!isTaken) return this.#tell(SwitchOutcome.NotBegun, 'prepare');
     const isCopied = await this.#waitForCopies(version);
-    if (!isCopied) return { outcome: SwitchOutcome.NotBegun, stage: 'copy' };
+    if (!isCopied) return this.#tell(SwitchOutcome.NotBegun, 'copy');
     const step = await this.#hold();
-    if (step === undefined) return { outcome: SwitchOutcome.Doubtful, stage: 'hold' };
+    if (step === undefined) return this.#tell(SwitchOutcome.Doubtful, 'hold');
     return this.complete(version, step);
   }
 
@@ -106,7 +113,7 @@
     const { ranks } = this.#options.survey;
     const command = { kind: RankOrderKind.Arm, version, step };
     const armed = await Promise.all(ranks.map((rank) => this.#insist(rank, command)));
-    if (this.#wasPaused) return { outcome: SwitchOutcome.Doubtful, stage: 'arm' };
+    if (this.#wasPaused) return this.#tell(SwitchOutcome.Doubtful, 'arm');
     if (armed.every((isArmed) => isArmed)) return this.#finish(step, SwitchOutcome.Done);
     return this.undo(version, step);
   }
@@ -118,7 +125,7 @@
     await Promise.all(ranks.map((rank) => this.#insist(rank, command)));
     const reports = await Promise.all(ranks.map((rank) => this.#readReport(rank)));
     const isClean = reports.every((report) => report !== undefined && report.armed === undefined);
-    if (!isClean || this.#wasPaused) return { outcome: SwitchOutcome.Doubtful, stage: 'disarm' };
+    if (!isClean || this.#wasPaused) return this.#tell(SwitchOutcome.Doubtful, 'disarm');
     return this.#finish(step, SwitchOutcome.NotBegun);
   }
 
@@ -129,7 +136,11 @@
 
   async #finish(step: number, outcome: SwitchOutcome): Promise<SwitchResult> {
     const isReleased = await this.release(step);
-    return { outcome: isReleased ? outcome : SwitchOutcome.Doubtful, stage: 'go' };
+    return this.#tell(isReleased ? outcome : SwitchOutcome.Doubtful, 'go');
+  }
+
+  #tell(outcome: SwitchOutcome, stage: string): SwitchResult {
+    return { outcome, stage, orders: this.#orders, losses: this.#losses };
   }
 
   async #prepareAll(version: number, placement: Placement): Promise<boolean> {
@@ -195,10 +206,11 @@
       if (!this.#noteStep()) return false;
       // eslint-disable-next-line no-await-in-loop -- one try after the other
       const outcome = await caller.order(rank.upstream.entry, full);
+      this.#orders += 1;
       if (outcome === OrderOutcome.Done) return true;
       if (outcome === OrderOutcome.Lost) this.#losses += 1;
+      this.#options.onDoubt?.(rank, full, outcome);
       // An earlier try may have been carried out although its answer was lost.
-
       if (outcome === OrderOutcome.Refused) return tries > 0 && this.#hasTaken(rank, command);
     }
     return false;
--- a/packages/core/src/direct/latencyLimit.ts
+++ b/packages/core/src/direct/latencyLimit.ts
@@ -51,8 +51,14 @@
 
   #fellAtMs = Number.NEGATIVE_INFINITY;
 
-  /** @param slots requests that one engine works on at the same time, and the limit at first */
-  constructor(slots: number) {
+  readonly #onChange: (ratio: number) => void;
+
+  /**
+   * @param slots requests that one engine works on at the same time, and the limit at first
+   * @param onChange hears the ratio of pauses to their target for which the limit has changed
+   */
+  constructor(slots: number, onChange: (ratio: number) => void = () => {}) {
+    this.#onChange = onChange;
     this.#slots = slots;
     this.#value = slots;
   }
@@ -77,6 +83,7 @@
     if (this.#ratios.length < SAMPLES_MIN) return;
     const sorted = this.#ratios.sort((a, b) => a - b);
     const ratio = sorted[Math.floor(sorted.length * QUANTILE)] ?? 0;
+    const before = this.#value;
     if (ratio > AIM) this.#fall(ratio, nowMs);
     else if (ratio < CALM && this.#isBinding && nowMs - this.#fellAtMs > REST_MS) {
       this.#value = Math.min(this.#slots, this.#value + RISE);
@@ -84,6 +91,7 @@
     this.#ratios = [];
     this.#isBinding = false;
     this.#judgedAtMs = nowMs;
+    if (this.#value !== before) this.#onChange(ratio);
   }
 
   #fall(ratio: number, nowMs: number): void {
--- a/packages/core/src/direct/poolDesk.ts
+++ b/packages/core/src/direct/poolDesk.ts
@@ -114,15 +114,26 @@
   constructor(options: PoolDeskOptions, pool: DirectPool) {
     this.#options = options;
     this.#pool = pool;
-    this.#limit = pool.engine && new LatencyLimit(pool.engine.slots);
+    this.#limit = this.#createLimit();
   }
 
   /** Takes in what a newer configuration says of the pool. */
   update(pool: DirectPool): void {
-    if (pool.engine?.slots !== this.#pool.engine?.slots) {
-      this.#limit = pool.engine && new LatencyLimit(pool.engine.slots);
-    }
+    const isSame = pool.engine?.slots === this.#pool.engine?.slots;
     this.#pool = pool;
+    if (!isSame) this.#limit = this.#createLimit();
+  }
+
+  #createLimit(): LatencyLimit | undefined {
+    const { engine } = this.#pool;
+    return engine && new LatencyLimit(engine.slots, (ratio) => this.#writeLimit(ratio));
+  }
+
+  #writeLimit(ratio: number): void {
+    this.#write(LogLevel.Info, 'The limit has changed.', {
+      limit: Math.round(this.limitPerUpstream * 10) / 10,
+      pausesToTarget: Math.round(ratio * 100) / 100,
+    });
   }
 
   get #activity(): PoolActivity {
@@ -278,7 +289,7 @@
     }
     const timer = setTimeout(() => this.#expire(ticket), ticket.waitBudgetMs);
     this.#waiters.splice(ahead, 0, { ticket, timer });
-    this.#write(LogLevel.Info, 'Waits.', {
+    this.#write(LogLevel.Routine, 'Waits.', {
       id: ticket.id,
       ahead,
       turnMs: Math.round(this.#turnMs),
--- a/packages/core/src/direct/runReport.ts
+++ b/packages/core/src/direct/runReport.ts
@@ -46,7 +46,7 @@
   noteSent(upstream: DirectUpstream, isResumed: boolean): void {
     const { board } = this.#options.context;
     const nowMs = performance.now();
-    this.#write('Sent.', {
+    this.#write(LogLevel.Routine, 'Sent.', {
       upstream: upstream.id,
       load: board.countLoad(upstream, nowMs),
       pace: upstream.readPace(nowMs),
@@ -57,7 +57,7 @@
   }
 
   noteFailedAnswer(failed: DirectAttempt, status: number): void {
-    this.#write('Tries another upstream after a failure.', {
+    this.#write(LogLevel.Info, 'Tries another upstream after a failure.', {
       upstream: failed.upstream.id,
       status,
     });
@@ -65,7 +65,7 @@
 
   noteFailed(failed: DirectAttempt, { reason, detail, isNotRun }: AttemptFailure): void {
     const attemptMs = Math.round(failed.ageMs);
-    this.#write('An attempt failed.', {
+    this.#write(LogLevel.Info, 'An attempt failed.', {
       upstream: failed.upstream.id,
       reason,
       detail,
@@ -80,7 +80,7 @@
 
   noteNoRetry(reason: NoRetryReason): void {
     this.#options.context.metrics.count('request.not.retried', { reason });
-    this.#write('No other upstream is tried.', { reason });
+    this.#write(LogLevel.Info, 'No other upstream is tried.', { reason });
   }
 
   notePause(pauseMs: number): void {
@@ -91,14 +91,14 @@
     const { context, request } = this.#options;
     context.metrics.count('request.answered', { status: String(status) });
     context.metrics.timing('request.time', performance.now() - request.arrivedAtMs);
-    this.#write('Answered.', { upstream, status });
+    this.#write(LogLevel.Routine, 'Answered.', { upstream, status });
   }
 
   noteRefused(refusal: Refusal, isBegun: boolean): void {
     const { context, desk, pool } = this.#options;
     const { reason, outcome, detail, retryAfterMs } = refusal;
     context.metrics.count('request.refused', { reason });
-    this.#write('Not answered.', {
+    this.#write(LogLevel.Info, 'Not answered.', {
       reason,
       outcome,
       retryAfterMs: Math.round(retryAfterMs),
@@ -111,7 +111,7 @@
 
   noteLeft(upstream: string | undefined): void {
     this.#options.context.metrics.count('request.refused', { reason: RefusalReason.CallerGone });
-    this.#write('The caller has left.', { upstream });
+    this.#write(LogLevel.Info, 'The caller has left.', { upstream });
   }
 
   /** Counts the times of a request that has ended. */
@@ -122,9 +122,9 @@
     if (firstMs !== undefined) context.metrics.timing('request.first', firstMs);
   }
 
-  #write(sentence: string, fields: LogFields): void {
+  #write(level: LogLevel, sentence: string, fields: LogFields): void {
     const { context, request, returned, route, times, tally, desk } = this.#options;
-    context.log.write(LogLevel.Info, LOG_PART, sentence, {
+    context.log.write(level, LOG_PART, sentence, {
       id: request.id,
       route: route.name,
       isReturned: returned.isReturned,
--- a/packages/core/src/direct/upstreamTrust.ts
+++ b/packages/core/src/direct/upstreamTrust.ts
@@ -37,6 +37,11 @@
     return nowMs < this.#blockedUntilMs;
   }
 
+  /** Time for which it is still left out. */
+  readBlockedMs(nowMs: number): number {
+    return Math.max(0, this.#blockedUntilMs - nowMs);
+  }
+
   noteSuccess(): void {
     this.#score *= SUCCESS_FACTOR;
     if (this.#score < CALM_SCORE) this.#blockMs = BLOCK_MIN_MS;
--- a/packages/core/src/ports/log.ts
+++ b/packages/core/src/ports/log.ts
@@ -2,6 +2,8 @@
 
 export enum LogLevel {
   Debug = 'debug',
+  /** Steps of a request that goes well, by the name that winston has for them; first to go. */
+  Routine = 'http',
   Info = 'info',
   Warn = 'warn',
   Error = 'error',
--- a/packages/daemon/src/observe/boundedLog.ts
+++ b/packages/daemon/src/observe/boundedLog.ts
@@ -1,9 +1,13 @@
 /**
  * Bounds the lines that a process writes in a second.
  *
- * Under load the lines of single requests are the first to go; warnings and errors have a part of
- * the budget for themselves. What was left out is said in a line of its own.
+ * Routine lines, one or more for each request, are the first to go: beyond their budget the
+ * requests are sampled, so that the history of those that are left is whole. Failures and changes
+ * of what the process believes come next, warnings and errors last. What was left out is said in a
+ * line of its own.
  */
+import { createHash } from 'node:crypto';
+
 import { Log, LogLevel, type LogFields } from '@radishbay/core/ports/log.js';
 
 const PART = 'log';
@@ -13,20 +17,53 @@
 /** Lines of any kind in a second; each costs some tens of microseconds. */
 const LINES_PER_S = 300;
 
-/** Lines that are kept free for warnings and errors. */
-const RESERVED_LINES_PER_S = 100;
+/** Lines below warnings. */
+const CALM_LINES_PER_S = 250;
+
+/** Routine lines: some 50 requests a second have their whole history. */
+const ROUTINE_LINES_PER_S = 150;
+
+/** Part of the routine budget that sampling aims at: requests come unevenly. */
+const SAMPLING_AIM = 0.8;
+
+const LIMITS: Readonly<Record<LogLevel, number>> = {
+  [LogLevel.Debug]: ROUTINE_LINES_PER_S,
+  [LogLevel.Routine]: ROUTINE_LINES_PER_S,
+  [LogLevel.Info]: CALM_LINES_PER_S,
+  [LogLevel.Warn]: LINES_PER_S,
+  [LogLevel.Error]: LINES_PER_S,
+};
 
-const URGENT_LEVELS: ReadonlySet<LogLevel> = new Set([LogLevel.Warn, LogLevel.Error]);
+/** Range of {@link hashId}. */
+const HASH_RANGE = 2 ** 32;
+
+/** A number that is the same for an id in every process, evenly spread. */
+function hashId(id: string): number {
+  return createHash('sha1').update(id).digest().readUInt32BE(0);
+}
+
+function isRoutine(level: LogLevel): boolean {
+  return level === LogLevel.Routine || level === LogLevel.Debug;
+}
 
 /** A log with a budget. */
 export class BoundedLog extends Log {
   readonly #log: Log;
 
-  #secondAtMs = 0;
+  #secondAtMs = performance.now();
 
+  /** Lines written in this second. */
   #lines = 0;
 
-  #left = 0;
+  /** Routine lines of this second, written or not. */
+  #routineLines = 0;
+
+  /** Part of the requests whose routine lines are written. */
+  #keptPart = 1;
+
+  #routineLeft = 0;
+
+  #othersLeft = 0;
 
   constructor(log: Log) {
     super();
@@ -35,21 +72,40 @@
 
   override write(level: LogLevel, part: string, sentence: string, fields?: LogFields): void {
     this.#turnSecond(performance.now());
-    const limit = URGENT_LEVELS.has(level) ? LINES_PER_S : LINES_PER_S - RESERVED_LINES_PER_S;
-    if (this.#lines >= limit) {
-      this.#left += 1;
+    if (isRoutine(level)) this.#routineLines += 1;
+    if (this.#lines >= LIMITS[level] || this.#isSampledOut(level, fields)) {
+      this.#noteLeft(level);
       return;
     }
     this.#lines += 1;
     this.#log.write(level, part, sentence, fields);
   }
 
+  #isSampledOut(level: LogLevel, fields: LogFields | undefined): boolean {
+    if (!isRoutine(level) || this.#keptPart === 1) return false;
+    return hashId(String(fields?.id ?? '')) >= this.#keptPart * HASH_RANGE;
+  }
+
+  #noteLeft(level: LogLevel): void {
+    if (isRoutine(level)) this.#routineLeft += 1;
+    else this.#othersLeft += 1;
+  }
+
   #turnSecond(nowMs: number): void {
     if (nowMs - this.#secondAtMs < SECOND_MS) return;
+    const aim = ROUTINE_LINES_PER_S * SAMPLING_AIM;
+    this.#keptPart = Math.min(1, aim / Math.max(1, this.#routineLines));
     this.#secondAtMs = nowMs;
     this.#lines = 0;
-    if (this.#left === 0) return;
-    this.#log.write(LogLevel.Warn, PART, 'Lines were left out.', { lines: this.#left });
-    this.#left = 0;
+    this.#routineLines = 0;
+    if (this.#routineLeft + this.#othersLeft === 0) return;
+    this.#log.write(LogLevel.Warn, PART, 'Lines were left out.', {
+      routineLines: this.#routineLeft,
+      otherLines: this.#othersLeft,
+      keptPart: Math.round(this.#keptPart * 1_000) / 1_000,
+    });
+    this.#lines = 1;
+    this.#routineLeft = 0;
+    this.#othersLeft = 0;
   }
 }
--- a/packages/daemon/src/observe/outputStream.ts
+++ b/packages/daemon/src/observe/outputStream.ts
@@ -17,12 +17,21 @@
   }
 }
 
+/** Bytes that are written in a second: 300 lines of the usual length, and some longer ones. */
+const BYTES_PER_S = 160 * 1024;
+
+const SECOND_MS = 1_000;
+
 /** Lines of one process. */
 export class OutputStream extends Writable {
   readonly #out: Writable;
 
   #droppedLines = 0;
 
+  #secondAtMs = performance.now();
+
+  #secondBytes = 0;
+
   constructor(out: Writable = openStdout()) {
     super({ decodeStrings: false });
     this.#out = out;
@@ -38,8 +47,19 @@
 
   // eslint-disable-next-line no-underscore-dangle -- Node's name
   override _write(line: string | Buffer, _encoding: string, done: () => void): void {
-    if (this.#out.writableLength > BUFFER_BYTES_MAX) this.#droppedLines += 1;
-    else this.#out.write(line);
+    this.#turnSecond(performance.now());
+    const isFull = this.#out.writableLength > BUFFER_BYTES_MAX || this.#secondBytes > BYTES_PER_S;
+    if (isFull) this.#droppedLines += 1;
+    else {
+      this.#secondBytes += line.length;
+      this.#out.write(line);
+    }
     done();
   }
+
+  #turnSecond(nowMs: number): void {
+    if (nowMs - this.#secondAtMs < SECOND_MS) return;
+    this.#secondAtMs = nowMs;
+    this.#secondBytes = 0;
+  }
 }
--- /dev/null
+++ b/packages/daemon/test/boundedLog.test.ts
@@ -0,0 +1,117 @@
+import { install, type Clock } from '@sinonjs/fake-timers';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { Log, LogLevel, type LogFields } from '@radishbay/core/ports/log.js';
+
+import { BoundedLog } from '../src/observe/boundedLog.js';
+
+/** Lines that an entry may write in a second. */
+const LINES_PER_S = 300;
+
+/** Requests a second of an entry on the users' worst day, and four times as many. */
+const REQUESTS_PER_S = 60;
+const LOAD_FACTOR = 4;
+
+const SPAN_S = 10;
+
+interface Line {
+  readonly level: LogLevel;
+  readonly sentence: string;
+  readonly fields: LogFields;
+  readonly second: number;
+}
+
+class KeptLog extends Log {
+  readonly lines: Line[] = [];
+
+  override write(level: LogLevel, _part: string, sentence: string, fields: LogFields = {}): void {
+    this.lines.push({ level, sentence, fields, second: Math.floor(performance.now() / 1_000) });
+  }
+}
+
+interface Context {
+  clock: Clock;
+  kept: KeptLog;
+  log: Log;
+}
+
+const test = suite<Context>('BoundedLog');
+
+test.before.each((context) => {
+  context.clock = install({ now: 0 });
+  context.kept = new KeptLog();
+  context.log = new BoundedLog(context.kept);
+});
+
+test.after.each(({ clock }) => {
+  clock.uninstall();
+});
+
+/** Requests with three routine lines each; one in ten is refused, one in fifty fails. */
+function writeLoad({ log, clock }: Context, perS: number): void {
+  Array.from({ length: perS * SPAN_S }, (_, at) => `request-${at}`).forEach((id, at) => {
+    log.write(LogLevel.Routine, 'admission', 'Waits.', { id });
+    log.write(LogLevel.Routine, 'request', 'Sent.', { id });
+    if (at % 10 === 0) log.write(LogLevel.Info, 'request', 'Not answered.', { id });
+    else log.write(LogLevel.Routine, 'request', 'Answered.', { id });
+    if (at % 50 === 0) log.write(LogLevel.Warn, 'membership', 'An upstream is distrusted.', { id });
+    clock.tick(1_000 / perS);
+  });
+}
+
+test('below the budget every line is written', (context) => {
+  writeLoad(context, 40);
+  assert.is(context.kept.lines.length, 40 * SPAN_S * 3 + (40 * SPAN_S) / 50);
+});
+
+test('at four times the load no second has more lines than its budget', (context) => {
+  writeLoad(context, REQUESTS_PER_S * LOAD_FACTOR);
+  const seconds = Array.from({ length: SPAN_S }, (_, second) =>
+    context.kept.lines.filter((line) => line.second === second),
+  );
+  seconds.forEach((lines) => assert.ok(lines.length <= LINES_PER_S, `${lines.length} lines`));
+});
+
+test('at four times the load no failure and no warning is left out', (context) => {
+  const { kept } = context;
+  writeLoad(context, REQUESTS_PER_S * LOAD_FACTOR);
+  const requests = REQUESTS_PER_S * LOAD_FACTOR * SPAN_S;
+  const failures = kept.lines.filter(({ sentence }) => sentence === 'Not answered.');
+  const warnings = kept.lines.filter(({ sentence }) => sentence === 'An upstream is distrusted.');
+  assert.is(failures.length, requests / 10);
+  assert.is(warnings.length, requests / 50);
+});
+
+test('what is left out is counted, and requests that are kept have their whole history', (context) => {
+  const { kept, log, clock } = context;
+  writeLoad(context, REQUESTS_PER_S * LOAD_FACTOR);
+  clock.tick(1_000);
+  log.write(LogLevel.Info, 'daemon', 'The last line.');
+  const told = kept.lines.filter(({ sentence }) => sentence === 'Lines were left out.');
+  const left = told.reduce((sum, { fields }) => sum + Number(fields.routineLines), 0);
+  const requests = REQUESTS_PER_S * LOAD_FACTOR * SPAN_S;
+  const routine = kept.lines.filter(({ level }) => level === LogLevel.Routine);
+  assert.is(left + routine.length, requests * 3 - requests / 10);
+
+  // The first second is not sampled yet: nothing is known of the load then.
+  const settled = routine.filter(({ second }) => second > 0);
+  const answered = settled.filter(({ sentence }) => sentence === 'Answered.');
+  const sent = new Set(
+    routine.filter(({ sentence }) => sentence === 'Sent.').map(({ fields }) => fields.id),
+  );
+  assert.ok(answered.length > 20 * (SPAN_S - 1), `${answered.length} histories are kept`);
+  assert.ok(answered.every(({ fields }) => sent.has(fields.id)));
+});
+
+test('debug lines come after all others', ({ log, kept }) => {
+  Array.from({ length: LINES_PER_S }, () => log.write(LogLevel.Debug, 'part', 'Detail.'));
+  Array.from({ length: LINES_PER_S }, () => log.write(LogLevel.Info, 'part', 'Belief.'));
+  Array.from({ length: LINES_PER_S }, () => log.write(LogLevel.Error, 'part', 'Failure.'));
+  const count = (level: LogLevel) => kept.lines.filter((line) => line.level === level).length;
+  assert.is(count(LogLevel.Debug), 150);
+  assert.is(count(LogLevel.Info), 100);
+  assert.is(count(LogLevel.Error), 50);
+});
+
+test.run();
