Keep an eighth of the engines' places for callers that can be on time

Cause: whoever has come back is late already, and holds a place for a stream's two seconds; the next first caller found none within its 180 ms. Change: returned requests leave an eighth of the pool's places free. PoolDesk is split (turn queue, refusals). One stray caller no longer moves what is learned of patience.

--- a/packages/core/src/direct/directUpstream.ts
+++ b/packages/core/src/direct/directUpstream.ts
@@ -15,6 +15,8 @@
   readonly isLeaving: boolean;
   /** Unix time of its start; 0 where it is not told. A new one means a new life. */
   readonly startedAtUnixMs: number;
+  /** Time for which it is still cold, by its own word as it was entered; 0 where it is warm. */
+  readonly coldForMs: number;
 }
 
 /** What an upstream says of its load with an answer. */
--- a/packages/core/src/direct/loadExchange.ts
+++ b/packages/core/src/direct/loadExchange.ts
@@ -10,6 +10,7 @@
 import type { Link } from '../ports/link.js';
 import type { LinkDialer } from '../ports/linkDialer.js';
 import { LogLevel, type Log } from '../ports/log.js';
+import type { Metrics } from '../ports/metrics.js';
 
 import type { DirectUpstream } from './directUpstream.js';
 import type { FleetBoard } from './fleetBoard.js';
@@ -36,6 +37,7 @@
   readonly board: FleetBoard;
   readonly dialer: LinkDialer;
   readonly log: Log;
+  readonly metrics: Metrics;
 }
 
 interface Peer {
@@ -154,12 +156,13 @@
   #drop(peer: Peer, detail: string): void {
     if (!this.#peers.delete(peer)) return;
     peer.link.close(detail);
-    const { board, log } = this.#options;
+    const { board, log, metrics } = this.#options;
     const { name } = peer;
     const isHeardElsewhere = [...this.#peers].some((other) => other.name === name);
     if (name === undefined || isHeardElsewhere || !board.heardPeers.has(name)) return;
     board.heardPeers = new Set([...board.heardPeers].filter((entry) => entry !== name));
     board.upstreams.forEach((upstream) => upstream.notePeer(name, 0));
+    metrics.count('peers.lost');
     log.write(LogLevel.Info, LOG_PART, 'Lost another entry.', { entry: name, detail });
   }
 
--- a/packages/core/src/direct/poolDesk.ts
+++ b/packages/core/src/direct/poolDesk.ts
@@ -5,9 +5,7 @@
  * its answer can still be on time; otherwise it is refused at once, with a time at which there will
  * be room. A request that is late already goes after those that can still be on time.
  */
-import { refuseNotRun } from '../entry/refusal.js';
-import { ReturnTimes } from '../limits/returnTimes.js';
-import { RefusalReason, type Refusal } from '../model/reason.js';
+import type { Refusal } from '../model/reason.js';
 import { LogLevel, type Log, type LogFields } from '../ports/log.js';
 import type { Random } from '../ports/random.js';
 
@@ -17,22 +15,12 @@
 import { choosePlacement, type PlacementResult } from './placement.js';
 import type { PoolActivity } from './poolActivity.js';
 import { PoolBreaker } from './poolBreaker.js';
+import { PoolRefusals } from './poolRefusals.js';
 import type { DirectPool } from './routeTable.js';
+import { TurnQueue, type Ticket } from './turnQueue.js';
 
 const LOG_PART = 'admission';
 
-/** Time after which a request is asked to come back where no upstream takes work. */
-const NO_UPSTREAM_RETRY_MS = 500;
-
-/** The same where the pool's group has stalled: a lost rank takes some seconds to come back. */
-const STALLED_RETRY_MS = 2_600;
-
-/** Part of that by which the returns are spread, so that they do not come all at once. */
-const STALLED_SPREAD = 0.3;
-
-/** Earliest time at which a refused request is asked to come back. */
-const RETURN_MIN_MS = 300;
-
 /** Weight of the newest sample in smoothed times. */
 const SMOOTHING = 0.1;
 
@@ -51,30 +39,12 @@
 /** Silence of a whole group that is more than a few slow passes. */
 const SILENT_MS = 450;
 
+/** Part of the engines' places that returned requests leave free. */
+const KEPT_PART = 0.125;
+
 /** Time between two looks at requests that wait for a second's starts to pass. */
 const PUMP_MS = 20;
 
-/** A request that asks for an upstream. */
-export interface Ticket {
-  readonly id: string;
-  /** 0 goes first. */
-  readonly priority: number;
-  /** Whether it was refused before and has come back. */
-  readonly isReturned: boolean;
-  /** Span from now in which it has to be sent; it is refused where that cannot be. */
-  readonly waitBudgetMs: number;
-  /** Longest time after which the caller can be asked to come back. */
-  readonly returnLimitMs: number;
-  readonly arrivedAtMs: number;
-  readonly onTurn: (upstream: DirectUpstream) => void;
-  readonly onRefused: (refusal: Refusal) => void;
-}
-
-interface Waiter {
-  readonly ticket: Ticket;
-  readonly timer: NodeJS.Timeout;
-}
-
 export interface PoolDeskOptions {
   readonly board: FleetBoard;
   readonly random: Random;
@@ -83,12 +53,6 @@
   readonly readStartBound: (pool: DirectPool) => number | undefined;
 }
 
-function isBefore(a: Ticket, b: Ticket): boolean {
-  if (a.isReturned !== b.isReturned) return b.isReturned;
-  if (a.priority !== b.priority) return a.priority < b.priority;
-  return a.arrivedAtMs < b.arrivedAtMs;
-}
-
 /** Admission of one pool. */
 export class PoolDesk {
   readonly breaker = new PoolBreaker();
@@ -99,9 +63,9 @@
 
   #limit: LatencyLimit | undefined;
 
-  readonly #returns = new ReturnTimes();
+  readonly #refusals: PoolRefusals;
 
-  readonly #waiters: Waiter[] = [];
+  readonly #queue = new TurnQueue();
 
   #firstMs = FIRST_MS;
 
@@ -114,6 +78,7 @@
   constructor(options: PoolDeskOptions, pool: DirectPool) {
     this.#options = options;
     this.#pool = pool;
+    this.#refusals = new PoolRefusals(pool.name, options.random);
     this.#limit = this.#createLimit();
   }
 
@@ -141,7 +106,7 @@
   }
 
   get waitingCount(): number {
-    return this.#waiters.length;
+    return this.#queue.size;
   }
 
   /** Requests in flight that one upstream may have. */
@@ -162,20 +127,19 @@
   /** Takes a request; it hears of its turn or its refusal, possibly at once. */
   enter(ticket: Ticket, nowMs: number): void {
     if (this.#isSilent(nowMs) || !this.breaker.mayPass(nowMs)) {
-      ticket.onRefused(this.#refuseStalled(ticket.returnLimitMs));
+      ticket.onRefused(this.#refusals.stalled(ticket.returnLimitMs));
       return;
     }
-    const isFirst = this.#waiters.every((waiter) => isBefore(ticket, waiter.ticket));
-    const { upstream, openCount } = this.#place(new Set(), nowMs);
+    const isFirst = this.#queue.countAhead(ticket) === 0;
+    const { upstream, openCount } = this.#place(new Set(), nowMs, ticket.isReturned);
     if (isFirst && upstream) ticket.onTurn(upstream);
-    else if (openCount === 0) ticket.onRefused(this.#refuseEmpty());
+    else if (openCount === 0) ticket.onRefused(this.#refusals.empty());
     else this.#wait(ticket, nowMs);
   }
 
   /** Takes a request out that its caller has given up. */
   leave(id: string): void {
-    const at = this.#waiters.findIndex(({ ticket }) => ticket.id === id);
-    if (at >= 0) this.#remove(at);
+    this.#queue.remove(id);
   }
 
   /** An upstream for one more attempt at a request, which does not wait. */
@@ -186,11 +150,8 @@
 
   /** A refusal that tells when there will be room. */
   refuseFull(returnLimitMs: number, nowMs: number): Refusal {
-    if (this.breaker.isOpen) return this.#refuseStalled(returnLimitMs);
-    const wantedMs = this.#returns.choose(RETURN_MIN_MS, this.#turnMs, nowMs);
-    const detail = `pool ${this.#pool.name} has no room in time`;
-    const retryAfterMs = Math.max(1, Math.min(wantedMs, returnLimitMs));
-    return refuseNotRun(RefusalReason.QueueFull, retryAfterMs, detail);
+    if (this.breaker.isOpen) return this.#refusals.stalled(returnLimitMs);
+    return this.#refusals.full(returnLimitMs, this.#turnMs, nowMs);
   }
 
   /** Notes that a request was sent to an upstream. */
@@ -231,13 +192,13 @@
   readonly #pump = (): void => {
     this.#pumpTimer = undefined;
     const nowMs = performance.now();
-    for (let [next] = this.#waiters; next; [next] = this.#waiters) {
-      const { upstream } = this.#place(new Set(), nowMs);
+    for (let next = this.#queue.first; next; next = this.#queue.first) {
+      const { upstream } = this.#place(new Set(), nowMs, next.isReturned);
       if (!upstream) break;
-      this.#remove(0);
-      next.ticket.onTurn(upstream);
+      this.#queue.remove(next.id);
+      next.onTurn(upstream);
     }
-    if (this.#waiters.length > 0) this.#pumpTimer ??= setTimeout(this.#pump, PUMP_MS);
+    if (this.#queue.size > 0) this.#pumpTimer ??= setTimeout(this.#pump, PUMP_MS);
   };
 
   get #plainLimit(): number {
@@ -245,8 +206,9 @@
     return Math.max(1, ...slots);
   }
 
-  #place(excluded: ReadonlySet<string>, nowMs: number): PlacementResult {
+  #place(excluded: ReadonlySet<string>, nowMs: number, isReturned = false): PlacementResult {
     const { board, random } = this.#options;
+    if (isReturned && this.#isKeptForFirst(nowMs)) return { upstream: undefined, openCount: 1 };
     if (this.#isReadingFull) return { upstream: undefined, openCount: 1 };
     const result = choosePlacement(board, {
       pool: this.#pool.name,
@@ -260,6 +222,20 @@
     return result;
   }
 
+  /**
+   * Whether the last free places of the engines are kept for requests that can be on time: one that
+   * has come back is late already, and takes its place for seconds.
+   */
+  #isKeptForFirst(nowMs: number): boolean {
+    if (!this.#pool.engine) return false;
+    const { board } = this.#options;
+    const upstreams = board.listPool(this.#pool.name);
+    const limit = this.limitPerUpstream;
+    const load = upstreams.reduce((sum, upstream) => sum + board.countLoad(upstream, nowMs), 0);
+    const places = upstreams.length * limit;
+    return places - load < Math.floor(places * KEPT_PART);
+  }
+
   /**
    * Whether as many prompts are read as the engines read between the events of other streams.
    * After a restart all callers come at once: with every prompt read together, a pass takes twice
@@ -281,14 +257,13 @@
     return Math.max(1, Math.floor(bound / this.#options.board.entryCount));
   }
 
+  /** Lets a request wait that can get its turn in time. */
   #wait(ticket: Ticket, nowMs: number): void {
-    const ahead = this.#waiters.filter((waiter) => !isBefore(ticket, waiter.ticket)).length;
+    const ahead = this.#queue.countAhead(ticket);
     if ((ahead + 1) * this.#turnMs > ticket.waitBudgetMs) {
       ticket.onRefused(this.refuseFull(ticket.returnLimitMs, nowMs));
       return;
     }
-    const timer = setTimeout(() => this.#expire(ticket), ticket.waitBudgetMs);
-    this.#waiters.splice(ahead, 0, { ticket, timer });
     this.#write(LogLevel.Routine, 'Waits.', {
       id: ticket.id,
       ahead,
@@ -297,38 +272,17 @@
       limit: this.limitPerUpstream,
       isReturned: ticket.isReturned,
     });
+    this.#queue.add(ticket, ({ returnLimitMs, onRefused }) =>
+      onRefused(this.refuseFull(returnLimitMs, performance.now())),
+    );
     this.#pumpTimer ??= setTimeout(this.#pump, PUMP_MS);
   }
 
-  #expire(ticket: Ticket): void {
-    this.leave(ticket.id);
-    ticket.onRefused(this.refuseFull(ticket.returnLimitMs, performance.now()));
-  }
-
-  #remove(at: number): Waiter | undefined {
-    const [waiter] = this.#waiters.splice(at, 1);
-    clearTimeout(waiter?.timer);
-    return waiter;
-  }
-
   /** Whether a group whose events come at every pass has given none for some passes. */
   #isSilent(nowMs: number): boolean {
     return this.#pool.engine !== undefined && this.#activity.isSilent(nowMs, SILENT_MS);
   }
 
-  #refuseStalled(returnLimitMs: number): Refusal {
-    const latestMs = Math.min(STALLED_RETRY_MS, returnLimitMs);
-    const spread = 1 - STALLED_SPREAD * this.#options.random.next();
-    const retryAfterMs = Math.max(1, latestMs * spread);
-    const detail = `pool ${this.#pool.name} has stalled`;
-    return refuseNotRun(RefusalReason.PoolStalled, retryAfterMs, detail);
-  }
-
-  #refuseEmpty(): Refusal {
-    const detail = `no upstream of pool ${this.#pool.name} takes work`;
-    return refuseNotRun(RefusalReason.NoUpstream, NO_UPSTREAM_RETRY_MS, detail);
-  }
-
   #noteService(nowMs: number): void {
     this.#activity.noteService(nowMs);
     if (this.breaker.noteService()) this.#write(LogLevel.Info, 'A pool takes work again.');
--- a/packages/core/src/direct/returnWatch.ts
+++ b/packages/core/src/direct/returnWatch.ts
@@ -40,7 +40,7 @@
 function findShortest(parts: readonly number[]): number {
   if (parts.length < SAMPLES_MIN) return SHORTEST_PART;
   const sorted = [...parts].sort((a, b) => a - b);
-  return (sorted[Math.floor(sorted.length * STRAY_PART)] ?? SHORTEST_PART) - MARGIN_PART;
+  return (sorted[Math.ceil(sorted.length * STRAY_PART)] ?? SHORTEST_PART) - MARGIN_PART;
 }
 
 /** Remembers the time of a first request, as a part of the longest. */
@@ -66,8 +66,8 @@
     const times = this.#findTimes(route, deadlineMs);
     times.longestMs = Math.max(times.longestMs, deadlineMs);
     const part = deadlineMs / times.longestMs;
-    if (nowMs > this.#settledAtMs) learn(times, part);
     const isReturned = part < times.shortestPart;
+    if (nowMs > this.#settledAtMs) learn(times, part);
     return { firstDeadlineMs: times.longestMs, isReturned };
   }
 
--- a/packages/core/src/direct/upstreamRegistry.ts
+++ b/packages/core/src/direct/upstreamRegistry.ts
@@ -60,9 +60,10 @@
     if (entry.isLeaving) this.#leavingLives.add(life);
     const isLeaving = this.#leavingLives.has(life);
     if (!known || known.isLeaving !== isLeaving || nameLife(known) !== life) {
-      const { id, pool, domain, address } = entry;
+      const { id, pool, domain, address, coldForMs } = entry;
       const sentence = isLeaving ? 'An upstream leaves.' : 'An upstream is there.';
-      this.#log.write(LogLevel.Info, LOG_PART, sentence, { id, pool, domain, address });
+      const fields = { id, pool, domain, address, coldForMs };
+      this.#log.write(LogLevel.Info, LOG_PART, sentence, fields);
     }
     this.#board.putUpstream({ ...entry, isLeaving });
   }
--- a/packages/core/test/direct/directFixture.ts
+++ b/packages/core/test/direct/directFixture.ts
@@ -126,6 +126,7 @@
         slots,
         isLeaving: false,
         startedAtUnixMs: 1,
+        coldForMs: 0,
       }),
     );
   }
--- a/packages/core/test/direct/experts/steppedSwitch.test.ts
+++ b/packages/core/test/direct/experts/steppedSwitch.test.ts
@@ -63,6 +63,7 @@
       slots: 8,
       isLeaving: false,
       startedAtUnixMs: 1,
+      coldForMs: 0,
     }),
   );
   return board;
--- a/packages/core/test/direct/loadExchange.test.ts
+++ b/packages/core/test/direct/loadExchange.test.ts
@@ -1,6 +1,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
+import { CountingMetrics } from '../../src/ports/countingMetrics.js';
 import { LoadExchange } from '../../src/direct/loadExchange.js';
 import { FleetBoard } from '../../src/direct/fleetBoard.js';
 import { UpstreamRegistry } from '../../src/direct/upstreamRegistry.js';
@@ -79,10 +80,16 @@
       slots: 8,
       isLeaving: false,
       startedAtUnixMs: 1,
+      coldForMs: 0,
     });
     entries.set(name, {
       board,
-      exchange: new LoadExchange({ board, dialer, log: new SilentLog() }),
+      exchange: new LoadExchange({
+        board,
+        dialer,
+        log: new SilentLog(),
+        metrics: new CountingMetrics(),
+      }),
     });
   });
   const list = [...entries.values()];
--- a/packages/core/test/direct/poolDesk.test.ts
+++ b/packages/core/test/direct/poolDesk.test.ts
@@ -2,6 +2,7 @@
 import * as assert from 'uvu/assert';
 
 import { RefusalReason } from '../../src/model/reason.js';
+import type { FakeCaller } from '../entry/fakeCaller.js';
 
 import { DEADLINE_MS, DirectFixture, withClock } from './directFixture.js';
 import { NOT_RUN_HEAD } from './fakeCall.js';
@@ -125,6 +126,34 @@
     assert.is(entry.calls.length, after + 5, 'open again with the first event');
   }));
 
+/** A stream whose caller has been refused before. */
+function askAgain(entry: DirectFixture): FakeCaller {
+  return entry.ask('stream', { deadlineMs: DEADLINE_MS - 2_500 });
+}
+
+test('whoever has come back leaves the last places to those that can be on time', () =>
+  withClock(() => {
+    const entry = new DirectFixture();
+    entry.addUpstreams('models', 4);
+    fill(entry, 4);
+    // One of 32 places is free, and an eighth of them is kept.
+    entry.calls[0]?.end();
+    askAgain(entry);
+    assert.is(entry.calls.length, FIRST_LIMIT * 4);
+    askAndRead(entry);
+    assert.is(entry.calls.length, FIRST_LIMIT * 4 + 1);
+  }));
+
+test('whoever has come back is served where more places are free', () =>
+  withClock(() => {
+    const entry = new DirectFixture();
+    entry.addUpstreams('models', 4);
+    fill(entry, 4);
+    entry.calls.slice(0, 4).forEach((call) => call.end());
+    askAgain(entry);
+    assert.is(entry.calls.length, FIRST_LIMIT * 4 + 1);
+  }));
+
 test('upstreams that leave, or whose domain is closed, get nothing new', () =>
   withClock(() => {
     const entry = new DirectFixture();
--- a/packages/core/test/direct/returnWatch.test.ts
+++ b/packages/core/test/direct/returnWatch.test.ts
@@ -41,6 +41,13 @@
   assert.ok(watch.judge('stream', LONGEST_MS * 0.5, 200).isReturned);
 });
 
+test('a caller that comes back though nobody here refused it changes little', () => {
+  const watch = new ReturnWatch();
+  learnCalm(watch, 0.9, 0);
+  assert.ok(watch.judge('stream', LONGEST_MS * 0.6, 1).isReturned);
+  assert.ok(watch.judge('stream', LONGEST_MS * 0.6, 2).isReturned);
+});
+
 test('routes are learned apart', () => {
   const watch = new ReturnWatch();
   learnCalm(watch, 0.9, 0);
