--- a/eslint.config.js
+++ b/eslint.config.js
@@ -84,7 +84,7 @@
     rules: { 'n/no-sync': 'off' },
   },
   {
-    files: ['**/*.js', '**/*.mjs', 'packages/standin/src/**', 'packages/client/src/**'],
+    files: ['**/*.js', '**/*.mjs'],
     rules: { 'no-console': 'off' },
   },
 ];
--- a/packages/client/src/orderWait.ts
+++ b/packages/client/src/orderWait.ts
@@ -1,6 +1,7 @@
 /** Waits until an order is in force everywhere. */
 import { OrderState, type OrderStatus } from '@radishbay/core/model/order.js';
 import type { Result } from '@radishbay/core/outcome.js';
+import { wait } from '@radishbay/core/wait.js';
 
 import { FailureKind, type Failure } from './failure.js';
 import type { OperatorApi } from './operatorApi.js';
@@ -10,12 +11,6 @@
   readonly pollMs: number;
 }
 
-function wait(delayMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, delayMs);
-  });
-}
-
 /** Whether asking again can bring news. */
 function isOpen(status: Result<OrderStatus, Failure>): boolean {
   if (status.ok) return status.val.state === OrderState.Accepted;
--- a/packages/core/src/direct/directController.ts
+++ b/packages/core/src/direct/directController.ts
@@ -166,7 +166,7 @@
       const detail = 'no configuration is known yet';
       return Err(refuseNotRun(RefusalReason.NoConfiguration, NO_CONFIG_RETRY_MS, detail));
     }
-    this.#dropOldDesks(table);
+    this.#followTable(table);
     const route = table.findRoute(request.host, request.path);
     if (!route) {
       const detail = `no route of host ${request.host} begins path ${request.path}`;
@@ -214,8 +214,8 @@
     return coldPerS > 0 ? (coldPerS * coldFactor + coldAddition) * COLD_PART : undefined;
   };
 
-  /** Desks follow the pools of the table in force. */
-  #dropOldDesks(table: RouteTable): void {
+  /** What is kept for pools and routes follows the table in force. */
+  #followTable(table: RouteTable): void {
     if (table.version === this.#tableVersion) return;
     this.#tableVersion = table.version;
     this.#desks.forEach((desk, name) => {
@@ -223,6 +223,10 @@
       if (pool) desk.update(pool);
       else this.#desks.delete(name);
     });
+    [...this.#budgets.keys()]
+      .filter((name) => !table.findPool(name))
+      .forEach((name) => this.#budgets.delete(name));
+    this.#returns.keepRoutes(table.listRouteNames());
   }
 
   #findBudget(pool: string): RetryBudget {
--- a/packages/core/src/direct/directRun.ts
+++ b/packages/core/src/direct/directRun.ts
@@ -15,11 +15,11 @@
 import type { DirectContext } from './directContext.js';
 import type { DirectUpstream } from './directUpstream.js';
 import type { PoolDesk } from './poolDesk.js';
-import { RouteKind, type DirectWorkspace, type Route } from './routeTable.js';
+import { mayRunAgain, RouteKind, type DirectWorkspace, type Route } from './routeTable.js';
 import type { ReturnJudgement } from './returnWatch.js';
 import { NoRetryReason, RunReport } from './runReport.js';
 import { SendTally } from './sendTally.js';
-import { chooseSilenceMs, mayRunAgain } from './silenceLimit.js';
+import { chooseSilenceMs } from './silenceLimit.js';
 import { planTurn } from './turnPlan.js';
 
 const STATUS_SERVER_ERROR = 500;
--- a/packages/core/src/direct/directUpstream.ts
+++ b/packages/core/src/direct/directUpstream.ts
@@ -51,6 +51,9 @@
   /** Requests of other entries by their word. */
   readonly #peerInFlight = new Map<string, number>();
 
+  /** Sum of them, as every choice asks for it. */
+  #byPeers = 0;
+
   #loadAtMs = Number.NEGATIVE_INFINITY;
 
   #pace = 1;
@@ -84,6 +87,7 @@
 
   /** Takes in what another entry has in flight here. */
   notePeer(entry: string, inFlight: number): void {
+    this.#byPeers += inFlight - (this.#peerInFlight.get(entry) ?? 0);
     if (inFlight > 0) this.#peerInFlight.set(entry, inFlight);
     else this.#peerInFlight.delete(entry);
   }
@@ -95,11 +99,10 @@
    *   had no time to hear are taken to be like its own
    */
   countLoad(nowMs: number, unheardPeers: number, isNew: boolean): number {
-    const byPeers = [...this.#peerInFlight.values()].reduce((sum, count) => sum + count, 0);
-    if (unheardPeers <= 0) return this.inFlight + byPeers;
+    if (unheardPeers <= 0) return this.inFlight + this.#byPeers;
     const isTold = nowMs - this.#loadAtMs < LOAD_VALID_MS;
     const assumed = isNew ? this.inFlight * unheardPeers : 0;
-    return this.inFlight + Math.max(byPeers, isTold ? this.#othersInFlight : assumed);
+    return this.inFlight + Math.max(this.#byPeers, isTold ? this.#othersInFlight : assumed);
   }
 
   /** Takes in how long the upstream takes for its work against a sound one. */
--- a/packages/core/src/direct/experts/mapSearch.ts
+++ b/packages/core/src/direct/experts/mapSearch.ts
@@ -1,6 +1,7 @@
 /** Searches a better expert map for all layers, in slices that do not hold the event loop up. */
 import type { Random } from '../../ports/random.js';
 import type { GroupProfile } from '../routeTable.js';
+import { wait } from '../../wait.js';
 
 import { LayerSearch } from './layerSearch.js';
 
@@ -39,12 +40,6 @@
   readonly copies: number;
 }
 
-function wait(spanMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, spanMs);
-  });
-}
-
 function mean(values: readonly number[]): number {
   return values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length);
 }
--- a/packages/core/src/direct/experts/steppedSwitch.ts
+++ b/packages/core/src/direct/experts/steppedSwitch.ts
@@ -14,6 +14,7 @@
 import type { GroupRank, GroupSurvey } from './groupSurvey.js';
 import { OrderOutcome, RankOrderKind, type RankCaller, type RankCommand } from './rankCaller.js';
 import type { Placement } from './mapSearch.js';
+import { wait } from '../../wait.js';
 
 /**
  * Time between the last pass that a rank told of and the one that is held: reports are a fifth of
@@ -74,12 +75,6 @@
   readonly onDoubt?: (rank: GroupRank, command: RankCommand, outcome: OrderOutcome) => void;
 }
 
-function wait(spanMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, spanMs);
-  });
-}
-
 /** One switch of one group. */
 export class SteppedSwitch {
   readonly #options: SteppedSwitchOptions;
--- a/packages/core/src/direct/poolDesk.ts
+++ b/packages/core/src/direct/poolDesk.ts
@@ -130,11 +130,11 @@
       ticket.onRefused(this.#refusals.stalled(ticket.returnLimitMs));
       return;
     }
-    const isFirst = this.#queue.countAhead(ticket) === 0;
+    const ahead = this.#queue.countAhead(ticket);
     const { upstream, openCount } = this.#place(new Set(), nowMs, ticket.isReturned);
-    if (isFirst && upstream) ticket.onTurn(upstream);
+    if (ahead === 0 && upstream) ticket.onTurn(upstream);
     else if (openCount === 0) ticket.onRefused(this.#refusals.empty());
-    else this.#wait(ticket, nowMs);
+    else this.#wait(ticket, ahead, nowMs);
   }
 
   /** Takes a request out that its caller has given up. */
@@ -258,8 +258,7 @@
   }
 
   /** Lets a request wait that can get its turn in time. */
-  #wait(ticket: Ticket, nowMs: number): void {
-    const ahead = this.#queue.countAhead(ticket);
+  #wait(ticket: Ticket, ahead: number, nowMs: number): void {
     if ((ahead + 1) * this.#turnMs > ticket.waitBudgetMs) {
       ticket.onRefused(this.refuseFull(ticket.returnLimitMs, nowMs));
       return;
--- a/packages/core/src/direct/routeTable.ts
+++ b/packages/core/src/direct/routeTable.ts
@@ -43,6 +43,11 @@
   readonly isResumable: boolean;
 }
 
+/** Whether requests of a route may be sent again after they may have run. */
+export function mayRunAgain({ kind, isResumable }: Route): boolean {
+  return kind === RouteKind.Repeatable || (kind === RouteKind.Stream && isResumable);
+}
+
 /** How a group's experts may be placed. */
 export interface GroupProfile {
   /** Layers, or sets of layers, that are placed apart. */
@@ -137,6 +142,12 @@
     return [...this.#pools.values()];
   }
 
+  /** Names of all routes. */
+  listRouteNames(): ReadonlySet<string> {
+    const routes = [...this.#routes.values()].flatMap((byPrefix) => [...byPrefix.values()]);
+    return new Set(routes.map(({ name }) => name));
+  }
+
   /** The route of the host whose prefix is the longest one that begins the path. */
   findRoute(host: string, path: string): Route | undefined {
     const routes = this.#routes.get(removePort(host));
--- a/packages/core/src/direct/silenceLimit.ts
+++ b/packages/core/src/direct/silenceLimit.ts
@@ -9,11 +9,6 @@
 
 const STREAM_PAUSES = 6;
 
-/** Whether requests of a route may be sent again after they may have run. */
-export function mayRunAgain({ kind, isResumable }: Route): boolean {
-  return kind === RouteKind.Repeatable || (kind === RouteKind.Stream && isResumable);
-}
-
 /** Silence of an upstream, in milliseconds, by which it stands out. */
 export function chooseSilenceMs({ kind, targetMs, pauseTargetMs }: Route): number {
   if (kind !== RouteKind.Stream) return targetMs * PLAIN_TARGETS;
--- a/packages/core/src/orders/settledWrite.ts
+++ b/packages/core/src/orders/settledWrite.ts
@@ -17,6 +17,7 @@
   type StoredObject,
   type StoreError,
 } from '../ports/objectStore.js';
+import { wait } from '../wait.js';
 
 /** Time after which a call counts as lost. */
 const CALL_LIMIT_MS = 4_000;
@@ -67,12 +68,6 @@
   return { outcome, version, current, detail };
 }
 
-function wait(spanMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, spanMs);
-  });
-}
-
 /** Writes and settles. */
 export class SettledWriter {
   readonly #options: SettledWriterOptions;
--- a/packages/core/test/direct/directFixture.ts
+++ b/packages/core/test/direct/directFixture.ts
@@ -10,7 +10,6 @@
   type RouteTableContent,
 } from '../../src/direct/routeTable.js';
 import { UpstreamRegistry } from '../../src/direct/upstreamRegistry.js';
-import { HeldBody } from '../../src/ports/heldBody.js';
 import { CountingMetrics } from '../../src/ports/countingMetrics.js';
 import { Random } from '../../src/ports/random.js';
 import { SilentLog } from '../../src/ports/silentLog.js';
@@ -19,6 +18,7 @@
 
 import type { FakeCall } from './fakeCall.js';
 import { FakeUpstreams } from './fakeUpstreams.js';
+import { HeldBody } from './heldBody.js';
 import { BOUNDS } from './sampleBounds.js';
 
 export type TestClock = ReturnType<typeof install>;
--- a/packages/core/test/direct/experts/rankGroup.ts
+++ b/packages/core/test/direct/experts/rankGroup.ts
@@ -15,6 +15,7 @@
 import type { UpstreamEntry } from '../../../src/direct/directUpstream.js';
 import { Err, Ok, type Result } from '../../../src/outcome.js';
 import type { Random } from '../../../src/ports/random.js';
+import { wait } from '../../../src/wait.js';
 
 import { FakeRank, type Placement } from './fakeRank.js';
 
@@ -28,12 +29,6 @@
 const LATE_MIN_MS = 2_000;
 const LATE_SPAN_MS = 10_000;
 
-function wait(spanMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, spanMs);
-  });
-}
-
 export interface RankGroupOptions {
   readonly size: number;
   readonly map: Placement;
--- a/packages/core/src/ports/heldBody.ts
+++ b/packages/core/test/direct/heldBody.ts
@@ -1,5 +1,5 @@
 /** A request's body that is in memory as a whole. */
-import { RequestBody, type BodySink, type BodyTransfer } from './requestBody.js';
+import { RequestBody, type BodySink, type BodyTransfer } from '../../src/ports/requestBody.js';
 
 const NOTHING_LEFT: BodyTransfer = { resume: () => {}, stop: () => {} };
 
--- a/packages/core/test/direct/returnWatch.test.ts
+++ b/packages/core/test/direct/returnWatch.test.ts
@@ -48,6 +48,23 @@
   assert.ok(watch.judge('stream', LONGEST_MS * 0.6, 2).isReturned);
 });
 
+test('one caller that names far more time than the others changes little', () => {
+  const watch = new ReturnWatch();
+  learnCalm(watch, 0.85, 0);
+  watch.judge('stream', LONGEST_MS * 400, 1);
+  assert.not(watch.judge('stream', LONGEST_MS * 0.95, 2).isReturned);
+  assert.ok(watch.judge('stream', LONGEST_MS * 0.6, 3).isReturned);
+});
+
+test('routes that are gone are forgotten', () => {
+  const watch = new ReturnWatch();
+  learnCalm(watch, 0.99, 0);
+  watch.keepRoutes(new Set(['stream']));
+  assert.ok(watch.judge('stream', LONGEST_MS * 0.9, 1).isReturned);
+  watch.keepRoutes(new Set(['swap']));
+  assert.not(watch.judge('stream', LONGEST_MS * 0.9, 2).isReturned);
+});
+
 test('routes are learned apart', () => {
   const watch = new ReturnWatch();
   learnCalm(watch, 0.9, 0);
--- a/packages/daemon/src/callers/requestParser.ts
+++ b/packages/daemon/src/callers/requestParser.ts
@@ -8,6 +8,8 @@
 
 import { pickEndToEndHeaders } from '../upstream/httpRun.js';
 
+import { readBearer, readHeader } from './headers.js';
+
 const COMPLETIONS_PATH = '/v1/completions';
 const CHAT_COMPLETIONS_PATH = '/v1/chat/completions';
 
@@ -19,7 +21,6 @@
 
 const IDEMPOTENCY_HEADER = 'idempotency-key';
 const IDEMPOTENCY_KEY_LIMIT = 256;
-const BEARER = /^Bearer\s+(\S+)$/iu;
 
 /** Headers that the entry reads itself and that do not travel on. */
 const CONSUMED_HEADERS = new Set(['authorization', CLASS_HEADER, DEADLINE_HEADER, 'x-attempt-id']);
@@ -78,11 +79,6 @@
   return Err({ reason: RefusalReason.BadDeadline, detail });
 }
 
-function readHeader(message: http.IncomingMessage, name: string): string | undefined {
-  const value = message.headers[name];
-  return Array.isArray(value) ? value[0] : value;
-}
-
 function readIdempotencyKey(message: http.IncomingMessage): Result<string | undefined, ParseFault> {
   const key = readHeader(message, IDEMPOTENCY_HEADER);
   if (key === undefined || (key.length > 0 && key.length <= IDEMPOTENCY_KEY_LIMIT)) return Ok(key);
@@ -110,7 +106,6 @@
   const completion = isCompletionPath(path) ? parseCompletion(body) : Ok(NO_COMPLETION);
   if (!completion.ok) return completion;
 
-  const token = BEARER.exec(readHeader(message, 'authorization') ?? '')?.[1];
   const headers = Object.entries(pickEndToEndHeaders(message.headers));
   return Ok({
     id,
@@ -118,7 +113,7 @@
     path,
     headers: Object.fromEntries(headers.filter(([name]) => !CONSUMED_HEADERS.has(name))),
     body,
-    workspaceKey: token ?? '',
+    workspaceKey: readBearer(message) ?? '',
     className: readHeader(message, CLASS_HEADER),
     deadlineMs: deadline.val,
     idempotencyKey: key.val,
--- a/packages/daemon/src/direct/arrivingBody.ts
+++ b/packages/daemon/src/direct/arrivingBody.ts
@@ -36,6 +36,8 @@
 
   #isComplete = false;
 
+  #isDropped = false;
+
   /** Whether more than the held beginning has been read. */
   #isPassing = false;
 
@@ -99,7 +101,8 @@
     this.#held = [];
     this.#sink = undefined;
     this.#onReady = undefined;
-    if (this.#isComplete) return;
+    if (this.#isComplete || this.#isDropped) return;
+    this.#isDropped = true;
     this.#message.off('data', this.#read);
     this.#message.off('end', this.#finish);
     dropRest(this.#message);
--- a/packages/daemon/src/direct/directEntryDaemon.ts
+++ b/packages/daemon/src/direct/directEntryDaemon.ts
@@ -9,6 +9,7 @@
 import { Random } from '@radishbay/core/ports/random.js';
 
 import { WsListener } from '@radishbay/link/ws/wsListener.js';
+import { wait } from '@radishbay/core/wait.js';
 
 import { CallerServer, type ServerLimits } from '../callers/callerServer.js';
 import type { Instruments } from '../observe/instruments.js';
@@ -60,12 +61,6 @@
   readonly sources: readonly { readonly start: () => void; readonly stop: () => void }[];
 }
 
-function wait(spanMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, spanMs);
-  });
-}
-
 /** Waits until something holds, at most until a time. */
 async function waitUntil(isDone: () => boolean, endAtMs: number): Promise<void> {
   if (isDone() || performance.now() >= endAtMs) return;
--- a/packages/daemon/src/observe/boundedLog.ts
+++ b/packages/daemon/src/observe/boundedLog.ts
@@ -26,9 +26,10 @@
 /** Part of the routine budget that sampling aims at: requests come unevenly. */
 const SAMPLING_AIM = 0.8;
 
+/** Lines of any kind after which a level is left out. */
 const LIMITS: Readonly<Record<LogLevel, number>> = {
-  [LogLevel.Debug]: ROUTINE_LINES_PER_S,
-  [LogLevel.Routine]: ROUTINE_LINES_PER_S,
+  [LogLevel.Debug]: CALM_LINES_PER_S,
+  [LogLevel.Routine]: CALM_LINES_PER_S,
   [LogLevel.Info]: CALM_LINES_PER_S,
   [LogLevel.Warn]: LINES_PER_S,
   [LogLevel.Error]: LINES_PER_S,
@@ -58,6 +59,9 @@
   /** Routine lines of this second, written or not. */
   #routineLines = 0;
 
+  /** Those of them that were written: failures take nothing from their budget. */
+  #routineWritten = 0;
+
   /** Part of the requests whose routine lines are written. */
   #keptPart = 1;
 
@@ -73,16 +77,19 @@
   override write(level: LogLevel, part: string, sentence: string, fields?: LogFields): void {
     this.#turnSecond(performance.now());
     if (isRoutine(level)) this.#routineLines += 1;
-    if (this.#lines >= LIMITS[level] || this.#isSampledOut(level, fields)) {
+    if (this.#lines >= LIMITS[level] || this.#isRoutineLeftOut(level, fields)) {
       this.#noteLeft(level);
       return;
     }
     this.#lines += 1;
+    if (isRoutine(level)) this.#routineWritten += 1;
     this.#log.write(level, part, sentence, fields);
   }
 
-  #isSampledOut(level: LogLevel, fields: LogFields | undefined): boolean {
-    if (!isRoutine(level) || this.#keptPart === 1) return false;
+  #isRoutineLeftOut(level: LogLevel, fields: LogFields | undefined): boolean {
+    if (!isRoutine(level)) return false;
+    if (this.#routineWritten >= ROUTINE_LINES_PER_S) return true;
+    if (this.#keptPart === 1) return false;
     return hashId(String(fields?.id ?? '')) >= this.#keptPart * HASH_RANGE;
   }
 
@@ -93,11 +100,12 @@
 
   #turnSecond(nowMs: number): void {
     if (nowMs - this.#secondAtMs < SECOND_MS) return;
-    const aim = ROUTINE_LINES_PER_S * SAMPLING_AIM;
-    this.#keptPart = Math.min(1, aim / Math.max(1, this.#routineLines));
+    const isOver = this.#routineLines > ROUTINE_LINES_PER_S;
+    this.#keptPart = isOver ? (ROUTINE_LINES_PER_S * SAMPLING_AIM) / this.#routineLines : 1;
     this.#secondAtMs = nowMs;
     this.#lines = 0;
     this.#routineLines = 0;
+    this.#routineWritten = 0;
     if (this.#routineLeft + this.#othersLeft === 0) return;
     this.#log.write(LogLevel.Warn, PART, 'Lines were left out.', {
       routineLines: this.#routineLeft,
--- a/packages/daemon/src/observe/outputStream.ts
+++ b/packages/daemon/src/observe/outputStream.ts
@@ -5,6 +5,11 @@
 /** Bytes that wait to be written before lines are dropped. */
 const BUFFER_BYTES_MAX = 512 * 1024;
 
+/** Bytes that are written in a second: 300 lines of the usual length, and some longer ones. */
+const BYTES_PER_S = 160 * 1024;
+
+const SECOND_MS = 1_000;
+
 const STDOUT_FD = 1;
 
 /** Writes to a pipe or socket without blocking; to a file through Node's own stream. */
@@ -17,11 +22,6 @@
   }
 }
 
-/** Bytes that are written in a second: 300 lines of the usual length, and some longer ones. */
-const BYTES_PER_S = 160 * 1024;
-
-const SECOND_MS = 1_000;
-
 /** Lines of one process. */
 export class OutputStream extends Writable {
   readonly #out: Writable;
--- a/packages/daemon/src/roles/entryDaemon.ts
+++ b/packages/daemon/src/roles/entryDaemon.ts
@@ -6,6 +6,7 @@
 import { Err, Ok, type Result } from '@radishbay/core/outcome.js';
 import { WsDialer } from '@radishbay/link/ws/wsDialer.js';
 import { WsListener } from '@radishbay/link/ws/wsListener.js';
+import { wait } from '@radishbay/core/wait.js';
 
 import { CallerServer, type ServerLimits } from '../callers/callerServer.js';
 import { createRequestParser } from '../callers/requestParser.js';
@@ -35,12 +36,6 @@
   };
 }
 
-function wait(spanMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, spanMs);
-  });
-}
-
 /** One entry. */
 export class EntryDaemon extends Daemon {
   readonly #settings: EntrySettings;
--- a/packages/daemon/test/boundedLog.test.ts
+++ b/packages/daemon/test/boundedLog.test.ts
@@ -104,6 +104,19 @@
   assert.ok(answered.every(({ fields }) => sent.has(fields.id)));
 });
 
+test('many failures take nothing from the histories that are kept', ({ clock, kept, log }) => {
+  const perS = REQUESTS_PER_S;
+  Array.from({ length: perS * SPAN_S }, (_, at) => `request-${at}`).forEach((id) => {
+    log.write(LogLevel.Routine, 'request', 'Sent.', { id });
+    log.write(LogLevel.Info, 'request', 'An attempt failed.', { id });
+    log.write(LogLevel.Info, 'request', 'No other upstream is tried.', { id });
+    log.write(LogLevel.Routine, 'request', 'Answered.', { id });
+    clock.tick(1_000 / perS);
+  });
+  const routine = kept.lines.filter(({ level }) => level === LogLevel.Routine);
+  assert.is(routine.length, perS * SPAN_S * 2);
+});
+
 test('debug lines come after all others', ({ log, kept }) => {
   Array.from({ length: LINES_PER_S }, () => log.write(LogLevel.Debug, 'part', 'Detail.'));
   Array.from({ length: LINES_PER_S }, () => log.write(LogLevel.Info, 'part', 'Belief.'));
--- a/packages/objects/src/httpObjectStore.ts
+++ b/packages/objects/src/httpObjectStore.ts
@@ -1,15 +1,9 @@
 /**
  * The platform's object API over HTTP; the protocol is described in this package's README.
- *
- * Calls share kept-alive connections. Each watch has a connection of its own, as connections can go
- * silent for good: a watch ends shortly after the time for which the platform may hold it.
  */
-import { Agent } from 'node:http';
-
 import { Err, Ok, type Result } from '@radishbay/core/outcome.js';
 import {
   ObjectStore,
-  StoreErrorKind,
   type ObjectChange,
   type ObjectList,
   type StoredObject,
@@ -17,14 +11,9 @@
   type WatchBatch,
 } from '@radishbay/core/ports/objectStore.js';
 
-import { sendCall, type HttpAnswer, type HttpFailure } from './httpCall.js';
-import {
-  dropIdleConnections,
-  findErrorKind,
-  isJsonObject,
-  parseJsonObject,
-  type JsonObject,
-} from './storeAnswer.js';
+import type { HttpAnswer } from './httpCall.js';
+import { isJsonObject, parseJsonObject, type JsonObject } from './storeAnswer.js';
+import { describeLost, describeStatus, StoreCaller, type StoreCall } from './storeCaller.js';
 
 /** Time beyond a watch's own bound after which its connection counts as silent. */
 const WATCH_MARGIN_MS = 1_000;
@@ -41,14 +30,6 @@
   readonly token?: string;
 }
 
-interface StoreCall {
-  readonly method: string;
-  readonly url: URL;
-  readonly body?: string;
-  /** Set on a watch only. */
-  readonly timeoutMs?: number;
-}
-
 function parseEntry(value: unknown): ObjectChange | undefined {
   if (!isJsonObject(value)) return undefined;
   const { key, version } = value;
@@ -63,53 +44,37 @@
   return known.length === entries.length ? known : undefined;
 }
 
-function isWrite(call: StoreCall): boolean {
-  return call.method !== 'GET';
-}
-
-/** An error after which a write may have taken effect. */
-function describeLost(call: StoreCall, detail: string): StoreError {
-  const kind = isWrite(call) ? StoreErrorKind.Unknown : StoreErrorKind.Unavailable;
-  return { kind, detail };
-}
-
-function describeFailure(call: StoreCall, failure: HttpFailure): StoreError {
-  if (failure.isSent) return describeLost(call, failure.detail);
-  return { kind: StoreErrorKind.Unavailable, detail: failure.detail };
-}
-
-function describeStatus(call: StoreCall, answer: HttpAnswer): StoreError {
-  const kind = findErrorKind(answer.status);
-  const told = parseJsonObject(answer.text)?.detail;
-  const detail = typeof told === 'string' ? told : `status ${answer.status}`;
-  return kind === undefined ? describeLost(call, detail) : { kind, detail };
+function describeAnswer(call: StoreCall, { status, text }: HttpAnswer): StoreError {
+  const told = parseJsonObject(text)?.detail;
+  return describeStatus(call.method, status, typeof told === 'string' ? told : `status ${status}`);
 }
 
 /** Client of the platform's object API over HTTP. */
 export class HttpObjectStore extends ObjectStore {
   readonly #baseUrl: string;
-  readonly #callTimeoutMs: number;
-  readonly #headers: Readonly<Record<string, string>>;
-  readonly #agent = new Agent({ keepAlive: true, maxSockets: MAX_CONNECTIONS });
+
+  readonly #calls: StoreCaller;
 
   constructor(options: HttpObjectStoreOptions) {
     super();
     this.#baseUrl = options.baseUrl.replace(/\/+$/u, '');
-    this.#callTimeoutMs = options.callTimeoutMs;
-    this.#headers = {
-      'content-type': 'application/json',
-      ...(options.token === undefined ? {} : { authorization: `Bearer ${options.token}` }),
-    };
+    const { token, callTimeoutMs } = options;
+    this.#calls = new StoreCaller({
+      headers: token === undefined ? {} : { authorization: `Bearer ${token}` },
+      callTimeoutMs,
+      watchMarginMs: WATCH_MARGIN_MS,
+      connectionLimit: MAX_CONNECTIONS,
+    });
   }
 
   override async get(key: string): Promise<Result<StoredObject | undefined, StoreError>> {
     const call = { method: 'GET', url: this.#formatKeyUrl(key) };
-    const answer = await this.#send(call);
+    const answer = await this.#calls.send(call);
     if (answer.err) return answer;
     if (answer.val.status === STATUS_NOT_FOUND) return Ok(undefined);
-    if (answer.val.status !== STATUS_OK) return Err(describeStatus(call, answer.val));
+    if (answer.val.status !== STATUS_OK) return Err(describeAnswer(call, answer.val));
     const object = parseEntry(parseJsonObject(answer.val.text));
-    return object ? Ok(object) : Err(describeLost(call, 'answer is not an object'));
+    return object ? Ok(object) : Err(describeLost(call.method, 'answer is not an object'));
   }
 
   override async list(prefix: string): Promise<Result<ObjectList, StoreError>> {
@@ -119,7 +84,7 @@
     const { revision } = body.val;
     const objects = parseEntries(body.val.objects);
     if (typeof revision !== 'number' || !objects) {
-      return Err(describeLost(call, 'answer is not a list'));
+      return Err(describeLost(call.method, 'answer is not a list'));
     }
     return Ok({ revision, objects });
   }
@@ -130,7 +95,7 @@
     expectedVersion: number,
   ): Promise<Result<number, StoreError>> {
     const url = this.#formatKeyUrl(key, { expectedVersion: String(expectedVersion) });
-    return this.#write({ method: 'PUT', url, body: JSON.stringify(value) });
+    return this.#write({ method: 'PUT', url, body: value });
   }
 
   override remove(key: string, expectedVersion: number): Promise<Result<number, StoreError>> {
@@ -144,20 +109,20 @@
     timeoutMs: number,
   ): Promise<Result<WatchBatch, StoreError>> {
     const query = { prefix, after: String(afterRevision), timeoutMs: String(timeoutMs) };
-    const call = { method: 'GET', url: this.#formatUrl('/watch', query), timeoutMs };
+    const call = { method: 'GET', url: this.#formatUrl('/watch', query), waitMs: timeoutMs };
     const body = await this.#read(call);
     if (body.err) return body;
     const { revision } = body.val;
     const changes = parseEntries(body.val.changes);
     if (typeof revision !== 'number' || !changes) {
-      return Err(describeLost(call, 'answer is not a batch of changes'));
+      return Err(describeLost(call.method, 'answer is not a batch of changes'));
     }
     return Ok({ revision, changes });
   }
 
   /** Closes all connections; calls in progress fail. */
   close(): void {
-    this.#agent.destroy();
+    this.#calls.close();
   }
 
   #formatUrl(path: string, query: Readonly<Record<string, string>> = {}): URL {
@@ -171,34 +136,20 @@
     return this.#formatUrl(`/objects/${path}`, query);
   }
 
-  async #send(call: StoreCall): Promise<Result<HttpAnswer, StoreError>> {
-    const isWatch = call.timeoutMs !== undefined;
-    const answer = await sendCall({
-      method: call.method,
-      url: call.url,
-      headers: this.#headers,
-      body: call.body,
-      timeoutMs: isWatch ? call.timeoutMs + WATCH_MARGIN_MS : this.#callTimeoutMs,
-      agent: isWatch ? false : this.#agent,
-    });
-    if (answer.ok) return answer;
-    if (answer.val.isTimeout) dropIdleConnections(this.#agent);
-    return Err(describeFailure(call, answer.val));
-  }
-
   async #read(call: StoreCall): Promise<Result<JsonObject, StoreError>> {
-    const answer = await this.#send(call);
+    const answer = await this.#calls.send(call);
     if (answer.err) return answer;
-    if (answer.val.status !== STATUS_OK) return Err(describeStatus(call, answer.val));
+    if (answer.val.status !== STATUS_OK) return Err(describeAnswer(call, answer.val));
     const body = parseJsonObject(answer.val.text);
-    return body ? Ok(body) : Err(describeLost(call, 'answer is not JSON'));
+    return body ? Ok(body) : Err(describeLost(call.method, 'answer is not JSON'));
   }
 
   async #write(call: StoreCall): Promise<Result<number, StoreError>> {
     const body = await this.#read(call);
     if (body.err) return body;
     const { version } = body.val;
-    if (typeof version !== 'number') return Err(describeLost(call, 'answer names no version'));
+    if (typeof version !== 'number')
+      return Err(describeLost(call.method, 'answer names no version'));
     return Ok(version);
   }
 }
--- a/packages/standin/src/bench/domainBench.ts
+++ b/packages/standin/src/bench/domainBench.ts
@@ -4,6 +4,7 @@
  * Real processes: two entries, three failure domains. The load goes on from before the drain until
  * after the return; results are put into windows by the time at which a call was due.
  */
+import { wait } from '@radishbay/core/wait.js';
 import { CallKind, DEFAULT_SHAPE } from '../caller/callPlan.js';
 import { CallerReport } from '../caller/callerReport.js';
 import type { CallResult } from '../caller/callResult.js';
@@ -33,12 +34,6 @@
   After = 'after',
 }
 
-function wait(spanMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, spanMs);
-  });
-}
-
 /** Gives an order as an operator does; resolves with the time it took to be in force. */
 async function give(fleet: Fleet, action: string): Promise<number> {
   const startedMs = performance.now();
--- a/packages/standin/src/bench/limitsBench.ts
+++ b/packages/standin/src/bench/limitsBench.ts
@@ -12,6 +12,10 @@
   Skew,
   type LimitsScenario,
 } from './limits/limitsRun.js';
+import { writeLine, writeRow } from './table.js';
+
+/** Characters of the columns. */
+const WIDTHS = [14, 20, 10];
 
 const SEEDS = [1, 2, 3];
 
@@ -23,32 +27,34 @@
 
 const LOSS_SHARE = 0.2;
 
-function writeRow(cells: readonly string[]): void {
-  const [method = '', skew = '', ...rest] = cells;
-  const start = method.padEnd(14) + skew.padEnd(20);
-  console.log([start, ...rest.map((cell) => cell.padStart(10))].join(''));
-}
-
 function measure(scenario: LimitsScenario): void {
   const runs = SEEDS.map((seed) => LimitsRun.run(scenario, seed));
   const sum = (field: 'offered' | 'admitted' | 'messages') =>
     runs.reduce((total, run) => total + run[field], 0);
   const messagesPerSecond = sum('messages') / RUN_S / SEEDS.length / scenario.entries;
-  writeRow([
-    scenario.method,
-    scenario.skew,
-    String(scenario.entries),
-    `${scenario.demand}x`,
-    `${scenario.lossShare * 100}%`,
-    `${((100 * sum('admitted')) / sum('offered')).toFixed(1)}%`,
-    String(Math.max(...runs.map((run) => run.peakPerSecond))),
-    messagesPerSecond.toFixed(1),
-  ]);
+  writeRow(
+    [
+      scenario.method,
+      scenario.skew,
+      String(scenario.entries),
+      `${scenario.demand}x`,
+      `${scenario.lossShare * 100}%`,
+      `${((100 * sum('admitted')) / sum('offered')).toFixed(1)}%`,
+      String(Math.max(...runs.map((run) => run.peakPerSecond))),
+      messagesPerSecond.toFixed(1),
+    ],
+    WIDTHS,
+    2,
+  );
 }
 
 const title = `limit ${LIMIT_PER_SECOND} a second, burst ${BURST}, ${RUN_S} s, seeds ${SEEDS.join(', ')}`;
-console.log(`${title}; one bucket admits ${LIMIT_PER_SECOND + BURST} in a second at most`);
-writeRow(['way', 'demand at', 'entries', 'demand', 'loss', 'admitted', 'peak 1 s', 'msg/s each']);
+writeLine(`${title}; one bucket admits ${LIMIT_PER_SECOND + BURST} in a second at most`);
+writeRow(
+  ['way', 'demand at', 'entries', 'demand', 'loss', 'admitted', 'peak 1 s', 'msg/s each'],
+  WIDTHS,
+  2,
+);
 DEMANDS.forEach((demand) => {
   Object.values(Skew).forEach((skew) => {
     const whole = { skew, demand, entries: 1, lossShare: 0 };
--- a/packages/standin/src/bench/overloadBench.ts
+++ b/packages/standin/src/bench/overloadBench.ts
@@ -9,6 +9,10 @@
   type OverloadFigures,
   type OverloadScenario,
 } from './overload/overloadRun.js';
+import { writeLine, writeRow } from './table.js';
+
+/** Characters of the columns. */
+const WIDTHS = [12, 14];
 
 const SEEDS = [1, 2, 3];
 
@@ -18,11 +22,6 @@
 
 const CLIENT_RETRIES = [0, 3];
 
-function writeRow(cells: readonly string[]): void {
-  const [first = '', ...rest] = cells;
-  console.log([first.padEnd(12), ...rest.map((cell) => cell.padStart(14))].join(''));
-}
-
 function meanOf(runs: readonly OverloadFigures[], field: keyof OverloadFigures): number {
   return runs.reduce((sum, run) => sum + run[field], 0) / runs.length;
 }
@@ -33,22 +32,25 @@
     Promise.resolve([]),
   );
   const recoveryMs = Math.max(...runs.map((run) => run.recoveryMs));
-  writeRow([
-    scenario.hasAdmission ? 'queue' : 'none',
-    `${scenario.load}x`,
-    String(scenario.entries),
-    String(scenario.clientRetries),
-    meanOf(runs, 'offeredPerSecond').toFixed(0),
-    meanOf(runs, 'goodPerSecond').toFixed(1),
-    `${(100 * meanOf(runs, 'answeredShare')).toFixed(0)}%`,
-    meanOf(runs, 'gateRefusals').toFixed(0),
-    (recoveryMs / 1_000).toFixed(1),
-  ]);
+  writeRow(
+    [
+      scenario.hasAdmission ? 'queue' : 'none',
+      `${scenario.load}x`,
+      String(scenario.entries),
+      String(scenario.clientRetries),
+      meanOf(runs, 'offeredPerSecond').toFixed(0),
+      meanOf(runs, 'goodPerSecond').toFixed(1),
+      `${(100 * meanOf(runs, 'answeredShare')).toFixed(0)}%`,
+      meanOf(runs, 'gateRefusals').toFixed(0),
+      (recoveryMs / 1_000).toFixed(1),
+    ],
+    WIDTHS,
+  );
 }
 
 const titles = ['load', 'entries', 'client retries', 'offered /s', 'good /s', 'answered'];
-console.log(`capacity ${CAPACITY_PER_SECOND} a second, deadline 10 s, seeds ${SEEDS.join(', ')}`);
-writeRow(['admission', ...titles, 'gate refusals', 'recovery s']);
+writeLine(`capacity ${CAPACITY_PER_SECOND} a second, deadline 10 s, seeds ${SEEDS.join(', ')}`);
+writeRow(['admission', ...titles, 'gate refusals', 'recovery s'], WIDTHS);
 const scenarios = ENTRY_COUNTS.flatMap((entries) =>
   LOADS.flatMap((load) =>
     CLIENT_RETRIES.flatMap((clientRetries) =>
--- a/packages/standin/src/bench/routingBench.ts
+++ b/packages/standin/src/bench/routingBench.ts
@@ -11,6 +11,10 @@
 import { measureChoiceUs } from './routing/choiceTime.js';
 import { RoutingRun, type PolicyFactory, type RoutingScenario } from './routing/routingRun.js';
 import { StaleMethod, StaleRouting } from './routing/staleRouting.js';
+import { writeLine, writeRow } from './table.js';
+
+/** Characters of the columns. */
+const WIDTHS = [24, 13];
 
 const SEEDS = [1, 2, 3];
 
@@ -83,28 +87,23 @@
   ];
 }
 
-function writeRow(cells: readonly string[]): void {
-  const [first = '', ...rest] = cells;
-  console.log([first.padEnd(24), ...rest.map((cell) => cell.padStart(13))].join(''));
-}
-
 function writeScenario(scenario: RoutingScenario): void {
-  console.log(`\n${scenario.name}: ${JSON.stringify(scenario)}, seeds ${SEEDS.join(', ')}`);
+  writeLine(`\n${scenario.name}: ${JSON.stringify(scenario)}, seeds ${SEEDS.join(', ')}`);
   const times = ['first p50 ms', 'first p99 ms', 'gap p95 ms', 'answer p50 ms'];
-  writeRow(['way', 'entries', ...times, 'cache hits', 'gate refusals', 'refused']);
+  writeRow(['way', 'entries', ...times, 'cache hits', 'gate refusals', 'refused'], WIDTHS);
   ENTRY_COUNTS.forEach((entries) => {
-    Object.keys(POLICIES).forEach((policy) => writeRow(measure(scenario, policy, entries)));
+    Object.keys(POLICIES).forEach((policy) => writeRow(measure(scenario, policy, entries), WIDTHS));
   });
 }
 
 function writeChoiceTimes(): void {
-  console.log('\nprocessor time of one choice, 24 prompt blocks, 8 entries, 200 choices a second');
+  writeLine('\nprocessor time of one choice, 24 prompt blocks, 8 entries, 200 choices a second');
   CANDIDATE_COUNTS.forEach((count) => {
     const routing = new ForecastRouting({
       random: new Random(1),
       metrics: new CountingMetrics(),
     });
-    console.log(`${count} candidates: ${measureChoiceUs(routing, count).toFixed(1)} us`);
+    writeLine(`${count} candidates: ${measureChoiceUs(routing, count).toFixed(1)} us`);
   });
 }
 
--- a/packages/standin/src/fleet/fleet.ts
+++ b/packages/standin/src/fleet/fleet.ts
@@ -6,6 +6,7 @@
 import { fileURLToPath } from 'node:url';
 
 import { HttpObjectStore } from '@radishbay/objects/httpObjectStore.js';
+import { wait } from '@radishbay/core/wait.js';
 
 import { ChildProgram } from './childProgram.js';
 import { listObjects, SAMPLE_MODEL, type FleetPlan, type PlannedUpstream } from './fleetPlan.js';
@@ -50,12 +51,6 @@
   readonly links: number;
 }
 
-function wait(spanMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, spanMs);
-  });
-}
-
 function standinScript(name: string): string {
   return fileURLToPath(new URL(`${name}/main.js`, STANDINS));
 }
--- a/packages/standin/src/plain/plainServer.ts
+++ b/packages/standin/src/plain/plainServer.ts
@@ -6,6 +6,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
+import { wait } from '@radishbay/core/wait.js';
 import { readNumber, readString } from '../http/json.js';
 import { StandinServer, readJson, writeError, writeJson } from '../http/standinServer.js';
 
@@ -29,12 +30,6 @@
   Object.values(PlainFault).map((fault) => [fault, fault]),
 );
 
-function wait(delayMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, delayMs);
-  });
-}
-
 function readAttemptId(request: IncomingMessage): string {
   const value = request.headers['x-attempt-id'];
   return typeof value === 'string' ? value : 'unnamed';
