--- a/packages/objects/src/httpObjectStore.ts
+++ b/packages/objects/src/httpObjectStore.ts
@@ -148,8 +148,9 @@
     const body = await this.#read(call);
     if (body.err) return body;
     const { version } = body.val;
-    if (typeof version !== 'number')
+    if (typeof version !== 'number') {
       return Err(describeLost(call.method, 'answer names no version'));
+    }
     return Ok(version);
   }
 }
