Forget the demand for experts of before a shift, and plan at once after it

Two ranks were read each 0.9 s, a plan was made each 1.2 s, and it was fitted to the samples of 3.5 s, so the first plan after a shift served the demand of before as well; a map for the new demand was in force after 1.9 s and more. Ruled out: long reading of prompts (first events stayed below 430 ms), the limit (8 throughout). Change: samples are compared by the cosine of their choices. A sample that is unlike those before it drops them; two more ranks are read then, again 350 ms later, and a plan follows at once. In between one rank is read each 600 ms in place of two each 900 ms.

--- a/packages/core/src/direct/experts/demandSamples.ts
+++ b/packages/core/src/direct/experts/demandSamples.ts
@@ -10,8 +10,8 @@
 /** Samples that are kept; older demand says little after a shift. */
 const SAMPLES_MAX = 36;
 
-/** Age from which a sample says little; demand shifts every few seconds at the worst. */
-const SAMPLE_AGE_MS = 3_500;
+/** Age from which a sample says little: what has changed slowly is not noticed as a shift. */
+const SAMPLE_AGE_MS = 5_000;
 
 /** Samples of any age that are better than none, as after a time in which a group was down. */
 const SAMPLES_MIN = 4;
@@ -19,6 +19,15 @@
 /** Choices below which a sample is only noise: about one prompt's. */
 const CHOICES_MIN = 2_000;
 
+/**
+ * Likeness below which two samples are of different demand. Samples of the same demand have 0.85
+ * and more in bench days, samples before and after a shift 0.3 to 0.75.
+ */
+const LIKENESS_MIN = 0.8;
+
+/** Part of the mean choices below which a sample is too thin to tell a shift. */
+const THIN_PART = 0.25;
+
 /** Longest time between two readings of a rank that make a sample. */
 const SPAN_MAX_MS = 2_500;
 
@@ -32,27 +41,68 @@
   readonly atMs: number;
 }
 
+function sum(choices: Float64Array): number {
+  return choices.reduce((total, count) => total + count, 0);
+}
+
+/** Cosine of the angle between two samples: 1 where they choose in the same proportions. */
+function compare(one: Float64Array, other: Float64Array): number {
+  let product = 0;
+  let oneSquares = 0;
+  let otherSquares = 0;
+  for (let at = 0; at < one.length; at += 1) {
+    const a = one[at] ?? 0;
+    const b = other[at] ?? 0;
+    product += a * b;
+    oneSquares += a * a;
+    otherSquares += b * b;
+  }
+  return product / Math.sqrt(oneSquares * otherSquares);
+}
+
 /** Samples of one group. */
 export class DemandSamples {
   readonly #last = new Map<string, Reading>();
 
   #samples: Sample[] = [];
 
-  /** Takes in one reading of a rank. */
-  add(rank: string, counts: RankCounts, nowMs: number): void {
+  /**
+   * Takes in one reading of a rank.
+   *
+   * @returns whether demand has shifted; samples of before are forgotten then
+   */
+  add(rank: string, counts: RankCounts, nowMs: number): boolean {
     const before = this.#last.get(rank);
-    if (before && before.counts.epoch === counts.epoch) {
-      const choices = Float64Array.from(
-        counts.counts.map((count, at) => count - (before.counts.counts[at] ?? 0)),
-      );
-      const total = choices.reduce((sum, count) => sum + count, 0);
-      const isRestarted = choices.some((count) => count < 0);
-      if (!isRestarted && total < CHOICES_MIN && nowMs - before.atMs < SPAN_MAX_MS) return;
-      if (!isRestarted && total >= CHOICES_MIN && nowMs - before.atMs < SPAN_MAX_MS) {
-        this.#samples.push({ choices, atMs: nowMs });
-      }
+    if (!before || before.counts.epoch !== counts.epoch || nowMs - before.atMs >= SPAN_MAX_MS) {
+      this.#last.set(rank, { counts, atMs: nowMs });
+      return false;
     }
+    const choices = Float64Array.from(
+      counts.counts.map((count, at) => count - (before.counts.counts[at] ?? 0)),
+    );
+    const isRestarted = choices.some((count) => count < 0);
+    if (!isRestarted && sum(choices) < CHOICES_MIN) return false;
     this.#last.set(rank, { counts, atMs: nowMs });
+    return !isRestarted && this.#keep({ choices, atMs: nowMs });
+  }
+
+  /** Keeps a sample, and of the others those that are like it. */
+  #keep(sample: Sample): boolean {
+    const known = this.#samples.length;
+    const isThin = sum(sample.choices) < this.#readMeanChoices() * THIN_PART;
+    if (!isThin) {
+      this.#samples = this.#samples.filter(
+        ({ choices }) => compare(choices, sample.choices) >= LIKENESS_MIN,
+      );
+    }
+    const isShift = this.#samples.length < known;
+    this.#samples.push(sample);
+    return isShift;
+  }
+
+  #readMeanChoices(): number {
+    const total = this.#samples.reduce((choices, sample) => choices + sum(sample.choices), 0);
+    return total / Math.max(1, this.#samples.length);
   }
 
   /** Samples that are recent. */
--- a/packages/core/src/direct/experts/mapGiver.ts
+++ b/packages/core/src/direct/experts/mapGiver.ts
@@ -13,7 +13,7 @@
 import type { GroupProfile } from '../routeTable.js';
 
 import { DemandSamples } from './demandSamples.js';
-import { areSame, surveyGroups, type GroupSurvey } from './groupSurvey.js';
+import { areSame, surveyGroups, type GroupRank, type GroupSurvey } from './groupSurvey.js';
 import { findHold, isSettled, recoverHold } from './holdRecovery.js';
 import { MapReport } from './mapReport.js';
 import { searchMap, type Placement } from './mapSearch.js';
@@ -21,7 +21,7 @@
 import { SteppedSwitch, SwitchOutcome } from './steppedSwitch.js';
 
 /** Interval of the loop. */
-const LOOP_MS = 250;
+const LOOP_MS = 100;
 
 /** Time between two rounds after which this process must have been paused. */
 const PAUSE_LIMIT_MS = 1_200;
@@ -36,19 +36,16 @@
 const STUCK_MS = 700;
 
 /** Interval at which counts are read; each reading is priced and stops the group for a moment. */
-const READ_MS = 900;
+const READ_MS = 600;
 
 /** The same while there are too few samples to plan. */
-const READ_SOON_MS = 400;
+const READ_SOON_MS = 350;
 
-/** Part of a group's ranks whose counts are read: their requests are a sample of all. */
-const READ_PART = 1 / 6;
-
-/** Ranks that are read at least. */
-const READ_MIN = 2;
+/** Ranks whose counts are read while there are too few samples; else one tells of a shift. */
+const READ_MAX = 3;
 
 /** Samples from which a map is planned. */
-const SAMPLES_MIN = 4;
+const SAMPLES_MIN = 3;
 
 /** Shortest time between two plans. */
 const PLAN_MS = 1_200;
@@ -239,25 +236,39 @@
     );
   }
 
+  /**
+   * Reads the counts of one rank, and of some more while there are too few samples. The same ranks
+   * are read as long as they get requests: what lies between two readings is a sample.
+   */
   async #readCounts(group: KnownGroup, nowMs: number): Promise<void> {
-    const { caller } = this.#options;
-    const { ranks, epoch } = group.survey;
-    const isShort = this.#samples.countRecent(nowMs) < SAMPLES_MIN;
-    this.#readAtMs = nowMs + (isShort ? READ_SOON_MS : READ_MS);
-    // The same ranks as long as they get requests: what lies between two readings is a sample.
     const { board } = this.#options;
-    const served = ranks.filter(
+    const served = group.survey.ranks.filter(
       ({ upstream: { entry } }) => !entry.isLeaving && !board.isClosed(entry.domain),
     );
-    const chosen = served.slice(0, Math.max(READ_MIN, Math.ceil(ranks.length * READ_PART)));
-    const read = await Promise.all(chosen.map(({ upstream }) => caller.readCounts(upstream.entry)));
-    read.forEach((counts, at) => {
-      const rank = chosen[at];
-      if (!rank) return;
-      if (counts.ok && counts.val.epoch === epoch) {
-        this.#samples.add(rank.upstream.id, counts.val, performance.now());
-      } else this.#surveyAtMs = 0;
+    const isShort = this.#samples.countRecent(nowMs) < SAMPLES_MIN;
+    this.#readAtMs = nowMs + (isShort ? READ_SOON_MS : READ_MS);
+    const isShift = await this.#readRanks(group, served.slice(0, isShort ? READ_MAX : 1));
+    if (!isShift) return;
+    this.#report.noteShift();
+    this.#planAtMs = 0;
+    this.#readAtMs = nowMs + READ_SOON_MS;
+    await this.#readRanks(group, served.slice(1, READ_MAX));
+  }
+
+  /** @returns whether demand has shifted */
+  async #readRanks({ survey }: KnownGroup, ranks: readonly GroupRank[]): Promise<boolean> {
+    const { caller } = this.#options;
+    const read = await Promise.all(ranks.map(({ upstream }) => caller.readCounts(upstream.entry)));
+    const shifts = read.map((counts, at) => {
+      const rank = ranks[at];
+      if (!rank) return false;
+      if (counts.ok && counts.val.epoch === survey.epoch) {
+        return this.#samples.add(rank.upstream.id, counts.val, performance.now());
+      }
+      this.#surveyAtMs = 0;
+      return false;
     });
+    return shifts.includes(true);
   }
 
   async #plan(group: KnownGroup, nowMs: number): Promise<void> {
--- a/packages/core/src/direct/experts/mapReport.ts
+++ b/packages/core/src/direct/experts/mapReport.ts
@@ -52,6 +52,11 @@
     });
   }
 
+  noteShift(): void {
+    this.#options.metrics.count('experts.shift');
+    this.#write(LogLevel.Info, 'Demand for experts has shifted.', {});
+  }
+
   noteDoubt({ upstream }: GroupRank, { kind, step }: RankCommand, outcome: OrderOutcome): void {
     this.#options.metrics.count('experts.order.doubted', { kind, outcome });
     const fields = { upstream: upstream.id, kind, step, outcome };
