Play random faults against real entries: a soak of our own

Change: packages/soak, with a plan of faults by seed (signals, relays that hold, delay and reset, a store and upstreams that misbehave, wall clocks that jump, late orders to ranks, work of operators in between), callers that keep their connections, and ten promises that are checked while it runs. The stand-ins of the users' platform move to platform/standin, as harnesses use them too; the relay of the fleet tests grows delays and holds one way. Two short seeds run among the tests.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -61,7 +61,7 @@
   },
   {
     // Tools of tests and builds are declared once, at the root of the workspace.
-    files: ['packages/*/test/**', 'platform/test/**', 'scripts/**'],
+    files: ['packages/*/test/**', 'platform/test/**', 'platform/standin/**', 'scripts/**'],
     rules: {
       'import-x/no-extraneous-dependencies': [
         'error',
--- a/packages/core/test/direct/experts/rankGroup.ts
+++ b/packages/core/test/direct/experts/rankGroup.ts
@@ -51,6 +51,9 @@
   /** Whether requests are worked on; an idle group makes no passes. */
   isBusy = true;
 
+  /** Whether all ranks are there; else no pass begins until the group forms anew. */
+  isOpen = true;
+
   /** Part of the orders that are lost and carried out late. */
   lostPart = 0;
 
@@ -73,7 +76,8 @@
     super();
     this.#options = options;
     this.#ranks = Array.from({ length: options.size }, () => new FakeRank(options.map));
-    this.counts = new Array<number>(options.map.length * 8).fill(0);
+    const experts = new Set(options.map[0]?.flat()).size;
+    this.counts = new Array<number>(options.map.length * experts).fill(0);
     this.#timer = setInterval(() => this.#pass(), options.passMs);
   }
 
@@ -91,6 +95,7 @@
 
   /** A rank has crashed and is back: all begin anew. */
   reform(): void {
+    this.isOpen = true;
     this.#epoch += 1;
     this.#ranks.forEach((rank) => rank.reset(this.#options.map));
   }
@@ -104,7 +109,7 @@
       group: 'g',
       epoch: this.#epoch,
       rank: this.#ranks.indexOf(rank),
-      isOpen: true,
+      isOpen: this.isOpen,
       size: this.#ranks.length,
       step: this.#step,
       pace: 1,
@@ -155,7 +160,7 @@
   }
 
   #pass(): void {
-    if (!this.isBusy) return;
+    if (!this.isBusy || !this.isOpen) return;
     const next = this.#step + 1;
     if (this.#ranks.some(({ heldStep }) => heldStep === next)) {
       this.heldPasses += 1;
--- /dev/null
+++ b/packages/soak/src/faults/entryFaults.ts
@@ -0,0 +1,109 @@
+/** Faults of entries: signals to their processes, and what their links do. */
+import { wait } from '@radishbay/core/wait.js';
+
+import type { SoakEntry } from '../fleet/soakEntry.js';
+import { FaultKind, type Fault } from '../plan/fault.js';
+import { ChangeKind } from '../record/fact.js';
+import type { SoakRecord } from '../record/soakRecord.js';
+import type { TouchBook } from '../record/touchBook.js';
+
+import { delayLink, holdLink } from './linkFaults.js';
+
+/** Time for an entry to be ready after a start, or to hear others again after a fault. */
+const SETTLE_LIMIT_MS = 10_000;
+
+const LOOK_MS = 50;
+
+/** Time beyond its limit after which a stopping process is killed. */
+const STOP_MARGIN_MS = 1_000;
+
+export interface EntryFaultOptions {
+  readonly touch: TouchBook;
+  readonly record: SoakRecord;
+  readonly stopLimitMs: number;
+  /** Reports a planned stop that did not end as it should. */
+  readonly onBadStop: (detail: string) => void;
+}
+
+async function waitUntilReady(entry: SoakEntry, leftMs = SETTLE_LIMIT_MS): Promise<void> {
+  if (leftMs <= 0 || (await entry.isReady())) return;
+  await wait(LOOK_MS);
+  await waitUntilReady(entry, leftMs - LOOK_MS);
+}
+
+/** Does the faults of entries; one that is down already is left alone. */
+export class EntryFaults {
+  readonly #options: EntryFaultOptions;
+
+  /** Entries that a fault is about to start again. */
+  readonly #restarting = new Set<SoakEntry>();
+
+  constructor(options: EntryFaultOptions) {
+    this.#options = options;
+  }
+
+  /** Does a fault and waits for its end. */
+  async run(fault: Fault, entry: SoakEntry): Promise<void> {
+    const { kind, forMs } = fault;
+    if (kind === FaultKind.EntryKill) await this.#kill(entry, forMs);
+    else if (kind === FaultKind.EntryStop) await this.#stop(entry);
+    else if (kind === FaultKind.EntryPause) await this.#pause(entry, forMs);
+    else if (kind === FaultKind.EntryReload) {
+      await entry.writeSettings({ retry_slack: Math.round(60 + fault.draw * 28) });
+      entry.signal('SIGHUP');
+    } else if (kind === FaultKind.ClockJump) entry.signal('SIGUSR2');
+    else await this.#disturbLink(fault, entry);
+  }
+
+  async #kill(entry: SoakEntry, downMs: number): Promise<void> {
+    if (!entry.isRunning || this.#restarting.has(entry)) return;
+    const endFault = this.#options.touch.noteFault(entry.name, performance.now());
+    this.#restarting.add(entry);
+    entry.signal('SIGKILL');
+    await entry.waitForEnd();
+    await wait(downMs);
+    await this.#startAgain(entry, endFault);
+  }
+
+  async #stop(entry: SoakEntry): Promise<void> {
+    if (!entry.isRunning || this.#restarting.has(entry)) return;
+    this.#restarting.add(entry);
+    const { record, touch, stopLimitMs, onBadStop } = this.#options;
+    const askedAtMs = performance.now();
+    record.noteChange({ kind: ChangeKind.StopAsked, subject: entry.name, atMs: askedAtMs });
+    entry.signal('SIGTERM');
+    const timer = setTimeout(() => entry.signal('SIGKILL'), stopLimitMs + STOP_MARGIN_MS);
+    const { code, signal } = await entry.waitForEnd();
+    clearTimeout(timer);
+    const endFault = touch.noteFault(entry.name, performance.now());
+    const isCalm = touch.isCalm(entry.name, askedAtMs, performance.now() - 1);
+    if (code !== 0 && isCalm) onBadStop(`${entry.name} ended with ${code ?? signal}`);
+    await this.#startAgain(entry, endFault);
+  }
+
+  async #startAgain(entry: SoakEntry, endFault: (endMs: number) => void): Promise<void> {
+    await entry.start();
+    this.#restarting.delete(entry);
+    await waitUntilReady(entry);
+    endFault(performance.now());
+  }
+
+  async #pause(entry: SoakEntry, forMs: number): Promise<void> {
+    const endFault = this.#options.touch.noteFault(entry.name, performance.now());
+    entry.signal('SIGSTOP');
+    await wait(forMs);
+    entry.signal('SIGCONT');
+    endFault(performance.now());
+  }
+
+  async #disturbLink({ kind, forMs, draw }: Fault, entry: SoakEntry): Promise<void> {
+    const endFault = this.#options.touch.noteFault(entry.name, performance.now());
+    const isPeer = kind === FaultKind.PeerLinkHold || kind === FaultKind.PeerLinkReset;
+    const link = isPeer ? entry.peerLink : entry.storeLink;
+    if (kind === FaultKind.StoreLinkHold || kind === FaultKind.PeerLinkHold) {
+      await holdLink(link, forMs, draw);
+    } else if (kind === FaultKind.StoreLinkDelay) await delayLink(link, forMs);
+    else link.cut();
+    endFault(performance.now());
+  }
+}
--- /dev/null
+++ b/packages/soak/src/faults/upstreamFaults.ts
@@ -0,0 +1,144 @@
+/** Faults of upstreams and of their links. */
+import type { Random } from '@radishbay/core/ports/random.js';
+import { wait } from '@radishbay/core/wait.js';
+import { WorkerConduct } from '@radishbay/fleet-platform/standin/workerStandin.js';
+
+import type { Operators } from '../fleet/operators.js';
+import { MODELS, type SoakUpstream, type Upstreams } from '../fleet/upstreams.js';
+import { FaultKind, type Fault } from '../plan/fault.js';
+import type { TouchBook } from '../record/touchBook.js';
+
+import { delayLink, holdLink } from './linkFaults.js';
+
+/** Part of the requests that an upstream fails while it misbehaves. */
+const MISBEHAVE_PART = 0.4;
+
+/** Time that a restarted upstream is cold, as the configuration of the soak states it. */
+const COLD_MS = 3_000;
+
+/** Time after which a group forms anew when all its ranks are there. */
+const FORM_MS = 400;
+
+/** Time for which a leaving upstream goes on after it has said so. */
+const LEAVE_MS = 4_000;
+
+/** Time after a crash at which the registry drops the upstream. */
+const LAPSE_MS = 1_500;
+
+const CONDUCTS = Object.values(WorkerConduct).filter((each) => each !== WorkerConduct.Serve);
+
+export interface UpstreamFaultOptions {
+  readonly upstreams: Upstreams;
+  readonly operators: Operators;
+  readonly touch: TouchBook;
+  readonly random: Random;
+}
+
+/** Does the faults of upstreams; one that is down already is left alone. */
+export class UpstreamFaults {
+  readonly #options: UpstreamFaultOptions;
+
+  readonly #down = new Set<SoakUpstream>();
+
+  constructor(options: UpstreamFaultOptions) {
+    this.#options = options;
+  }
+
+  /** Does a fault and waits for its end. */
+  async run(fault: Fault, upstream: SoakUpstream): Promise<void> {
+    if (this.#down.has(upstream)) return;
+    const { touch } = this.#options;
+    const endFault = touch.noteFault(upstream.worker.id, performance.now());
+    await this.#do(fault, upstream);
+    endFault(performance.now());
+  }
+
+  async #do({ kind, forMs, draw }: Fault, upstream: SoakUpstream): Promise<void> {
+    const { link, worker } = upstream;
+    if (kind === FaultKind.UpstreamLinkHold) await holdLink(link, forMs, draw);
+    else if (kind === FaultKind.UpstreamLinkDelay) await delayLink(link, forMs);
+    else if (kind === FaultKind.UpstreamLinkReset) link.cut();
+    else if (kind === FaultKind.UpstreamCrash) await this.#crash(upstream, forMs);
+    else if (kind === FaultKind.UpstreamLeave) await this.#leave(upstream, forMs);
+    else if (kind === FaultKind.UpstreamCold) await this.#beCold(upstream);
+    else {
+      worker.chooseConduct = this.#drawConduct(draw);
+      await wait(forMs);
+      worker.chooseConduct = undefined;
+    }
+  }
+
+  #drawConduct(draw: number): () => WorkerConduct {
+    const conduct = CONDUCTS[Math.floor(draw * CONDUCTS.length)] ?? WorkerConduct.Refuse;
+    const { random } = this.#options;
+    return () => (random.next() < MISBEHAVE_PART ? conduct : WorkerConduct.Serve);
+  }
+
+  async #crash(upstream: SoakUpstream, downMs: number): Promise<void> {
+    const { operators } = this.#options;
+    this.#down.add(upstream);
+    this.#breakGroup(upstream);
+    const lapse = setTimeout(() => operators.remove(upstream), LAPSE_MS);
+    upstream.link.cut();
+    await upstream.worker.restart(downMs);
+    clearTimeout(lapse);
+    await this.#comeBack(upstream);
+  }
+
+  async #leave(upstream: SoakUpstream, downMs: number): Promise<void> {
+    const { operators } = this.#options;
+    const { worker } = upstream;
+    this.#down.add(upstream);
+    worker.isLeaving = true;
+    operators.enter(upstream);
+    await wait(LEAVE_MS);
+    this.#breakGroup(upstream);
+    operators.remove(upstream);
+    upstream.link.cut();
+    await worker.restart(downMs);
+    await this.#comeBack(upstream);
+  }
+
+  /** Enters a restarted upstream, which is cold; its group forms anew. */
+  async #comeBack(upstream: SoakUpstream): Promise<void> {
+    const { operators } = this.#options;
+    const { worker } = upstream;
+    worker.coldForMs = COLD_MS;
+    operators.noteCold(upstream);
+    operators.enter(upstream);
+    this.#down.delete(upstream);
+    if (upstream.pool === MODELS) await this.#formGroup();
+    await wait(COLD_MS);
+    worker.coldForMs = 0;
+    operators.noteWarm(upstream);
+    if (!this.#down.has(upstream)) operators.enter(upstream);
+  }
+
+  /** It does not tell that it has become cold. */
+  async #beCold(upstream: SoakUpstream): Promise<void> {
+    if (upstream.pool !== MODELS) return;
+    this.#options.operators.noteCold(upstream);
+    await wait(COLD_MS);
+    this.#options.operators.noteWarm(upstream);
+  }
+
+  #breakGroup({ pool }: SoakUpstream): void {
+    if (pool !== MODELS) return;
+    this.#options.upstreams.group.isOpen = false;
+    this.#ranks().forEach(({ worker }) =>
+      Object.assign(worker, { chooseConduct: () => WorkerConduct.Refuse }),
+    );
+  }
+
+  async #formGroup(): Promise<void> {
+    if (this.#ranks().some((rank) => this.#down.has(rank))) return;
+    await wait(FORM_MS);
+    if (this.#ranks().some((rank) => this.#down.has(rank))) return;
+    this.#options.upstreams.group.reform();
+    this.#ranks().forEach(({ worker }) => Object.assign(worker, { chooseConduct: undefined }));
+  }
+
+  #ranks(): readonly SoakUpstream[] {
+    return this.#options.upstreams.all.filter(({ pool }) => pool === MODELS);
+  }
+}
--- /dev/null
+++ b/packages/soak/src/fleet/operators.ts
@@ -0,0 +1,76 @@
+/** What operators and the platform write to the store, with the time from which each bound runs. */
+import type { StoreStandin } from '@radishbay/fleet-platform/standin/storeStandin.js';
+import { createSoakConfig } from '@radishbay/fleet-platform/standin/wireSamples.js';
+
+import { ChangeKind } from '../record/fact.js';
+import type { SoakRecord } from '../record/soakRecord.js';
+
+import { MODELS, type SoakUpstream } from './upstreams.js';
+
+/** Kinds of object in the store. */
+const UPSTREAMS = 'servers';
+const CLOSED_DOMAINS = 'evacuations';
+
+/** Writes to the store; it answers the operators whatever entries see of it. */
+export class Operators {
+  readonly #store: StoreStandin;
+
+  readonly #record: SoakRecord;
+
+  #generation = 0;
+
+  constructor(store: StoreStandin, record: SoakRecord) {
+    this.#store = store;
+    this.#record = record;
+  }
+
+  get generation(): number {
+    return this.#generation;
+  }
+
+  /** Writes the next generation of the configuration. */
+  changeConfig(): void {
+    this.#generation += 1;
+    this.#store.put('config', 'main', createSoakConfig(this.#generation * 3, this.#generation));
+    this.#note(ChangeKind.Generation, String(this.#generation));
+  }
+
+  closeDomain(domain: string): void {
+    this.#store.put(CLOSED_DOMAINS, domain, {});
+    this.#note(ChangeKind.DomainClosed, domain);
+  }
+
+  openDomain(domain: string): void {
+    this.#store.remove(CLOSED_DOMAINS, domain);
+    this.#note(ChangeKind.DomainOpened, domain);
+  }
+
+  /** Enters an upstream into the registry as it is now. */
+  enter(upstream: SoakUpstream): void {
+    const { worker, pool, domain, linkPort } = upstream;
+    worker.sequence += 1;
+    this.#store.put(UPSTREAMS, worker.id, worker.createEntry(pool, domain, linkPort));
+    this.#note(
+      worker.isLeaving ? ChangeKind.UpstreamLeaving : ChangeKind.UpstreamEntered,
+      worker.id,
+    );
+  }
+
+  /** Takes an upstream out of the registry. */
+  remove({ worker }: SoakUpstream): void {
+    this.#store.remove(UPSTREAMS, worker.id);
+  }
+
+  /** An upstream is cold from now on, whether or not it tells; only models bear less then. */
+  noteCold({ worker, pool }: SoakUpstream): void {
+    if (pool === MODELS) this.#note(ChangeKind.UpstreamCold, worker.id);
+  }
+
+  noteWarm({ worker, pool }: SoakUpstream): void {
+    if (pool === MODELS) this.#note(ChangeKind.UpstreamWarm, worker.id);
+  }
+
+  #note(kind: ChangeKind, subject: string): void {
+    this.#record.noteChange({ kind, subject, atMs: performance.now() });
+  }
+}
--- /dev/null
+++ b/packages/soak/src/fleet/soakFleet.ts
@@ -0,0 +1,91 @@
+/** Everything that runs in a soak: entries as processes, and their surroundings. */
+import type { Random } from '@radishbay/core/ports/random.js';
+import { StoreStandin } from '@radishbay/fleet-platform/standin/storeStandin.js';
+
+import type { SoakRecord } from '../record/soakRecord.js';
+
+import { Operators } from './operators.js';
+import { SoakEntry } from './soakEntry.js';
+import { DOMAINS, Upstreams } from './upstreams.js';
+
+/** Second numbers of the loopback addresses of one harness; another process has others. */
+const NET_FIRST = 16;
+const NET_COUNT = 200;
+
+/** Entries that share one third number of their address. */
+const HOSTS = 200;
+
+export interface FleetOptions {
+  readonly entryCount: number;
+  readonly seed: number;
+  /** Folder of settings files and logs. */
+  readonly folder: string;
+  readonly record: SoakRecord;
+  readonly random: Random;
+}
+
+function createAddress(at: number): string {
+  const net = NET_FIRST + (process.pid % NET_COUNT);
+  const part = Math.floor(process.pid / NET_COUNT) % 256;
+  return `127.${net}.${part}.${1 + (at % HOSTS)}`;
+}
+
+/** Entries, upstreams, store and operators of one run. */
+export class SoakFleet {
+  readonly store = new StoreStandin();
+
+  readonly upstreams: Upstreams;
+
+  readonly operators: Operators;
+
+  readonly #options: FleetOptions;
+
+  #entries: readonly SoakEntry[] = [];
+
+  constructor(options: FleetOptions) {
+    this.#options = options;
+    this.upstreams = new Upstreams(options.record, options.seed);
+    this.operators = new Operators(this.store, options.record);
+    this.store.translate = (spec) => this.#translate(spec);
+  }
+
+  get entries(): readonly SoakEntry[] {
+    return this.#entries;
+  }
+
+  /** Starts everything; entries are not ready yet. */
+  async start(): Promise<void> {
+    const storePort = await this.store.start();
+    await this.upstreams.start();
+    this.upstreams.all.forEach((upstream) => this.operators.enter(upstream));
+    this.operators.changeConfig();
+    const { entryCount, folder } = this.#options;
+    this.#entries = Array.from(
+      { length: entryCount },
+      (_, at) =>
+        new SoakEntry({
+          name: `entry-${at + 1}`,
+          address: createAddress(at),
+          domain: DOMAINS[at % DOMAINS.length] ?? '',
+          storePort,
+          folder,
+        }),
+    );
+    await Promise.all(this.#entries.map((entry) => entry.prepare()));
+    await Promise.all(this.#entries.map((entry) => entry.start()));
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.#entries.map((entry) => entry.stop()));
+    await Promise.all([this.upstreams.stop(), this.store.stop()]);
+  }
+
+  /** Other entries reach an entry through its relay. */
+  #translate(spec: unknown): unknown {
+    if (typeof spec !== 'object' || spec === null || !('address' in spec)) return spec;
+    const { address } = spec;
+    if (typeof address !== 'string') return spec;
+    const translated = this.#entries.reduce((seen, entry) => entry.translate(seen), address);
+    return { ...spec, address: translated };
+  }
+}
--- /dev/null
+++ b/packages/soak/src/fleet/upstreams.ts
@@ -0,0 +1,158 @@
+/** The upstreams of a soak: stand-ins behind relays, one pool of them a group of ranks. */
+import { RankGroup } from '@radishbay/core/test/direct/experts/rankGroup.js';
+import type { UpstreamEntry } from '@radishbay/core/direct/directUpstream.js';
+import { Random } from '@radishbay/core/ports/random.js';
+import { RankStandin } from '@radishbay/fleet-platform/standin/rankStandin.js';
+import {
+  WorkerStandin,
+  type SeenRequest,
+} from '@radishbay/fleet-platform/standin/workerStandin.js';
+import { TcpRelay } from '@radishbay/standin/fleet/tcpRelay.js';
+
+import type { SoakRecord } from '../record/soakRecord.js';
+
+export const MODELS = 'models';
+
+export const EXCHANGE = 'exchange';
+
+export const DOMAINS = ['zone-a', 'zone-b', 'zone-c'];
+
+/** Events of a whole stream, and the time between two of them: one pass of the group. */
+export const EVENT_COUNT = 10;
+const PASS_MS = 50;
+
+/** Time that a plain answer takes. */
+const WORK_MS = 25;
+
+const RANKS = 6;
+
+const EXCHANGE_COUNT = 3;
+
+/** Layers and experts of the group, as the configuration of the soak states them. */
+const LAYERS = 2;
+const EXPERTS = 12;
+
+/** Choices of a hot expert for each of another one. */
+const HOT_FACTOR = 8;
+
+/** One upstream with its link. */
+export interface SoakUpstream {
+  readonly worker: WorkerStandin;
+  readonly link: TcpRelay;
+  readonly pool: string;
+  readonly domain: string;
+  linkPort: number;
+}
+
+function createFirstMap() {
+  const layer = Array.from({ length: RANKS }, (_, rank) =>
+    Array.from({ length: EXPERTS / RANKS }, (_unused, at) => rank + at * RANKS),
+  );
+  return Array.from({ length: LAYERS }, () => layer);
+}
+
+function createRankUpstream(id: string, domain: string): UpstreamEntry {
+  return {
+    id,
+    address: '',
+    domain,
+    pool: MODELS,
+    slots: 8,
+    isLeaving: false,
+    startedAtUnixMs: 0,
+    coldForMs: 0,
+  };
+}
+
+/** All upstreams of one run. */
+export class Upstreams {
+  readonly group: RankGroup;
+
+  readonly #record: SoakRecord;
+
+  readonly #random: Random;
+
+  readonly all: SoakUpstream[] = [];
+
+  #running = 0;
+
+  /** First of the two experts that are asked for most. */
+  hotExpert = 0;
+
+  constructor(record: SoakRecord, seed: number) {
+    this.#record = record;
+    this.#random = new Random(seed);
+    const map = createFirstMap();
+    this.group = new RankGroup({ size: RANKS, map, passMs: PASS_MS, random: this.#random });
+  }
+
+  async start(): Promise<void> {
+    const ranks = Array.from({ length: RANKS }, (_, at) => this.#create(MODELS, `rank-${at}`, at));
+    const exchange = Array.from({ length: EXCHANGE_COUNT }, (_, at) =>
+      this.#create(EXCHANGE, `exchange-${at}`, at),
+    );
+    this.all.push(...(await Promise.all([...ranks, ...exchange])));
+  }
+
+  async stop(): Promise<void> {
+    this.group.stop();
+    await Promise.all(this.all.flatMap(({ worker, link }) => [worker.stop(), link.stop()]));
+  }
+
+  async #create(pool: string, id: string, at: number): Promise<SoakUpstream> {
+    const domain = DOMAINS[at % DOMAINS.length] ?? '';
+    const isRank = pool === MODELS;
+    const worker = new WorkerStandin(id, {
+      eventCount: EVENT_COUNT,
+      eventGapMs: PASS_MS,
+      workMs: WORK_MS,
+      describe: ({ headers }) => String(headers['x-radishbay-attempt-id']),
+      onRun: (request) => this.#noteRun(request, { id, pool, domain }),
+      onEnd: (request, isEarly) => this.#noteEnd(request, isEarly),
+      rank: isRank ? new RankStandin(this.group, createRankUpstream(id, domain)) : undefined,
+    });
+    await worker.start();
+    const link = new TcpRelay('127.0.0.1', worker.port);
+    return { worker, link, pool, domain, linkPort: await link.start() };
+  }
+
+  #noteRun(
+    { headers, path, body }: SeenRequest,
+    { id, pool, domain }: { readonly id: string; readonly pool: string; readonly domain: string },
+  ): void {
+    const workspace = headers['x-radishbay-tenant'];
+    if (pool === MODELS) this.#choose();
+    this.#record.noteRun({
+      id: String(headers['x-radishbay-attempt-id']),
+      upstream: id,
+      pool,
+      domain,
+      path,
+      body,
+      workspace: typeof workspace === 'string' ? workspace : undefined,
+      lastEventId: Number(headers['last-event-id'] ?? 0),
+      atMs: performance.now(),
+    });
+  }
+
+  #noteEnd({ headers, path }: SeenRequest, isEarly: boolean): void {
+    if (path.startsWith('/stream')) this.#count(-1);
+    this.#record.noteRunEnd(String(headers['x-radishbay-attempt-id']), isEarly);
+  }
+
+  /** A stream chooses experts, the hot ones more often. */
+  #choose(): void {
+    this.#count(1);
+    const { counts } = this.group;
+    counts.forEach((count, at) => {
+      const distance = ((at % EXPERTS) - this.hotExpert + EXPERTS) % EXPERTS;
+      counts[at] = count + (distance < 2 ? HOT_FACTOR : 1) * EVENT_COUNT;
+    });
+  }
+
+  /** A group without work makes no passes. */
+  #count(change: 1 | -1): void {
+    this.#running += change;
+    this.group.isBusy = this.#running > 0;
+  }
+}
--- /dev/null
+++ b/packages/soak/src/traffic/traffic.ts
@@ -0,0 +1,193 @@
+/** The requests of a run: an open loop of many callers, drawn from the seed. */
+import type { Random } from '@radishbay/core/ports/random.js';
+
+import type { Balancer } from '../fleet/balancer.js';
+import { EXCHANGE, MODELS } from '../fleet/upstreams.js';
+import { RequestKind, type SentRequest } from '../record/fact.js';
+import type { SoakRecord } from '../record/soakRecord.js';
+
+import { SoakCaller, type CallerRequest } from './soakCaller.js';
+
+const CALLERS = 30;
+
+/** Mean time between two requests of all callers. */
+const GAP_MS = 12;
+
+/** Part of the requests after which a caller asks for a new connection, as most keep theirs. */
+const NEW_ENTRY_PART = 0.05;
+
+/** Part of the streams that their callers abandon. */
+const LEAVE_PART = 0.05;
+
+/** Longest time after which a caller abandons its stream. */
+const LEAVE_MAX_MS = 400;
+
+/** Longest time of each route, as the configuration of the soak states it. */
+const TIMEOUT_MS = 2_000;
+
+/** Time that callers wait beyond their route's: the entry has to end first. */
+const PATIENCE_MS = 3_000;
+
+const KEY = 'parish-key';
+
+const WORKSPACE = 'parish';
+
+/** What is drawn for one request. */
+interface Draw {
+  readonly kind: RequestKind;
+  readonly pool: string;
+  readonly method: string;
+  readonly prefix: string;
+  readonly attempts: number;
+  readonly part: number;
+}
+
+const DRAWS: readonly Draw[] = [
+  {
+    kind: RequestKind.ResumableStream,
+    pool: MODELS,
+    method: 'POST',
+    prefix: '/stream/',
+    attempts: 2,
+    part: 0.4,
+  },
+  {
+    kind: RequestKind.PlainStream,
+    pool: MODELS,
+    method: 'POST',
+    prefix: '/stream-once/',
+    attempts: 1,
+    part: 0.1,
+  },
+  {
+    kind: RequestKind.Once,
+    pool: EXCHANGE,
+    method: 'POST',
+    prefix: '/swap/',
+    attempts: 1,
+    part: 0.25,
+  },
+  {
+    kind: RequestKind.Repeatable,
+    pool: EXCHANGE,
+    method: 'GET',
+    prefix: '/catalogue/',
+    attempts: 2,
+    part: 0.25,
+  },
+];
+
+/** Part of the repeatable requests that ask for a route or with a key of one generation. */
+const GENERATION_PART = 0.4;
+
+export interface TrafficOptions {
+  readonly random: Random;
+  readonly balancer: Balancer;
+  readonly record: SoakRecord;
+  /** Generation of the newest configuration. */
+  readonly readGeneration: () => number;
+}
+
+/** Sends until it is stopped. */
+export class Traffic {
+  readonly #options: TrafficOptions;
+
+  readonly #callers = Array.from({ length: CALLERS }, () => new SoakCaller());
+
+  readonly #inProgress = new Set<Promise<void>>();
+
+  #timer: NodeJS.Timeout | undefined;
+
+  #count = 0;
+
+  constructor(options: TrafficOptions) {
+    this.#options = options;
+  }
+
+  start(): void {
+    this.#timer = setTimeout(
+      () => {
+        const sending = this.#send().finally(() => this.#inProgress.delete(sending));
+        this.#inProgress.add(sending);
+        this.start();
+      },
+      this.#options.random.next() * 2 * GAP_MS,
+    );
+  }
+
+  /** Sends nothing more and waits for all answers. */
+  async stop(): Promise<void> {
+    clearTimeout(this.#timer);
+    await Promise.all(this.#inProgress);
+    this.#callers.forEach((caller) => caller.stop());
+  }
+
+  async #send(): Promise<void> {
+    const { random, balancer, record } = this.#options;
+    const caller = this.#callers[random.nextInt(CALLERS)];
+    if (!caller) return;
+    if (!caller.entry || random.next() < NEW_ENTRY_PART) caller.turnTo(balancer.choose(random));
+    const { request, call } = this.#draw(caller.entry?.name ?? '');
+    record.noteSent(request);
+    const { answer, leave } = caller.send(call);
+    const isLeaving = request.kind === RequestKind.ResumableStream && random.next() < LEAVE_PART;
+    const timer = isLeaving && setTimeout(leave, random.next() * LEAVE_MAX_MS);
+    const patience = setTimeout(leave, TIMEOUT_MS + PATIENCE_MS);
+    const seen = await answer;
+    clearTimeout(patience);
+    if (timer) {
+      clearTimeout(timer);
+      if (!seen.isWhole) record.noteLeft(request);
+    } else {
+      record.noteAnswer(request, seen);
+      caller.noteAnswer(request, seen);
+    }
+  }
+
+  #draw(entry: string): { readonly request: SentRequest; readonly call: CallerRequest } {
+    const { random } = this.#options;
+    const draw = this.#chooseDraw();
+    this.#count += 1;
+    const id = `${this.#count}-${random.nextInt(2 ** 30).toString(36)}`;
+    const special = draw.kind === RequestKind.Repeatable ? this.#drawGeneration() : undefined;
+    const path = `${special?.prefix ?? draw.prefix}${id}`;
+    const body = draw.method === 'GET' ? '' : `{"request":"${id}"}`;
+    const { kind, pool, attempts, method } = draw;
+    return {
+      request: {
+        id,
+        entry,
+        kind,
+        pool,
+        path,
+        body,
+        workspace: special?.workspace ?? WORKSPACE,
+        timeoutMs: TIMEOUT_MS,
+        attempts,
+        sentAtMs: performance.now(),
+        generation: special?.generation,
+      },
+      call: { method, path, body, key: special?.key ?? KEY, id, deadlineMs: TIMEOUT_MS },
+    };
+  }
+
+  #chooseDraw(): Draw {
+    let rest = this.#options.random.next();
+    const found = DRAWS.find(({ part }) => {
+      rest -= part;
+      return rest < 0;
+    });
+    if (!found) throw new Error('the parts of the requests are less than 1');
+    return found;
+  }
+
+  /** A route or a key that the newest generation has added, or dropped. */
+  #drawGeneration() {
+    const { random, readGeneration } = this.#options;
+    if (random.next() >= GENERATION_PART) return undefined;
+    const generation = Math.max(1, readGeneration() - random.nextInt(2));
+    if (random.next() < 0.5) return { generation, prefix: `/generation/${generation}/` };
+    const key = `school-key-${generation}`;
+    return { generation, key, workspace: `school-${generation}` };
+  }
+}
--- /dev/null
+++ b/packages/soak/test/faultPlan.test.ts
@@ -0,0 +1,23 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { FaultKind } from '../src/plan/fault.js';
+import { createPlan } from '../src/plan/faultPlan.js';
+
+test('equal seeds give equal plans, others give others', () => {
+  assert.equal(createPlan(7, 60_000), createPlan(7, 60_000));
+  assert.not.equal(createPlan(7, 60_000), createPlan(8, 60_000));
+});
+
+test('a few plans have every kind of fault, in series and overlapping', () => {
+  const plans = Array.from({ length: 10 }, (_, seed) => createPlan(seed + 1, 30_000));
+  const kinds = new Set(plans.flat().map(({ kind }) => kind));
+  assert.equal([...kinds].sort(), Object.values(FaultKind).sort());
+  const isOverlapping = plans.every((plan) =>
+    plan.some(({ atMs, forMs }, at) => (plan[at + 1]?.atMs ?? Infinity) < atMs + forMs),
+  );
+  assert.ok(isOverlapping);
+  assert.ok(plans.flat().every(({ atMs }) => atMs < 30_000));
+});
+
+test.run();
--- /dev/null
+++ b/packages/soak/test/history.ts
@@ -0,0 +1,101 @@
+/** Histories of a soak, told fact by fact, and the promises that they break. */
+import type { Bounds, Check, CheckContext } from '../src/checks/check.js';
+import {
+  RequestKind,
+  type Change,
+  type ChangeKind,
+  type SeenAnswer,
+  type SeenRun,
+  type SentRequest,
+} from '../src/record/fact.js';
+import { SoakRecord } from '../src/record/soakRecord.js';
+import { TouchBook } from '../src/record/touchBook.js';
+
+export const BOUNDS: Bounds = {
+  drainMs: 2_000,
+  evacuateMs: 5_000,
+  configMs: 3_000,
+  coldPerS: 2,
+  coldFactor: 1.5,
+  coldAddition: 5,
+  retryShare: 0.2,
+  retryWindowMs: 10_000,
+  retryFloor: 3,
+  stopLimitMs: 8_000,
+  recoverMs: 15_000,
+};
+
+export const CONTACT_MS = 3_000;
+
+/** A record that one check follows. */
+export class History {
+  readonly touch = new TouchBook(CONTACT_MS);
+
+  readonly #record = new SoakRecord();
+
+  constructor(create: (context: CheckContext) => Check) {
+    const { touch } = this;
+    this.#record.watch((context) => [create({ ...context, touch, bounds: BOUNDS })]);
+  }
+
+  /** What the check has found, without the times. */
+  get breaks(): readonly string[] {
+    return this.#record.breaks.map(({ detail }) => detail);
+  }
+
+  send(fields: Partial<SentRequest> = {}): SentRequest {
+    const request: SentRequest = {
+      id: 'r-1',
+      entry: 'entry-1',
+      kind: RequestKind.Once,
+      pool: 'exchange',
+      path: '/swap/r-1',
+      body: '{}',
+      workspace: 'parish',
+      timeoutMs: 2_000,
+      attempts: 1,
+      sentAtMs: 10_000,
+      generation: undefined,
+      ...fields,
+    };
+    this.#record.noteSent(request);
+    return request;
+  }
+
+  /** The request runs as it was sent. */
+  run(request: SentRequest, fields: Partial<SeenRun> = {}): void {
+    const { id, pool, path, body, workspace, sentAtMs: atMs } = request;
+    this.#record.noteRun({
+      id,
+      upstream: 'up-1',
+      pool,
+      domain: 'zone-a',
+      path,
+      body,
+      workspace,
+      lastEventId: 0,
+      atMs,
+      ...fields,
+    });
+  }
+
+  answer(request: SentRequest, fields: Partial<SeenAnswer> = {}): void {
+    this.#record.noteAnswer(request, {
+      status: 200,
+      body: `POST by up-1 for ${request.id}`,
+      isWhole: true,
+      seal: 'up-1.seal',
+      detail: 'an answer',
+      endedAtMs: request.sentAtMs + 50,
+      ...fields,
+    });
+  }
+
+  change(kind: ChangeKind, subject: string, atMs: Change['atMs']): void {
+    this.#record.noteChange({ kind, subject, atMs });
+  }
+
+  finish(): void {
+    this.#record.finish();
+  }
+}
--- /dev/null
+++ b/packages/soak/test/soakRun.test.ts
@@ -0,0 +1,29 @@
+/** Short runs of the soak, with real entries. */
+import { mkdtemp, rm } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { SoakRun } from '../src/soakRun.js';
+
+/** Plans with faults of every part: signals, links, upstreams, the store, operators. */
+const SEEDS = [5, 11];
+
+const FAULTS_MS = 6_000;
+
+const ENTRIES = 3;
+
+SEEDS.forEach((seed) => {
+  test(`all promises hold through the faults of seed ${seed}`, async () => {
+    const folder = await mkdtemp(path.join(tmpdir(), 'radishbay-soak-'));
+    const run = new SoakRun({ seed, entryCount: ENTRIES, faultsMs: FAULTS_MS, folder });
+    const verdict = await run.run();
+    assert.equal(verdict.breaks, [], `logs and plan are in ${folder}`);
+    assert.ok((verdict.outcomes.get(200) ?? 0) > 0);
+    await rm(folder, { recursive: true });
+  });
+});
+
+test.run();
--- a/packages/standin/src/fleet/tcpRelay.ts
+++ b/packages/standin/src/fleet/tcpRelay.ts
@@ -1,22 +1,32 @@
-/** A TCP relay between two processes of a harness, on which connections can be cut or go silent. */
+/**
+ * A TCP relay between two processes of a harness, on which connections can be cut, delayed or go
+ * silent, in both directions or one.
+ */
 import net, { type AddressInfo, type Socket } from 'node:net';
 
+import { RelayWay } from './relayWay.js';
+
+/** Which way bytes go. */
+export enum RelayDirection {
+  ToTarget = 'to-target',
+  FromTarget = 'from-target',
+}
+
 interface Pair {
   readonly near: Socket;
   readonly far: Socket;
+  readonly ways: Readonly<Record<RelayDirection, RelayWay>>;
 }
 
-function destroyPair({ near, far }: Pair): void {
-  near.destroy();
-  far.destroy();
+/** Node leaves a socket open whose reset fails because its other side has ended. */
+function reset(socket: Socket): void {
+  if (socket.readableEnded || socket.connecting) socket.destroy();
+  else if (!socket.destroyed) socket.resetAndDestroy();
 }
 
-/** Stops passing bytes on; both ends believe that the connection is up. */
-function silencePair({ near, far }: Pair): void {
-  near.unpipe(far);
-  far.unpipe(near);
-  near.resume();
-  far.resume();
+function resetPair({ near, far }: Pair): void {
+  reset(near);
+  reset(far);
 }
 
 /** Relays every connection to one port. */
@@ -29,10 +39,15 @@
 
   readonly #pairs = new Set<Pair>();
 
+  readonly #held = new Set<RelayDirection>();
+
+  /** Time that bytes take beyond that of the network, each way. */
+  delayMs = 0;
+
   constructor(host: string, targetPort: number) {
     this.#host = host;
     this.#targetPort = targetPort;
-    this.#server = net.createServer((near) => this.#relay(near));
+    this.#server = net.createServer({ allowHalfOpen: true }, (near) => this.#relay(near));
   }
 
   /** Connections that pass bytes on or are silent. */
@@ -49,35 +64,54 @@
     });
   }
 
-  /** Closes all connections; new ones pass. */
+  /** Resets all connections; new ones pass. */
   cut(): void {
-    this.#pairs.forEach(destroyPair);
+    this.#pairs.forEach(resetPair);
   }
 
   /** Lets all connections go silent for good; new ones pass. */
   silence(): void {
-    this.#pairs.forEach(silencePair);
+    this.#pairs.forEach(({ ways }) => Object.values(ways).forEach((way) => way.silence()));
+  }
+
+  /** Passes nothing on in one direction, on new connections neither, until it is released. */
+  hold(direction: RelayDirection): void {
+    this.#held.add(direction);
+    this.#pairs.forEach(({ ways }) => ways[direction].hold());
+  }
+
+  /** Passes on again, first what was held. */
+  release(direction: RelayDirection): void {
+    this.#held.delete(direction);
+    this.#pairs.forEach(({ ways }) => ways[direction].release());
   }
 
   stop(): Promise<void> {
-    this.cut();
+    this.#pairs.forEach(({ near, far }) => [near, far].forEach((socket) => socket.destroy()));
     return new Promise((resolve) => {
       this.#server.close(() => resolve());
     });
   }
 
   #relay(near: Socket): void {
-    const far = net.connect(this.#targetPort, this.#host);
-    const pair = { near, far };
+    const far = net.connect({ port: this.#targetPort, host: this.#host, allowHalfOpen: true });
+    const readDelayMs = () => this.delayMs;
+    const ways = {
+      [RelayDirection.ToTarget]: new RelayWay(near, far, readDelayMs),
+      [RelayDirection.FromTarget]: new RelayWay(far, near, readDelayMs),
+    };
+    const pair = { near, far, ways };
     this.#pairs.add(pair);
-    near.pipe(far);
-    far.pipe(near);
+    this.#held.forEach((direction) => ways[direction].hold());
     [near, far].forEach((socket) => {
-      socket.on('error', () => destroyPair(pair));
-      socket.on('close', () => {
-        destroyPair(pair);
-        this.#pairs.delete(pair);
-      });
+      socket.on('error', () => resetPair(pair));
+      socket.on('close', (hadError) => this.#forget(pair, hadError));
     });
   }
+
+  /** A side that has closed has told the other one its end; a broken one breaks the other. */
+  #forget(pair: Pair, hadError: boolean): void {
+    if (hadError) resetPair(pair);
+    if (pair.near.destroyed && pair.far.destroyed) this.#pairs.delete(pair);
+  }
 }
