--- a/packages/core/src/direct/experts/mapGiver.ts
+++ b/packages/core/src/direct/experts/mapGiver.ts
@@ -36,13 +36,13 @@
 const STUCK_MS = 700;
 
 /** Interval at which counts are read; each reading is priced and stops the group for a moment. */
-const READ_MS = 600;
+const READ_MS = 800;
 
 /** The same while there are too few samples to plan. */
 const READ_SOON_MS = 350;
 
 /** Ranks whose counts are read while there are too few samples; else one tells of a shift. */
-const READ_MAX = 3;
+const READ_MAX = 2;
 
 /** Samples from which a map is planned. */
 const SAMPLES_MIN = 3;
