End the soak's processes when it is told to end early

Cause: a soak that was ended by SIGTERM left its entries running (seen: 4). Change: SIGINT and SIGTERM end what it started.

--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -39,10 +39,22 @@
 
 const root = options.logs ?? (await mkdtemp(path.join(tmpdir(), 'radishbay-soak-')));
 
+let current: SoakRun | undefined;
+
+/** Processes that were started do not outlive the soak. */
+async function endEarly(): Promise<void> {
+  await current?.abort();
+  process.exit(1);
+}
+
+process.once('SIGINT', endEarly);
+process.once('SIGTERM', endEarly);
+
 async function runSeed(seed: number): Promise<boolean> {
   const folder = path.join(root, `seed-${seed}`);
   const { minutes, entries: entryCount } = options;
   const run = new SoakRun({ seed, entryCount, faultsMs: minutes * MS_PER_MINUTE, folder });
+  current = run;
   const verdict = await run.run();
   process.stdout.write(`${describe(seed, folder, verdict)}\n`);
   return verdict.breaks.length === 0;
--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -103,6 +103,11 @@
     );
   }
 
+  /** Ends all that was started, whatever is in progress. */
+  async abort(): Promise<void> {
+    await this.#fleet.stop();
+  }
+
   async run(): Promise<SoakVerdict> {
     const { seed, folder, faultsMs } = this.#options;
     const plan = createPlan(seed, faultsMs);
