--- a/packages/core/src/config/prefixFollower.ts
+++ b/packages/core/src/config/prefixFollower.ts
@@ -45,6 +45,9 @@
   readonly metrics: Metrics;
 }
 
+/** Time after a change within which another one makes a burst. */
+const BURST_GAP_MS = 1_000;
+
 /** Bounds of a follower's calls. */
 export interface FollowerLimits {
   /** Time for a call beyond the wait that was asked for, where the platform is quick. */
@@ -53,12 +56,15 @@
   readonly callLimitMaxMs: number;
   /** Longest wait between calls while the platform fails. */
   readonly retryMaxMs: number;
+  /** Wait between watches in a burst of changes, so that one call tells of several. */
+  readonly burstWaitMs: number;
 }
 
 const DEFAULT_LIMITS: FollowerLimits = {
   callLimitMinMs: CALL_LIMIT_MIN_MS,
   callLimitMaxMs: CALL_LIMIT_MAX_MS,
   retryMaxMs: RETRY_MAX_MS,
+  burstWaitMs: 0,
 };
 
 /** A loop of calls that keeps a local copy of a prefix up to date. */
@@ -83,6 +89,11 @@
 
   #isFailing = false;
 
+  #changedAtMs = Number.NEGATIVE_INFINITY;
+
+  /** Wait before the next call, as the last one was answered. */
+  #nextWaitMs = 0;
+
   constructor(context: FollowerContext, prefix: string, limits: FollowerLimits = DEFAULT_LIMITS) {
     this.#context = context;
     this.#prefix = prefix;
@@ -131,6 +142,7 @@
   /** @returns time until the next call */
   async #poll(): Promise<number> {
     const noteAnswer = this.beginCall();
+    this.#nextWaitMs = 0;
     const startedAtMs = Date.now();
     const outcome = await (this.#watchRevision === undefined ? this.#list() : this.#watch());
     if (!this.#isRunning) return 0;
@@ -139,7 +151,7 @@
     if (!outcome.ok) return this.#noteFailure(outcome.val);
     noteAnswer();
     this.#noteSuccess();
-    return 0;
+    return this.#nextWaitMs;
   }
 
   async #list(): Promise<Result<unknown, StoreError>> {
@@ -157,10 +169,21 @@
     const batch = await boundCall(call, timeoutMs + this.#callLimitMs);
     if (!batch.ok || !this.#isRunning) return batch;
     this.#watchRevision = Math.max(after, batch.val.revision);
-    if (batch.val.changes.length > 0) this.takeChanges(batch.val.changes);
+    if (batch.val.changes.length > 0) {
+      this.takeChanges(batch.val.changes);
+      this.#noteChange();
+    }
     return batch;
   }
 
+  /** A change alone is followed by a watch at once, as is the first one of a burst. */
+  #noteChange(): void {
+    const nowMs = performance.now();
+    const isBurst = nowMs - this.#changedAtMs < BURST_GAP_MS;
+    this.#changedAtMs = nowMs;
+    this.#nextWaitMs = isBurst ? this.#limits.burstWaitMs : 0;
+  }
+
   /** Doubles the limit after a call that it cut off; follows the platform down again. */
   #adaptLimit(outcome: Result<unknown, StoreError>, tookMs: number): void {
     if (!outcome.ok && outcome.val.kind === StoreErrorKind.Unknown) {
--- /dev/null
+++ b/packages/standin/test/config/prefixFollower.test.ts
@@ -0,0 +1,98 @@
+import { install, type Clock } from '@sinonjs/fake-timers';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { PlatformPace } from '@radishbay/core/config/platformPace.js';
+import { PrefixFollower } from '@radishbay/core/config/prefixFollower.js';
+import { CountingMetrics } from '@radishbay/core/ports/countingMetrics.js';
+import type { ObjectChange } from '@radishbay/core/ports/objectStore.js';
+import { Random } from '@radishbay/core/ports/random.js';
+import { SilentLog } from '@radishbay/core/ports/silentLog.js';
+
+import { MemoryObjectStore } from '../../src/platform/memoryStore.js';
+
+const BURST_WAIT_MS = 200;
+
+const WATCH_MS = 2_400;
+
+/** Notes when it hears of each object. */
+class HeardChanges extends PrefixFollower {
+  readonly heardAtMs = new Map<string, number>();
+
+  constructor(store: MemoryObjectStore) {
+    const context = {
+      store,
+      pace: new PlatformPace(),
+      random: new Random(1),
+      log: new SilentLog(),
+      metrics: new CountingMetrics(),
+    };
+    const limits = { callLimitMinMs: 800, callLimitMaxMs: 2_000, retryMaxMs: 400 };
+    super(context, 'servers/', { ...limits, burstWaitMs: BURST_WAIT_MS });
+  }
+
+  protected override takeList(): void {}
+
+  protected override takeChanges(changes: readonly ObjectChange[]): void {
+    changes.forEach(({ key }) => this.heardAtMs.set(key, performance.now()));
+  }
+
+  protected override chooseWatchMs(): number {
+    return WATCH_MS;
+  }
+
+  protected override beginCall(): () => void {
+    return () => {};
+  }
+}
+
+let clock: Clock;
+
+test.before.each(() => {
+  clock = install();
+});
+
+test.after.each(() => {
+  clock.uninstall();
+});
+
+test('upstreams that enter themselves one after the other are told by few calls, and soon', async () => {
+  const store = new MemoryObjectStore();
+  const follower = new HeardChanges(store);
+  follower.start();
+  await clock.tickAsync(50);
+  const callsBefore = store.callCount;
+  const writtenAtMs = new Map<string, number>();
+  for (let at = 0; at < 60; at += 1) {
+    const key = `servers/up-${at}`;
+    store.objects.put(key, { at }, 0).unwrap();
+    writtenAtMs.set(key, performance.now());
+    // eslint-disable-next-line no-await-in-loop -- one after the other
+    await clock.tickAsync(50);
+  }
+  await clock.tickAsync(BURST_WAIT_MS);
+  assert.ok(store.callCount - callsBefore <= 20, `${store.callCount - callsBefore} calls`);
+  writtenAtMs.forEach((atMs, key) => {
+    const lateMs = (follower.heardAtMs.get(key) ?? Infinity) - atMs;
+    assert.ok(lateMs <= BURST_WAIT_MS, `${key} is heard after ${lateMs} ms`);
+  });
+  follower.stop();
+});
+
+test('a change alone is heard at once', async () => {
+  const store = new MemoryObjectStore();
+  const follower = new HeardChanges(store);
+  follower.start();
+  await clock.tickAsync(50);
+  for (let at = 0; at < 3; at += 1) {
+    const key = `servers/up-${at}`;
+    store.objects.put(key, { at }, 0).unwrap();
+    const writtenAtMs = performance.now();
+    // eslint-disable-next-line no-await-in-loop -- one after the other
+    await clock.tickAsync(3_000);
+    assert.is(follower.heardAtMs.get(key), writtenAtMs);
+  }
+  follower.stop();
+});
+
+test.run();
