Plan at once for a group that forms anew, and ask a broken one by one report

Change: one sample is enough for a group on its first map. A broken group is asked by one report until that says it is open; entries that give no maps look each half second at most.

--- a/packages/core/src/direct/experts/mapGiver.ts
+++ b/packages/core/src/direct/experts/mapGiver.ts
@@ -12,8 +12,8 @@
 import type { FleetBoard } from '../fleetBoard.js';
 import type { GroupProfile } from '../routeTable.js';
 
-import { DemandSamples } from './demandSamples.js';
-import { areSame, surveyGroups, type GroupRank, type GroupSurvey } from './groupSurvey.js';
+import { DemandReader, SAMPLES_MIN } from './demandReader.js';
+import { areSame, surveyGroups, type GroupSurvey } from './groupSurvey.js';
 import { findHold, isSettled, recoverHold } from './holdRecovery.js';
 import { MapReport } from './mapReport.js';
 import { searchMap, type Placement } from './mapSearch.js';
@@ -35,17 +35,14 @@
 /** Silence of a group after which any entry looks whether it is held. */
 const STUCK_MS = 700;
 
-/** Interval at which counts are read; each reading is priced and stops the group for a moment. */
-const READ_MS = 800;
+/** Interval at which an entry that gives no maps looks at a silent group: all others do as well. */
+const RESCUE_MS = 500;
 
-/** The same while there are too few samples to plan. */
-const READ_SOON_MS = 350;
-
-/** Ranks whose counts are read while there are too few samples; else one tells of a shift. */
-const READ_MAX = 2;
-
-/** Samples from which a map is planned. */
-const SAMPLES_MIN = 3;
+/**
+ * Samples from which the first plan of a group that has formed anew is made. Its first map spreads
+ * experts by their numbers alone, and callers come back all at once: any sample makes a better one.
+ */
+const FRESH_SAMPLES_MIN = 1;
 
 /** Shortest time between two plans. */
 const PLAN_MS = 1_200;
@@ -56,6 +53,9 @@
  */
 const GAIN_MIN = 0.15;
 
+/** Version of the map with which a group forms. */
+const FIRST_VERSION = 0;
+
 /** Interval of surveys, by which a rank that turns slow is found; a doubt calls for one at once. */
 const SURVEY_MS = 2_000;
 
@@ -89,7 +89,7 @@
   #group: KnownGroup | undefined;
 
   /** Kept while a group is surveyed anew: demand does not change with that. */
-  readonly #samples = new DemandSamples();
+  readonly #demand: DemandReader;
 
   #timer: NodeJS.Timeout | undefined;
 
@@ -99,17 +99,21 @@
 
   #surveyAtMs = 0;
 
-  #readAtMs = 0;
-
   #planAtMs = 0;
 
   #lastVersion = 0;
 
+  #rescueAtMs = 0;
+
+  /** Whether the last survey found no group that is whole and open. */
+  #wasBroken = false;
+
   #isRunning = false;
 
   constructor(options: MapGiverOptions) {
     this.#options = options;
     this.#report = new MapReport(options);
+    this.#demand = new DemandReader(options);
   }
 
   start(): void {
@@ -141,7 +145,7 @@
     if (isGiver) await this.#work(nowMs);
     else {
       this.#standBack();
-      if (!isQuiet && this.#isStuck(nowMs)) await this.#rescue();
+      if (!isQuiet && this.#isStuck(nowMs)) await this.#rescue(nowMs);
     }
     this.#loopedAtMs = performance.now();
   }
@@ -156,7 +160,10 @@
    * Lets a group go on whose giver is lost, before its loss is certain. That does no harm to a
    * giver that is still at work: what is completed is its own switch, by the same orders.
    */
-  async #rescue(): Promise<void> {
+  async #rescue(nowMs: number): Promise<void> {
+    if (nowMs < this.#rescueAtMs) return;
+    this.#rescueAtMs = nowMs + RESCUE_MS;
+    if (!(await this.#looksOpen())) return;
     const { board, pool, caller } = this.#options;
     const [survey] = await surveyGroups(caller, board.listPool(pool));
     if (survey) await this.#settle(survey);
@@ -179,16 +186,18 @@
     if (isDue) await this.#survey(nowMs);
     const group = this.#group;
     if (!group) return;
-    if (nowMs >= this.#readAtMs) await this.#readCounts(group, nowMs);
+    if (this.#demand.isDue(nowMs)) await this.#readDemand(group, nowMs);
     if (nowMs >= this.#planAtMs && this.#group === group) await this.#plan(group, nowMs);
   }
 
   async #survey(nowMs: number): Promise<void> {
     const { board, pool, caller } = this.#options;
+    if (this.#wasBroken && !(await this.#looksOpen())) return;
     this.#surveyAtMs = nowMs + SURVEY_MS;
     const [survey] = await surveyGroups(caller, board.listPool(pool));
     const known = this.#group;
     this.#group = undefined;
+    this.#wasBroken = !survey;
     if (!survey) return;
     this.#notePaces(survey);
     if (!(await this.#settle(survey))) {
@@ -204,6 +213,17 @@
     const placement = await this.#readPlacement(survey);
     if (!placement) return;
     this.#group = { survey, placement, mapVersion };
+    if (mapVersion === FIRST_VERSION) this.#planAtMs = 0;
+  }
+
+  /** Asks one rank of a group that was broken; all are read only when it may be open again. */
+  async #looksOpen(): Promise<boolean> {
+    const { board, pool, caller, random } = this.#options;
+    const upstreams = board.listPool(pool);
+    const upstream = upstreams[random.nextInt(upstreams.length)];
+    if (!upstream) return false;
+    const report = await caller.readReport(upstream.entry);
+    return !report.ok || report.val.isOpen;
   }
 
   #notePaces({ ranks }: GroupSurvey): void {
@@ -236,45 +256,19 @@
     );
   }
 
-  /**
-   * Reads the counts of one rank, and of some more while there are too few samples. The same ranks
-   * are read as long as they get requests: what lies between two readings is a sample.
-   */
-  async #readCounts(group: KnownGroup, nowMs: number): Promise<void> {
-    const { board } = this.#options;
-    const served = group.survey.ranks.filter(
-      ({ upstream: { entry } }) => !entry.isLeaving && !board.isClosed(entry.domain),
-    );
-    const isShort = this.#samples.countRecent(nowMs) < SAMPLES_MIN;
-    this.#readAtMs = nowMs + (isShort ? READ_SOON_MS : READ_MS);
-    const isShift = await this.#readRanks(group, served.slice(0, isShort ? READ_MAX : 1));
+  async #readDemand({ survey }: KnownGroup, nowMs: number): Promise<void> {
+    const { isShift, isLost } = await this.#demand.read(survey, nowMs);
+    if (isLost) this.#surveyAtMs = 0;
     if (!isShift) return;
     this.#report.noteShift();
     this.#planAtMs = 0;
-    this.#readAtMs = nowMs + READ_SOON_MS;
-    await this.#readRanks(group, served.slice(1, READ_MAX));
-  }
-
-  /** @returns whether demand has shifted */
-  async #readRanks({ survey }: KnownGroup, ranks: readonly GroupRank[]): Promise<boolean> {
-    const { caller } = this.#options;
-    const read = await Promise.all(ranks.map(({ upstream }) => caller.readCounts(upstream.entry)));
-    const shifts = read.map((counts, at) => {
-      const rank = ranks[at];
-      if (!rank) return false;
-      if (counts.ok && counts.val.epoch === survey.epoch) {
-        return this.#samples.add(rank.upstream.id, counts.val, performance.now());
-      }
-      this.#surveyAtMs = 0;
-      return false;
-    });
-    return shifts.includes(true);
   }
 
   async #plan(group: KnownGroup, nowMs: number): Promise<void> {
     const { profile, random } = this.#options;
-    const samples = this.#samples.list(nowMs);
-    if (samples.length < SAMPLES_MIN) return;
+    const samples = this.#demand.list(nowMs);
+    const isFresh = group.mapVersion === FIRST_VERSION;
+    if (samples.length < (isFresh ? FRESH_SAMPLES_MIN : SAMPLES_MIN)) return;
     this.#planAtMs = nowMs + PLAN_MS;
     const found = await searchMap({
       profile,
--- a/packages/core/test/direct/experts/rankGroup.ts
+++ b/packages/core/test/direct/experts/rankGroup.ts
@@ -69,6 +69,9 @@
   /** Choices of each expert by this rank's requests; tests raise them. */
   readonly counts: number[];
 
+  /** Reports that were read. */
+  reports = 0;
+
   /** Passes that were due while one was held. */
   heldPasses = 0;
 
@@ -101,6 +104,7 @@
   }
 
   override async readReport(entry: UpstreamEntry): Promise<Result<RankReport, string>> {
+    this.reports += 1;
     await wait(CALL_MS);
     const rank = this.#find(entry);
     if (!rank) return Err('no such rank');
--- a/packages/core/test/direct/experts/steppedSwitch.test.ts
+++ b/packages/core/test/direct/experts/steppedSwitch.test.ts
@@ -321,4 +321,47 @@
     group.stop();
   }));
 
+test('a broken group is asked by one report at a time until it is open again', () =>
+  withClock(async (clock) => {
+    const group = createGroup(5);
+    const { giver } = createGiver('entry-1', group);
+    giver.start();
+    await clock.tickAsync(4_000);
+    group.isOpen = false;
+    await clock.tickAsync(3_000);
+    const before = group.reports;
+    await clock.tickAsync(2_000);
+    assert.ok(group.reports - before <= 2_000 / 100, `${group.reports - before} reports`);
+    group.reform();
+    await clock.tickAsync(300);
+    assert.ok(group.reports - before > SIZE);
+    giver.stop();
+    group.stop();
+  }));
+
+test('a group that forms anew right after a shift of demand is given a map at once', () =>
+  withClock(async (clock) => {
+    const group = createGroup(5);
+    const { giver } = createGiver('entry-1', group);
+    giver.start();
+    const wanted = [5, 0, 0, 0, 5, 0, 0, 0];
+    const timer = setInterval(() => {
+      wanted.forEach((count, expert) => {
+        group.counts[expert] = (group.counts[expert] ?? 0) + count * 100;
+      });
+    }, 100);
+    await clock.tickAsync(8_000);
+    // Experts 1 and 5 lie on one rank of the first map.
+    wanted.splice(0, 8, 0, 5, 0, 0, 0, 5, 0, 0);
+    await clock.tickAsync(1_000);
+    group.reform();
+    const { length } = group.versions;
+    await clock.tickAsync(1_500);
+    assert.ok((group.versions[group.versions.length - 1] ?? 0) > 0, `${length}: ${group.versions}`);
+    assert.equal(group.broken, []);
+    clearInterval(timer);
+    giver.stop();
+    group.stop();
+  }));
+
 test.run();
