--- a/packages/soak/src/fleet/soakFleet.ts
+++ b/packages/soak/src/fleet/soakFleet.ts
@@ -1,5 +1,4 @@
 /** Everything that runs in a soak: entries as processes, and their surroundings. */
-import type { Random } from '@radishbay/core/ports/random.js';
 import { StoreStandin } from '@radishbay/fleet-platform/standin/storeStandin.js';
 
 import type { SoakRecord } from '../record/soakRecord.js';
@@ -21,7 +20,6 @@
   /** Folder of settings files and logs. */
   readonly folder: string;
   readonly record: SoakRecord;
-  readonly random: Random;
 }
 
 function createAddress(at: number): string {
--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -83,8 +83,6 @@
 
   readonly #fleet: SoakFleet;
 
-  readonly #balancer: () => Balancer;
-
   readonly #stallWatch = new StallWatch(this.#touch, (forMs) => this.#noteStall(forMs));
 
   #stalls = 0;
@@ -95,9 +93,7 @@
     this.#options = options;
     const { seed, entryCount, folder } = options;
     const record = this.#record;
-    const random = new Random(seed + 1);
-    this.#fleet = new SoakFleet({ entryCount, seed, folder, record, random });
-    this.#balancer = () => new Balancer(this.#fleet.entries);
+    this.#fleet = new SoakFleet({ entryCount, seed, folder, record });
     record.watch((context) =>
       this.#createChecks({ ...context, touch: this.#touch, bounds: BOUNDS }),
     );
@@ -153,7 +149,7 @@
     const { seed } = this.#options;
     const fleet = this.#fleet;
     const record = this.#record;
-    const balancer = this.#balancer();
+    const balancer = new Balancer(fleet.entries);
     const readGeneration = () => fleet.operators.generation;
     const traffic = new Traffic({ random: new Random(seed + 2), balancer, record, readGeneration });
     balancer.start();
@@ -162,7 +158,7 @@
       fleet,
       record,
       touch: this.#touch,
-      random: new Random(seed + 3),
+      random: new Random(seed + 1),
       stopLimitMs: BOUNDS.stopLimitMs,
       onBadStop: (detail) => record.noteBreak('planned stops end by themselves', detail),
       onFault: (fault, subject) => this.#tell(fault, subject),
