Keep the users' names out of the soak, and let its checks bite

Cause: the soak read header names and kinds of object itself. Routes of the soak allowed one attempt to what may run once, so a repeat was refused before its guard; and domains were closed for less than the bound of their check, which could therefore never fail. Change: platform/standin decodes what reaches a worker and writes the operators' objects; routes of the soak allow two attempts; a domain stays closed for seven seconds and more.

--- a/packages/soak/src/faults/entryFaults.ts
+++ b/packages/soak/src/faults/entryFaults.ts
@@ -14,6 +14,10 @@
 
 const LOOK_MS = 50;
 
+/** Floors of the retry budget that are written as settings change: never above the one checked. */
+const RETRY_FLOOR_MIN = 60;
+const RETRY_FLOOR_SPAN = 28;
+
 /** Time beyond its limit after which a stopping process is killed. */
 const STOP_MARGIN_MS = 1_000;
 
@@ -49,7 +53,7 @@
     else if (kind === FaultKind.EntryStop) await this.#stop(entry);
     else if (kind === FaultKind.EntryPause) await this.#pause(entry, forMs);
     else if (kind === FaultKind.EntryReload) {
-      await entry.writeSettings({ retry_slack: Math.round(60 + fault.draw * 28) });
+      await entry.writeSettings(Math.round(RETRY_FLOOR_MIN + fault.draw * RETRY_FLOOR_SPAN));
       entry.signal('SIGHUP');
     } else if (kind === FaultKind.ClockJump) entry.signal('SIGUSR2');
     else await this.#disturbLink(fault, entry);
--- a/packages/soak/src/faults/faultRunner.ts
+++ b/packages/soak/src/faults/faultRunner.ts
@@ -15,6 +15,9 @@
 /** Part of the orders to ranks that are lost and carried out late. */
 const LATE_ORDERS_PART = 0.35;
 
+/** Time for which a domain is closed at least: beyond the bound within which it gets nothing. */
+const CLOSED_MIN_MS = 7_000;
+
 export interface FaultRunnerOptions {
   readonly fleet: SoakFleet;
   readonly record: SoakRecord;
@@ -96,7 +99,7 @@
     this.#closed.add(domain);
     this.#tell(fault, domain);
     operators.closeDomain(domain);
-    await wait(fault.forMs);
+    await wait(CLOSED_MIN_MS + fault.forMs);
     operators.openDomain(domain);
     this.#closed.delete(domain);
   }
--- a/packages/soak/src/fleet/operators.ts
+++ b/packages/soak/src/fleet/operators.ts
@@ -7,10 +7,6 @@
 
 import { MODELS, type SoakUpstream } from './upstreams.js';
 
-/** Kinds of object in the store. */
-const UPSTREAMS = 'servers';
-const CLOSED_DOMAINS = 'evacuations';
-
 /** Writes to the store; it answers the operators whatever entries see of it. */
 export class Operators {
   readonly #store: StoreStandin;
@@ -31,17 +27,17 @@
   /** Writes the next generation of the configuration. */
   changeConfig(): void {
     this.#generation += 1;
-    this.#store.put('config', 'main', createSoakConfig(this.#generation * 3, this.#generation));
+    this.#store.putConfig(createSoakConfig(this.#generation * 3, this.#generation));
     this.#note(ChangeKind.Generation, String(this.#generation));
   }
 
   closeDomain(domain: string): void {
-    this.#store.put(CLOSED_DOMAINS, domain, {});
+    this.#store.closeDomain(domain);
     this.#note(ChangeKind.DomainClosed, domain);
   }
 
   openDomain(domain: string): void {
-    this.#store.remove(CLOSED_DOMAINS, domain);
+    this.#store.openDomain(domain);
     this.#note(ChangeKind.DomainOpened, domain);
   }
 
@@ -49,7 +45,7 @@
   enter(upstream: SoakUpstream): void {
     const { worker, pool, domain, linkPort } = upstream;
     worker.sequence += 1;
-    this.#store.put(UPSTREAMS, worker.id, worker.createEntry(pool, domain, linkPort));
+    this.#store.putUpstream(worker.id, worker.createEntry(pool, domain, linkPort));
     this.#note(
       worker.isLeaving ? ChangeKind.UpstreamLeaving : ChangeKind.UpstreamEntered,
       worker.id,
@@ -58,7 +54,7 @@
 
   /** Takes an upstream out of the registry. */
   remove({ worker }: SoakUpstream): void {
-    this.#store.remove(UPSTREAMS, worker.id);
+    this.#store.removeUpstream(worker.id);
   }
 
   /** An upstream is cold from now on, whether or not it tells; only models bear less then. */
--- a/packages/soak/src/fleet/soakEntry.ts
+++ b/packages/soak/src/fleet/soakEntry.ts
@@ -93,14 +93,14 @@
     this.#peerLink = new TcpRelay(this.address, this.#ports[2] ?? 0);
     this.#peerLinkPort = await this.#peerLink.start();
     this.#storeLinkPort = await this.storeLink.start();
-    await this.writeSettings({});
+    await this.writeSettings();
   }
 
-  /** Writes the settings file, with some bounds of its own. */
-  async writeSettings(bounds: object): Promise<void> {
-    const settings = createWireSettings(this.#storeLinkPort, this.#ports, this.#options);
-    const changed = { ...settings, bounds: { ...settings.bounds, ...bounds } };
-    await writeFile(this.#settingsFile, JSON.stringify(changed));
+  /** Writes the settings file, with a floor of the retry budget where one is given. */
+  async writeSettings(retryFloor?: number): Promise<void> {
+    const place = this.#options;
+    const settings = createWireSettings(this.#storeLinkPort, this.#ports, place, retryFloor);
+    await writeFile(this.#settingsFile, JSON.stringify(settings));
   }
 
   async start(): Promise<void> {
--- a/packages/soak/src/fleet/upstreams.ts
+++ b/packages/soak/src/fleet/upstreams.ts
@@ -9,6 +9,7 @@
 } from '@radishbay/fleet-platform/standin/workerStandin.js';
 import { TcpRelay } from '@radishbay/standin/fleet/tcpRelay.js';
 
+import type { SeenRun } from '../record/fact.js';
 import type { SoakRecord } from '../record/soakRecord.js';
 
 export const MODELS = 'models';
@@ -106,8 +107,8 @@
       eventCount: EVENT_COUNT,
       eventGapMs: PASS_MS,
       workMs: WORK_MS,
-      describe: ({ headers }) => String(headers['x-radishbay-attempt-id']),
-      onRun: (request) => this.#noteRun(request, { id, pool, domain }),
+      describe: ({ id: requestId }) => requestId,
+      onRun: (request) => this.#noteRun(request, { upstream: id, pool, domain }),
       onEnd: (request, isEarly) => this.#noteEnd(request, isEarly),
       rank: isRank ? new RankStandin(this.group, createRankUpstream(id, domain)) : undefined,
     });
@@ -117,27 +118,17 @@
   }
 
   #noteRun(
-    { headers, path, body }: SeenRequest,
-    { id, pool, domain }: { readonly id: string; readonly pool: string; readonly domain: string },
+    { id, path, body, workspace, lastEventId }: SeenRequest,
+    place: Pick<SeenRun, 'upstream' | 'pool' | 'domain'>,
   ): void {
-    const workspace = headers['x-radishbay-tenant'];
-    if (pool === MODELS) this.#choose();
-    this.#record.noteRun({
-      id: String(headers['x-radishbay-attempt-id']),
-      upstream: id,
-      pool,
-      domain,
-      path,
-      body,
-      workspace: typeof workspace === 'string' ? workspace : undefined,
-      lastEventId: Number(headers['last-event-id'] ?? 0),
-      atMs: performance.now(),
-    });
+    if (place.pool === MODELS) this.#choose();
+    const atMs = performance.now();
+    this.#record.noteRun({ id, path, body, workspace, lastEventId, atMs, ...place });
   }
 
-  #noteEnd({ headers, path }: SeenRequest, isEarly: boolean): void {
+  #noteEnd({ id, path }: SeenRequest, isEarly: boolean): void {
     if (path.startsWith('/stream')) this.#count(-1);
-    this.#record.noteRunEnd(String(headers['x-radishbay-attempt-id']), isEarly);
+    this.#record.noteRunEnd(id, isEarly);
   }
 
   /** A stream chooses experts, the hot ones more often. */
--- a/packages/soak/src/traffic/traffic.ts
+++ b/packages/soak/src/traffic/traffic.ts
@@ -56,7 +56,7 @@
     pool: MODELS,
     method: 'POST',
     prefix: '/stream-once/',
-    attempts: 1,
+    attempts: 2,
     part: 0.1,
   },
   {
@@ -64,7 +64,7 @@
     pool: EXCHANGE,
     method: 'POST',
     prefix: '/swap/',
-    attempts: 1,
+    attempts: 2,
     part: 0.25,
   },
   {
