--- a/packages/soak/src/faults/upstreamFaults.ts
+++ b/packages/soak/src/faults/upstreamFaults.ts
@@ -62,17 +62,17 @@
     else if (kind === FaultKind.UpstreamLeave) await this.#leave(upstream, forMs);
     else if (kind === FaultKind.UpstreamCold) await this.#beCold(upstream);
     else {
-      worker.chooseConduct = this.#drawConduct(draw);
+      worker.chooseConduct = this.#drawConduct;
       await wait(forMs);
       worker.chooseConduct = undefined;
     }
   }
 
-  #drawConduct(draw: number): () => WorkerConduct {
-    const conduct = CONDUCTS[Math.floor(draw * CONDUCTS.length)] ?? WorkerConduct.Refuse;
+  readonly #drawConduct = (): WorkerConduct => {
     const { random } = this.#options;
-    return () => (random.next() < MISBEHAVE_PART ? conduct : WorkerConduct.Serve);
-  }
+    if (random.next() >= MISBEHAVE_PART) return WorkerConduct.Serve;
+    return CONDUCTS[random.nextInt(CONDUCTS.length)] ?? WorkerConduct.Refuse;
+  };
 
   async #crash(upstream: SoakUpstream, downMs: number): Promise<void> {
     const { operators } = this.#options;
--- a/packages/soak/src/fleet/upstreams.ts
+++ b/packages/soak/src/fleet/upstreams.ts
@@ -22,8 +22,8 @@
 export const EVENT_COUNT = 10;
 const PASS_MS = 50;
 
-/** Time that a plain answer takes. */
-const WORK_MS = 25;
+/** Time that a plain answer takes: long enough for faults to find some at work. */
+const WORK_MS = 120;
 
 const RANKS = 6;
 
