--- a/packages/core/src/direct/experts/demandSamples.ts
+++ b/packages/core/src/direct/experts/demandSamples.ts
@@ -20,8 +20,8 @@
 const CHOICES_MIN = 2_000;
 
 /**
- * Likeness below which two samples are of different demand. Samples of the same demand have 0.85
- * and more in bench days, samples before and after a shift 0.3 to 0.75.
+ * Likeness below which two samples are of different demand. On a loaded bench day hardly any two
+ * lie near it: shifts leave 0.27 to 0.75, most samples of one demand have 0.85 and more.
  */
 const LIKENESS_MIN = 0.8;
 
--- a/packages/core/src/direct/experts/mapGiver.ts
+++ b/packages/core/src/direct/experts/mapGiver.ts
@@ -39,8 +39,8 @@
 const RESCUE_MS = 500;
 
 /**
- * Samples from which the first plan of a group that has formed anew is made. Its first map spreads
- * experts by their numbers alone, and callers come back all at once: any sample makes a better one.
+ * Samples that the first plan after a group has formed anew needs. The group's initial map ignores
+ * demand and its backlog is largest then, so a rough plan at once beats a better one later.
  */
 const FRESH_SAMPLES_MIN = 1;
 
--- a/packages/soak/src/faults/entryFaults.ts
+++ b/packages/soak/src/faults/entryFaults.ts
@@ -12,8 +12,6 @@
 /** Time for an entry to be ready after a start, or to hear others again after a fault. */
 const SETTLE_LIMIT_MS = 10_000;
 
-const LOOK_MS = 50;
-
 /** Floors of the retry budget that are written as settings change: never above the one checked. */
 const RETRY_FLOOR_MIN = 60;
 const RETRY_FLOOR_SPAN = 28;
@@ -29,12 +27,6 @@
   readonly onBadStop: (detail: string) => void;
 }
 
-async function waitUntilReady(entry: SoakEntry, leftMs = SETTLE_LIMIT_MS): Promise<void> {
-  if (leftMs <= 0 || (await entry.isReady())) return;
-  await wait(LOOK_MS);
-  await waitUntilReady(entry, leftMs - LOOK_MS);
-}
-
 /** Does the faults of entries; one that is down already is left alone. */
 export class EntryFaults {
   readonly #options: EntryFaultOptions;
@@ -88,7 +80,7 @@
   async #startAgain(entry: SoakEntry, endFault: (endMs: number) => void): Promise<void> {
     await entry.start();
     this.#restarting.delete(entry);
-    await waitUntilReady(entry);
+    await entry.waitUntilReady(SETTLE_LIMIT_MS);
     endFault(performance.now());
   }
 
--- a/packages/soak/src/fleet/soakEntry.ts
+++ b/packages/soak/src/fleet/soakEntry.ts
@@ -1,26 +1,23 @@
 /** One entry of a soak: the real program, its settings file, and the relays on its links. */
-import { spawn, type ChildProcess } from 'node:child_process';
 import { open, writeFile } from 'node:fs/promises';
 import path from 'node:path';
-import { fileURLToPath } from 'node:url';
 
-import { sendRequest } from '@radishbay/fleet-platform/standin/callerRequest.js';
+import { wait } from '@radishbay/core/wait.js';
+import {
+  createEntryEnvironment,
+  ENTRY_PROGRAM,
+  isEntryReady,
+} from '@radishbay/fleet-platform/standin/entryProgram.js';
 import { createWireSettings } from '@radishbay/fleet-platform/standin/wireSamples.js';
+import { ChildProgram, type ProgramEnd } from '@radishbay/standin/fleet/childProgram.js';
 import { findFreePorts } from '@radishbay/standin/fleet/portPool.js';
 import { TcpRelay } from '@radishbay/standin/fleet/tcpRelay.js';
 
-const ROOT = fileURLToPath(new URL('../../../../..', import.meta.url));
-
-const PROGRAM = path.join(ROOT, 'target/radishbayd.mjs');
-
 /** Loaded before the program: lets its wall clock jump on a signal. */
 const JUMPING_CLOCK = new URL('../clock/jumpingClock.js', import.meta.url).href;
 
-/** How a process ended. */
-export interface EntryEnd {
-  readonly code: number | null;
-  readonly signal: NodeJS.Signals | null;
-}
+/** Time between two looks whether it is ready. */
+const LOOK_MS = 50;
 
 export interface SoakEntryOptions {
   readonly name: string;
@@ -46,9 +43,9 @@
 
   #ports: readonly number[] = [];
 
-  #child: ChildProcess | undefined;
+  #program: ChildProgram | undefined;
 
-  #ended: Promise<EntryEnd> = Promise.resolve({ code: null, signal: null });
+  #ended: Promise<ProgramEnd> = Promise.resolve({ code: null, signal: null });
 
   constructor(options: SoakEntryOptions) {
     this.#options = options;
@@ -72,7 +69,7 @@
   }
 
   get isRunning(): boolean {
-    return this.#child !== undefined;
+    return this.#program !== undefined;
   }
 
   /** The link on which other entries reach this one. */
@@ -105,38 +102,38 @@
 
   async start(): Promise<void> {
     const log = await open(path.join(this.#options.folder, `${this.name}.log`), 'a');
-    const child = spawn(process.execPath, ['--import', JUMPING_CLOCK, PROGRAM], {
-      cwd: ROOT,
-      env: { PATH: process.env.PATH ?? '', RADISHBAY_NODE_FILE: this.#settingsFile },
-      stdio: ['ignore', log.fd, log.fd],
+    const program = new ChildProgram(this.name, ['--import', JUMPING_CLOCK, ENTRY_PROGRAM], {
+      environment: createEntryEnvironment(this.#settingsFile),
+      outputFile: log.fd,
     });
-    this.#child = child;
-    this.#ended = new Promise((resolve) => {
-      child.once('exit', (code, signal) => {
-        if (this.#child === child) this.#child = undefined;
-        resolve({ code, signal });
-      });
+    this.#program = program;
+    this.#ended = program.waitForEnd().then((end) => {
+      if (this.#program === program) this.#program = undefined;
+      return end;
     });
     await log.close();
   }
 
   /** Sends a signal to the process that runs now, if any. */
   signal(name: NodeJS.Signals): void {
-    this.#child?.kill(name);
+    this.#program?.send(name);
   }
 
   /** Waits for the end of the process that runs now. */
-  waitForEnd(): Promise<EntryEnd> {
+  waitForEnd(): Promise<ProgramEnd> {
     return this.#ended;
   }
 
-  async isReady(): Promise<boolean> {
-    const { address } = this;
-    const answer = await sendRequest(this.#ports[1] ?? 0, '/readyz', {
-      method: 'GET',
-      address,
-    }).catch(() => undefined);
-    return answer?.status === 200;
+  isReady(): Promise<boolean> {
+    return isEntryReady(this.#ports[1] ?? 0, this.address);
+  }
+
+  /** @returns whether it has become ready within a time */
+  async waitUntilReady(limitMs: number): Promise<boolean> {
+    if (await this.isReady()) return true;
+    if (limitMs <= 0) return false;
+    await wait(LOOK_MS);
+    return this.waitUntilReady(limitMs - LOOK_MS);
   }
 
   /** Ends the process and the relays. */
--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -48,8 +48,6 @@
 /** Longest time for the fleet to be ready. */
 const START_LIMIT_MS = 30_000;
 
-const LOOK_MS = 100;
-
 /** Time after recovery in which service is judged. */
 const JUDGE_MS = 3_000;
 
@@ -111,7 +109,7 @@
     await writeFile(path.join(folder, 'plan.json'), JSON.stringify(plan, undefined, 1));
     try {
       await this.#fleet.start();
-      await this.#waitUntilReady(START_LIMIT_MS);
+      await this.#waitUntilReady();
       this.#stallWatch.start();
       await this.#disturb(plan);
     } finally {
@@ -137,12 +135,11 @@
     ];
   }
 
-  async #waitUntilReady(leftMs: number): Promise<void> {
-    const ready = await Promise.all(this.#fleet.entries.map((entry) => entry.isReady()));
-    if (ready.every(Boolean)) return;
-    if (leftMs <= 0) throw new Error('the entries are not ready');
-    await wait(LOOK_MS);
-    await this.#waitUntilReady(leftMs - LOOK_MS);
+  async #waitUntilReady(): Promise<void> {
+    const { entries } = this.#fleet;
+    const ready = await Promise.all(entries.map((entry) => entry.waitUntilReady(START_LIMIT_MS)));
+    const late = entries.filter((_, at) => !ready[at]).map(({ name }) => name);
+    if (late.length > 0) throw new Error(`entries ${late.join(', ')} are not ready`);
   }
 
   async #disturb(plan: readonly Fault[]): Promise<void> {
--- a/packages/standin/src/fleet/childProgram.ts
+++ b/packages/standin/src/fleet/childProgram.ts
@@ -14,6 +14,14 @@
   readonly signal: NodeJS.Signals | null;
 }
 
+/** What a program is started with beside its arguments. */
+export interface ProgramOptions {
+  /** In place of the harness's own environment. */
+  readonly environment?: NodeJS.ProcessEnv;
+  /** Open file that takes all output in place of {@link ChildProgram.lines}. */
+  readonly outputFile?: number;
+}
+
 /** One running program. */
 export class ChildProgram {
   readonly name: string;
@@ -31,9 +39,13 @@
    *
    * @param args script and arguments
    */
-  constructor(name: string, args: readonly string[]) {
+  constructor(name: string, args: readonly string[], options: ProgramOptions = {}) {
     this.name = name;
-    this.#child = spawn(process.execPath, [...args], { stdio: ['ignore', 'pipe', 'pipe'] });
+    const output = options.outputFile ?? 'pipe';
+    this.#child = spawn(process.execPath, [...args], {
+      env: options.environment ?? process.env,
+      stdio: ['ignore', output, output],
+    });
     [this.#child.stdout, this.#child.stderr].forEach((stream) => {
       if (stream) createInterface({ input: stream }).on('line', (line) => this.#note(line));
     });
