Time turns by how long places are held, not by the gaps between ends

Cause: the time between two turns was smoothed from the gaps between ends of requests. A pool that was idle, or whose group was away for 3 s, left a gap of seconds in it (a tenth of the gap at once), so that for the next second whoever had to wait was refused although its turn was near. Ruled out: a cap on the gap; it would need a figure of its own for each pool. Change: the turn is the mean time for which a place is held over this entry's requests in flight (Little's law), by ServiceTimes, which the gate has already. A test for an idle pool failed before.

--- a/packages/core/src/direct/directAttempt.ts
+++ b/packages/core/src/direct/directAttempt.ts
@@ -240,6 +240,6 @@
     clearTimeout(this.#silenceTimer);
     this.#options.context.board.addInFlight(this.upstream, -1);
     if (!this.#hasAnswered) this.upstream.unanswered -= 1;
-    this.#options.desk.noteEnd(performance.now());
+    this.#options.desk.noteEnd();
   }
 }
--- a/packages/core/src/direct/directRun.ts
+++ b/packages/core/src/direct/directRun.ts
@@ -204,6 +204,8 @@
       });
       return;
     }
+    const { desk, route } = this.#options;
+    if (this.#attempt) desk.noteAnswered(route.name, this.#attempt.ageMs);
     this.#report.noteAnswered(this.#attempt?.upstream.id, this.#answerStatus);
     this.#finish();
   }
--- a/packages/core/src/direct/poolActivity.ts
+++ b/packages/core/src/direct/poolActivity.ts
@@ -18,6 +18,11 @@
   /** When an upstream of the pool last gave something of an answer. */
   #servedAtMs = Number.NEGATIVE_INFINITY;
 
+  /** Requests of this entry that have not ended. */
+  get inFlight(): number {
+    return this.#inFlight;
+  }
+
   noteStart(nowMs: number): void {
     this.#inFlight += 1;
     if (this.#inFlight === SILENT_REQUESTS) this.#busyAtMs = nowMs;
--- a/packages/core/src/direct/poolDesk.ts
+++ b/packages/core/src/direct/poolDesk.ts
@@ -5,6 +5,7 @@
  * its answer can still be on time; otherwise it is refused at once, with a time at which there will
  * be room. A request that is late already goes after those that can still be on time.
  */
+import { ServiceTimes } from '../limits/serviceTimes.js';
 import type { Refusal } from '../model/reason.js';
 import { LogLevel, type Log, type LogFields } from '../ports/log.js';
 import type { Random } from '../ports/random.js';
@@ -27,7 +28,7 @@
 /** Assumed time to the first event, or to a plain answer, before one was measured. */
 const FIRST_MS = 80;
 
-/** Assumed time between two ends of requests before two were seen. */
+/** Assumed time between two ends of requests before a whole answer was seen. */
 const TURN_MS = 100;
 
 /** Prompts that one engine reads at a time, from all entries. */
@@ -69,9 +70,7 @@
 
   #firstMs = FIRST_MS;
 
-  #turnMs = TURN_MS;
-
-  #endedAtMs: number | undefined;
+  readonly #times = new ServiceTimes();
 
   #pumpTimer: NodeJS.Timeout | undefined;
 
@@ -173,15 +172,16 @@
   }
 
   /** Notes that a request has ended and its place is free. */
-  noteEnd(nowMs: number): void {
+  noteEnd(): void {
     this.#activity.noteEnd();
-    if (this.#endedAtMs !== undefined) {
-      this.#turnMs += SMOOTHING * (nowMs - this.#endedAtMs - this.#turnMs);
-    }
-    this.#endedAtMs = nowMs;
     this.#pump();
   }
 
+  /** Notes for how long a request of a route held its place until its answer was whole. */
+  noteAnswered(route: string, heldMs: number): void {
+    this.#times.add(route, heldMs);
+  }
+
   /** Notes that an upstream refused a request without running it. */
   noteRefusal(): void {
     if (!this.#pool.engine || !this.breaker.noteRefusal()) return;
@@ -201,6 +201,15 @@
     if (this.#queue.size > 0) this.#pumpTimer ??= setTimeout(this.#pump, PUMP_MS);
   };
 
+  /**
+   * Time between two ends of this entry's requests, by Little's law. Measured between ends, it
+   * would take an idle pool, or one that has stalled, for a slow one.
+   */
+  get #turnMs(): number {
+    const heldMs = this.#times.meanMs;
+    return heldMs > 0 ? heldMs / Math.max(1, this.#activity.inFlight) : TURN_MS;
+  }
+
   get #plainLimit(): number {
     const slots = this.#options.board.listPool(this.#pool.name).map(({ entry }) => entry.slots);
     return Math.max(1, ...slots);
--- a/packages/core/test/direct/poolDesk.test.ts
+++ b/packages/core/test/direct/poolDesk.test.ts
@@ -56,6 +56,21 @@
     assert.is(entry.calls.length, FIRST_LIMIT + 1);
   }));
 
+test('a pool that was idle for long does not count as slow', () =>
+  withClock(async (clock) => {
+    const entry = new DirectFixture();
+    entry.addUpstreams('models', 1);
+    fill(entry, 1);
+    await clock.tickAsync(500);
+    entry.calls.forEach((call) => call.end());
+    await clock.tickAsync(20_000);
+    askAndRead(entry);
+    entry.lastCall.end();
+    fill(entry, 1);
+    const caller = entry.ask('stream');
+    assert.is(caller.refusal, undefined, 'its turn is due within a stream of 500 ms over 8 places');
+  }));
+
 test('of many callers at once only so many prompts are read together', () =>
   withClock(() => {
     const entry = new DirectFixture();
