Let a giver of maps survey a silent group twice a second at most

Ruled out: not surveying at all; a hold by another entry is found only so. Change: one limit for both, #isRescueDue. Conclusion: the interval is the same for all entries now.

--- a/packages/core/src/direct/experts/mapGiver.ts
+++ b/packages/core/src/direct/experts/mapGiver.ts
@@ -35,7 +35,7 @@
 /** Silence of a group after which any entry looks whether it is held. */
 const STUCK_MS = 700;
 
-/** Interval at which an entry that gives no maps looks at a silent group: all others do as well. */
+/** Interval at which an entry surveys a silent group: it reads all ranks, and others do as well. */
 const RESCUE_MS = 500;
 
 /**
@@ -145,24 +145,25 @@
     if (isGiver) await this.#work(nowMs);
     else {
       this.#standBack();
-      if (!isQuiet && this.#isStuck(nowMs)) await this.#rescue(nowMs);
+      if (!isQuiet && this.#isRescueDue(nowMs)) await this.#rescue();
     }
     this.#loopedAtMs = performance.now();
   }
 
   /** Whether the pool's group has given nothing for longer than any switch takes. */
-  #isStuck(nowMs: number): boolean {
+  #isRescueDue(nowMs: number): boolean {
     const { board, pool } = this.#options;
-    return !board.isStopping && board.readActivity(pool).isSilent(nowMs, STUCK_MS);
+    if (board.isStopping || nowMs < this.#rescueAtMs) return false;
+    if (!board.readActivity(pool).isSilent(nowMs, STUCK_MS)) return false;
+    this.#rescueAtMs = nowMs + RESCUE_MS;
+    return true;
   }
 
   /**
    * Lets a group go on whose giver is lost, before its loss is certain. That does no harm to a
    * giver that is still at work: what is completed is its own switch, by the same orders.
    */
-  async #rescue(nowMs: number): Promise<void> {
-    if (nowMs < this.#rescueAtMs) return;
-    this.#rescueAtMs = nowMs + RESCUE_MS;
+  async #rescue(): Promise<void> {
     if (!(await this.#looksOpen())) return;
     const { board, pool, caller } = this.#options;
     const [survey] = await surveyGroups(caller, board.listPool(pool));
@@ -182,7 +183,7 @@
   }
 
   async #work(nowMs: number): Promise<void> {
-    const isDue = !this.#group || nowMs >= this.#surveyAtMs || this.#isStuck(nowMs);
+    const isDue = !this.#group || nowMs >= this.#surveyAtMs || this.#isRescueDue(nowMs);
     if (isDue) await this.#survey(nowMs);
     const group = this.#group;
     if (!group) return;
--- a/packages/core/test/direct/experts/steppedSwitch.test.ts
+++ b/packages/core/test/direct/experts/steppedSwitch.test.ts
@@ -339,6 +339,23 @@
     group.stop();
   }));
 
+test('a giver reads all ranks of a silent group twice a second at most', () =>
+  withClock(async (clock) => {
+    const group = createGroup(6);
+    const { board, giver } = createGiver('entry-1', group);
+    giver.start();
+    await clock.tickAsync(5_000);
+    const activity = board.readActivity('models');
+    Array.from({ length: SIZE }, () => activity.noteStart(performance.now()));
+    await clock.tickAsync(1_000);
+    const before = group.reports;
+    await clock.tickAsync(2_000);
+    const surveys = (group.reports - before) / SIZE;
+    assert.ok(surveys > 2 && surveys <= 5, `${surveys} surveys in 2 s`);
+    giver.stop();
+    group.stop();
+  }));
+
 test('a group that forms anew right after a shift of demand is given a map at once', () =>
   withClock(async (clock) => {
     const group = createGroup(5);
