Let interrupted and returned requests wait for their group as long as callers do

A wait for requests that come for the first time: they can be told when to come back. Streams that break off count for the breaker like refusals, so that a lost rank costs no retry budget. How much a pool can take is apart from admission now (PoolCapacity); while places are free, turns come as fast as prompts are read, so after a restart newcomers wait in place of being refused. The next step is what late requests may take.

--- a/packages/core/src/direct/answerTimes.ts
+++ b/packages/core/src/direct/answerTimes.ts
@@ -31,6 +31,17 @@
     return this.#waitedMs;
   }
 
+  /** Time from the first event to the last one so far. */
+  get servedMs(): number {
+    if (this.#firstMs === undefined) return 0;
+    return this.#eventAtMs - this.#arrivedAtMs - this.#firstMs;
+  }
+
+  /** Time for which the caller has had nothing. */
+  readSilentMs(nowMs: number): number {
+    return nowMs - (this.#firstMs === undefined ? this.#arrivedAtMs : this.#eventAtMs);
+  }
+
   noteTurn(nowMs: number): void {
     this.#waitedMs = nowMs - this.#arrivedAtMs;
   }
--- a/packages/core/src/direct/directAttempt.ts
+++ b/packages/core/src/direct/directAttempt.ts
@@ -144,7 +144,7 @@
       this.#end(NOT_RUN_BY_UPSTREAM);
     } else if (head.isNotRun) {
       this.upstream.rest(nowMs + FULL_REST_MS);
-      this.#options.desk.noteRefusal();
+      this.#options.desk.noteFailure();
       this.#end(NOT_RUN_BY_UPSTREAM);
     } else if (!head.isGenuine) {
       this.#fail(describeLost(RefusalReason.UpstreamFailed, 'the answer is not of the upstream'));
@@ -179,11 +179,11 @@
 
   #readFailure(kind: CallFailureKind, detail: string): void {
     if (this.#isOver) return;
+    this.#options.desk.noteFailure();
     if (kind === CallFailureKind.Lost) {
       this.#fail(describeLost(RefusalReason.UpstreamFailed, detail));
       return;
     }
-    this.#options.desk.noteRefusal();
     this.#fail({
       isNotRun: true,
       reason: RefusalReason.NoUpstream,
--- a/packages/core/src/direct/directRun.ts
+++ b/packages/core/src/direct/directRun.ts
@@ -20,7 +20,8 @@
 import { NoRetryReason, RunReport } from './runReport.js';
 import { SendTally } from './sendTally.js';
 import { chooseSilenceMs } from './silenceLimit.js';
-import { planTurn } from './turnPlan.js';
+import { planLateWait, planTurn, type ExpectedTimes } from './turnPlan.js';
+import { TurnDenial, type Ticket } from './turnQueue.js';
 
 const STATUS_SERVER_ERROR = 500;
 
@@ -102,24 +103,36 @@
   }
 
   #enter(): void {
-    const { desk, route, request, workspace } = this.#options;
+    const { desk } = this.#options;
     const nowMs = performance.now();
-    desk.enter(
-      {
-        id: request.id,
-        priority: workspace?.priority ?? route.priority,
-        ...planTurn(this.#options, desk.expectedFirstMs, nowMs),
-        returnLimitMs: this.#returnLimitMs(nowMs),
-        arrivedAtMs: request.arrivedAtMs,
-
-        onTurn: (upstream) => {
-          this.#times.noteTurn(performance.now());
-          this.#send(upstream, false);
-        },
-        onRefused: (refusal) => this.#refuse(refusal),
+    const ticket: Ticket = {
+      ...this.#ticketBase,
+      ...planTurn(this.#options, this.#expectTimes(0), nowMs),
+      onTurn: (upstream) => {
+        this.#times.noteTurn(performance.now());
+        this.#send(upstream, false);
       },
-      nowMs,
-    );
+      onDenied: (denial) => {
+        const deniedAtMs = performance.now();
+        this.#refuse(desk.refuse(denial, this.#returnLimitMs(deniedAtMs), deniedAtMs));
+      },
+    };
+    desk.enter(ticket, nowMs);
+  }
+
+  /** @param servedMs time for which the answer has come already */
+  #expectTimes(servedMs: number): ExpectedTimes {
+    const { desk, route } = this.#options;
+    return {
+      firstMs: desk.capacity.expectedFirstMs,
+      answerMs: desk.capacity.expectRestMs(route.name, servedMs),
+    };
+  }
+
+  get #ticketBase(): Pick<Ticket, 'id' | 'priority' | 'arrivedAtMs'> {
+    const { route, request, workspace } = this.#options;
+    const priority = workspace?.priority ?? route.priority;
+    return { id: request.id, priority, arrivedAtMs: request.arrivedAtMs };
   }
 
   #send(upstream: DirectUpstream, isResumed: boolean): void {
@@ -174,11 +187,12 @@
     const failed = this.#attempt;
     if (!failed || !mayRunAgain(this.#options.route)) return false;
     this.#tally.noteFailed(failed.upstream.id);
-    const upstream = this.#takeRetry(RetryReason.UpstreamFailed);
-    if (!upstream) return false;
+    const chosen = this.#chooseRetry(performance.now());
+    if (chosen.err) this.#report.noteNoRetry(chosen.val);
+    if (chosen.err || !this.#takeBudget(RetryReason.UpstreamFailed)) return false;
     this.#report.noteFailedAnswer(failed, head.status);
     failed.cancel();
-    this.#send(upstream, false);
+    this.#send(chosen.val, false);
     return true;
   }
 
@@ -205,7 +219,7 @@
       return;
     }
     const { desk, route } = this.#options;
-    if (this.#attempt) desk.noteAnswered(route.name, this.#attempt.ageMs);
+    if (this.#attempt) desk.capacity.noteAnswered(route.name, this.#attempt.ageMs);
     this.#report.noteAnswered(this.#attempt?.upstream.id, this.#answerStatus);
     this.#finish();
   }
@@ -217,11 +231,61 @@
     this.#tally.noteFailed(failed.upstream.id);
     if (failure.isNotRun) this.#tally.noteNotRun();
     this.#report.noteFailed(failed, failure);
-    const upstream = this.#mayFollow(failure) ? this.#takeRetry(failure.retryReason) : undefined;
-    if (upstream) this.#send(upstream, this.#answer.isCommitted);
+    if (this.#mayFollow(failure)) this.#follow(failure);
     else this.#end(failure.reason, failure.detail);
   }
 
+  /** Makes another attempt after one that failed: now, or once the pool takes work again. */
+  #follow(failure: AttemptFailure): void {
+    const chosen = this.#chooseRetry(performance.now());
+    if (chosen.ok) this.#sendAgain(chosen.val, failure);
+    else if (chosen.val === NoRetryReason.NoUpstream && this.#isWorthWaiting) this.#await(failure);
+    else this.#giveUp(failure, chosen.val);
+  }
+
+  /** A request that has not run is better told when to come back, if it has not come back yet. */
+  get #isWorthWaiting(): boolean {
+    return this.#options.returned.isReturned || (this.isStream && this.#tally.mayHaveRun);
+  }
+
+  /**
+   * Waits for an upstream. When a group loses a rank all its streams break off at once, and those
+   * whose callers are still there when the group is back can be completed.
+   */
+  #await(failure: AttemptFailure): void {
+    const { desk, route } = this.#options;
+    const nowMs = performance.now();
+    const expected = this.#expectTimes(this.#times.servedMs);
+    const silentMs = this.#times.readSilentMs(nowMs);
+    const ticket: Ticket = {
+      ...this.#ticketBase,
+      isLate: true,
+      waitBudgetMs: planLateWait(route, expected, this.#endAtMs - nowMs, silentMs),
+      onTurn: (upstream) => this.#sendAgain(upstream, failure),
+      onDenied: () => this.#giveUp(failure, NoRetryReason.NoUpstream),
+    };
+    desk.enterAgain(ticket, nowMs);
+  }
+
+  #sendAgain(upstream: DirectUpstream, { reason, retryReason, detail }: AttemptFailure): void {
+    if (this.#takeBudget(retryReason)) this.#send(upstream, this.#answer.isCommitted);
+    else this.#end(reason, detail);
+  }
+
+  /** Takes one attempt out of what all requests of the pool share. */
+  #takeBudget(reason: RetryReason): boolean {
+    const { context, pool } = this.#options;
+    const isTaken = context.takeRetry(pool, performance.now());
+    if (isTaken) this.#report.noteRetry(reason);
+    else this.#report.noteNoRetry(NoRetryReason.BudgetSpent);
+    return isTaken;
+  }
+
+  #giveUp({ reason, detail }: AttemptFailure, noRetry: NoRetryReason): void {
+    this.#report.noteNoRetry(noRetry);
+    this.#end(reason, detail);
+  }
+
   /** Whether another attempt after a failed one can neither do harm nor mix two answers. */
   #mayFollow({ isNotRun }: AttemptFailure): boolean {
     const { route } = this.#options;
@@ -231,25 +295,14 @@
     return false;
   }
 
-  #takeRetry(reason: RetryReason): DirectUpstream | undefined {
-    const chosen = this.#chooseRetry(performance.now());
-    if (chosen.err) {
-      this.#report.noteNoRetry(chosen.val);
-      return undefined;
-    }
-    this.#report.noteRetry(reason);
-    return chosen.val;
-  }
-
-  /** An upstream for another attempt, where route, budget and time allow one. */
+  /** An upstream for another attempt, where route and time allow one. */
   #chooseRetry(nowMs: number): Result<DirectUpstream, NoRetryReason> {
-    const { context, desk, pool, request, route } = this.#options;
+    const { desk, request, route } = this.#options;
     if (nowMs >= this.#endAtMs) return Err(NoRetryReason.TimeOver);
     if (!request.body.isRepeatable) return Err(NoRetryReason.BodyPassedOn);
     if (!this.#tally.allowsAnother(route)) return Err(NoRetryReason.AttemptsSpent);
     const upstream = desk.choose(this.#tally.failed, nowMs);
-    if (!upstream) return Err(NoRetryReason.NoUpstream);
-    return context.takeRetry(pool, nowMs) ? Ok(upstream) : Err(NoRetryReason.BudgetSpent);
+    return upstream ? Ok(upstream) : Err(NoRetryReason.NoUpstream);
   }
 
   #readTimeout(): void {
@@ -258,14 +311,14 @@
 
   /** Ends the request without a whole answer, as not run only where that is proved. */
   #end(reason: RefusalReason, detail: string): void {
-    const { desk, request } = this.#options;
+    const { desk } = this.#options;
     const nowMs = performance.now();
     if (this.#tally.mayHaveRun) {
       this.#refuse({ reason, outcome: Outcome.Unknown, retryAfterMs: 0, detail });
       return;
     }
-    desk.leave(request.id);
-    const { retryAfterMs } = desk.refuseFull(this.#returnLimitMs(nowMs), nowMs);
+    const limitMs = this.#returnLimitMs(nowMs);
+    const { retryAfterMs } = desk.refuse(TurnDenial.Full, limitMs, nowMs);
     const isLate = reason === RefusalReason.DeadlinePassed;
     const told = isLate ? RefusalReason.DeadlineUnreachable : reason;
     this.#refuse({ reason: told, outcome: Outcome.NotRun, retryAfterMs, detail });
@@ -275,7 +328,6 @@
   #refuseBody(): void {
     const outcome = this.#tally.mayHaveRun ? Outcome.Unknown : Outcome.NotRun;
     const detail = 'the body is larger than the configuration allows';
-    this.#options.desk.leave(this.#options.request.id);
     this.#refuse({ reason: RefusalReason.BodyTooLarge, outcome, retryAfterMs: 0, detail });
   }
 
@@ -292,7 +344,6 @@
   /** The caller has hung up: nothing is worked on for it any more. */
   #leave(): void {
     if (this.#isOver) return;
-    this.#options.desk.leave(this.#options.request.id);
     this.#attempt?.cancel();
     this.#report.noteLeft(this.#attempt?.upstream.id);
     this.#finish();
@@ -302,6 +353,7 @@
     if (this.#isOver) return;
     this.#isOver = true;
     clearTimeout(this.#timer);
+    this.#options.desk.leave(this.#options.request.id);
     this.#report.noteEnd();
     this.#options.onDone(this, refusal);
   }
--- a/packages/core/src/direct/routeTable.ts
+++ b/packages/core/src/direct/routeTable.ts
@@ -32,6 +32,8 @@
   readonly targetMs: number;
   /** Longest pause between the events of a stream that is on time. */
   readonly pauseTargetMs: number;
+  /** Silence after which callers give a request up: before a stream's first event, or after one. */
+  readonly patienceMs: number;
   /** 0 goes first. */
   readonly priority: number;
   readonly shares: readonly PoolShare[];
--- a/packages/core/src/direct/runReport.ts
+++ b/packages/core/src/direct/runReport.ts
@@ -130,7 +130,7 @@
       isReturned: returned.isReturned,
       ...times.describe(performance.now()),
       sends: tally.sends,
-      limit: Math.round(desk.limitPerUpstream * 10) / 10,
+      limit: Math.round(desk.capacity.limitPerUpstream * 10) / 10,
       ...fields,
     });
   }
--- a/packages/core/src/direct/sendTally.ts
+++ b/packages/core/src/direct/sendTally.ts
@@ -4,6 +4,12 @@
 /** Sends beyond the route's attempts where upstreams proved not to have run the request. */
 const NOT_RUN_SENDS_MAX = 2;
 
+/**
+ * The same for a request that may have run, and so cannot be told to come back. While its group is
+ * broken it is declined twice a second at most, and groups are back within five seconds.
+ */
+const INTERRUPTED_SENDS_MAX = 10;
+
 /** Sends of one request. */
 export class SendTally {
   readonly #failed = new Set<string>();
@@ -43,6 +49,7 @@
 
   /** Whether the route allows one more send. */
   allowsAnother({ attempts }: Route): boolean {
-    return this.#runs < attempts && this.#sends < attempts + NOT_RUN_SENDS_MAX;
+    const extra = this.mayHaveRun ? INTERRUPTED_SENDS_MAX : NOT_RUN_SENDS_MAX;
+    return this.#runs < attempts && this.#sends < attempts + extra;
   }
 }
--- a/packages/core/src/direct/turnPlan.ts
+++ b/packages/core/src/direct/turnPlan.ts
@@ -7,38 +7,57 @@
 /** Margin on the expected time to the first of an answer: about nine in ten are below. */
 const FIRST_MARGIN = 1.3;
 
-/** Part of a returned request's time that it may wait: it is late already, but not lost. */
-const RETURNED_WAIT_PART = 0.2;
-
-/** Longest wait of a returned request. */
-const RETURNED_WAIT_MAX_MS = 1_000;
-
 export interface TurnPlanInput {
   readonly request: ForwardedRequest;
   readonly route: Route;
   readonly returned: ReturnJudgement;
 }
 
+/** Times by which a wait is planned. */
+export interface ExpectedTimes {
+  /** Time from sending to the first of an answer. */
+  readonly firstMs: number;
+  /** Time from sending to the end of most answers. */
+  readonly answerMs: number;
+}
+
 export interface TurnPlan {
-  /** Whether the request was refused before and has come back. */
-  readonly isReturned: boolean;
+  /** Whether the request cannot be on time any more, as it was refused before. */
+  readonly isLate: boolean;
   /** Span from now in which the request has to be sent. */
   readonly waitBudgetMs: number;
 }
 
 /**
- * Plans the wait of a request.
+ * Plans the wait of a request that is late already.
  *
- * @param expectedFirstMs time from sending to the first of an answer
+ * @param leftMs time until its end
+ * @param silentMs time for which its caller has had nothing
+ * @returns span in which it has to be sent to reach a caller who is still there
+ */
+export function planLateWait(
+  route: Route,
+  expected: ExpectedTimes,
+  leftMs: number,
+  silentMs: number,
+): number {
+  const patienceMs = route.patienceMs - silentMs - expected.firstMs * FIRST_MARGIN;
+  return Math.max(0, Math.min(leftMs - expected.answerMs, patienceMs));
+}
+
+/**
+ * Plans the wait of a request. One that comes for the first time waits as long as it can be on
+ * time, as it can come back later. One that has come back may have no other chance, and waits as
+ * long as it can be answered at all.
  */
-export function planTurn(input: TurnPlanInput, expectedFirstMs: number, nowMs: number): TurnPlan {
+export function planTurn(input: TurnPlanInput, expected: ExpectedTimes, nowMs: number): TurnPlan {
   const { request, route, returned } = input;
-  const { firstDeadlineMs, isReturned } = returned;
-  const deadlineMs = request.deadlineMs ?? firstDeadlineMs;
-  const beforeMs = isReturned ? firstDeadlineMs - deadlineMs : 0;
-  const spentMs = beforeMs + nowMs - request.arrivedAtMs;
-  const onTimeMs = route.targetMs - spentMs - expectedFirstMs * FIRST_MARGIN;
-  if (!isReturned) return { isReturned, waitBudgetMs: Math.max(0, onTimeMs) };
-  const lateMs = Math.min(RETURNED_WAIT_MAX_MS, deadlineMs * RETURNED_WAIT_PART);
-  return { isReturned, waitBudgetMs: Math.max(0, onTimeMs, lateMs) };
+  const waitedMs = nowMs - request.arrivedAtMs;
+  if (returned.isReturned) {
+    const deadlineMs = request.deadlineMs ?? returned.firstDeadlineMs;
+    const leftMs = Math.min(route.timeoutMs, deadlineMs) - waitedMs;
+    return { isLate: true, waitBudgetMs: planLateWait(route, expected, leftMs, waitedMs) };
+  }
+  const onTimeMs = route.targetMs - waitedMs - expected.firstMs * FIRST_MARGIN;
+  return { isLate: false, waitBudgetMs: Math.max(0, onTimeMs) };
 }
--- a/packages/core/src/direct/turnQueue.ts
+++ b/packages/core/src/direct/turnQueue.ts
@@ -1,22 +1,28 @@
 /** Requests of one pool that wait for their turn, in the order of their turns. */
-import type { Refusal } from '../model/reason.js';
-
 import type { DirectUpstream } from './directUpstream.js';
 
+/** Why a request gets no turn. */
+export enum TurnDenial {
+  /** The pool's group answers nobody. */
+  Stalled = 'stalled',
+  /** There is no room in time. */
+  Full = 'full',
+  /** All upstreams are leaving, closed or gone. */
+  NoUpstream = 'no-upstream',
+}
+
 /** A request that asks for an upstream. */
 export interface Ticket {
   readonly id: string;
   /** 0 goes first. */
   readonly priority: number;
-  /** Whether it was refused before and has come back. */
-  readonly isReturned: boolean;
+  /** Whether it cannot be on time any more: it was refused before, or its answer broke off. */
+  readonly isLate: boolean;
   /** Span from now in which it has to be sent; it is refused where that cannot be. */
   readonly waitBudgetMs: number;
-  /** Longest time after which the caller can be asked to come back. */
-  readonly returnLimitMs: number;
   readonly arrivedAtMs: number;
   readonly onTurn: (upstream: DirectUpstream) => void;
-  readonly onRefused: (refusal: Refusal) => void;
+  readonly onDenied: (denial: TurnDenial) => void;
 }
 
 interface Waiter {
@@ -25,7 +31,7 @@
 }
 
 function isBefore(a: Ticket, b: Ticket): boolean {
-  if (a.isReturned !== b.isReturned) return b.isReturned;
+  if (a.isLate !== b.isLate) return b.isLate;
   if (a.priority !== b.priority) return a.priority < b.priority;
   return a.arrivedAtMs < b.arrivedAtMs;
 }
@@ -48,11 +54,11 @@
     return this.#waiters.filter((waiter) => !isBefore(ticket, waiter.ticket)).length;
   }
 
-  /** Lets a request wait; it is taken out and handed over when its budget is over. */
-  add(ticket: Ticket, onExpired: (ticket: Ticket) => void): void {
+  /** Lets a request wait until its turn comes or its budget is over. */
+  add(ticket: Ticket): void {
     const timer = setTimeout(() => {
       this.remove(ticket.id);
-      onExpired(ticket);
+      ticket.onDenied(TurnDenial.Full);
     }, ticket.waitBudgetMs);
     this.#waiters.splice(this.countAhead(ticket), 0, { ticket, timer });
   }
--- a/packages/core/test/direct/poolDesk.test.ts
+++ b/packages/core/test/direct/poolDesk.test.ts
@@ -83,6 +83,24 @@
     assert.is(entry.calls.length, 13);
   }));
 
+test('after a restart as many may wait as prompts are read in time', () =>
+  withClock(() => {
+    const entry = new DirectFixture();
+    entry.board.entryCount = 3;
+    entry.addUpstreams('models', 12);
+    const callers = Array.from({ length: 30 }, () => entry.ask('stream'));
+    // Twelve are read at a time, in 80 ms each as is assumed at first.
+    assert.is(callers.filter(({ refusal }) => refusal).length, 0);
+    while (entry.calls.some(({ isOpen }) => isOpen)) {
+      entry.calls
+        .find(({ isOpen }) => isOpen)
+        ?.head()
+        .sendEvents(1)
+        .end();
+    }
+    assert.ok(callers.every(({ ends }) => ends[0] === 'end'));
+  }));
+
 test('a request that is late already goes after one that can be on time', () =>
   withClock(() => {
     const entry = new DirectFixture();
