Tell other entries that a pool takes work again; give refused maps again soon

And a map that was planned 0.5 s after the last switch was refused by all ranks, which were still armed, and the next one came 1.2 s later, right when the backlog was largest. Ruled out: more probes; each is a request that is refused, and counts in the retry budget. Reading a rank's report from every entry; reports are priced. Change: the breaker of a pool stands on the board. An entry that finds the pool at work, by an event or by the giver's survey, tells the others over their links (recoveredPool); what was heard from a peer is not told on. A map that was not taken is planned again after 300 ms. Tests for both failed before.

--- a/packages/core/src/direct/directController.ts
+++ b/packages/core/src/direct/directController.ts
@@ -221,7 +221,10 @@
     this.#desks.forEach((desk, name) => {
       const pool = table.findPool(name);
       if (pool) desk.update(pool);
-      else this.#desks.delete(name);
+      else {
+        desk.close();
+        this.#desks.delete(name);
+      }
     });
     [...this.#budgets.keys()]
       .filter((name) => !table.findPool(name))
--- a/packages/core/src/direct/experts/mapGiver.ts
+++ b/packages/core/src/direct/experts/mapGiver.ts
@@ -47,6 +47,12 @@
 /** Shortest time between two plans. */
 const PLAN_MS = 1_200;
 
+/**
+ * Time after a switch that did not come about in which the next one is planned. Ranks refuse a map
+ * while the last one is armed for a pass that is still to come, which takes some passes.
+ */
+const PLAN_AGAIN_MS = 300;
+
 /**
  * Part by which a plan has to lower the load of the most loaded rank: it is fitted to a few
  * samples, and the next ones differ by a tenth.
@@ -200,6 +206,7 @@
     this.#group = undefined;
     this.#wasBroken = !survey;
     if (!survey) return;
+    board.readBreaker(pool).noteService();
     this.#notePaces(survey);
     if (!(await this.#settle(survey))) {
       this.#surveyAtMs = performance.now();
@@ -293,7 +300,10 @@
       Object.assign(group, { placement, mapVersion: version });
       // By then the pass has begun, and reports are as new as that.
       this.#surveyAtMs = performance.now() + SURVEY_MS;
-    } else this.#surveyAtMs = 0;
+      return;
+    }
+    this.#surveyAtMs = 0;
+    this.#planAtMs = Math.min(this.#planAtMs, performance.now() + PLAN_AGAIN_MS);
   }
 
   #createSwitch(survey: GroupSurvey): SteppedSwitch {
--- a/packages/core/src/direct/fleetBoard.ts
+++ b/packages/core/src/direct/fleetBoard.ts
@@ -2,6 +2,7 @@
 import { DirectUpstream, type UpstreamEntry } from './directUpstream.js';
 import type { FleetBounds } from './fleetBounds.js';
 import { PoolActivity } from './poolActivity.js';
+import { BreakerNews, PoolBreaker } from './poolBreaker.js';
 import type { RouteTable } from './routeTable.js';
 
 /** Entries that are assumed before the registry has told how many there are. */
@@ -29,6 +30,8 @@
 
   readonly #activities = new Map<string, PoolActivity>();
 
+  readonly #breakers = new Map<string, PoolBreaker>();
+
   #closedDomains: ReadonlySet<string> = new Set();
 
   /** Entries that share the upstreams, this one included. */
@@ -48,6 +51,8 @@
   /** Paces of upstreams that this entry has read itself, by id; others are told of them. */
   knownPaces: ReadonlyMap<string, number> = new Map();
 
+  #onRecovery: ((pool: string) => void) | undefined;
+
   #onCount: ((upstream: DirectUpstream) => void) | undefined;
 
   constructor(name: string, domain: string, bounds: FleetBounds) {
@@ -110,6 +115,23 @@
     return activity;
   }
 
+  /** Whether a pool takes work, as far as this entry knows. */
+  readBreaker(pool: string): PoolBreaker {
+    const known = this.#breakers.get(pool);
+    if (known) return known;
+    const breaker = new PoolBreaker();
+    breaker.onChange((news) => {
+      if (!breaker.isOpen && news === BreakerNews.Own) this.#onRecovery?.(pool);
+    });
+    this.#breakers.set(pool, breaker);
+    return breaker;
+  }
+
+  /** Names the listener for pools that this entry finds to take work again. */
+  onRecovery(listener: (pool: string) => void): void {
+    this.#onRecovery = listener;
+  }
+
   /** Requests in flight at an upstream, from all entries. */
   countLoad(upstream: DirectUpstream, nowMs: number): number {
     const unheardPeers = this.entryCount - 1 - this.heardPeers.size;
--- a/packages/core/src/direct/loadExchange.ts
+++ b/packages/core/src/direct/loadExchange.ts
@@ -14,6 +14,7 @@
 
 import type { DirectUpstream } from './directUpstream.js';
 import type { FleetBoard } from './fleetBoard.js';
+import { BreakerNews } from './poolBreaker.js';
 
 const LOG_PART = 'peers';
 
@@ -47,6 +48,13 @@
   heardAtMs: number;
 }
 
+/** What goes with counts. */
+interface CountNews {
+  /** Whether upstreams that are not named have none. */
+  readonly isFull: boolean;
+  readonly recoveredPool?: string;
+}
+
 function readCounts(upstreams: readonly DirectUpstream[]): Record<string, number> {
   return Object.fromEntries(upstreams.map(({ id, inFlight }) => [id, inFlight]));
 }
@@ -68,6 +76,9 @@
   constructor(options: LoadExchangeOptions) {
     this.#options = options;
     options.board.onCount((upstream) => this.#noteChange(upstream));
+    options.board.onRecovery((recoveredPool) => {
+      this.#peers.forEach(({ link }) => this.#send(link, {}, { isFull: false, recoveredPool }));
+    });
   }
 
   start(): void {
@@ -104,7 +115,7 @@
       .forEach((peer) => this.#drop(peer, 'silent'));
     this.#dialMissing();
     const counts = readCounts(this.#options.board.upstreams.filter(({ inFlight }) => inFlight > 0));
-    this.#peers.forEach(({ link }) => this.#send(link, counts, true));
+    this.#peers.forEach(({ link }) => this.#send(link, counts, { isFull: true }));
   }
 
   #dialMissing(): void {
@@ -118,7 +129,9 @@
   #follow(link: Link, name: string | undefined): void {
     const peer: Peer = { link, name, heardAtMs: performance.now() };
     this.#peers.add(peer);
-    const greet = () => this.#send(link, readCounts(this.#options.board.upstreams), true);
+    const greet = () => {
+      this.#send(link, readCounts(this.#options.board.upstreams), { isFull: true });
+    };
     link.listen({
       onOpen: greet,
       onMessage: (message) => this.#read(peer, message),
@@ -144,6 +157,8 @@
     Object.entries(message.paces ?? {}).forEach(([id, pace]) => {
       board.findUpstream(id)?.notePace(pace, nowMs);
     });
+    const { recoveredPool } = message;
+    if (recoveredPool) board.readBreaker(recoveredPool).noteService(BreakerNews.Peer);
   }
 
   #noteStopping(entry: string, isStopping: boolean): void {
@@ -175,12 +190,13 @@
     this.#sendTimer = undefined;
     const counts = readCounts([...this.#changed]);
     this.#changed.clear();
-    this.#peers.forEach(({ link }) => this.#send(link, counts, false));
+    this.#peers.forEach(({ link }) => this.#send(link, counts, { isFull: false }));
   }
 
-  #send(link: Link, counts: Record<string, number>, isFull: boolean): void {
+  #send(link: Link, counts: Record<string, number>, news: CountNews): void {
     const { name: entry, isStopping, knownPaces } = this.#options.board;
-    const paces = isFull && knownPaces.size > 0 ? { paces: Object.fromEntries(knownPaces) } : {};
-    link.send({ type: MessageType.UpstreamCounts, entry, isFull, counts, isStopping, ...paces });
+    const isTold = news.isFull && knownPaces.size > 0;
+    const paces = isTold ? { paces: Object.fromEntries(knownPaces) } : {};
+    link.send({ type: MessageType.UpstreamCounts, entry, counts, isStopping, ...news, ...paces });
   }
 }
--- a/packages/core/src/direct/poolBreaker.ts
+++ b/packages/core/src/direct/poolBreaker.ts
@@ -11,27 +11,48 @@
 /** Time between two requests that are let through to a stalled pool. */
 const PROBE_MS = 250;
 
+/** Where the news of a change came from. */
+export enum BreakerNews {
+  Own = 'own',
+  Peer = 'peer',
+}
+
 /** Breaker of one pool. */
 export class PoolBreaker {
   #failures = 0;
 
   #probedAtMs = Number.NEGATIVE_INFINITY;
 
+  readonly #listeners = new Set<(news: BreakerNews) => void>();
+
   get isOpen(): boolean {
     return this.#failures >= FAILURES_MAX;
   }
 
-  /** @returns whether the pool has just been found stalled */
-  noteFailure(): boolean {
+  /**
+   * Names one more listener for the pool's stalls and their ends.
+   *
+   * @returns function that takes it away
+   */
+  onChange(listener: (news: BreakerNews) => void): () => void {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+
+  noteFailure(): void {
     this.#failures += 1;
-    return this.#failures === FAILURES_MAX;
+    if (this.#failures === FAILURES_MAX) this.#tell(BreakerNews.Own);
   }
 
-  /** @returns whether the pool was stalled until now */
-  noteService(): boolean {
+  /** Notes an event of a stream, or another sign that the pool takes work. */
+  noteService(news = BreakerNews.Own): void {
     const wasOpen = this.isOpen;
     this.#failures = 0;
-    return wasOpen;
+    if (wasOpen) this.#tell(news);
+  }
+
+  #tell(news: BreakerNews): void {
+    this.#listeners.forEach((listener) => listener(news));
   }
 
   /**
--- a/packages/core/src/direct/poolDesk.ts
+++ b/packages/core/src/direct/poolDesk.ts
@@ -14,7 +14,7 @@
 import type { FleetBoard } from './fleetBoard.js';
 import { choosePlacement, type PlacementResult } from './placement.js';
 import type { PoolActivity } from './poolActivity.js';
-import { PoolBreaker } from './poolBreaker.js';
+import type { BreakerNews, PoolBreaker } from './poolBreaker.js';
 import { PoolCapacity } from './poolCapacity.js';
 import { PoolRefusals } from './poolRefusals.js';
 import type { DirectPool } from './routeTable.js';
@@ -44,7 +44,7 @@
 
 /** Admission of one pool. */
 export class PoolDesk {
-  readonly breaker = new PoolBreaker();
+  readonly #breaker: PoolBreaker;
 
   readonly capacity: PoolCapacity;
 
@@ -56,6 +56,8 @@
 
   readonly #queue = new TurnQueue();
 
+  readonly #stopListening: () => void;
+
   #pumpTimer: NodeJS.Timeout | undefined;
 
   constructor(options: PoolDeskOptions, pool: DirectPool) {
@@ -64,6 +66,13 @@
     this.#refusals = new PoolRefusals(pool.name, options.random);
     const onLimit = (ratio: number): void => this.#writeLimit(ratio);
     this.capacity = new PoolCapacity({ ...options, onLimit }, pool);
+    this.#breaker = options.board.readBreaker(pool.name);
+    this.#stopListening = this.#breaker.onChange((news) => this.#readBreaker(news));
+  }
+
+  /** Ends with its pool. */
+  close(): void {
+    this.#stopListening();
   }
 
   /** Takes in what a newer configuration says of the pool. */
@@ -79,6 +88,14 @@
     });
   }
 
+  #readBreaker(news: BreakerNews): void {
+    if (this.#breaker.isOpen) this.#write(LogLevel.Warn, 'A pool takes no work.');
+    else {
+      this.#write(LogLevel.Info, 'A pool takes work again.', { news });
+      this.#pump();
+    }
+  }
+
   get #activity(): PoolActivity {
     return this.#options.board.readActivity(this.#pool.name);
   }
@@ -95,7 +112,7 @@
   /** Takes a request; it hears of its turn or that it gets none, possibly at once. */
   enter(ticket: Ticket, nowMs: number): void {
     const ahead = this.#queue.countAhead(ticket);
-    if (this.#isSilent(nowMs) || !this.breaker.mayPass(nowMs)) {
+    if (this.#isSilent(nowMs) || !this.#breaker.mayPass(nowMs)) {
       if (ticket.isLate && ticket.waitBudgetMs > 0) this.#wait(ticket, ahead, nowMs);
       else ticket.onDenied(TurnDenial.Stalled);
       return;
@@ -121,7 +138,7 @@
 
   /** An upstream for one more attempt at a request, which does not wait. */
   choose(excluded: ReadonlySet<string>, nowMs: number): DirectUpstream | undefined {
-    if (!this.breaker.mayPass(nowMs)) return undefined;
+    if (!this.#breaker.mayPass(nowMs)) return undefined;
     return this.#place(excluded, nowMs).upstream;
   }
 
@@ -132,7 +149,7 @@
    */
   refuse(denial: TurnDenial, returnLimitMs: number, nowMs: number): Refusal {
     if (denial === TurnDenial.NoUpstream) return this.#refusals.empty();
-    const isStalled = denial === TurnDenial.Stalled || this.breaker.isOpen;
+    const isStalled = denial === TurnDenial.Stalled || this.#breaker.isOpen;
     if (isStalled) return this.#refusals.stalled(returnLimitMs);
     return this.#refusals.full(returnLimitMs, this.capacity.turnMs, nowMs);
   }
@@ -163,8 +180,7 @@
 
   /** Notes that an upstream refused a request, or that its answer broke off. */
   noteFailure(): void {
-    if (!this.#pool.engine || !this.breaker.noteFailure()) return;
-    this.#write(LogLevel.Warn, 'A pool takes no work.');
+    if (this.#pool.engine) this.#breaker.noteFailure();
   }
 
   /** Gives turns to those that wait, as far as there is room. */
@@ -181,7 +197,7 @@
   };
 
   #placeWaiting(ticket: Ticket, nowMs: number): DirectUpstream | undefined {
-    if (this.#isSilent(nowMs) || !this.breaker.mayPass(nowMs, WAITER_PROBE_MS)) return undefined;
+    if (this.#isSilent(nowMs) || !this.#breaker.mayPass(nowMs, WAITER_PROBE_MS)) return undefined;
     return this.#place(new Set(), nowMs, ticket.isLate).upstream;
   }
 
@@ -209,7 +225,7 @@
       budgetMs: Math.round(ticket.waitBudgetMs),
       limit: this.capacity.limitPerUpstream,
       isLate: ticket.isLate,
-      isStalled: this.breaker.isOpen,
+      isStalled: this.#breaker.isOpen,
     });
     this.#queue.add(ticket);
     this.#pumpTimer ??= setTimeout(this.#pump, PUMP_MS);
@@ -222,7 +238,7 @@
 
   #noteService(nowMs: number): void {
     this.#activity.noteService(nowMs);
-    if (this.breaker.noteService()) this.#write(LogLevel.Info, 'A pool takes work again.');
+    this.#breaker.noteService();
   }
 
   #write(level: LogLevel, sentence: string, fields: LogFields = {}): void {
--- a/packages/core/src/messages/message.ts
+++ b/packages/core/src/messages/message.ts
@@ -293,6 +293,8 @@
   isStopping: z.boolean().optional(),
   /** Time that slow upstreams take for their work against a sound one, where the entry knows. */
   paces: z.record(z.string(), z.number().positive()).optional(),
+  /** A pool that has taken no work, and does again by what the entry has just seen. */
+  recoveredPool: z.string().optional(),
 });
 
 const MESSAGE = z.discriminatedUnion('type', [
--- a/packages/core/test/direct/experts/rankGroup.ts
+++ b/packages/core/test/direct/experts/rankGroup.ts
@@ -7,6 +7,7 @@
 import {
   OrderOutcome,
   RankCaller,
+  RankOrderKind,
   type RankCommand,
   type RankCounts,
   type RankExperts,
@@ -60,6 +61,9 @@
   /** Part of the orders that are lost and never carried out. */
   droppedPart = 0;
 
+  /** Maps that are refused from now on, as if the one before were still to come into force. */
+  refusedMaps = 0;
+
   /** Passes that began with two maps. */
   readonly broken: number[] = [];
 
@@ -160,6 +164,10 @@
   }
 
   #carryOut(rank: FakeRank, command: RankCommand): boolean {
+    if (command.kind === RankOrderKind.Prepare && this.refusedMaps > 0) {
+      this.refusedMaps -= 1;
+      return false;
+    }
     return command.epoch === this.#epoch && rank.carryOut(command, this.#step);
   }
 
--- a/packages/core/test/direct/experts/steppedSwitch.test.ts
+++ b/packages/core/test/direct/experts/steppedSwitch.test.ts
@@ -339,6 +339,28 @@
     group.stop();
   }));
 
+test('a map that ranks refuse is given again soon', () =>
+  withClock(async (clock) => {
+    const group = createGroup(8);
+    const { giver } = createGiver('entry-1', group);
+    giver.start();
+    const timer = setInterval(() => {
+      [5, 0, 0, 0, 5].forEach((count, expert) => {
+        group.counts[expert] = (group.counts[expert] ?? 0) + count * 100;
+      });
+    }, 100);
+    group.refusedMaps = SIZE;
+    while (group.refusedMaps > 0) {
+      // eslint-disable-next-line no-await-in-loop -- the clock advances step by step
+      await clock.tickAsync(50);
+    }
+    await clock.tickAsync(1_400);
+    assert.ok((group.versions[group.versions.length - 1] ?? 0) > 0, `${group.versions}`);
+    clearInterval(timer);
+    giver.stop();
+    group.stop();
+  }));
+
 test('a giver reads all ranks of a silent group twice a second at most', () =>
   withClock(async (clock) => {
     const group = createGroup(6);
--- a/packages/core/test/direct/loadExchange.test.ts
+++ b/packages/core/test/direct/loadExchange.test.ts
@@ -162,4 +162,21 @@
     entries.forEach(({ exchange }) => exchange.stop());
   }));
 
+/** Lets an entry find out that the pool takes no work. */
+function stall({ board }: Entry): void {
+  Array.from({ length: 3 }, () => board.readBreaker('models').noteFailure());
+}
+
+test('all entries soon know that a pool takes work again that one has found to', () =>
+  withClock(async (clock) => {
+    const entries = createEntries(['a', 'b', 'c'], []);
+    await clock.tickAsync(100);
+    entries.forEach(stall);
+    assert.ok(entries.every(({ board }) => board.readBreaker('models').isOpen));
+    entries[1]?.board.readBreaker('models').noteService();
+    await clock.tickAsync(10);
+    assert.ok(entries.every(({ board }) => !board.readBreaker('models').isOpen));
+    entries.forEach(({ exchange }) => exchange.stop());
+  }));
+
 test.run();
--- a/packages/core/test/direct/stalledGroup.test.ts
+++ b/packages/core/test/direct/stalledGroup.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
+import { BreakerNews } from '../../src/direct/poolBreaker.js';
 import { Outcome, RefusalReason } from '../../src/model/reason.js';
 
 import type { FakeCaller } from '../entry/fakeCaller.js';
@@ -172,6 +173,19 @@
     assert.is(caller.refusal?.outcome, Outcome.NotRun);
   }));
 
+test('those who wait for a group are served once another entry tells that it is back', () =>
+  withClock(async (clock) => {
+    const entry = new DirectFixture();
+    entry.addUpstreams('models', 3);
+    entry.ask('stream');
+    entry.lastCall.head().sendEvents(1);
+    await breakGroup(entry, clock);
+    await clock.tickAsync(PROBE_MS);
+    const before = entry.calls.length;
+    entry.board.readBreaker('models').noteService(BreakerNews.Peer);
+    assert.is(entry.calls.length, before + 1);
+  }));
+
 test('whoever comes for the first time is told at once when to come back', () =>
   withClock(async (clock) => {
     const entry = new DirectFixture();
