Let any entry free a group whose giver is frozen; plan from two samples

The entries were restarted in turn, and from 5.0 to 12.0 s two or three of them were in a planned stop at a time. The log shows: no entry gave maps from 5.09 to 8.35 s, while demand shifted; then the giver froze while it held a pass (9.68 s), and the group stood until 12.07 s, as one entry was stopping (not asked to look), and one had just started (it looked 2 s after its start). Change: a silent group is looked after by entries in a planned stop and right after a start, with two requests in flight in place of four; pools are looked for each 250 ms; where all entries stop, one goes on; after a held pass was let go, nothing is surveyed for as long as reports are old (24 orders were refused for that). After a shift two samples are enough to plan.

--- a/packages/core/src/direct/experts/demandReader.ts
+++ b/packages/core/src/direct/experts/demandReader.ts
@@ -20,7 +20,7 @@
 const READ_MAX = 2;
 
 /** Samples from which a map is planned. */
-export const SAMPLES_MIN = 3;
+export const SAMPLES_MIN = 2;
 
 /** What a reading told. */
 export interface DemandReading {
--- a/packages/core/src/direct/experts/mapGiver.ts
+++ b/packages/core/src/direct/experts/mapGiver.ts
@@ -29,12 +29,18 @@
 /** Time for which a process that was paused leaves the groups alone: others may act by then. */
 const STAND_BACK_MS = 2_500;
 
-/** The same after the start, in which it hears of the others. */
-const START_MS = 1_000;
+/** Time after the start in which it hears of the others: their links are dialled within 500 ms. */
+const START_MS = 600;
 
 /** Silence of a group after which any entry looks whether it is held. */
 const STUCK_MS = 700;
 
+/** Requests that have to be in flight for that: an entry in a planned stop has few. */
+const STUCK_REQUESTS = 2;
+
+/** Age of ranks' reports: what an order has changed is seen in those that are read after that. */
+const REPORT_LAG_MS = 250;
+
 /** Interval at which an entry surveys a silent group: it reads all ranks, and others do as well. */
 const RESCUE_MS = 500;
 
@@ -99,8 +105,12 @@
 
   #timer: NodeJS.Timeout | undefined;
 
+  /** Until when it gives no maps. */
   #quietUntilMs = 0;
 
+  /** Until when it leaves the groups alone. */
+  #standBackUntilMs = 0;
+
   #loopedAtMs = 0;
 
   #surveyAtMs = 0;
@@ -111,6 +121,9 @@
 
   #rescueAtMs = 0;
 
+  /** When it last let a held pass begin. */
+  #recoveredAtMs = Number.NEGATIVE_INFINITY;
+
   /** Whether the last survey found no group that is whole and open. */
   #wasBroken = false;
 
@@ -144,14 +157,14 @@
   async #round(): Promise<void> {
     const nowMs = performance.now();
     const wasPaused = nowMs - this.#loopedAtMs > PAUSE_LIMIT_MS;
-    if (wasPaused) this.#quietUntilMs = nowMs + STAND_BACK_MS;
-    const isQuiet = nowMs < this.#quietUntilMs;
-    const isGiver = !isQuiet && this.#isGiver();
+    if (wasPaused) this.#standBackUntilMs = nowMs + STAND_BACK_MS;
+    const isStandingBack = nowMs < this.#standBackUntilMs;
+    const isGiver = !isStandingBack && nowMs >= this.#quietUntilMs && this.#isGiver();
     this.#report.noteGiver(isGiver, this.#options.board.heardPeers.size);
     if (isGiver) await this.#work(nowMs);
     else {
       this.#standBack();
-      if (!isQuiet && this.#isRescueDue(nowMs)) await this.#rescue();
+      if (!isStandingBack && this.#isRescueDue(nowMs)) await this.#rescue();
     }
     this.#loopedAtMs = performance.now();
   }
@@ -159,8 +172,8 @@
   /** Whether the pool's group has given nothing for longer than any switch takes. */
   #isRescueDue(nowMs: number): boolean {
     const { board, pool } = this.#options;
-    if (board.isStopping || nowMs < this.#rescueAtMs) return false;
-    if (!board.readActivity(pool).isSilent(nowMs, STUCK_MS)) return false;
+    if (nowMs < this.#rescueAtMs) return false;
+    if (!board.readActivity(pool).isSilent(nowMs, STUCK_MS, STUCK_REQUESTS)) return false;
     this.#rescueAtMs = nowMs + RESCUE_MS;
     return true;
   }
@@ -178,19 +191,25 @@
 
   #standBack(): void {
     this.#group = undefined;
+    this.#surveyAtMs = 0;
     this.#options.board.knownPaces = new Map();
   }
 
-  /** Whether this entry is the one that gives orders now. */
+  /**
+   * Whether this entry is the one that gives orders now. Where all entries are in a planned stop,
+   * as while they are restarted in turn, one of them goes on with it.
+   */
   #isGiver(): boolean {
     const { board } = this.#options;
-    const others = [...board.heardPeers].filter((peer) => !board.stoppingPeers.has(peer));
-    return !board.isStopping && others.every((peer) => board.name < peer);
+    const staying = [...board.heardPeers].filter((peer) => !board.stoppingPeers.has(peer));
+    if (board.isStopping && staying.length > 0) return false;
+    const others = board.isStopping ? [...board.heardPeers] : staying;
+    return others.every((peer) => board.name < peer);
   }
 
   async #work(nowMs: number): Promise<void> {
-    const isDue = !this.#group || nowMs >= this.#surveyAtMs || this.#isRescueDue(nowMs);
-    if (isDue) await this.#survey(nowMs);
+    if (nowMs - this.#recoveredAtMs < REPORT_LAG_MS) return;
+    if (nowMs >= this.#surveyAtMs || this.#isRescueDue(nowMs)) await this.#survey(nowMs);
     const group = this.#group;
     if (!group) return;
     if (this.#demand.isDue(nowMs)) await this.#readDemand(group, nowMs);
@@ -200,27 +219,22 @@
   async #survey(nowMs: number): Promise<void> {
     const { board, pool, caller } = this.#options;
     if (this.#wasBroken && !(await this.#looksOpen())) return;
-    this.#surveyAtMs = nowMs + SURVEY_MS;
+    this.#surveyAtMs = 0;
     const [survey] = await surveyGroups(caller, board.listPool(pool));
     const known = this.#group;
     this.#group = undefined;
     this.#wasBroken = !survey;
     if (!survey) return;
-    board.readBreaker(pool).noteService();
     this.#notePaces(survey);
-    if (!(await this.#settle(survey))) {
-      this.#surveyAtMs = performance.now();
-      return;
-    }
+    if (!(await this.#settle(survey))) return;
+    board.readBreaker(pool).noteService();
     const mapVersion = survey.ranks[0]?.report.mapVersion ?? 0;
-    if (known?.survey.epoch === survey.epoch && known.mapVersion === mapVersion) {
-      known.survey = survey;
-      this.#group = known;
-      return;
-    }
-    const placement = await this.#readPlacement(survey);
+    const isSame = known?.survey.epoch === survey.epoch && known.mapVersion === mapVersion;
+    const placement = isSame ? known.placement : await this.#readPlacement(survey);
     if (!placement) return;
+    this.#surveyAtMs = nowMs + SURVEY_MS;
     this.#group = { survey, placement, mapVersion };
+    if (isSame) return;
     if (mapVersion === FIRST_VERSION) this.#planAtMs = 0;
   }
 
@@ -247,6 +261,7 @@
     if (!hold) return isSettled(survey);
     this.#report.noteHold(hold);
     await recoverHold(this.#createSwitch(survey), hold);
+    this.#recoveredAtMs = performance.now();
     return false;
   }
 
--- a/packages/core/src/direct/experts/mapKeeper.ts
+++ b/packages/core/src/direct/experts/mapKeeper.ts
@@ -8,8 +8,8 @@
 import { MapGiver } from './mapGiver.js';
 import type { RankCaller } from './rankCaller.js';
 
-/** Interval at which the configuration is looked at; pools change rarely. */
-const LOOK_MS = 1_000;
+/** Interval at which the configuration is looked at: after a restart a group may wait for it. */
+const LOOK_MS = 250;
 
 export interface MapKeeperOptions {
   readonly board: FleetBoard;
--- a/packages/core/src/direct/poolActivity.ts
+++ b/packages/core/src/direct/poolActivity.ts
@@ -5,15 +5,12 @@
  * are no matter of one upstream.
  */
 
-/** Requests in flight without any event from which silence is the pool's. */
-const SILENT_REQUESTS = 4;
-
 /** What this entry sees of one pool. */
 export class PoolActivity {
   #inFlight = 0;
 
-  /** When the requests in flight became as many as it takes to judge silence. */
-  #busyAtMs = Number.NEGATIVE_INFINITY;
+  /** When the requests in flight last rose to a number, by that number. */
+  readonly #reachedAtMs: number[] = [];
 
   /** When an upstream of the pool last gave something of an answer. */
   #servedAtMs = Number.NEGATIVE_INFINITY;
@@ -25,7 +22,7 @@
 
   noteStart(nowMs: number): void {
     this.#inFlight += 1;
-    if (this.#inFlight === SILENT_REQUESTS) this.#busyAtMs = nowMs;
+    this.#reachedAtMs[this.#inFlight] = nowMs;
   }
 
   noteEnd(): void {
@@ -41,9 +38,10 @@
     return nowMs - this.#servedAtMs < withinMs;
   }
 
-  /** Whether several requests have had nothing for a span. */
-  isSilent(nowMs: number, spanMs: number): boolean {
-    if (this.#inFlight < SILENT_REQUESTS) return false;
-    return nowMs - Math.max(this.#servedAtMs, this.#busyAtMs) > spanMs;
+  /** Whether as many requests at least have had nothing for a span. */
+  isSilent(nowMs: number, spanMs: number, requests: number): boolean {
+    if (this.#inFlight < requests) return false;
+    const busyAtMs = this.#reachedAtMs[requests] ?? nowMs;
+    return nowMs - Math.max(this.#servedAtMs, busyAtMs) > spanMs;
   }
 }
--- a/packages/core/src/direct/poolDesk.ts
+++ b/packages/core/src/direct/poolDesk.ts
@@ -25,6 +25,9 @@
 /** Silence of a whole group that is more than a few slow passes. */
 const SILENT_MS = 450;
 
+/** Requests in flight without any event from which silence is the pool's. */
+const SILENT_REQUESTS = 4;
+
 /** Time between two looks at requests that wait for a second's starts to pass. */
 const PUMP_MS = 20;
 
@@ -233,7 +236,8 @@
 
   /** Whether a group whose events come at every pass has given none for some passes. */
   #isSilent(nowMs: number): boolean {
-    return this.#pool.engine !== undefined && this.#activity.isSilent(nowMs, SILENT_MS);
+    if (!this.#pool.engine) return false;
+    return this.#activity.isSilent(nowMs, SILENT_MS, SILENT_REQUESTS);
   }
 
   #noteService(nowMs: number): void {
--- a/packages/core/test/direct/experts/rankGroup.ts
+++ b/packages/core/test/direct/experts/rankGroup.ts
@@ -43,6 +43,9 @@
 
   readonly #ranks: readonly FakeRank[];
 
+  /** Last report of each rank, and when it was made. */
+  readonly #told = new Map<FakeRank, { readonly report: RankReport; readonly atMs: number }>();
+
   readonly #timer: NodeJS.Timeout;
 
   #step = 0;
@@ -76,6 +79,12 @@
   /** Reports that were read. */
   reports = 0;
 
+  /** Time for which a rank goes on telling the same report. */
+  reportLagMs = 0;
+
+  /** Orders that ranks could not carry out. */
+  refusedOrders = 0;
+
   /** Passes that were due while one was held. */
   heldPasses = 0;
 
@@ -113,7 +122,10 @@
     const rank = this.#find(entry);
     if (!rank) return Err('no such rank');
     const { preparedVersion, armed, heldStep, mapVersion } = rank;
-    return Ok({
+    const told = this.#told.get(rank);
+    const nowMs = performance.now();
+    if (told && nowMs - told.atMs < this.reportLagMs) return Ok(told.report);
+    const report: RankReport = {
       group: 'g',
       epoch: this.#epoch,
       rank: this.#ranks.indexOf(rank),
@@ -125,7 +137,9 @@
       preparedVersion,
       armed,
       heldStep,
-    });
+    };
+    this.#told.set(rank, { report, atMs: nowMs });
+    return Ok(report);
   }
 
   override async readCounts(): Promise<Result<RankCounts, string>> {
@@ -156,6 +170,7 @@
     await wait(CALL_MS / 2);
     const isDone = this.#carryOut(rank, command);
     await wait(CALL_MS / 2);
+    if (!isDone) this.refusedOrders += 1;
     return isDone ? OrderOutcome.Done : OrderOutcome.Refused;
   }
 
--- /dev/null
+++ b/packages/core/test/direct/experts/switchFixture.ts
@@ -0,0 +1,42 @@
+/** A switch of one group from its first map to a second one. */
+import { surveyGroups } from '../../../src/direct/experts/groupSurvey.js';
+import type { Placement } from '../../../src/direct/experts/mapSearch.js';
+import type { RankCaller } from '../../../src/direct/experts/rankCaller.js';
+import { SteppedSwitch, type SwitchResult } from '../../../src/direct/experts/steppedSwitch.js';
+import type { FleetBoard } from '../../../src/direct/fleetBoard.js';
+import type { TestClock } from '../directFixture.js';
+
+const SECOND: Placement = [
+  [
+    [0, 5],
+    [1, 4],
+    [2, 6],
+    [3, 7],
+  ],
+];
+
+export async function switchMap(
+  caller: RankCaller,
+  board: FleetBoard,
+  version: number,
+  entryIndex: number,
+): Promise<SwitchResult | undefined> {
+  const [survey] = await surveyGroups(caller, board.upstreams);
+  if (!survey) return undefined;
+  const change = new SteppedSwitch({ caller, survey, entryIndex, entryCount: 2 });
+  return change.run(version, SECOND);
+}
+
+/** Advances the clock until a piece of work ends. */
+export async function finish<T>(clock: TestClock, work: Promise<T>): Promise<T> {
+  let result: { readonly value: T } | undefined;
+  work.then((value) => {
+    result = { value };
+  });
+  for (let step = 0; !result && step < 6_000; step += 1) {
+    // eslint-disable-next-line no-await-in-loop -- the clock advances step by step
+    await clock.tickAsync(10);
+  }
+  if (!result) throw new Error('the work does not end');
+  return result.value;
+}
