Move the decisions on retries out of a request's run

Ruled out: moving the turn as well; it is most of what the run does. Change: RetryDecision says whether, where and at whose cost a request is sent again. Conclusion: no other change of behaviour.

--- a/packages/core/src/direct/directRun.ts
+++ b/packages/core/src/direct/directRun.ts
@@ -5,7 +5,6 @@
  * broken off; at the latest when its route's or its caller's time is over.
  */
 import { Outcome, RefusalReason, RetryReason, type Refusal } from '../model/reason.js';
-import { Err, Ok, type Result } from '../outcome.js';
 import type { Caller } from '../ports/caller.js';
 import type { AnswerHead, ForwardedRequest } from '../ports/upstreamCaller.js';
 
@@ -16,6 +15,7 @@
 import type { DirectUpstream } from './directUpstream.js';
 import type { PoolDesk } from './poolDesk.js';
 import { mayRunAgain, RouteKind, type DirectWorkspace, type Route } from './routeTable.js';
+import { RetryDecision } from './retryDecision.js';
 import type { ReturnJudgement } from './returnWatch.js';
 import { NoRetryReason, RunReport } from './runReport.js';
 import { SendTally } from './sendTally.js';
@@ -54,6 +54,11 @@
 
   readonly #tally = new SendTally();
 
+  readonly #retry: RetryDecision;
+
+  /** When the request is over, by its route or by its caller. */
+  readonly #endAtMs: number;
+
   #attempt: DirectAttempt | undefined;
 
   #answerStatus = 0;
@@ -64,12 +69,22 @@
 
   constructor(options: DirectRunOptions) {
     this.#options = options;
-    this.#answer = new AnswerBuilder(options.caller, options.route.kind === RouteKind.Stream);
-    this.#times = new AnswerTimes(options.request.arrivedAtMs);
+    const { caller, request, route } = options;
+    this.#answer = new AnswerBuilder(caller, route.kind === RouteKind.Stream);
+    this.#times = new AnswerTimes(request.arrivedAtMs);
+    this.#endAtMs =
+      request.arrivedAtMs + Math.min(route.timeoutMs, request.deadlineMs ?? route.timeoutMs);
     this.#report = new RunReport({ ...options, times: this.#times, tally: this.#tally });
-    options.caller.onGone(() => this.#leave());
-    options.caller.onDrain(() => this.#attempt?.resume());
-    options.request.body.onTooLarge(() => this.#refuseBody());
+    this.#retry = new RetryDecision({
+      ...options,
+      answer: this.#answer,
+      tally: this.#tally,
+      report: this.#report,
+      endAtMs: this.#endAtMs,
+    });
+    caller.onGone(() => this.#leave());
+    caller.onDrain(() => this.#attempt?.resume());
+    request.body.onTooLarge(() => this.#refuseBody());
   }
 
   get isStream(): boolean {
@@ -91,11 +106,6 @@
     this.#end(RefusalReason.ShuttingDown, 'the entry ends');
   }
 
-  get #endAtMs(): number {
-    const { request, route } = this.#options;
-    return request.arrivedAtMs + Math.min(route.timeoutMs, request.deadlineMs ?? route.timeoutMs);
-  }
-
   #returnLimitMs(nowMs: number): number {
     const { request, route } = this.#options;
     const deadlineMs = request.deadlineMs ?? route.timeoutMs;
@@ -187,9 +197,9 @@
     const failed = this.#attempt;
     if (!failed || !mayRunAgain(this.#options.route)) return false;
     this.#tally.noteFailed(failed.upstream.id);
-    const chosen = this.#chooseRetry(performance.now());
+    const chosen = this.#retry.choose(performance.now());
     if (chosen.err) this.#report.noteNoRetry(chosen.val);
-    if (chosen.err || !this.#takeBudget(RetryReason.UpstreamFailed)) return false;
+    if (chosen.err || !this.#retry.takeBudget(RetryReason.UpstreamFailed)) return false;
     this.#report.noteFailedAnswer(failed, head.status);
     failed.cancel();
     this.#send(chosen.val, false);
@@ -231,23 +241,22 @@
     this.#tally.noteFailed(failed.upstream.id);
     if (failure.isNotRun) this.#tally.noteNotRun();
     this.#report.noteFailed(failed, failure);
-    if (this.#mayFollow(failure)) this.#follow(failure);
+    if (this.#retry.mayFollow(failure)) this.#follow(failure);
     else this.#end(failure.reason, failure.detail);
   }
 
   /** Makes another attempt after one that failed: now, or once the pool takes work again. */
   #follow(failure: AttemptFailure): void {
-    const chosen = this.#chooseRetry(performance.now());
-    if (chosen.ok) this.#sendAgain(chosen.val, failure);
-    else if (chosen.val === NoRetryReason.NoUpstream && this.#isWorthWaiting) this.#await(failure);
+    const chosen = this.#retry.choose(performance.now());
+    if (chosen.ok) {
+      this.#sendAgain(chosen.val, failure);
+      return;
+    }
+    const isWaiting = chosen.val === NoRetryReason.NoUpstream && this.#retry.isWorthWaiting;
+    if (isWaiting) this.#await(failure);
     else this.#giveUp(failure, chosen.val);
   }
 
-  /** A request that has not run is better told when to come back, if it has not come back yet. */
-  get #isWorthWaiting(): boolean {
-    return this.#options.returned.isReturned || (this.isStream && this.#tally.mayHaveRun);
-  }
-
   /**
    * Waits for an upstream. When a group loses a rank all its streams break off at once, and those
    * whose callers are still there when the group is back can be completed.
@@ -268,43 +277,15 @@
   }
 
   #sendAgain(upstream: DirectUpstream, { reason, retryReason, detail }: AttemptFailure): void {
-    if (this.#takeBudget(retryReason)) this.#send(upstream, this.#answer.isCommitted);
+    if (this.#retry.takeBudget(retryReason)) this.#send(upstream, this.#answer.isCommitted);
     else this.#end(reason, detail);
   }
 
-  /** Takes one attempt out of what all requests of the pool share. */
-  #takeBudget(reason: RetryReason): boolean {
-    const { context, pool } = this.#options;
-    const isTaken = context.takeRetry(pool, performance.now());
-    if (isTaken) this.#report.noteRetry(reason);
-    else this.#report.noteNoRetry(NoRetryReason.BudgetSpent);
-    return isTaken;
-  }
-
   #giveUp({ reason, detail }: AttemptFailure, noRetry: NoRetryReason): void {
     this.#report.noteNoRetry(noRetry);
     this.#end(reason, detail);
   }
 
-  /** Whether another attempt after a failed one can neither do harm nor mix two answers. */
-  #mayFollow({ isNotRun }: AttemptFailure): boolean {
-    const { route } = this.#options;
-    const isSafe = isNotRun || mayRunAgain(route);
-    if (isSafe && (!this.#answer.isCommitted || route.isResumable)) return true;
-    this.#report.noteNoRetry(NoRetryReason.MayHaveRun);
-    return false;
-  }
-
-  /** An upstream for another attempt, where route and time allow one. */
-  #chooseRetry(nowMs: number): Result<DirectUpstream, NoRetryReason> {
-    const { desk, request, route } = this.#options;
-    if (nowMs >= this.#endAtMs) return Err(NoRetryReason.TimeOver);
-    if (!request.body.isRepeatable) return Err(NoRetryReason.BodyPassedOn);
-    if (!this.#tally.allowsAnother(route)) return Err(NoRetryReason.AttemptsSpent);
-    const upstream = desk.choose(this.#tally.failed, nowMs);
-    return upstream ? Ok(upstream) : Err(NoRetryReason.NoUpstream);
-  }
-
   #readTimeout(): void {
     this.#end(RefusalReason.DeadlinePassed, 'the time of the request is over');
   }
