React to shifts of demand sooner: slower passes as a hint, a shorter lead

Cause: from a shift of demand to the new map in force passed 1.8 s: 0.4 s until the next reading, 0.4 s for samples, 0.5 s for copying and orders, 0.55 s of lead. A reading of counts was made each 0.35 s in the twelve seconds before any request came, half of all that were paid for. Ruled out: readings twice as often (priced, and they stop the group); a smaller limit in flight (8 to 16 in 100 of the engines' work). Change: passes that take 1.3 times as long as of late call for a reading at once (PoolActivity.hasSlowed). Without work counts are read each 2.2 s. Tests: four, each failed before.

--- a/packages/core/src/direct/experts/demandReader.ts
+++ b/packages/core/src/direct/experts/demandReader.ts
@@ -16,6 +16,15 @@
 /** The same while there are too few samples to plan: some passes. */
 const READ_SOON_MS = 350;
 
+/**
+ * The same while the group has no work: just below the longest span of a sample, so that the first
+ * reading under load makes one.
+ */
+const READ_IDLE_MS = 2_200;
+
+/** Readings after a hint of a shift: where samples of the new demand begin, and the first ones. */
+const URGENT_READINGS = 2;
+
 /** Ranks that are read while there are too few samples. */
 const READ_MAX = 2;
 
@@ -41,15 +50,31 @@
 
   readonly #samples = new DemandSamples();
 
+  /** When the next reading is due under load. */
   #readAtMs = 0;
 
+  #lastReadAtMs = Number.NEGATIVE_INFINITY;
+
+  /** Readings that are still to be made soon, of more than one rank. */
+  #urgentReadings = 0;
+
   constructor(options: DemandReaderOptions) {
     this.#options = options;
   }
 
-  /** Whether it is time to read. */
-  isDue(nowMs: number): boolean {
-    return nowMs >= this.#readAtMs;
+  /**
+   * Whether it is time to read.
+   *
+   * @param isBusy whether the group has work
+   */
+  isDue(nowMs: number, isBusy: boolean): boolean {
+    return nowMs >= (isBusy ? this.#readAtMs : this.#lastReadAtMs + READ_IDLE_MS);
+  }
+
+  /** Reads soon, as demand seems to have shifted. */
+  hurry(nowMs: number): void {
+    this.#urgentReadings = URGENT_READINGS;
+    this.#readAtMs = Math.min(this.#readAtMs, nowMs);
   }
 
   /** Samples to plan by. */
@@ -60,10 +85,13 @@
   /** The same ranks are read as long as they get requests: between two readings lies a sample. */
   async read(survey: GroupSurvey, nowMs: number): Promise<DemandReading> {
     const { board } = this.#options;
+    this.#lastReadAtMs = nowMs;
     const served = survey.ranks.filter(
       ({ upstream: { entry } }) => !entry.isLeaving && !board.isClosed(entry.domain),
     );
-    const isShort = this.#samples.countRecent(nowMs) < SAMPLES_MIN;
+    const isFew = this.#samples.countRecent(nowMs) < SAMPLES_MIN;
+    const isShort = isFew || this.#urgentReadings > 0;
+    this.#urgentReadings = Math.max(0, this.#urgentReadings - 1);
     const reading = await this.#readRanks(survey, served.slice(0, isShort ? READ_MAX : 1));
     this.#readAtMs = nowMs + (isShort || reading.isShift ? READ_SOON_MS : READ_MS);
     // The others' next readings make samples only from now on.
--- a/packages/core/src/direct/experts/demandSamples.ts
+++ b/packages/core/src/direct/experts/demandSamples.ts
@@ -81,8 +81,11 @@
       counts.counts.map((count, at) => count - (before.counts.counts[at] ?? 0)),
     );
     const isRestarted = choices.some((count) => count < 0);
-    if (!isRestarted && sum(choices) < CHOICES_MIN) return false;
+    const total = sum(choices);
+    // Nothing was chosen meanwhile, so a sample may as well begin now.
+    if (total !== 0 && !isRestarted && total < CHOICES_MIN) return false;
     this.#last.set(rank, { counts, atMs: nowMs });
+    if (total === 0) return false;
     return !isRestarted && this.#keep({ choices, atMs: nowMs });
   }
 
--- a/packages/core/src/direct/experts/mapGiver.ts
+++ b/packages/core/src/direct/experts/mapGiver.ts
@@ -212,10 +212,26 @@
     if (nowMs >= this.#surveyAtMs || this.#isRescueDue(nowMs)) await this.#survey(nowMs);
     const group = this.#group;
     if (!group) return;
-    if (this.#demand.isDue(nowMs)) await this.#readDemand(group, nowMs);
+    this.#watchPasses(nowMs);
+    if (this.#demand.isDue(nowMs, this.#isBusy(nowMs))) await this.#readDemand(group, nowMs);
     if (nowMs >= this.#planAtMs && this.#group === group) await this.#plan(group, nowMs);
   }
 
+  /** Passes that become slower are the first sign of a shift of demand. */
+  #watchPasses(nowMs: number): void {
+    const { board, pool } = this.#options;
+    const activity = board.readActivity(pool);
+    if (!activity.hasSlowed) return;
+    activity.acceptPauses();
+    this.#demand.hurry(nowMs);
+  }
+
+  /** Whether any entry has requests at the pool's upstreams. */
+  #isBusy(nowMs: number): boolean {
+    const { board, pool } = this.#options;
+    return board.listPool(pool).some((upstream) => board.countLoad(upstream, nowMs) > 0);
+  }
+
   async #survey(nowMs: number): Promise<void> {
     const { board, pool, caller } = this.#options;
     if (this.#wasBroken && !(await this.#looksOpen())) return;
--- a/packages/core/src/direct/experts/steppedSwitch.ts
+++ b/packages/core/src/direct/experts/steppedSwitch.ts
@@ -19,9 +19,9 @@
 
 /**
  * Time between the last pass that a rank told of and the one that is held: reports are a fifth of
- * a second old, and all ranks have to be armed before it.
+ * a second old, and orders to all ranks take some milliseconds.
  */
-const LEAD_MS = 550;
+const LEAD_MS = 300;
 
 /** What each order that was lost on the way adds to it: others will be, and are given again. */
 const LEAD_PER_LOSS_MS = 100;
@@ -163,16 +163,19 @@
   /** @returns the pass that is held now; undefined where that is not certain */
   async #hold(): Promise<number | undefined> {
     const [rank] = this.#options.survey.ranks;
+    let triedStep = 0;
     for (let tries = 0; rank && tries < HOLDS_MAX; tries += 1) {
       // eslint-disable-next-line no-await-in-loop -- a pass that has begun is followed by another
       const report = await this.#readReport(rank);
       if (!report || report.epoch !== this.#options.survey.epoch) return undefined;
       if (report.heldStep !== undefined) return undefined;
-      const step = this.#chooseStep(report.step);
+      // A pass that cannot be held has begun, whatever the report says, and others may have.
+      const step = this.#chooseStep(Math.max(report.step, triedStep), 2 ** tries);
       // eslint-disable-next-line no-await-in-loop -- see above
       const isHeld = await this.#insist(rank, { kind: RankOrderKind.Hold, step });
       if (this.#wasPaused) return undefined;
       if (isHeld) return step;
+      triedStep = step;
     }
     return undefined;
   }
@@ -187,9 +190,10 @@
     return Math.min(LEAD_PASSES_MAX, Math.max(LEAD_PASSES_MIN, passes));
   }
 
-  #chooseStep(begunStep: number): number {
+  #chooseStep(begunStep: number, leadFactor: number): number {
     const { entryIndex, entryCount } = this.#options;
-    return findOwnPass(begunStep + this.#chooseLead(begunStep), entryIndex, entryCount);
+    const lead = this.#chooseLead(begunStep) * leadFactor;
+    return findOwnPass(begunStep + lead, entryIndex, entryCount);
   }
 
   /** Gives an order until it is answered; a lost one is given again at once. */
--- a/packages/core/src/direct/poolActivity.ts
+++ b/packages/core/src/direct/poolActivity.ts
@@ -5,10 +5,25 @@
  * are no matter of one upstream.
  */
 
+/**
+ * Weights of the newest pause in the short and the long mean. A pass of a loaded group gives an
+ * entry some ten to twenty pauses: the short mean is one pass old, the long one about a second.
+ */
+const SHORT_WEIGHT = 0.1;
+const LONG_WEIGHT = 0.005;
+
+/** Ratio of the two from which passes have become slower, beyond what reading prompts does. */
+const SLOWED_RATIO = 1.3;
+
 /** What this entry sees of one pool. */
 export class PoolActivity {
   #inFlight = 0;
 
+  /** Smoothed pauses between events, which are as long as the group's passes. */
+  #shortPauseMs = 0;
+
+  #longPauseMs = 0;
+
   /** When the requests in flight last rose to a number, by that number. */
   readonly #reachedAtMs: number[] = [];
 
@@ -33,6 +48,24 @@
     this.#servedAtMs = nowMs;
   }
 
+  /** Notes a pause between two events of a stream. */
+  notePause(pauseMs: number): void {
+    const longMs = this.#longPauseMs || pauseMs;
+    const shortMs = this.#shortPauseMs || pauseMs;
+    this.#shortPauseMs = shortMs + SHORT_WEIGHT * (pauseMs - shortMs);
+    this.#longPauseMs = longMs + LONG_WEIGHT * (pauseMs - longMs);
+  }
+
+  /** Whether the group's passes have become slower of late. */
+  get hasSlowed(): boolean {
+    return this.#shortPauseMs > this.#longPauseMs * SLOWED_RATIO;
+  }
+
+  /** Takes the passes as they are now for the usual ones. */
+  acceptPauses(): void {
+    this.#longPauseMs = this.#shortPauseMs;
+  }
+
   /** Whether something of an answer has come within a span. */
   isLive(nowMs: number, withinMs: number): boolean {
     return nowMs - this.#servedAtMs < withinMs;
--- a/packages/core/src/direct/poolDesk.ts
+++ b/packages/core/src/direct/poolDesk.ts
@@ -172,6 +172,7 @@
   /** Notes a pause between two events of a stream. */
   notePause(pauseMs: number, targetMs: number, nowMs: number): void {
     this.capacity.notePause(pauseMs, targetMs, nowMs);
+    this.#activity.notePause(pauseMs);
     this.#noteService(nowMs);
   }
 
--- a/packages/core/test/direct/experts/demandSamples.test.ts
+++ b/packages/core/test/direct/experts/demandSamples.test.ts
@@ -66,6 +66,16 @@
   assert.is(samples.countRecent(6 * READ_MS), 6);
 });
 
+test('the first reading after a rest makes a sample', () => {
+  const rank = new Rank();
+  const samples = new DemandSamples();
+  const idle = rank.work();
+  samples.add('r', idle, 0);
+  samples.add('r', idle, 2_200);
+  samples.add('r', rank.work(), 2_800);
+  assert.is(samples.list(2_800).length, 1);
+});
+
 test('counts of another epoch, or after a long pause, make no sample', () => {
   const rank = new Rank();
   const samples = new DemandSamples();
--- a/packages/core/test/direct/experts/groupFixture.ts
+++ b/packages/core/test/direct/experts/groupFixture.ts
@@ -39,11 +39,13 @@
       coldForMs: 0,
     }),
   );
+  // The group has work; without it demand is hardly read.
+  board.upstreams.forEach((upstream) => board.addInFlight(upstream, 1));
   return board;
 }
 
-export function createGroup(seed: number): RankGroup {
-  return new RankGroup({ size: SIZE, map: FIRST, passMs: PASS_MS, random: new Random(seed) });
+export function createGroup(seed: number, passMs = PASS_MS): RankGroup {
+  return new RankGroup({ size: SIZE, map: FIRST, passMs, random: new Random(seed) });
 }
 
 export function createGiverOf(board: FleetBoard, caller: RankCaller): MapGiver {
--- a/packages/core/test/direct/experts/mapGiver.test.ts
+++ b/packages/core/test/direct/experts/mapGiver.test.ts
@@ -185,6 +185,42 @@
     group.stop();
   }));
 
+test('choices are read at once when passes become slower', () =>
+  withClock(async (clock) => {
+    const group = createGroup(4);
+    const { board, giver } = createGiver('entry-1', group);
+    const timer = setInterval(() => {
+      group.counts.forEach((count, expert) => {
+        group.counts[expert] = count + 100;
+      });
+    }, 100);
+    giver.start();
+    await clock.tickAsync(10_000);
+    const activity = board.readActivity('models');
+    Array.from({ length: 200 }, () => activity.notePause(75));
+    await clock.tickAsync(1_000);
+    Array.from({ length: 40 }, () => activity.notePause(140));
+    const before = group.countReads;
+    await clock.tickAsync(600);
+    // Two ranks where the new samples begin, and the same two for the first of them.
+    assert.is(group.countReads - before, 4);
+    clearInterval(timer);
+    giver.stop();
+    group.stop();
+  }));
+
+test('choices of a group without work are hardly read', () =>
+  withClock(async (clock) => {
+    const group = createGroup(4);
+    const { board, giver } = createGiver('entry-1', group);
+    board.upstreams.forEach((upstream) => board.addInFlight(upstream, -1));
+    giver.start();
+    await clock.tickAsync(10_000);
+    assert.ok(group.countReads > 0 && group.countReads <= 10, `${group.countReads} in 10 s`);
+    giver.stop();
+    group.stop();
+  }));
+
 test('a map that ranks refuse is given again soon', () =>
   withClock(async (clock) => {
     const group = createGroup(8);
--- a/packages/core/test/direct/experts/rankGroup.ts
+++ b/packages/core/test/direct/experts/rankGroup.ts
@@ -43,8 +43,9 @@
 
   readonly #ranks: readonly FakeRank[];
 
-  /** Last report of each rank, and when it was made. */
-  readonly #told = new Map<FakeRank, { readonly report: RankReport; readonly atMs: number }>();
+  /** What each rank has said of itself, where reports are old. */
+  readonly #told: { readonly of: FakeRank; readonly atMs: number; readonly report: RankReport }[] =
+    [];
 
   readonly #timer: NodeJS.Timeout;
 
@@ -79,7 +80,10 @@
   /** Reports that were read. */
   reports = 0;
 
-  /** Time for which a rank goes on telling the same report. */
+  /** Times that choices were read. */
+  countReads = 0;
+
+  /** Age of what a report says. */
   reportLagMs = 0;
 
   /** Orders that ranks could not carry out. */
@@ -121,11 +125,14 @@
     await wait(CALL_MS);
     const rank = this.#find(entry);
     if (!rank) return Err('no such rank');
+    const saidAtMs = performance.now() - this.reportLagMs;
+    const said = this.#told.filter(({ of, atMs }) => of === rank && atMs <= saidAtMs).pop();
+    return Ok(this.reportLagMs > 0 && said ? said.report : this.#describe(rank));
+  }
+
+  #describe(rank: FakeRank): RankReport {
     const { preparedVersion, armed, heldStep, mapVersion } = rank;
-    const told = this.#told.get(rank);
-    const nowMs = performance.now();
-    if (told && nowMs - told.atMs < this.reportLagMs) return Ok(told.report);
-    const report: RankReport = {
+    return {
       group: 'g',
       epoch: this.#epoch,
       rank: this.#ranks.indexOf(rank),
@@ -138,11 +145,17 @@
       armed,
       heldStep,
     };
-    this.#told.set(rank, { report, atMs: nowMs });
-    return Ok(report);
+  }
+
+  /** Keeps what all ranks say now, for those who are told later. */
+  #tell(): void {
+    if (this.reportLagMs === 0) return;
+    const atMs = performance.now();
+    this.#ranks.forEach((of) => this.#told.push({ of, atMs, report: this.#describe(of) }));
   }
 
   override async readCounts(): Promise<Result<RankCounts, string>> {
+    this.countReads += 1;
     await wait(CALL_MS);
     return Ok({ epoch: this.#epoch, step: this.#step, counts: [...this.counts] });
   }
@@ -183,7 +196,9 @@
       this.refusedMaps -= 1;
       return false;
     }
-    return command.epoch === this.#epoch && rank.carryOut(command, this.#step);
+    const isDone = command.epoch === this.#epoch && rank.carryOut(command, this.#step);
+    this.#tell();
+    return isDone;
   }
 
   #pass(): void {
@@ -195,6 +210,7 @@
     }
     this.#step = next;
     this.#ranks.forEach((rank) => rank.beginPass(next));
+    this.#tell();
     const versions = new Set(this.#ranks.map(({ mapVersion }) => mapVersion));
     if (versions.size > 1) this.broken.push(next);
     const [version = 0] = versions;
--- a/packages/core/test/direct/experts/steppedSwitch.test.ts
+++ b/packages/core/test/direct/experts/steppedSwitch.test.ts
@@ -23,6 +23,19 @@
     group.stop();
   }));
 
+test('a switch finds a pass to hold in a group that has just got work', () =>
+  withClock(async (clock) => {
+    const group = createGroup(1, 20);
+    group.isBusy = false;
+    group.reportLagMs = 200;
+    const change = switchMap(group, createBoard('entry-1'), 5, 0);
+    await clock.tickAsync(300);
+    group.isBusy = true;
+    const result = await finish(clock, change);
+    assert.is(result?.outcome, SwitchOutcome.Done);
+    group.stop();
+  }));
+
 test('no pass has two maps where orders are lost and carried out seconds later', async () => {
   const done: number[] = [];
   for (let seed = 1; seed <= SEEDS.length; seed += 1) {
