Let a held pass that cannot be switched begin only when nobody can be armed

Ruled out: the frozen giver's own later orders (each is checked against its pause); a rank armed twice with one version (taken as done). Change: a switch is completed where every rank is armed or can be; else each rank is given a newer version with the map in force, disarmed first if need be, and only then the pass begins: an order to arm that is still under way no longer finds its version. No map is given while the last one is still armed. After orders, reports are read only once they are new enough. The test replays it with late orders each 15 to 110 ms: before, the group stayed held.

--- a/packages/core/src/direct/experts/groupSurvey.ts
+++ b/packages/core/src/direct/experts/groupSurvey.ts
@@ -19,6 +19,14 @@
   readonly ranks: readonly GroupRank[];
 }
 
+/** A pass that a rank holds back. */
+export interface HeldPass {
+  readonly holder: GroupRank;
+  readonly step: number;
+  /** Versions newer than the map in force that ranks are armed with, or could be. */
+  readonly versions: readonly number[];
+}
+
 /** Whether all values are the same. */
 export function areSame<T>(values: readonly T[]): boolean {
   return values.every((value) => value === values[0]);
--- a/packages/core/src/direct/experts/mapGiver.ts
+++ b/packages/core/src/direct/experts/mapGiver.ts
@@ -121,8 +121,8 @@
 
   #rescueAtMs = 0;
 
-  /** When it last let a held pass begin. */
-  #recoveredAtMs = Number.NEGATIVE_INFINITY;
+  /** When it last gave orders whose effect reports may not show yet. */
+  #orderedAtMs = Number.NEGATIVE_INFINITY;
 
   /** Whether the last survey found no group that is whole and open. */
   #wasBroken = false;
@@ -208,7 +208,7 @@
   }
 
   async #work(nowMs: number): Promise<void> {
-    if (nowMs - this.#recoveredAtMs < REPORT_LAG_MS) return;
+    if (nowMs - this.#orderedAtMs < REPORT_LAG_MS) return;
     if (nowMs >= this.#surveyAtMs || this.#isRescueDue(nowMs)) await this.#survey(nowMs);
     const group = this.#group;
     if (!group) return;
@@ -276,8 +276,12 @@
     const hold = findHold(survey);
     if (!hold) return isSettled(survey);
     this.#report.noteHold(hold);
-    await recoverHold(this.#createSwitch(survey), hold);
-    this.#recoveredAtMs = performance.now();
+    await recoverHold(hold, {
+      change: this.#createSwitch(survey),
+      readPlacement: () => this.#readPlacement(survey),
+      chooseVersion: () => this.#chooseVersion(survey),
+    });
+    this.#orderedAtMs = performance.now();
     return false;
   }
 
@@ -319,11 +323,23 @@
     const { skewBefore, skewAfter } = found;
     const isWorth = skewAfter < skewBefore * (1 - GAIN_MIN);
     this.#report.notePlan(found, samples.length, isWorth);
-    if (isWorth && this.#isGiver()) await this.#switch(group, found.placement);
+    if (!isWorth || !this.#isGiver()) return;
+    if (await this.#isPending(group)) this.#planAtMs = performance.now() + PLAN_AGAIN_MS;
+    else await this.#switch(group, found.placement);
+  }
+
+  /**
+   * Whether the pass of the last switch is still to come. Armed ranks refuse another map, while at
+   * the others an order that was lost may put it in the place of the right one later.
+   */
+  async #isPending({ survey }: KnownGroup): Promise<boolean> {
+    const [rank] = survey.ranks;
+    const report = rank && (await this.#options.caller.readReport(rank.upstream.entry));
+    return report?.ok === true && report.val.armed !== undefined;
   }
 
   async #switch(group: KnownGroup, placement: Placement): Promise<void> {
-    const version = this.#chooseVersion(group);
+    const version = this.#chooseVersion(group.survey);
     const startedAtMs = performance.now();
     const result = await this.#createSwitch(group.survey).run(version, placement);
     this.#report.noteSwitch(result, version, performance.now() - startedAtMs);
@@ -334,6 +350,7 @@
       return;
     }
     this.#surveyAtMs = 0;
+    this.#orderedAtMs = performance.now();
     this.#planAtMs = Math.min(this.#planAtMs, performance.now() + PLAN_AGAIN_MS);
   }
 
@@ -349,15 +366,10 @@
   }
 
   /** Higher than all that a rank has had, and of a residue that is this entry's alone. */
-  #chooseVersion(group: KnownGroup): number {
+  #chooseVersion({ ranks }: GroupSurvey): number {
     const { board, listEntries } = this.#options;
-    const seen = group.survey.ranks.flatMap(({ report }) => [
-      report.mapVersion,
-      report.preparedVersion ?? 0,
-    ]);
-    const round = Math.floor(
-      Math.max(group.mapVersion, ...seen, this.#lastVersion) / VERSION_STRIDE,
-    );
+    const seen = ranks.flatMap(({ report }) => [report.mapVersion, report.preparedVersion ?? 0]);
+    const round = Math.floor(Math.max(...seen, this.#lastVersion) / VERSION_STRIDE);
     this.#lastVersion = (round + 1) * VERSION_STRIDE + listEntries().indexOf(board.name) + 1;
     return this.#lastVersion;
   }
--- a/packages/core/src/direct/experts/steppedSwitch.ts
+++ b/packages/core/src/direct/experts/steppedSwitch.ts
@@ -7,11 +7,12 @@
  *
  * An order without an answer may be carried out seconds later. Each is therefore one that does no
  * harm then: a late `prepare` has too low a version, a late `arm`, `hold` or `go` is for a pass
- * that has begun. A switch that has been armed anywhere is completed, not undone, as an `arm` that
- * is still under way could follow a `disarm`; it is undone only where a rank can no longer be
- * armed, while the pass is held.
+ * that has begun. A switch whose pass is held is completed wherever that is possible. Where a rank
+ * can no longer be armed, the pass may begin only once no other rank can be armed any more either:
+ * a `disarm` could be followed by an `arm` that is still under way, so each rank is given a newer
+ * version, which takes the place of the one that could be armed.
  */
-import type { GroupRank, GroupSurvey } from './groupSurvey.js';
+import type { GroupRank, GroupSurvey, HeldPass } from './groupSurvey.js';
 import { findOwnPass } from './ownPasses.js';
 import { OrderOutcome, RankOrderKind, type RankCaller, type RankCommand } from './rankCaller.js';
 import type { Placement } from './mapSearch.js';
@@ -40,6 +41,9 @@
 /** Longest time that ranks may take to copy. */
 const COPY_LIMIT_MS = 5_000;
 
+/** Newer versions that a rank is given until it takes one. */
+const CLEAR_TRIES_MAX = 5;
+
 /** Holds that are tried, each for a later pass. */
 const HOLDS_MAX = 3;
 
@@ -76,6 +80,14 @@
   readonly onDoubt?: (rank: GroupRank, command: RankCommand, outcome: OrderOutcome) => void;
 }
 
+type Order = Omit<RankCommand, 'epoch'>;
+
+/** How an order ended, and with which try. */
+interface Given {
+  readonly outcome: OrderOutcome;
+  readonly tries: number;
+}
+
 /** One switch of one group. */
 export class SteppedSwitch {
   readonly #options: SteppedSwitchOptions;
@@ -111,27 +123,60 @@
     const armed = await Promise.all(ranks.map((rank) => this.#insist(rank, command)));
     if (this.#wasPaused) return this.#tell(SwitchOutcome.Doubtful, 'arm');
     if (armed.every((isArmed) => isArmed)) return this.#finish(step, SwitchOutcome.Done);
-    return this.undo(version, step);
+    return this.#tell(SwitchOutcome.Doubtful, 'arm');
   }
 
-  /** Takes a switch back that cannot be completed, while its pass is held. */
-  async undo(version: number, step: number): Promise<SwitchResult> {
+  /**
+   * Lets a held pass begin without a new map, where a rank can no longer be armed.
+   *
+   * @param versions what ranks may be armed with
+   * @param placement the map in force
+   * @param chooseVersion gives a version above all that ranks have had, with each call
+   */
+  async clear(
+    { holder, step, versions }: HeldPass,
+    placement: Placement,
+    chooseVersion: () => number,
+  ): Promise<SwitchResult> {
     const { ranks } = this.#options.survey;
-    const command = { kind: RankOrderKind.Disarm, version };
-    await Promise.all(ranks.map((rank) => this.#insist(rank, command)));
-    const reports = await Promise.all(ranks.map((rank) => this.#readReport(rank)));
-    const isClean = reports.every((report) => report !== undefined && report.armed === undefined);
-    if (!isClean || this.#wasPaused) return this.#tell(SwitchOutcome.Doubtful, 'disarm');
-    return this.#finish(step, SwitchOutcome.NotBegun);
+    const cleared = await Promise.all(
+      ranks.map((rank) => this.#clearRank(rank, versions, placement, chooseVersion)),
+    );
+    if (this.#wasPaused || !cleared.every((isClear) => isClear)) {
+      return this.#tell(SwitchOutcome.Doubtful, 'clear');
+    }
+    return this.#finish(step, SwitchOutcome.NotBegun, holder);
+  }
+
+  /** @returns whether the rank has a newer version for certain, and so cannot be armed */
+  async #clearRank(
+    rank: GroupRank,
+    versions: readonly number[],
+    map: Placement,
+    chooseVersion: () => number,
+  ): Promise<boolean> {
+    for (let tries = 0; tries < CLEAR_TRIES_MAX; tries += 1) {
+      const command = { kind: RankOrderKind.Prepare, version: chooseVersion(), map };
+      // eslint-disable-next-line no-await-in-loop -- one try after the other
+      const { outcome } = await this.#give(rank, command);
+      if (outcome === OrderOutcome.Done) return true;
+      if (this.#wasPaused) return false;
+      // It is armed, or an earlier try was carried out without an answer.
+      // eslint-disable-next-line no-await-in-loop -- one try after the other
+      await Promise.all(
+        versions.map((version) => this.#give(rank, { kind: RankOrderKind.Disarm, version })),
+      );
+    }
+    return false;
   }
 
   /** Lets a held pass begin, at whichever rank holds it. */
-  async release(step: number, rank = this.#options.survey.ranks[0]): Promise<boolean> {
+  async #release(step: number, rank = this.#options.survey.ranks[0]): Promise<boolean> {
     return rank ? this.#insist(rank, { kind: RankOrderKind.Go, step }) : false;
   }
 
-  async #finish(step: number, outcome: SwitchOutcome): Promise<SwitchResult> {
-    const isReleased = await this.release(step);
+  async #finish(step: number, outcome: SwitchOutcome, holder?: GroupRank): Promise<SwitchResult> {
+    const isReleased = await this.#release(step, holder);
     return this.#tell(isReleased ? outcome : SwitchOutcome.Doubtful, 'go');
   }
 
@@ -196,25 +241,31 @@
     return findOwnPass(begunStep + lead, entryIndex, entryCount);
   }
 
+  /** @returns whether the order was carried out, by this try or by an earlier one */
+  async #insist(rank: GroupRank, command: Order): Promise<boolean> {
+    const { outcome, tries } = await this.#give(rank, command);
+    if (outcome === OrderOutcome.Done) return true;
+    // An earlier try may have been carried out although its answer was lost.
+    return outcome === OrderOutcome.Refused && tries > 1 && this.#hasTaken(rank, command);
+  }
+
   /** Gives an order until it is answered; a lost one is given again at once. */
-  async #insist(rank: GroupRank, command: Omit<RankCommand, 'epoch'>): Promise<boolean> {
+  async #give(rank: GroupRank, command: Order): Promise<Given> {
     const { caller, survey } = this.#options;
     const full = { ...command, epoch: survey.epoch };
-    for (let tries = 0; tries < TRIES_MAX; tries += 1) {
-      if (!this.#noteStep()) return false;
+    for (let tries = 1; tries <= TRIES_MAX; tries += 1) {
+      if (!this.#noteStep()) return { outcome: OrderOutcome.Lost, tries };
       // eslint-disable-next-line no-await-in-loop -- one try after the other
       const outcome = await caller.order(rank.upstream.entry, full);
       this.#orders += 1;
-      if (outcome === OrderOutcome.Done) return true;
-      if (outcome === OrderOutcome.Lost) this.#losses += 1;
-      this.#options.onDoubt?.(rank, full, outcome);
-      // An earlier try may have been carried out although its answer was lost.
-      if (outcome === OrderOutcome.Refused) return tries > 0 && this.#hasTaken(rank, command);
+      if (outcome !== OrderOutcome.Done) this.#options.onDoubt?.(rank, full, outcome);
+      if (outcome !== OrderOutcome.Lost) return { outcome, tries };
+      this.#losses += 1;
     }
-    return false;
+    return { outcome: OrderOutcome.Lost, tries: TRIES_MAX };
   }
 
-  async #hasTaken(rank: GroupRank, command: Omit<RankCommand, 'epoch'>): Promise<boolean> {
+  async #hasTaken(rank: GroupRank, command: Order): Promise<boolean> {
     const report = await this.#readReport(rank);
     if (!report || report.epoch !== this.#options.survey.epoch) return false;
     const { kind, version, step } = command;
--- a/packages/core/test/direct/experts/mapGiver.test.ts
+++ b/packages/core/test/direct/experts/mapGiver.test.ts
@@ -1,6 +1,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
+import { RankOrderKind, type RankCommand } from '../../../src/direct/experts/rankCaller.js';
 import type { FleetBoard } from '../../../src/direct/fleetBoard.js';
 import { withClock, type TestClock } from '../directFixture.js';
 
@@ -63,9 +64,9 @@
   }));
 
 /** A group that is held by a giver who is frozen, before two requests that have nothing. */
-async function holdGroup(clock: TestClock, board: FleetBoard): Promise<RankGroup> {
+async function holdGroup(clock: TestClock, board: FleetBoard, armed = 2): Promise<RankGroup> {
   const group = createGroup(8);
-  const frozen = new PausedCaller(group, SIZE + 1 + 2);
+  const frozen = new PausedCaller(group, SIZE + 1 + armed);
   switchMap(frozen, createBoard('entry-1'), 1_025, 0).catch(() => {});
   while (!group.isHeld) {
     // eslint-disable-next-line no-await-in-loop -- the clock advances step by step
@@ -120,6 +121,43 @@
     group.stop();
   }));
 
+test('a held pass begins with one map where a rank has a newer one and lost orders come late', async () => {
+  const newer = 2_050;
+  const map = [[[0], [1], [2], [3]]];
+  const spacings = [15, 45, 70, 110];
+  for (let run = 0; run < spacings.length * (SIZE - 1); run += 1) {
+    const armed = run % (SIZE - 1);
+    const everyMs = spacings[Math.floor(run / (SIZE - 1))];
+    // eslint-disable-next-line no-await-in-loop -- one clock after the other
+    await withClock(async (clock) => {
+      const board = createBoard('entry-2');
+      const group = await holdGroup(clock, board, armed);
+      group.reportLagMs = 200;
+      const { epoch, step } = group;
+      const entries = board.upstreams.map((upstream) => upstream.entry);
+      const give = (rank: number, command: Omit<RankCommand, 'epoch'>): void => {
+        const entry = entries[rank];
+        if (entry) group.order(entry, { ...command, epoch }).catch(() => {});
+      };
+      // Another giver's map comes late at the last rank, and then the first one's orders to arm.
+      give(SIZE - 1, { kind: RankOrderKind.Prepare, version: newer, map });
+      const late = setInterval(() => {
+        [0, 1, 2].forEach((rank) =>
+          give(rank, { kind: RankOrderKind.Arm, version: 1_025, step: group.heldStep ?? step }),
+        );
+      }, everyMs);
+      const giver = createGiverOf(board, group);
+      giver.start();
+      await clock.tickAsync(6_000);
+      clearInterval(late);
+      assert.equal(group.broken, [], `${armed} ranks armed, late orders each ${everyMs} ms`);
+      assert.not.ok(group.isHeld, `${armed} ranks armed, late orders each ${everyMs} ms`);
+      giver.stop();
+      group.stop();
+    });
+  }
+});
+
 test('of entries that are all in a planned stop one gives the maps', () =>
   withClock(async (clock) => {
     const group = createGroup(9);
--- a/packages/core/test/direct/experts/rankGroup.ts
+++ b/packages/core/test/direct/experts/rankGroup.ts
@@ -105,8 +105,17 @@
     return this.#step;
   }
 
+  get epoch(): number {
+    return this.#epoch;
+  }
+
+  /** The pass that is held back, if one is. */
+  get heldStep(): number | undefined {
+    return this.#ranks.find(({ heldStep }) => heldStep !== undefined)?.heldStep;
+  }
+
   get isHeld(): boolean {
-    return this.#ranks.some(({ heldStep }) => heldStep !== undefined);
+    return this.heldStep !== undefined;
   }
 
   stop(): void {
