--- a/packages/core/test/direct/stalledGroup.test.ts
+++ b/packages/core/test/direct/stalledGroup.test.ts
@@ -47,6 +47,18 @@
   entry.lastCall.head().sendEvents(1);
 }
 
+/** A stream whose caller has an event when its group breaks. */
+async function interruptStream(
+  clock: TestClock,
+): Promise<{ entry: DirectFixture; caller: FakeCaller }> {
+  const entry = new DirectFixture();
+  entry.addUpstreams('models', 3);
+  const caller = entry.ask('stream');
+  entry.lastCall.head().sendEvents(1);
+  await breakGroup(entry, clock);
+  return { entry, caller };
+}
+
 function listEvents(last: number): string {
   return Array.from({ length: last }, (_, at) => `id: ${at + 1}\ndata: note\n\n`).join('');
 }
@@ -92,22 +104,14 @@
 
 test('an interrupted stream is broken off before its caller would hang up', () =>
   withClock(async (clock) => {
-    const entry = new DirectFixture();
-    entry.addUpstreams('models', 3);
-    const caller = entry.ask('stream');
-    entry.lastCall.head().sendEvents(1);
-    await breakGroup(entry, clock);
+    const { entry, caller } = await interruptStream(clock);
     await declineAll(entry, clock, PATIENCE_MS - NOTICE_MS);
     assert.equal(caller.ends, ['abort'], 'it may come back while it still has time');
   }));
 
 test('an interrupted stream whose caller leaves is not sent again', () =>
   withClock(async (clock) => {
-    const entry = new DirectFixture();
-    entry.addUpstreams('models', 3);
-    const caller = entry.ask('stream');
-    entry.lastCall.head().sendEvents(1);
-    await breakGroup(entry, clock);
+    const { entry, caller } = await interruptStream(clock);
     caller.hangUp();
     await clock.tickAsync(OUTAGE_MS);
     await mendGroup(entry, clock);
@@ -175,11 +179,7 @@
 
 test('those who wait for a group are served once another entry tells that it is back', () =>
   withClock(async (clock) => {
-    const entry = new DirectFixture();
-    entry.addUpstreams('models', 3);
-    entry.ask('stream');
-    entry.lastCall.head().sendEvents(1);
-    await breakGroup(entry, clock);
+    const { entry } = await interruptStream(clock);
     await clock.tickAsync(PROBE_MS);
     const before = entry.calls.length;
     entry.board.readBreaker('models').noteService(BreakerNews.Peer);
