Work out the wait for a turn once

Cause: a request that was to wait had its expected wait worked out twice, to decide and for the log line, and each time over all upstreams of the pool. In a stall the figure meant nothing. Ruled out: keeping sums of loads by pool; that is worth a change of its own at thousands of upstreams. Change: the figure that decided is handed to the line; a request that waits for a stalled pool has none. Conclusion: no change of behaviour but the field of the line.

--- a/packages/core/src/direct/directRun.ts
+++ b/packages/core/src/direct/directRun.ts
@@ -273,7 +273,7 @@
       onTurn: (upstream) => this.#sendAgain(upstream, failure),
       onDenied: () => this.#giveUp(failure, NoRetryReason.NoUpstream),
     };
-    desk.enterAgain(ticket, nowMs);
+    desk.enterAgain(ticket);
   }
 
   #sendAgain(upstream: DirectUpstream, { reason, retryReason, detail }: AttemptFailure): void {
--- a/packages/core/src/direct/poolActivity.ts
+++ b/packages/core/src/direct/poolActivity.ts
@@ -1,5 +1,5 @@
 /**
- * Whether the upstreams of a pool answer this entry at all.
+ * Whether the upstreams of a pool answer this entry at all, and how fast.
  *
  * Engines of a group give events at every pass: several requests without any event for some passes
  * are no matter of one upstream.
--- a/packages/core/src/direct/poolDesk.ts
+++ b/packages/core/src/direct/poolDesk.ts
@@ -116,21 +116,24 @@
   enter(ticket: Ticket, nowMs: number): void {
     const ahead = this.#queue.countAhead(ticket);
     if (this.#isSilent(nowMs) || !this.#breaker.mayPass(nowMs)) {
-      if (ticket.isLate && ticket.waitBudgetMs > 0) this.#wait(ticket, ahead, nowMs);
+      if (ticket.isLate && ticket.waitBudgetMs > 0) this.#wait(ticket, ahead);
       else ticket.onDenied(TurnDenial.Stalled);
       return;
     }
     const { upstream, openCount } = this.#place(new Set(), nowMs, ticket.isLate);
-    if (ahead === 0 && upstream) ticket.onTurn(upstream);
-    else if (openCount === 0) ticket.onDenied(TurnDenial.NoUpstream);
-    else if (this.capacity.expectWaitMs(ahead, nowMs) > ticket.waitBudgetMs) {
-      ticket.onDenied(TurnDenial.Full);
-    } else this.#wait(ticket, ahead, nowMs);
+    if (ahead === 0 && upstream) {
+      ticket.onTurn(upstream);
+      return;
+    }
+    const expectedMs = this.capacity.expectWaitMs(ahead, nowMs);
+    if (openCount === 0) ticket.onDenied(TurnDenial.NoUpstream);
+    else if (expectedMs > ticket.waitBudgetMs) ticket.onDenied(TurnDenial.Full);
+    else this.#wait(ticket, ahead, expectedMs);
   }
 
   /** Takes a request whose attempt broke off; it waits also while its pool takes no work. */
-  enterAgain(ticket: Ticket, nowMs: number): void {
-    if (ticket.waitBudgetMs > 0) this.#wait(ticket, this.#queue.countAhead(ticket), nowMs);
+  enterAgain(ticket: Ticket): void {
+    if (ticket.waitBudgetMs > 0) this.#wait(ticket, this.#queue.countAhead(ticket));
     else ticket.onDenied(TurnDenial.Full);
   }
 
@@ -221,11 +224,12 @@
     return result;
   }
 
-  #wait(ticket: Ticket, ahead: number, nowMs: number): void {
+  /** @param expectedMs time until its turn, where the pool takes work */
+  #wait(ticket: Ticket, ahead: number, expectedMs?: number): void {
     this.#write(LogLevel.Routine, 'Waits.', {
       id: ticket.id,
       ahead,
-      expectedMs: Math.round(this.capacity.expectWaitMs(ahead, nowMs)),
+      expectedMs: expectedMs === undefined ? undefined : Math.round(expectedMs),
       budgetMs: Math.round(ticket.waitBudgetMs),
       limit: this.capacity.limitPerUpstream,
       isLate: ticket.isLate,
