Give up upstreams whose bytes have no end, hear that they leave, leave them alone

Cause: the splitter of events searched all that it kept with each piece and kept all of it; heads, informational heads and the framing of chunks had no bound; any byte counted as progress; only the registry was heard of leaving upstreams; a refusal's Retry-After was not read. A status below 100 and an event id of control bytes threw in the request path, which ended the process. Ruled out: Node's own bounds suffice (they do for one head, for trailers and for one chunk's extension; not for many informational heads, padded chunks, or a switch of protocols, which hung until the route's time). Change: an event has a greatest size and is scanned once; bytes beside the body and informational heads are bounded; such an upstream is left out at once (upstream.endless). Progress is a whole event or a share of a plain answer. A silent upstream is left for another one only where there is one, and only where its silence stands out from its pool's usual pauses; a stream ends when its caller is out of patience. Server-Leaving in any answer holds for that life of the upstream, and other entries are told. Retry-After of a 503 is kept to, up to 60 s; while all upstreams rest, callers are told the earliest return at once. A nameless answer on a used connection counts as foreign. A connection that is made too late for a paused process is not used; nor is a turn after its time.

--- a/packages/core/src/direct/answerBuilder.ts
+++ b/packages/core/src/direct/answerBuilder.ts
@@ -9,14 +9,20 @@
 import type { AnswerHead } from '../ports/upstreamCaller.js';
 
 import { EventSplitter } from './eventSplitter.js';
+import { GrowingBuffer } from './growingBuffer.js';
 
 /** Bytes of a plain answer that are held at most. */
 const HELD_BYTES_MAX = 256 * 1024;
 
+/** Bytes of a plain answer that count as progress: fewer may be dripped without end. */
+const PROGRESS_BYTES = 1_024;
+
 /** What a piece of an answer brought. */
 export interface PieceResult {
   /** Whole events that went to the caller. */
   readonly events: number;
+  /** Whether the answer came closer to its end; bytes of an event that is not whole do not. */
+  readonly isProgress: boolean;
   /** Whether the caller can take more now. */
   readonly isCallerReady: boolean;
 }
@@ -31,9 +37,10 @@
 
   #splitter = new EventSplitter();
 
-  #held: Buffer[] = [];
+  readonly #held = new GrowingBuffer();
 
-  #heldBytes = 0;
+  /** Bytes of a plain answer since its last progress; its first byte is progress. */
+  #stalledBytes = PROGRESS_BYTES;
 
   #isCommitted = false;
 
@@ -54,11 +61,16 @@
     return this.#lastEventId;
   }
 
+  /** Whether an event was larger than any that an engine makes. */
+  get isOversized(): boolean {
+    return this.#splitter.isOversized;
+  }
+
   /** Begins with the answer of one attempt; what was held of an earlier one is dropped. */
   begin(head: AnswerHead): void {
     this.#splitter = new EventSplitter();
-    this.#held = [];
-    this.#heldBytes = 0;
+    this.#held.take();
+    this.#stalledBytes = PROGRESS_BYTES;
     if (!this.#isCommitted) this.#head = head;
   }
 
@@ -70,7 +82,7 @@
   end(): boolean {
     if (this.#splitter.isMidEvent) return false;
     if (!this.#isCommitted) {
-      const body = Buffer.concat(this.#held);
+      const body = this.#held.take();
       const isTold = this.#head?.framing === AnswerFraming.Told;
       this.#commit(isTold ? { 'content-length': String(body.length) } : {});
       if (body.length > 0) this.#caller.writeData(body);
@@ -86,20 +98,31 @@
 
   #pushEvents(data: Buffer): PieceResult {
     const whole = this.#splitter.push(data);
-    if (!whole) return { events: 0, isCallerReady: true };
+    if (!whole) return { events: 0, isProgress: false, isCallerReady: true };
     this.#commit({});
     this.#lastEventId = whole.lastId ?? this.#lastEventId;
-    return { events: whole.count, isCallerReady: this.#caller.writeData(whole.data) };
+    const isCallerReady = this.#caller.writeData(whole.data);
+    return { events: whole.count, isProgress: true, isCallerReady };
   }
 
   #hold(data: Buffer): PieceResult {
-    this.#held.push(data);
-    this.#heldBytes += data.length;
-    if (this.#heldBytes <= HELD_BYTES_MAX) return { events: 0, isCallerReady: true };
-    this.#commit({});
-    const body = Buffer.concat(this.#held);
-    this.#held = [];
-    return { events: 0, isCallerReady: this.#caller.writeData(body) };
+    const isProgress = this.#noteBytes(data.length);
+    if (!this.#isCommitted) {
+      this.#held.append(data);
+      if (this.#held.sizeBytes <= HELD_BYTES_MAX) {
+        return { events: 0, isProgress, isCallerReady: true };
+      }
+      this.#commit({});
+    }
+    const ready = this.#held.sizeBytes > 0 ? this.#held.take() : data;
+    return { events: 0, isProgress, isCallerReady: this.#caller.writeData(ready) };
+  }
+
+  #noteBytes(bytes: number): boolean {
+    this.#stalledBytes += bytes;
+    if (this.#stalledBytes < PROGRESS_BYTES) return false;
+    this.#stalledBytes = 0;
+    return true;
   }
 
   #commit(extra: Readonly<Record<string, string>>): void {
--- a/packages/core/src/direct/answerTimes.ts
+++ b/packages/core/src/direct/answerTimes.ts
@@ -17,6 +17,9 @@
 
   #eventAtMs = 0;
 
+  /** When a caller that was slow took more again. */
+  #resumedAtMs = Number.NEGATIVE_INFINITY;
+
   constructor(arrivedAtMs: number) {
     this.#arrivedAtMs = arrivedAtMs;
   }
@@ -39,7 +42,12 @@
 
   /** Time for which the caller has had nothing. */
   readSilentMs(nowMs: number): number {
-    return nowMs - (this.#firstMs === undefined ? this.#arrivedAtMs : this.#eventAtMs);
+    const lastAtMs = this.#firstMs === undefined ? this.#arrivedAtMs : this.#eventAtMs;
+    return nowMs - Math.max(lastAtMs, this.#resumedAtMs);
+  }
+
+  noteResumed(nowMs: number): void {
+    this.#resumedAtMs = nowMs;
   }
 
   noteTurn(nowMs: number): void {
--- a/packages/core/src/direct/directAttempt.ts
+++ b/packages/core/src/direct/directAttempt.ts
@@ -15,11 +15,12 @@
 
 import type { DirectContext } from './directContext.js';
 import type { DirectUpstream } from './directUpstream.js';
+import { LeavingNews } from './fleetBoard.js';
 import type { PoolDesk } from './poolDesk.js';
 
 const LOG_PART = 'membership';
 
-/** Time between two looks at an upstream that is silent while its whole pool is. */
+/** Time between two looks at an upstream that is silent and cannot be replaced yet. */
 const SILENCE_RECHECK_MS = 200;
 
 /** Time within which another answer of the pool shows that it is not the pool that is silent. */
@@ -44,7 +45,14 @@
 export interface AttemptEvents {
   /** @returns false where the answer is not taken; the attempt is over then */
   readonly onHead: (head: AnswerHead) => boolean;
-  readonly onData: (data: Buffer) => void;
+  /** @returns whether the answer came closer to its end */
+  readonly onData: (data: Buffer) => boolean;
+  /**
+   * Hears that the answer has made no progress for a span.
+   *
+   * @returns whether another upstream is to take the silent one's place now
+   */
+  readonly onSilence: (silentMs: number) => boolean;
   readonly onEnd: () => void;
   readonly onFailure: (failure: AttemptFailure) => void;
 }
@@ -54,7 +62,7 @@
   readonly desk: PoolDesk;
   readonly upstream: DirectUpstream;
   readonly call: UpstreamCall;
-  /** Longest silence before the head, and between two pieces of the answer. */
+  /** Time without progress of the answer after which `onSilence` is told. */
   readonly silenceLimitMs: number;
   readonly events: AttemptEvents;
 }
@@ -86,6 +94,8 @@
 
   #hasAnswered = false;
 
+  #isPaused = false;
+
   #isOver = false;
 
   constructor(options: DirectAttemptOptions) {
@@ -122,12 +132,23 @@
   }
 
   pause(): void {
+    this.#isPaused = true;
     clearTimeout(this.#silenceTimer);
     this.#call?.pause();
   }
 
-  resume(): void {
+  /** Gives up what has no end. */
+  refuseEndless(detail: string): void {
     if (this.#isOver) return;
+    const { desk, context } = this.#options;
+    desk.noteFailure();
+    context.metrics.count('upstream.endless');
+    this.#fail(describeLost(RefusalReason.UpstreamFailed, detail), true);
+  }
+
+  resume(): void {
+    if (this.#isOver || !this.#isPaused) return;
+    this.#isPaused = false;
     this.#watchSilence(this.#options.silenceLimitMs);
     this.#call?.resume();
   }
@@ -136,14 +157,14 @@
     if (this.#isOver) return;
     const nowMs = performance.now();
     this.#heardAtMs = nowMs;
-    if (head.isOwn && head.load) this.upstream.noteLoad(head.load, nowMs);
+    this.#readNews(head, nowMs);
     if (!head.isOwn) {
       this.#fail(describeLost(RefusalReason.UpstreamFailed, 'an answer to another request came'));
     } else if (head.isMisdirected) {
       this.upstream.rest(nowMs + MISDIRECTED_REST_MS);
       this.#end(NOT_RUN_BY_UPSTREAM);
     } else if (head.isNotRun) {
-      this.upstream.rest(nowMs + FULL_REST_MS);
+      this.upstream.rest(nowMs + (head.restMs ?? FULL_REST_MS));
       this.#options.desk.noteFailure();
       this.#end(NOT_RUN_BY_UPSTREAM);
     } else if (!head.isGenuine) {
@@ -151,13 +172,25 @@
     } else if (!this.#options.events.onHead(head)) this.cancel();
   }
 
+  /** Takes in what the upstream says of itself beside its answer. */
+  #readNews(head: AnswerHead, nowMs: number): void {
+    const { board } = this.#options.context;
+    if (head.isLeaving && !head.isMisdirected) {
+      board.noteLeaving(this.upstream, LeavingNews.Upstream);
+    }
+    if (!head.isOwn || head.isMisdirected) return;
+    if (head.load) this.upstream.noteLoad(head.load, nowMs);
+    if (head.restMs !== undefined) this.upstream.rest(nowMs + head.restMs);
+  }
+
   #readData(data: Buffer): void {
     if (this.#isOver) return;
+    const isProgress = this.#options.events.onData(data);
+    if (this.#isOver || !isProgress) return;
     const nowMs = performance.now();
     this.#heardAtMs = nowMs;
     this.#noteAnswer(nowMs);
-    this.#watchSilence(this.#options.silenceLimitMs);
-    this.#options.events.onData(data);
+    if (!this.#isPaused) this.#watchSilence(this.#options.silenceLimitMs);
   }
 
   #noteAnswer(nowMs: number): void {
@@ -179,6 +212,10 @@
 
   #readFailure(kind: CallFailureKind, detail: string): void {
     if (this.#isOver) return;
+    if (kind === CallFailureKind.Endless) {
+      this.refuseEndless(detail);
+      return;
+    }
     this.#options.desk.noteFailure();
     if (kind === CallFailureKind.Lost) {
       this.#fail(describeLost(RefusalReason.UpstreamFailed, detail));
@@ -197,27 +234,31 @@
     this.#silenceTimer = setTimeout(() => this.#readSilence(), limitMs);
   }
 
-  /** An upstream that is silent with its whole pool is waited for: another one is no better. */
+  /**
+   * An upstream that is silent with its whole pool is waited for: another one is no better. So is
+   * one for which there is no other: it may be slow and sound.
+   */
   #readSilence(): void {
     const nowMs = performance.now();
-    if (!this.#options.desk.isLive(nowMs, POOL_LIVE_MS)) {
+    const { desk, events } = this.#options;
+    const silentMs = Math.round(nowMs - this.#heardAtMs);
+    if (!desk.isLive(nowMs, POOL_LIVE_MS) || !events.onSilence(silentMs)) {
       this.#watchSilence(SILENCE_RECHECK_MS);
       return;
     }
-    const silentMs = Math.round(nowMs - this.#heardAtMs);
     this.#call?.cancel();
     this.#fail({
       isNotRun: false,
       reason: RefusalReason.UpstreamSilent,
       retryReason: RetryReason.ProgressTimeout,
-      detail: `the upstream was silent for ${silentMs} ms`,
+      detail: `the upstream made no progress for ${silentMs} ms`,
     });
   }
 
-  #fail(failure: AttemptFailure): void {
+  #fail(failure: AttemptFailure, isGrave = false): void {
     const nowMs = performance.now();
     const { context } = this.#options;
-    if (this.upstream.trust.noteFailure(nowMs)) {
+    if (this.upstream.trust.noteFailure(nowMs, isGrave)) {
       context.metrics.count('upstream.distrusted');
       context.log.write(LogLevel.Warn, LOG_PART, 'An upstream is distrusted.', {
         id: this.upstream.id,
--- a/packages/core/src/direct/directContext.ts
+++ b/packages/core/src/direct/directContext.ts
@@ -14,4 +14,6 @@
   readonly metrics: Metrics;
   /** Takes one retry of a pool from what all entries may retry; false where that is spent. */
   readonly takeRetry: (pool: string, nowMs: number) => boolean;
+  /** Whether one could be taken now. */
+  readonly mayRetry: (pool: string, nowMs: number) => boolean;
 }
--- a/packages/core/src/direct/directController.ts
+++ b/packages/core/src/direct/directController.ts
@@ -83,11 +83,16 @@
     this.#options = options;
     this.#context = {
       ...options,
-      takeRetry: (pool, nowMs) =>
-        this.#findBudget(pool).take(options.board.bounds.retryShare * BUDGET_PART, nowMs),
+      takeRetry: (pool, nowMs) => this.#findBudget(pool).take(this.#retryShare, nowMs),
+      mayRetry: (pool, nowMs) => this.#findBudget(pool).mayTake(this.#retryShare, nowMs),
     };
   }
 
+  /** Retries of this entry for each of its requests. */
+  get #retryShare(): number {
+    return this.#options.board.bounds.retryShare * BUDGET_PART;
+  }
+
   get inFlightCount(): number {
     return this.#runs.size;
   }
--- a/packages/core/src/direct/directRun.ts
+++ b/packages/core/src/direct/directRun.ts
@@ -67,6 +67,11 @@
 
   #timer: NodeJS.Timeout | undefined;
 
+  #patienceTimer: NodeJS.Timeout | undefined;
+
+  /** Whether the caller takes the answer more slowly than it comes. */
+  #isCallerSlow = false;
+
   constructor(options: DirectRunOptions) {
     this.#options = options;
     const { caller, request, route } = options;
@@ -83,7 +88,7 @@
       endAtMs: this.#endAtMs,
     });
     caller.onGone(() => this.#leave());
-    caller.onDrain(() => this.#attempt?.resume());
+    caller.onDrain(() => this.#resume());
     request.body.onTooLarge(() => this.#refuseBody());
   }
 
@@ -95,6 +100,7 @@
   start(): void {
     const { request } = this.#options;
     this.#timer = setTimeout(() => this.#readTimeout(), this.#endAtMs - performance.now());
+    this.#watchPatience();
     request.body.onReady(() => {
       if (!this.#isOver) this.#enter();
     });
@@ -149,13 +155,18 @@
     const { context, desk, request, route, workspace } = this.#options;
     const nowMs = performance.now();
     const leftMs = this.#endAtMs - nowMs;
+    if (leftMs <= 0) {
+      // A process that was paused gives turns before its timers tell that their time is over.
+      this.#readTimeout();
+      return;
+    }
     this.#tally.noteSent();
     this.#report.noteSent(upstream, isResumed);
     this.#attempt = new DirectAttempt({
       context,
       desk,
       upstream,
-      silenceLimitMs: this.#isOtherPossible ? chooseSilenceMs(route) : leftMs + 1,
+      silenceLimitMs: chooseSilenceMs(route, 0),
       call: {
         request,
         upstream: upstream.entry,
@@ -167,6 +178,7 @@
       events: {
         onHead: (head) => this.#readHead(head),
         onData: (data) => this.#readData(data),
+        onSilence: (silentMs) => this.#mayReplace(upstream, silentMs),
         onEnd: () => this.#readEnd(),
         onFailure: (failure) => this.#readFailure(failure),
       },
@@ -174,10 +186,11 @@
     this.#attempt.start();
   }
 
-  /** Whether another upstream could be asked; what has no other chance is waited for to the end. */
-  get #isOtherPossible(): boolean {
-    const { route, request } = this.#options;
-    return mayRunAgain(route) && this.#tally.sends < route.attempts && request.body.isComplete;
+  /** Whether another upstream is to take the place of one that makes no progress. */
+  #mayReplace(silent: DirectUpstream, silentMs: number): boolean {
+    const { desk, route } = this.#options;
+    if (silentMs < chooseSilenceMs(route, desk.usualPauseMs)) return false;
+    return this.#retry.canReplace(silent.id, performance.now());
   }
 
   #readHead(head: AnswerHead): boolean {
@@ -206,18 +219,53 @@
     return true;
   }
 
-  #readData(data: Buffer): void {
+  /** @returns whether the answer came closer to its end */
+  #readData(data: Buffer): boolean {
+    const { events, isProgress, isCallerReady } = this.#answer.push(data);
+    if (!isCallerReady) this.#pause();
+    if (events > 0) this.#noteEvents();
+    if (this.#answer.isOversized) this.#attempt?.refuseEndless('an event has no end');
+    return isProgress;
+  }
+
+  #noteEvents(): void {
     const { route, desk } = this.#options;
     const nowMs = performance.now();
-    const { events, isCallerReady } = this.#answer.push(data);
-    if (!isCallerReady) this.#attempt?.pause();
-    if (events === 0) return;
     const pauseMs = this.#times.noteEvents(nowMs);
     if (pauseMs === undefined) return;
     desk.notePause(pauseMs, route.pauseTargetMs, nowMs);
     this.#report.notePause(pauseMs);
   }
 
+  #pause(): void {
+    this.#isCallerSlow = true;
+    this.#attempt?.pause();
+  }
+
+  #resume(): void {
+    if (this.#isOver) return;
+    this.#isCallerSlow = false;
+    this.#times.noteResumed(performance.now());
+    this.#attempt?.resume();
+  }
+
+  /**
+   * Ends a stream whose caller has had nothing for as long as callers bear it, whatever an upstream
+   * drips meanwhile. A caller that is slow itself is not out of patience.
+   */
+  #watchPatience(): void {
+    const { route } = this.#options;
+    if (route.kind !== RouteKind.Stream) return;
+    const silentMs = this.#isCallerSlow ? 0 : this.#times.readSilentMs(performance.now());
+    const leftMs = route.patienceMs - silentMs;
+    if (leftMs > 0) {
+      this.#patienceTimer = setTimeout(() => this.#watchPatience(), Math.ceil(leftMs));
+      return;
+    }
+    const detail = `the caller has had nothing for ${Math.round(silentMs)} ms`;
+    this.#end(RefusalReason.UpstreamSilent, detail);
+  }
+
   #readEnd(): void {
     if (!this.#answer.end()) {
       this.#readFailure({
@@ -334,6 +382,7 @@
     if (this.#isOver) return;
     this.#isOver = true;
     clearTimeout(this.#timer);
+    clearTimeout(this.#patienceTimer);
     this.#options.desk.leave(this.#options.request.id);
     this.#report.noteEnd();
     this.#options.onDone(this, refusal);
--- a/packages/core/src/direct/directUpstream.ts
+++ b/packages/core/src/direct/directUpstream.ts
@@ -60,6 +60,9 @@
 
   #paceAtMs = Number.NEGATIVE_INFINITY;
 
+  /** Whether this life of it is about to end by the word of itself or of another entry. */
+  #isEnding = false;
+
   /** Until when it is not asked, as it said that another one has its address or it is full. */
   #restUntilMs = Number.NEGATIVE_INFINITY;
 
@@ -79,6 +82,16 @@
     this.#entry = entry;
   }
 
+  /** Whether it is about to end, by anybody's word. */
+  get isLeaving(): boolean {
+    return this.#entry.isLeaving || this.#isEnding;
+  }
+
+  /** It is about to end; that holds for this life of it. */
+  noteLeaving(): void {
+    this.#isEnding = true;
+  }
+
   /** Takes in what the upstream said of all its work. */
   noteLoad(load: UpstreamLoad, nowMs: number): void {
     this.#othersInFlight = Math.max(0, load.running + load.waiting - this.inFlight);
@@ -124,4 +137,9 @@
   isResting(nowMs: number): boolean {
     return nowMs < this.#restUntilMs;
   }
+
+  /** Time for which it is still left alone. */
+  readRestMs(nowMs: number): number {
+    return Math.max(0, this.#restUntilMs - nowMs);
+  }
 }
--- a/packages/core/src/direct/eventSplitter.ts
+++ b/packages/core/src/direct/eventSplitter.ts
@@ -2,8 +2,10 @@
  * Cuts a stream of server-sent events after whole events.
  *
  * Bytes of an event that is not whole yet are kept back, so that a stream that breaks off can go on
- * at another upstream after the last event that the caller has.
+ * at another upstream after the last event that the caller has. Each byte is looked at once, and an
+ * event has a greatest size: an upstream in trouble may send bytes without end.
  */
+import { GrowingBuffer } from './growingBuffer.js';
 
 const LINE_FEED = 0x0a;
 
@@ -11,6 +13,9 @@
 
 const ID_FIELD = /(?:^|\n)id:[ ]?([^\r\n]*)/gu;
 
+/** Bytes of one event at most: far more than the tokens of any pass. */
+export const EVENT_BYTES_MAX = 256 * 1024;
+
 /** Whole events, as they go to the caller. */
 export interface WholeEvents {
   readonly data: Buffer;
@@ -19,35 +24,78 @@
   readonly lastId: string | undefined;
 }
 
-function isLineEnd(data: Buffer, at: number): boolean {
-  if (data[at - 1] === LINE_FEED) return true;
-  return data[at - 1] === CARRIAGE_RETURN && data[at - 2] === LINE_FEED;
-}
-
 /** Splits the events of one answer of an upstream. */
 export class EventSplitter {
-  #rest: Buffer = Buffer.alloc(0);
+  /** Beginning of the event that is not whole yet. */
+  readonly #kept = new GrowingBuffer();
+
+  /** Bytes of the line that is not whole yet, and the last of them. */
+  #lineBytes = 0;
+
+  #lastByte = 0;
+
+  /** Whether the event that is not whole yet has a line with something in it. */
+  #hasContent = false;
+
+  #isOversized = false;
 
   /** Whether bytes of an event are kept back. */
   get isMidEvent(): boolean {
-    return this.#rest.length > 0;
+    return this.#kept.sizeBytes > 0;
+  }
+
+  /** Whether an event was larger than {@link EVENT_BYTES_MAX}; nothing more is kept then. */
+  get isOversized(): boolean {
+    return this.#isOversized;
   }
 
   /** @returns the events that are whole now; undefined where there is none */
   push(chunk: Buffer): WholeEvents | undefined {
-    const data = this.#rest.length > 0 ? Buffer.concat([this.#rest, chunk]) : chunk;
+    if (this.#isOversized) return undefined;
+    const { end, count } = this.#findEnds(chunk);
+    const whole = end > 0 ? Buffer.concat([this.#kept.take(), chunk.subarray(0, end)]) : undefined;
+    this.#keep(chunk.subarray(end));
+    if (!whole) return undefined;
+    const ids = [...whole.toString('latin1').matchAll(ID_FIELD)];
+    return { data: whole, count, lastId: ids[ids.length - 1]?.[1] };
+  }
+
+  /** Where the last whole event of a chunk ends, and how many end in it. */
+  #findEnds(chunk: Buffer): { readonly end: number; readonly count: number } {
     let end = 0;
     let count = 0;
-    for (let at = data.indexOf(LINE_FEED); at >= 0; at = data.indexOf(LINE_FEED, at + 1)) {
-      if (at > end && isLineEnd(data, at)) {
+    let lineStart = 0;
+    for (let at = chunk.indexOf(LINE_FEED); at >= 0; at = chunk.indexOf(LINE_FEED, at + 1)) {
+      this.#noteLineBytes(chunk, lineStart, at);
+      if (!this.#isLineBlank) this.#hasContent = true;
+      else if (this.#hasContent) {
+        this.#hasContent = false;
         end = at + 1;
         count += 1;
       }
+      this.#lineBytes = 0;
+      lineStart = at + 1;
     }
-    this.#rest = data.subarray(end);
-    if (end === 0) return undefined;
-    const whole = data.subarray(0, end);
-    const ids = [...whole.toString('latin1').matchAll(ID_FIELD)];
-    return { data: whole, count, lastId: ids[ids.length - 1]?.[1] };
+    this.#noteLineBytes(chunk, lineStart, chunk.length);
+    return { end, count };
+  }
+
+  #noteLineBytes(chunk: Buffer, start: number, end: number): void {
+    if (end <= start) return;
+    this.#lineBytes += end - start;
+    this.#lastByte = chunk[end - 1] ?? 0;
+  }
+
+  get #isLineBlank(): boolean {
+    return this.#lineBytes === 0 || (this.#lineBytes === 1 && this.#lastByte === CARRIAGE_RETURN);
+  }
+
+  #keep(piece: Buffer): void {
+    if (this.#kept.sizeBytes + piece.length <= EVENT_BYTES_MAX) {
+      this.#kept.append(piece);
+      return;
+    }
+    this.#isOversized = true;
+    this.#kept.take();
   }
 }
--- a/packages/core/src/direct/experts/demandReader.ts
+++ b/packages/core/src/direct/experts/demandReader.ts
@@ -87,7 +87,7 @@
     const { board } = this.#options;
     this.#lastReadAtMs = nowMs;
     const served = survey.ranks.filter(
-      ({ upstream: { entry } }) => !entry.isLeaving && !board.isClosed(entry.domain),
+      ({ upstream }) => !upstream.isLeaving && !board.isClosed(upstream.entry.domain),
     );
     const isFew = this.#samples.countRecent(nowMs) < SAMPLES_MIN;
     const isShort = isFew || this.#urgentReadings > 0;
--- a/packages/core/src/direct/fleetBoard.ts
+++ b/packages/core/src/direct/fleetBoard.ts
@@ -11,6 +11,22 @@
 /** Time after the start in which other entries are only about to be heard. */
 const NEW_MS = 3_000;
 
+/** Lives of upstreams that are known to leave and are remembered. */
+const LEAVING_LIVES_MAX = 4_096;
+
+/** Who told that an upstream leaves. */
+export enum LeavingNews {
+  /** The upstream itself, with an answer. */
+  Upstream = 'upstream',
+  Registry = 'registry',
+  Peer = 'peer',
+}
+
+/** Names one life of an upstream: a restarted one may have the same id. */
+export function nameLife({ id, startedAtUnixMs }: UpstreamEntry): string {
+  return `${id}@${startedAtUnixMs}`;
+}
+
 /** Facts shared by the controllers of one entry. */
 export class FleetBoard {
   readonly name: string;
@@ -51,6 +67,14 @@
   /** Paces of upstreams that this entry has read itself, by id; others are told of them. */
   knownPaces: ReadonlyMap<string, number> = new Map();
 
+  /** Lives that have begun to leave: none of them comes back, whatever an old message says. */
+  readonly #leavingLives = new Set<string>();
+
+  /** Those of them that have told this entry so themselves. */
+  readonly #heardLeavingLives = new Set<string>();
+
+  readonly #leavingListeners: ((upstream: DirectUpstream, news: LeavingNews) => void)[] = [];
+
   #onRecovery: ((pool: string) => void) | undefined;
 
   #onCount: ((upstream: DirectUpstream) => void) | undefined;
@@ -90,9 +114,51 @@
     const isSame = known?.entry.startedAtUnixMs === entry.startedAtUnixMs;
     if (known && isSame) known.update(entry);
     else this.#upstreams.set(entry.id, new DirectUpstream(entry));
+    const upstream = this.#upstreams.get(entry.id);
+    if (upstream && this.#leavingLives.has(nameLife(entry))) upstream.noteLeaving();
     this.#indexPools();
   }
 
+  /** Lives that have told this entry that they are about to end, among those that there are. */
+  get heardLeavingLives(): readonly string[] {
+    const lives = this.upstreams.map(({ entry }) => nameLife(entry));
+    return lives.filter((life) => this.#heardLeavingLives.has(life));
+  }
+
+  isLeavingLife(life: string): boolean {
+    return this.#leavingLives.has(life);
+  }
+
+  /** Notes that an upstream is about to end: it gets nothing more in this life. */
+  noteLeaving(upstream: DirectUpstream, news: LeavingNews): void {
+    this.noteLeavingLife(nameLife(upstream.entry), news);
+    upstream.noteLeaving();
+  }
+
+  /** The same by the name of its life, which may not be in the registry yet. */
+  noteLeavingLife(life: string, news: LeavingNews): void {
+    if (this.#leavingLives.has(life)) return;
+    this.#leavingLives.add(life);
+    if (news === LeavingNews.Upstream) this.#heardLeavingLives.add(life);
+    this.#forgetOldLives();
+    const upstream = this.upstreams.find(({ entry }) => nameLife(entry) === life);
+    if (!upstream) return;
+    upstream.noteLeaving();
+    this.#leavingListeners.forEach((listener) => listener(upstream, news));
+  }
+
+  #forgetOldLives(): void {
+    const [oldest] = this.#leavingLives;
+    if (oldest === undefined || this.#leavingLives.size <= LEAVING_LIVES_MAX) return;
+    this.#leavingLives.delete(oldest);
+    this.#heardLeavingLives.delete(oldest);
+  }
+
+  /** Names one more listener for upstreams that begin to leave. */
+  onLeaving(listener: (upstream: DirectUpstream, news: LeavingNews) => void): void {
+    this.#leavingListeners.push(listener);
+  }
+
   removeUpstream(id: string): void {
     if (this.#upstreams.delete(id)) this.#indexPools();
   }
--- /dev/null
+++ b/packages/core/src/direct/growingBuffer.ts
@@ -0,0 +1,34 @@
+/**
+ * Bytes that are kept until they are whole.
+ *
+ * They are copied: a few kept bytes would hold all of the buffer that they were read into. The
+ * capacity doubles, so that each byte is copied a few times at most.
+ */
+export class GrowingBuffer {
+  #bytes = Buffer.alloc(0);
+
+  #sizeBytes = 0;
+
+  get sizeBytes(): number {
+    return this.#sizeBytes;
+  }
+
+  append(piece: Buffer): void {
+    const sizeBytes = this.#sizeBytes + piece.length;
+    if (sizeBytes > this.#bytes.length) {
+      const grown = Buffer.alloc(Math.max(sizeBytes, this.#bytes.length * 2));
+      this.#bytes.copy(grown, 0, 0, this.#sizeBytes);
+      this.#bytes = grown;
+    }
+    piece.copy(this.#bytes, this.#sizeBytes);
+    this.#sizeBytes = sizeBytes;
+  }
+
+  /** Hands over all that is kept, and is empty then. */
+  take(): Buffer {
+    const taken = this.#bytes.subarray(0, this.#sizeBytes);
+    this.#bytes = Buffer.alloc(0);
+    this.#sizeBytes = 0;
+    return taken;
+  }
+}
--- a/packages/core/src/direct/loadExchange.ts
+++ b/packages/core/src/direct/loadExchange.ts
@@ -13,7 +13,7 @@
 import type { Metrics } from '../ports/metrics.js';
 
 import type { DirectUpstream } from './directUpstream.js';
-import type { FleetBoard } from './fleetBoard.js';
+import { LeavingNews, nameLife, type FleetBoard } from './fleetBoard.js';
 import { BreakerNews } from './poolBreaker.js';
 
 const LOG_PART = 'peers';
@@ -53,6 +53,8 @@
   /** Whether upstreams that are not named have none. */
   readonly isFull: boolean;
   readonly recoveredPool?: string;
+  /** Lives of upstreams that have just begun to leave; with full counts all that do are told. */
+  readonly leaving?: readonly string[];
 }
 
 function readCounts(upstreams: readonly DirectUpstream[]): Record<string, number> {
@@ -76,6 +78,11 @@
   constructor(options: LoadExchangeOptions) {
     this.#options = options;
     options.board.onCount((upstream) => this.#noteChange(upstream));
+    options.board.onLeaving((upstream, news) => {
+      if (news !== LeavingNews.Upstream) return;
+      const leaving = [nameLife(upstream.entry)];
+      this.#peers.forEach(({ link }) => this.#send(link, {}, { isFull: false, leaving }));
+    });
     options.board.onRecovery((recoveredPool) => {
       this.#peers.forEach(({ link }) => this.#send(link, {}, { isFull: false, recoveredPool }));
     });
@@ -157,6 +164,7 @@
     Object.entries(message.paces ?? {}).forEach(([id, pace]) => {
       board.findUpstream(id)?.notePace(pace, nowMs);
     });
+    message.leaving?.forEach((life) => board.noteLeavingLife(life, LeavingNews.Peer));
     const { recoveredPool } = message;
     if (recoveredPool) board.readBreaker(recoveredPool).noteService(BreakerNews.Peer);
   }
@@ -194,9 +202,11 @@
   }
 
   #send(link: Link, counts: Record<string, number>, news: CountNews): void {
-    const { name: entry, isStopping, knownPaces } = this.#options.board;
-    const isTold = news.isFull && knownPaces.size > 0;
-    const paces = isTold ? { paces: Object.fromEntries(knownPaces) } : {};
-    link.send({ type: MessageType.UpstreamCounts, entry, counts, isStopping, ...news, ...paces });
+    const { name: entry, isStopping, knownPaces, heardLeavingLives } = this.#options.board;
+    const type = MessageType.UpstreamCounts as const;
+    const paces = knownPaces.size > 0 ? { paces: Object.fromEntries(knownPaces) } : {};
+    const leaving = heardLeavingLives.length > 0 ? { leaving: heardLeavingLives } : {};
+    const rest = news.isFull ? { ...paces, ...leaving } : {};
+    link.send({ type, entry, counts, isStopping, ...rest, ...news });
   }
 }
--- a/packages/core/src/direct/placement.ts
+++ b/packages/core/src/direct/placement.ts
@@ -42,9 +42,20 @@
   readonly openCount: number;
 }
 
+function isStaying(board: FleetBoard, upstream: DirectUpstream): boolean {
+  return !upstream.isLeaving && !board.isClosed(upstream.entry.domain);
+}
+
 function isOpen(board: FleetBoard, upstream: DirectUpstream, nowMs: number): boolean {
-  const { isLeaving, domain } = upstream.entry;
-  return !isLeaving && !board.isClosed(domain) && !upstream.isResting(nowMs);
+  return isStaying(board, upstream) && !upstream.isResting(nowMs);
+}
+
+/** Time until the first upstream takes work again, where all that stay want none for a while. */
+export function readRestMs(board: FleetBoard, pool: string, nowMs: number): number | undefined {
+  const staying = board.listPool(pool).filter((upstream) => isStaying(board, upstream));
+  if (staying.length === 0) return undefined;
+  const restMs = Math.min(...staying.map((upstream) => upstream.readRestMs(nowMs)));
+  return restMs > 0 ? restMs : undefined;
 }
 
 function scoreUpstream(board: FleetBoard, upstream: DirectUpstream, query: PlacementQuery): number {
--- a/packages/core/src/direct/poolActivity.ts
+++ b/packages/core/src/direct/poolActivity.ts
@@ -56,6 +56,11 @@
     this.#longPauseMs = longMs + LONG_WEIGHT * (pauseMs - longMs);
   }
 
+  /** Pauses of about the last second; undefined before the first one. */
+  get usualPauseMs(): number | undefined {
+    return this.#longPauseMs > 0 ? this.#longPauseMs : undefined;
+  }
+
   /** Whether the group's passes have become slower of late. */
   get hasSlowed(): boolean {
     return this.#shortPauseMs > this.#longPauseMs * SLOWED_RATIO;
--- a/packages/core/src/direct/poolDesk.ts
+++ b/packages/core/src/direct/poolDesk.ts
@@ -12,7 +12,7 @@
 
 import type { DirectUpstream } from './directUpstream.js';
 import type { FleetBoard } from './fleetBoard.js';
-import { choosePlacement, type PlacementResult } from './placement.js';
+import { choosePlacement, readRestMs, type PlacementResult } from './placement.js';
 import type { PoolActivity } from './poolActivity.js';
 import type { BreakerNews, PoolBreaker } from './poolBreaker.js';
 import { PoolCapacity } from './poolCapacity.js';
@@ -107,6 +107,11 @@
     return this.#queue.size;
   }
 
+  /** Pauses of the pool's streams of late; undefined where there were none. */
+  get usualPauseMs(): number | undefined {
+    return this.#activity.usualPauseMs;
+  }
+
   /** Whether other requests are being answered, so that a silent upstream stands out. */
   isLive(nowMs: number, withinMs: number): boolean {
     return this.#activity.isLive(nowMs, withinMs);
@@ -126,7 +131,7 @@
       return;
     }
     const expectedMs = this.capacity.expectWaitMs(ahead, nowMs);
-    if (openCount === 0) ticket.onDenied(TurnDenial.NoUpstream);
+    if (openCount === 0) this.#enterClosed(ticket, ahead, nowMs);
     else if (expectedMs > ticket.waitBudgetMs) ticket.onDenied(TurnDenial.Full);
     else this.#wait(ticket, ahead, expectedMs);
   }
@@ -157,7 +162,22 @@
     if (denial === TurnDenial.NoUpstream) return this.#refusals.empty();
     const isStalled = denial === TurnDenial.Stalled || this.#breaker.isOpen;
     if (isStalled) return this.#refusals.stalled(returnLimitMs);
-    return this.#refusals.full(returnLimitMs, this.capacity.turnMs, nowMs);
+    const { turnMs } = this.capacity;
+    const restMs = this.#readRestMs(nowMs);
+    if (restMs === undefined) return this.#refusals.full(returnLimitMs, turnMs, nowMs);
+    return this.#refusals.resting(restMs, returnLimitMs, turnMs, nowMs);
+  }
+
+  #readRestMs(nowMs: number): number | undefined {
+    return readRestMs(this.#options.board, this.#pool.name, nowMs);
+  }
+
+  /** Takes a request while no upstream takes work; it waits where one does again in time. */
+  #enterClosed(ticket: Ticket, ahead: number, nowMs: number): void {
+    const restMs = this.#readRestMs(nowMs);
+    if (restMs === undefined) ticket.onDenied(TurnDenial.NoUpstream);
+    else if (restMs > ticket.waitBudgetMs) ticket.onDenied(TurnDenial.Full);
+    else this.#wait(ticket, ahead, restMs);
   }
 
   /** Notes that a request was sent to an upstream. */
@@ -211,7 +231,9 @@
   #place(excluded: ReadonlySet<string>, nowMs: number, isLate = false): PlacementResult {
     const { board, random } = this.#options;
     const isHeldBack = isLate && this.capacity.isKeptForFirst(nowMs);
-    if (isHeldBack || this.capacity.isReadingFull) return { upstream: undefined, openCount: 1 };
+    if (isHeldBack || this.capacity.isReadingFull) {
+      return { upstream: undefined, openCount: 1 };
+    }
     const result = choosePlacement(board, {
       pool: this.#pool.name,
       excluded,
--- a/packages/core/src/direct/poolRefusals.ts
+++ b/packages/core/src/direct/poolRefusals.ts
@@ -51,6 +51,18 @@
     return refuseNotRun(RefusalReason.PoolStalled, retryAfterMs, detail);
   }
 
+  /**
+   * All upstreams have asked to be left alone for a while.
+   *
+   * @param restMs time until the first of them takes work again
+   */
+  resting(restMs: number, returnLimitMs: number, turnMs: number, nowMs: number): Refusal {
+    const wantedMs = this.#returns.choose(restMs, turnMs, nowMs);
+    const detail = `all upstreams of pool ${this.#pool} want no work for ${Math.round(restMs)} ms`;
+    const retryAfterMs = Math.max(1, Math.min(wantedMs, returnLimitMs));
+    return refuseNotRun(RefusalReason.UpstreamFull, retryAfterMs, detail);
+  }
+
   /** All upstreams are leaving, closed or gone. */
   empty(): Refusal {
     const detail = `no upstream of pool ${this.#pool} takes work`;
--- a/packages/core/src/direct/retryDecision.ts
+++ b/packages/core/src/direct/retryDecision.ts
@@ -54,6 +54,18 @@
     return upstream ? Ok(upstream) : Err(NoRetryReason.NoUpstream);
   }
 
+  /**
+   * Whether another upstream can take the place of one that makes no progress. It is not given up
+   * before: it may be slow and sound.
+   */
+  canReplace(upstream: string, nowMs: number): boolean {
+    const { context, desk, endAtMs, pool, request, route, tally } = this.#options;
+    if (!mayRunAgain(route) || !request.body.isComplete || nowMs >= endAtMs) return false;
+    if (!request.body.isRepeatable || !tally.allowsAnother(route)) return false;
+    if (!context.mayRetry(pool, nowMs)) return false;
+    return desk.choose(new Set([...tally.failed, upstream]), nowMs) !== undefined;
+  }
+
   /** A request that has not run is better told when to come back, if it has not come back yet. */
   get isWorthWaiting(): boolean {
     const { returned, route, tally } = this.#options;
--- a/packages/core/src/direct/upstreamRegistry.ts
+++ b/packages/core/src/direct/upstreamRegistry.ts
@@ -8,25 +8,19 @@
 import { LogLevel, type Log } from '../ports/log.js';
 
 import type { UpstreamEntry } from './directUpstream.js';
-import type { FleetBoard } from './fleetBoard.js';
+import { LeavingNews, nameLife, type FleetBoard } from './fleetBoard.js';
 
 const LOG_PART = 'membership';
 
 /** Time after an outage in which living upstreams enter themselves again, with a little delay. */
 const REENTRY_MS = 2_200;
 
-function nameLife({ id, startedAtUnixMs }: UpstreamEntry): string {
-  return `${id}@${startedAtUnixMs}`;
-}
-
 /** Upstreams of one entry's blackboard. */
 export class UpstreamRegistry {
   readonly #board: FleetBoard;
 
   readonly #log: Log;
 
-  readonly #leavingLives = new Set<string>();
-
   readonly #removals = new Map<string, NodeJS.Timeout>();
 
   #reentryUntilMs = Number.NEGATIVE_INFINITY;
@@ -34,6 +28,9 @@
   constructor(board: FleetBoard, log: Log) {
     this.#board = board;
     this.#log = log;
+    board.onLeaving(({ entry: { id, pool } }, news) => {
+      log.write(LogLevel.Info, LOG_PART, 'An upstream leaves.', { id, pool, news });
+    });
   }
 
   /** Hears that the platform answers again after it was out of reach. */
@@ -57,15 +54,14 @@
     if (known && entry.startedAtUnixMs < known.startedAtUnixMs) return;
     this.#cancelRemoval(entry.id);
     const life = nameLife(entry);
-    if (entry.isLeaving) this.#leavingLives.add(life);
-    const isLeaving = this.#leavingLives.has(life);
-    if (!known || known.isLeaving !== isLeaving || nameLife(known) !== life) {
+    const isLeaving = entry.isLeaving || this.#board.isLeavingLife(life);
+    if (!known || nameLife(known) !== life) {
       const { id, pool, domain, address, coldForMs } = entry;
-      const sentence = isLeaving ? 'An upstream leaves.' : 'An upstream is there.';
-      const fields = { id, pool, domain, address, coldForMs };
-      this.#log.write(LogLevel.Info, LOG_PART, sentence, fields);
+      const fields = { id, pool, domain, address, coldForMs, isLeaving };
+      this.#log.write(LogLevel.Info, LOG_PART, 'An upstream is there.', fields);
     }
     this.#board.putUpstream({ ...entry, isLeaving });
+    if (isLeaving) this.#board.noteLeavingLife(life, LeavingNews.Registry);
   }
 
   /** Takes an entry out; right after an outage only if it stays away. */
--- a/packages/core/src/direct/upstreamTrust.ts
+++ b/packages/core/src/direct/upstreamTrust.ts
@@ -47,9 +47,12 @@
     if (this.#score < CALM_SCORE) this.#blockMs = BLOCK_MIN_MS;
   }
 
-  /** @returns whether the upstream is left out from now on */
-  noteFailure(nowMs: number): boolean {
-    this.#score += 1;
+  /**
+   * @param isGrave whether one such failure is enough to leave the upstream out
+   * @returns whether the upstream is left out from now on
+   */
+  noteFailure(nowMs: number, isGrave = false): boolean {
+    this.#score += isGrave ? BLOCK_SCORE : 1;
     if (this.#score < BLOCK_SCORE || this.isBlocked(nowMs)) return false;
     this.#blockedUntilMs = nowMs + this.#blockMs;
     this.#blockMs = Math.min(BLOCK_MAX_MS, this.#blockMs * BLOCK_GROWTH);
--- a/packages/core/src/messages/message.ts
+++ b/packages/core/src/messages/message.ts
@@ -295,6 +295,8 @@
   paces: z.record(z.string(), z.number().positive()).optional(),
   /** A pool that has taken no work, and does again by what the entry has just seen. */
   recoveredPool: z.string().optional(),
+  /** Lives of upstreams that are about to end, by what the entry has heard. */
+  leaving: z.array(z.string()).readonly().optional(),
 });
 
 const MESSAGE = z.discriminatedUnion('type', [
--- a/packages/core/src/ports/upstreamCaller.ts
+++ b/packages/core/src/ports/upstreamCaller.ts
@@ -50,6 +50,10 @@
   /** Whether it is the upstream's own answer, unaltered on its way. */
   readonly isGenuine: boolean;
   readonly framing: AnswerFraming;
+  /** Whether the upstream is about to end and wants no new work. */
+  readonly isLeaving: boolean;
+  /** Time for which the upstream wants nothing more of this entry; undefined where it says none. */
+  readonly restMs: number | undefined;
   readonly load: UpstreamLoad | undefined;
 }
 
@@ -58,6 +62,8 @@
   NotSent = 'not-sent',
   /** The connection broke, or what came was no whole answer; the request may have run. */
   Lost = 'lost',
+  /** What came had no end; the connection is closed, and the request may have run. */
+  Endless = 'endless',
 }
 
 /** What a call hears, in order; exactly one of `onEnd` and `onFailure` comes last. */
--- a/packages/core/src/retry/retryBudget.ts
+++ b/packages/core/src/retry/retryBudget.ts
@@ -51,13 +51,19 @@
    */
   take(share: number, nowMs: number): boolean {
     const slot = this.#openSlot(nowMs);
-    const requests = this.#slots.reduce((sum, each) => sum + each.requests, 0);
-    const retries = this.#slots.reduce((sum, each) => sum + each.retries, 0);
-    if (retries + 1 > Math.max(this.#readOptions().floor, requests * share)) return false;
+    if (!this.mayTake(share, nowMs)) return false;
     slot.retries += 1;
     return true;
   }
 
+  /** Whether one retry could be taken now. */
+  mayTake(share: number, nowMs: number): boolean {
+    this.#openSlot(nowMs);
+    const requests = this.#slots.reduce((sum, each) => sum + each.requests, 0);
+    const retries = this.#slots.reduce((sum, each) => sum + each.retries, 0);
+    return retries + 1 <= Math.max(this.#readOptions().floor, requests * share);
+  }
+
   #openSlot(nowMs: number): Slot {
     const { windowMs } = this.#readOptions();
     this.#slots = this.#slots.filter((slot) => slot.startedAtMs > nowMs - windowMs);
--- a/packages/core/test/direct/fakeCall.ts
+++ b/packages/core/test/direct/fakeCall.ts
@@ -17,6 +17,8 @@
   isMisdirected: false,
   isGenuine: true,
   framing: AnswerFraming.Told,
+  isLeaving: false,
+  restMs: undefined,
   load: undefined,
 };
 
--- a/packages/daemon/src/direct/httpUpstreamCaller.ts
+++ b/packages/daemon/src/direct/httpUpstreamCaller.ts
@@ -1,5 +1,6 @@
 /** Calls of upstreams over HTTP/1.1, on connections that are kept. */
 import {
+  CallFailureKind,
   UpstreamCaller,
   type CallEvents,
   type CallInProgress,
@@ -16,6 +17,9 @@
 /** The same for requests that may run only once: a reset would leave their outcome unknown. */
 const ONCE_IDLE_LIMIT_MS = 1_000;
 
+/** A call that was never made. */
+const NO_CALL: CallInProgress = { cancel: () => {}, pause: () => {}, resume: () => {} };
+
 /** Calls upstreams over HTTP with connections of its own. */
 export class HttpUpstreamCaller extends UpstreamCaller {
   readonly #codec: WireCodec;
@@ -31,7 +35,14 @@
 
   override call(call: UpstreamCall, events: CallEvents): CallInProgress {
     const agent = call.isFreshNeeded ? this.#onceAgent : this.#agent;
-    return new HttpUpstreamCall(call, this.#codec, agent, events);
+    try {
+      return new HttpUpstreamCall(call, this.#codec, agent, events);
+    } catch (error) {
+      // Node refuses to write some fields that it has read; no byte was sent then.
+      const detail = `the request cannot be written: ${String(error)}`;
+      queueMicrotask(() => events.onFailure(CallFailureKind.NotSent, detail));
+      return NO_CALL;
+    }
   }
 
   /** Closes all connections. */
--- a/packages/daemon/src/direct/wireCodec.ts
+++ b/packages/daemon/src/direct/wireCodec.ts
@@ -23,6 +23,14 @@
   /** Writes the headers of a request to an upstream, without those of its body's framing. */
   abstract writeHeaders(call: UpstreamCall): Readonly<Record<string, string>>;
 
-  /** Reads the head of an upstream's answer. */
-  abstract readHead(response: http.IncomingMessage, call: UpstreamCall): AnswerHead;
+  /**
+   * Reads the head of an upstream's answer.
+   *
+   * @param isReused whether the connection has carried other answers before
+   */
+  abstract readHead(
+    response: http.IncomingMessage,
+    call: UpstreamCall,
+    isReused: boolean,
+  ): AnswerHead;
 }
--- a/packages/objects/src/httpCall.ts
+++ b/packages/objects/src/httpCall.ts
@@ -4,7 +4,7 @@
  * A failed call says whether any byte of it can have left this process: only then may a write have
  * taken effect.
  */
-import { request, type Agent, type IncomingMessage } from 'node:http';
+import { request, type Agent, type IncomingHttpHeaders, type IncomingMessage } from 'node:http';
 
 import { Err, Ok, type Result } from '@radishbay/core/outcome.js';
 
@@ -22,6 +22,7 @@
 
 export interface HttpAnswer {
   readonly status: number;
+  readonly headers: IncomingHttpHeaders;
   readonly text: string;
 }
 
@@ -49,7 +50,7 @@
   response.on('end', () => {
     if (!response.complete) return;
     const text = Buffer.concat(chunks).toString('utf8');
-    onWhole({ status: response.statusCode ?? 0, text });
+    onWhole({ status: response.statusCode ?? 0, headers: response.headers, text });
   });
   response.on('error', onBroken);
   response.on('close', () => {
