--- a/packages/core/src/direct/experts/steppedSwitch.ts
+++ b/packages/core/src/direct/experts/steppedSwitch.ts
@@ -258,6 +258,8 @@
       // eslint-disable-next-line no-await-in-loop -- one try after the other
       const outcome = await caller.order(rank.upstream.entry, full);
       this.#orders += 1;
+      // Maps to many ranks take their turns: each answer shows that this process goes on.
+      this.#noteStep();
       if (outcome !== OrderOutcome.Done) this.#options.onDoubt?.(rank, full, outcome);
       if (outcome !== OrderOutcome.Lost) return { outcome, tries };
       this.#losses += 1;
