Limit engines by a model of their passes where they tell what work costs

Cause: on the further fleet a writing request adds 2.6 times as much to a step as on the first ones. The limit stood at all places until pauses were over target, then felt its way down by steps of half a second, to half of the places at least, and every stream of that time was late. Change: PassModel works out a pass from the engine's step, writers, context and prompts; PassLimit learns from the pauses how much longer passes take, lowers the limit at once, raises it over seconds, and bounds the prompts that are read at a time. The limit holds on average over the engines. Where even one writing request makes passes too long, all places are used. Engines that tell no costs are limited by pauses as before.

--- a/packages/core/src/direct/latencyLimit.ts
+++ b/packages/core/src/direct/latencyLimit.ts
@@ -6,6 +6,11 @@
  * their target, and rises, while it binds, some time after they are below.
  */
 
+import { EngineLimit, type StreamPause } from './engineLimit.js';
+
+/** Prompts that one engine reads at a time, from all entries. */
+const PROMPTS_READING = 3;
+
 /** Interval between two judgements; some events of every stream fall into it. */
 const JUDGE_MS = 500;
 
@@ -37,7 +42,7 @@
 const FLOOR_PART = 0.5;
 
 /** Limit of one pool, for each of its engines. */
-export class LatencyLimit {
+export class LatencyLimit extends EngineLimit {
   readonly #slots: number;
 
   #value: number;
@@ -58,23 +63,29 @@
    * @param onChange hears the ratio of pauses to their target for which the limit has changed
    */
   constructor(slots: number, onChange: (ratio: number) => void = () => {}) {
+    super();
     this.#onChange = onChange;
     this.#slots = slots;
     this.#value = slots;
   }
 
-  /** Requests in flight at one engine, from all entries. */
-  get value(): number {
+  override get value(): number {
     return this.#value;
   }
 
-  /** Notes that a request had to wait for the limit. */
-  noteBinding(): void {
+  override get isAverage(): boolean {
+    return false;
+  }
+
+  override get promptsReading(): number {
+    return PROMPTS_READING;
+  }
+
+  override noteBinding(): void {
     this.#isBinding = true;
   }
 
-  /** Takes in a pause between two events of a stream. */
-  notePause(pauseMs: number, targetMs: number, nowMs: number): void {
+  override notePause({ pauseMs, targetMs }: StreamPause, nowMs: number): void {
     this.#ratios.push(pauseMs / targetMs);
     if (nowMs - this.#judgedAtMs >= JUDGE_MS) this.#judge(nowMs);
   }
--- a/packages/core/src/direct/poolCapacity.ts
+++ b/packages/core/src/direct/poolCapacity.ts
@@ -1,9 +1,14 @@
 /** How much work the upstreams of one pool can take, and how long it takes, as an entry sees it. */
+import { isDeepStrictEqual } from 'node:util';
+
 import { ServiceTimes } from '../limits/serviceTimes.js';
 
 import type { DirectUpstream } from './directUpstream.js';
 import type { FleetBoard } from './fleetBoard.js';
+import type { EngineLimit } from './engineLimit.js';
 import { LatencyLimit } from './latencyLimit.js';
+import { PassLimit } from './passLimit.js';
+import { PassModel } from './passModel.js';
 import type { DirectPool } from './routeTable.js';
 
 /** Weight of the newest sample in the smoothed time to the first of an answer. */
@@ -15,9 +20,6 @@
 /** Assumed time between two ends of requests before a whole answer was seen. */
 const TURN_MS = 100;
 
-/** Prompts that one engine reads at a time, from all entries. */
-const READING_PER_ENGINE = 3;
-
 /** Prompts of one entry that are read at a time at least. */
 const READING_MIN = 2;
 
@@ -38,7 +40,7 @@
 
   #pool: DirectPool;
 
-  #limit: LatencyLimit | undefined;
+  #limit: EngineLimit | undefined;
 
   readonly #times = new ServiceTimes();
 
@@ -52,21 +54,23 @@
 
   /** Takes in what a newer configuration says of the pool. */
   update(pool: DirectPool): void {
-    const isSame = pool.engine?.slots === this.#pool.engine?.slots;
+    const isSame = isDeepStrictEqual(pool.engine, this.#pool.engine);
     this.#pool = pool;
     if (!isSame) this.#limit = this.#createLimit();
   }
 
-  #createLimit(): LatencyLimit | undefined {
+  /** Engines that do not tell their costs are limited by the pauses alone. */
+  #createLimit(): EngineLimit | undefined {
     const { engine } = this.#pool;
-    return engine && new LatencyLimit(engine.slots, this.#options.onLimit);
+    if (!engine?.costs) return engine && new LatencyLimit(engine.slots, this.#options.onLimit);
+    return new PassLimit(new PassModel(engine.costs), engine.slots, this.#options.onLimit);
   }
 
   get #upstreams(): readonly DirectUpstream[] {
     return this.#options.board.listPool(this.#pool.name);
   }
 
-  /** Requests in flight that one upstream may have. */
+  /** Requests in flight that one upstream may have, on average. */
   get limitPerUpstream(): number {
     return this.#limit?.value ?? this.#plainLimit;
   }
@@ -94,7 +98,8 @@
 
   /** Prompts of this entry that are read at a time. */
   get #readingShare(): number {
-    const share = (this.#upstreams.length * READING_PER_ENGINE) / this.#options.board.entryCount;
+    const perEngine = this.#limit?.promptsReading ?? 0;
+    const share = (this.#upstreams.length * perEngine) / this.#options.board.entryCount;
     return Math.max(READING_MIN, Math.ceil(share));
   }
 
@@ -113,9 +118,18 @@
 
   /** Places that no entry uses. */
   #countFree(nowMs: number): number {
+    return this.#placeCount - this.#countLoad(nowMs);
+  }
+
+  /** Requests in flight from all entries. */
+  #countLoad(nowMs: number): number {
     const { board } = this.#options;
-    const load = this.#upstreams.reduce((sum, each) => sum + board.countLoad(each, nowMs), 0);
-    return this.#placeCount - load;
+    return this.#upstreams.reduce((sum, each) => sum + board.countLoad(each, nowMs), 0);
+  }
+
+  /** Whether engines have as many requests in all as keep their passes in time. */
+  isFull(nowMs: number): boolean {
+    return this.#limit?.isAverage === true && this.#countFree(nowMs) < 1;
   }
 
   /** Smoothed time from sending a request to the first of its answer. */
@@ -162,7 +176,9 @@
 
   /** Notes a pause between two events of a stream. */
   notePause(pauseMs: number, targetMs: number, nowMs: number): void {
-    this.#limit?.notePause(pauseMs, targetMs, nowMs);
+    if (!this.#limit) return;
+    const writers = this.#countLoad(nowMs) / Math.max(1, this.#upstreams.length);
+    this.#limit.notePause({ pauseMs, targetMs, writers }, nowMs);
   }
 
   /** Notes for how long a request of a route held its place until its answer was whole. */
--- a/packages/core/src/direct/poolDesk.ts
+++ b/packages/core/src/direct/poolDesk.ts
@@ -84,10 +84,11 @@
     this.capacity.update(pool);
   }
 
+  /** @param ratio of pauses to their target, or to what the model says of them */
   #writeLimit(ratio: number): void {
     this.#write(LogLevel.Info, 'The limit has changed.', {
       limit: Math.round(this.capacity.limitPerUpstream * 10) / 10,
-      pausesToTarget: Math.round(ratio * 100) / 100,
+      pausesRatio: Math.round(ratio * 100) / 100,
     });
   }
 
@@ -231,13 +232,13 @@
   #place(excluded: ReadonlySet<string>, nowMs: number, isLate = false): PlacementResult {
     const { board, random } = this.#options;
     const isHeldBack = isLate && this.capacity.isKeptForFirst(nowMs);
-    if (isHeldBack || this.capacity.isReadingFull) {
+    if (isHeldBack || this.capacity.isReadingFull || this.capacity.isFull(nowMs)) {
       return { upstream: undefined, openCount: 1 };
     }
     const result = choosePlacement(board, {
       pool: this.#pool.name,
       excluded,
-      limit: this.capacity.limitPerUpstream,
+      limit: Math.ceil(this.capacity.limitPerUpstream),
       startsPerS: this.capacity.startsPerS,
       nowMs,
       draw: () => random.next(),
--- a/packages/core/src/direct/routeTable.ts
+++ b/packages/core/src/direct/routeTable.ts
@@ -3,6 +3,8 @@
  * them. Immutable: a newer configuration is a new table.
  */
 
+import type { EngineCosts } from './passModel.js';
+
 /** What may be repeated of a route's requests. */
 export enum RouteKind {
   /** May run any number of times. */
@@ -65,6 +67,8 @@
 export interface EngineProfile {
   /** Requests that are worked on at the same time. */
   readonly slots: number;
+  /** What its work costs; undefined where the configuration does not tell. */
+  readonly costs?: EngineCosts;
   /** Set where the pool's engines are ranks of expert-parallel groups. */
   readonly group: GroupProfile | undefined;
 }
--- a/packages/core/test/direct/directFixture.ts
+++ b/packages/core/test/direct/directFixture.ts
@@ -9,6 +9,7 @@
   type Route,
   type RouteTableContent,
 } from '../../src/direct/routeTable.js';
+import type { EngineCosts } from '../../src/direct/passModel.js';
 import { UpstreamRegistry } from '../../src/direct/upstreamRegistry.js';
 import { CountingMetrics } from '../../src/ports/countingMetrics.js';
 import { Random } from '../../src/ports/random.js';
@@ -96,7 +97,8 @@
 
   #lastId = 0;
 
-  constructor(seed = 1) {
+  /** @param costs what the engines of the models tell of their work */
+  constructor(seed = 1, costs?: EngineCosts) {
     this.controller = new DirectController({
       board: this.board,
       upstreams: this.upstreams,
@@ -105,7 +107,10 @@
       metrics: this.metrics,
     });
     this.board.entryCount = 1;
-    this.board.replaceTable(new RouteTable(CONTENT));
+    const pools = CONTENT.pools.map((pool) =>
+      pool.engine && costs ? { ...pool, engine: { ...pool.engine, costs } } : pool,
+    );
+    this.board.replaceTable(new RouteTable({ ...CONTENT, pools }));
   }
 
   get calls(): readonly FakeCall[] {
--- a/packages/core/test/direct/groupModel.ts
+++ b/packages/core/test/direct/groupModel.ts
@@ -5,15 +5,30 @@
  * and 0.53 ms for each request that writes, 61 prompt tokens read in a millisecond, and the part of
  * the work that hangs on the most loaded rank's experts.
  */
+import type { EngineCosts } from '../../src/direct/passModel.js';
 import { NOT_RUN_HEAD, type FakeCall } from './fakeCall.js';
 
-const STEPS_PER_PASS = 5;
-
-const STEP_MS = 5.85;
-
-const STEP_PER_REQUEST_MS = 0.53;
-
-const TOKENS_READ_PER_MS = 61.2;
+/** Costs of the engines of the users' first fleets. */
+export const FIRST_COSTS: EngineCosts = {
+  stepMs: 5.85,
+  writerMs: 0.53,
+  contextMsPerK: 0,
+  readTokensPerMs: 61.2,
+  stepsPerPass: 5,
+  promptTokens: 835,
+  answerTokens: 140,
+};
+
+/** Costs of the engines of a later one: a writing request costs two and a half times as much. */
+export const FURTHER_COSTS: EngineCosts = {
+  stepMs: 4.55,
+  writerMs: 1.36,
+  contextMsPerK: 0.027,
+  readTokensPerMs: 61.4,
+  stepsPerPass: 4,
+  promptTokens: 835,
+  answerTokens: 97,
+};
 
 /** Part of the work that the experts do. */
 const EXPERT_PART = 0.85;
@@ -51,9 +66,12 @@
   /** Load of the most loaded rank's experts against the mean. */
   skew: number;
 
+  readonly #costs: EngineCosts;
+
   #isBroken = false;
 
-  constructor(size: number, slots: number, skew: number) {
+  constructor(size: number, slots: number, skew: number, costs = FIRST_COSTS) {
+    this.#costs = costs;
     this.#size = size;
     this.#slots = slots;
     this.skew = skew;
@@ -97,12 +115,11 @@
     const reading = ranks.map((streams) =>
       streams.reduce((sum, each) => sum + each.promptTokens, 0),
     );
-    const ownMs =
-      STEPS_PER_PASS * (STEP_MS + STEP_PER_REQUEST_MS * fullest) +
-      Math.max(0, ...reading) / TOKENS_READ_PER_MS;
+    const { stepMs, writerMs, stepsPerPass, readTokensPerMs } = this.#costs;
+    const writeMs = stepsPerPass * (stepMs + writerMs * fullest);
+    const ownMs = writeMs + Math.max(0, ...reading) / readTokensPerMs;
     const meanReading = reading.reduce((sum, tokens) => sum + tokens, 0) / this.#size;
-    const expertMs =
-      STEPS_PER_PASS * (STEP_MS + STEP_PER_REQUEST_MS * fullest) + meanReading / TOKENS_READ_PER_MS;
+    const expertMs = writeMs + meanReading / readTokensPerMs;
     return (1 - EXPERT_PART) * ownMs + EXPERT_PART * this.skew * expertMs;
   }
 
--- a/packages/core/test/direct/loadRun.ts
+++ b/packages/core/test/direct/loadRun.ts
@@ -12,7 +12,7 @@
 
 import { DEADLINE_MS, DirectFixture, type TestClock } from './directFixture.js';
 import type { FakeCall } from './fakeCall.js';
-import { GroupModel } from './groupModel.js';
+import { FIRST_COSTS, GroupModel } from './groupModel.js';
 
 export const RANKS = 12;
 export const SLOTS = 8;
@@ -65,9 +65,9 @@
 export class LoadRun {
   readonly arrivals: Arrival[] = [];
 
-  readonly entry = new DirectFixture(3);
+  readonly entry: DirectFixture;
 
-  readonly group = new GroupModel(RANKS, SLOTS, FITTING_SKEW);
+  readonly group: GroupModel;
 
   readonly #clock: TestClock;
 
@@ -86,8 +86,14 @@
 
   #passEndMs = 0;
 
-  constructor(clock: TestClock) {
+  /**
+   * @param costs of the engines
+   * @param isTold whether the configuration tells them
+   */
+  constructor(clock: TestClock, costs = FIRST_COSTS, isTold = false) {
     this.#clock = clock;
+    this.entry = new DirectFixture(3, isTold ? costs : undefined);
+    this.group = new GroupModel(RANKS, SLOTS, FITTING_SKEW, costs);
     this.entry.addUpstreams('models', RANKS, SLOTS);
   }
 
--- /dev/null
+++ b/packages/core/test/direct/passLimit.test.ts
@@ -0,0 +1,77 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { PassLimit } from '../../src/direct/passLimit.js';
+import { PassModel } from '../../src/direct/passModel.js';
+
+import { FURTHER_COSTS } from './groupModel.js';
+
+const SLOTS = 8;
+
+const TARGET_MS = 120;
+
+/** Prompt tokens that each engine reads in a pass. */
+const READ_TOKENS = 330;
+
+const model = new PassModel(FURTHER_COSTS);
+
+/** Tells a limit of some passes, each of which gives events to many streams. */
+function notePasses(limit: PassLimit, slowdown: number, passes: number, startMs: number): number {
+  const writers = 4;
+  const passMs = slowdown * model.predictMs(writers, READ_TOKENS);
+  for (let pass = 1; pass <= passes; pass += 1) {
+    for (let stream = 0; stream < 20; stream += 1) {
+      const pause = { pauseMs: passMs, targetMs: TARGET_MS, writers };
+      limit.notePause(pause, startMs + pass * passMs);
+    }
+  }
+  return startMs + passes * passMs;
+}
+
+test('a pass is as long as its steps, its writing requests and its prompts', () => {
+  const emptyMs = model.predictMs(0, 0);
+  assert.is(emptyMs, 4 * 4.55);
+  assert.ok(Math.abs(model.predictMs(0, 614) - emptyMs - 10) < 0.001);
+  const writers = model.solveWriters(model.predictMs(5, 300), 300);
+  assert.ok(Math.abs(writers - 5) < 0.001);
+});
+
+test('a limit allows all places before any pause was seen', () => {
+  assert.is(new PassLimit(model, SLOTS).value, SLOTS);
+});
+
+test('one look at slower passes is enough to find the limit that keeps them in time', () => {
+  const limit = new PassLimit(model, SLOTS);
+  const nowMs = notePasses(limit, 1.3, 20, 0);
+  assert.is(limit.value, SLOTS);
+  notePasses(limit, 2.2, 8, nowMs);
+  assert.ok(limit.value < SLOTS);
+  const passMs = 2.2 * model.predictMs(limit.value, READ_TOKENS);
+  assert.ok(passMs <= TARGET_MS * 1.02, `passes of ${passMs} ms`);
+});
+
+test('a limit rises slowly: demand that has shifted once will shift again', () => {
+  const limit = new PassLimit(model, SLOTS);
+  let nowMs = notePasses(limit, 2.2, 20, 0);
+  const low = limit.value;
+  nowMs = notePasses(limit, 1.2, 10, nowMs);
+  assert.ok(limit.value < low + 1, 'not within half a second');
+  notePasses(limit, 1.2, 400, nowMs);
+  assert.is(limit.value, SLOTS);
+});
+
+test('where even one request makes passes too long, late answers are better than none', () => {
+  const limit = new PassLimit(model, SLOTS);
+  notePasses(limit, 6, 20, 0);
+  assert.is(limit.value, SLOTS);
+});
+
+test('fewer prompts are read at a time while passes are slow', () => {
+  const fitting = new PassLimit(model, SLOTS);
+  notePasses(fitting, 1.2, 20, 0);
+  const slow = new PassLimit(model, SLOTS);
+  notePasses(slow, 2.4, 20, 0);
+  assert.ok(slow.promptsReading < fitting.promptsReading * 0.7);
+});
+
+test.run();
--- a/packages/core/test/direct/worstLoad.test.ts
+++ b/packages/core/test/direct/worstLoad.test.ts
@@ -4,7 +4,8 @@
 
 import { Outcome, RefusalReason } from '../../src/model/reason.js';
 
-import { withClock } from './directFixture.js';
+import { withClock, type TestClock } from './directFixture.js';
+import { FURTHER_COSTS } from './groupModel.js';
 import { LoadRun, MEAN_EVENTS, RANKS, SLOTS } from './loadRun.js';
 
 /** Load of the most loaded rank with experts placed in turn. */
@@ -62,4 +63,50 @@
     assert.ok(run.readOnTime(startMs, startMs + 9_000) < 0.9, 'the load is too much for it');
   }));
 
+/** Skews of the map in force, one after the other, as demand shifts and maps follow. */
+const SHIFTS: readonly number[] = [1.3, 2.4, 1.3, 2.4];
+
+/** A map that does not fit, all the while. */
+const MISFIT: readonly number[] = [2.2];
+
+/** Time between two shifts. */
+const SHIFT_MS = 3_500;
+
+/** Part of a load that is on time where the engines tell their costs, or do not. */
+async function replayShifts(
+  clock: TestClock,
+  perS: number,
+  skews: readonly number[],
+  isTold: boolean,
+): Promise<number> {
+  const run = new LoadRun(clock, FURTHER_COSTS, isTold);
+  const startMs = performance.now();
+  for (let shift = 0; shift < SHIFTS.length; shift += 1) {
+    run.group.skew = skews[shift % skews.length] ?? 1;
+    // eslint-disable-next-line no-await-in-loop -- one shift after the other
+    await run.run(perS, SHIFT_MS);
+  }
+  const endMs = performance.now();
+  await run.run(1, 6_000);
+  return run.readOnTime(startMs, endMs);
+}
+
+[
+  { what: 'a load of two thirds with a map that never fits', perS: 28, skews: MISFIT },
+  { what: 'a load of two thirds whose demand shifts', perS: 28, skews: SHIFTS },
+  { what: 'a full load with a map that never fits', perS: 38, skews: MISFIT },
+].forEach(({ what, perS, skews }) => {
+  test(`${what} is more often on time by a model of passes than by pauses alone`, async () => {
+    const shares: number[] = [];
+    await withClock(async (clock) => {
+      shares.push(await replayShifts(clock, perS, skews, false));
+    });
+    await withClock(async (clock) => {
+      shares.push(await replayShifts(clock, perS, skews, true));
+    });
+    const [byPauses = 0, byModel = 0] = shares;
+    assert.ok(byModel > byPauses + 0.05, `${byPauses} by pauses, ${byModel} by the model`);
+  });
+});
+
 test.run();
