Tell what goes with full counts only where it is told; test that entries pass leaving on

Change: it is worked out for full counts, twice a second, and only where there is such a life. Two tests of the exchange.

--- a/packages/core/src/direct/fleetBoard.ts
+++ b/packages/core/src/direct/fleetBoard.ts
@@ -121,6 +121,7 @@
 
   /** Lives that have told this entry that they are about to end, among those that there are. */
   get heardLeavingLives(): readonly string[] {
+    if (this.#heardLeavingLives.size === 0) return [];
     const lives = this.upstreams.map(({ entry }) => nameLife(entry));
     return lives.filter((life) => this.#heardLeavingLives.has(life));
   }
--- a/packages/core/src/direct/loadExchange.ts
+++ b/packages/core/src/direct/loadExchange.ts
@@ -202,11 +202,18 @@
   }
 
   #send(link: Link, counts: Record<string, number>, news: CountNews): void {
-    const { name: entry, isStopping, knownPaces, heardLeavingLives } = this.#options.board;
+    const { name: entry, isStopping } = this.#options.board;
     const type = MessageType.UpstreamCounts as const;
-    const paces = knownPaces.size > 0 ? { paces: Object.fromEntries(knownPaces) } : {};
-    const leaving = heardLeavingLives.length > 0 ? { leaving: heardLeavingLives } : {};
-    const rest = news.isFull ? { ...paces, ...leaving } : {};
+    const rest = news.isFull ? this.#readRest() : {};
     link.send({ type, entry, counts, isStopping, ...rest, ...news });
   }
+
+  /** What goes with full counts alone. */
+  #readRest() {
+    const { knownPaces, heardLeavingLives } = this.#options.board;
+    return {
+      ...(knownPaces.size > 0 && { paces: Object.fromEntries(knownPaces) }),
+      ...(heardLeavingLives.length > 0 && { leaving: heardLeavingLives }),
+    };
+  }
 }
--- a/packages/core/test/direct/loadExchange.test.ts
+++ b/packages/core/test/direct/loadExchange.test.ts
@@ -3,7 +3,7 @@
 
 import { CountingMetrics } from '../../src/ports/countingMetrics.js';
 import { LoadExchange } from '../../src/direct/loadExchange.js';
-import { FleetBoard } from '../../src/direct/fleetBoard.js';
+import { FleetBoard, LeavingNews } from '../../src/direct/fleetBoard.js';
 import { UpstreamRegistry } from '../../src/direct/upstreamRegistry.js';
 import type { Message } from '../../src/messages/message.js';
 import { Link, type LinkHandlers } from '../../src/ports/link.js';
@@ -179,4 +179,35 @@
     entries.forEach(({ exchange }) => exchange.stop());
   }));
 
+/** Lets an upstream tell one entry that it is about to end. */
+function hearLeaving({ board }: Entry): void {
+  const upstream = board.findUpstream('m-1');
+  if (upstream) board.noteLeaving(upstream, LeavingNews.Upstream);
+}
+
+test('all entries soon know of an upstream that has told one of them that it leaves', () =>
+  withClock(async (clock) => {
+    const entries = createEntries(['a', 'b', 'c'], []);
+    await clock.tickAsync(100);
+    entries.slice(1, 2).forEach(hearLeaving);
+    await clock.tickAsync(10);
+    assert.ok(entries.every(({ board }) => board.findUpstream('m-1')?.isLeaving));
+    entries.forEach(({ exchange }) => exchange.stop());
+  }));
+
+test('an entry whose link was silent at that time learns of it with the next full counts', () =>
+  withClock(async (clock) => {
+    const links: PairedLink[] = [];
+    const entries = createEntries(['a', 'b'], links);
+    await clock.tickAsync(100);
+    links.forEach((link) => Object.assign(link, { isSilent: true }));
+    entries.slice(0, 1).forEach(hearLeaving);
+    await clock.tickAsync(50);
+    assert.not(entries[1]?.board.findUpstream('m-1')?.isLeaving);
+    links.forEach((link) => Object.assign(link, { isSilent: false }));
+    await clock.tickAsync(600);
+    assert.ok(entries[1]?.board.findUpstream('m-1')?.isLeaving);
+    entries.forEach(({ exchange }) => exchange.stop());
+  }));
+
 test.run();
