Name the prompt parts of failed and abandoned attempts in the log

"Attempt failed." and "Caller disconnected." now have the ids of the prompt's shared parts, and whether the answer had begun and had output.

--- a/packages/core/src/direct/directAttempt.ts
+++ b/packages/core/src/direct/directAttempt.ts
@@ -95,6 +95,8 @@
 
   #progressAtMs = this.#sentAtMs;
 
+  #hasHead = false;
+
   #hasOutput = false;
 
   #isPaused = false;
@@ -111,6 +113,16 @@
     return performance.now() - this.#sentAtMs;
   }
 
+  /** Whether the upstream has begun to respond. */
+  get hasHead(): boolean {
+    return this.#hasHead;
+  }
+
+  /** Whether any part of the response body has arrived. */
+  get hasOutput(): boolean {
+    return this.#hasOutput;
+  }
+
   start(): void {
     const { upstreams } = this.#options.context;
     this.#options.context.board.addInFlight(this.upstream, 1);
@@ -160,6 +172,7 @@
     if (this.#isOver) return;
     const nowMs = performance.now();
     this.#progressAtMs = nowMs;
+    this.#hasHead = true;
     this.#applyUpstreamState(head, nowMs);
     if (!head.isForThisRequest) {
       this.#fail(
--- a/packages/core/src/direct/directRequest.ts
+++ b/packages/core/src/direct/directRequest.ts
@@ -394,7 +394,7 @@
   #handleCallerGone(): void {
     if (this.#isOver) return;
     this.#attempt?.cancel();
-    this.#telemetry.noteCallerGone(this.#attempt?.upstream.id);
+    this.#telemetry.noteCallerGone(this.#attempt);
     this.#finish();
   }
 
--- a/packages/core/src/direct/requestTelemetry.ts
+++ b/packages/core/src/direct/requestTelemetry.ts
@@ -64,13 +64,11 @@
   }
 
   noteFailed(failed: DirectAttempt, { reason, detail, isNotRun }: AttemptFailure): void {
-    const attemptMs = Math.round(failed.ageMs);
     this.#write(LogLevel.Info, 'Attempt failed.', {
-      upstream: failed.upstream.id,
+      ...this.#describeAttempt(failed),
       reason,
       detail,
       isNotRun,
-      attemptMs,
     });
   }
 
@@ -109,9 +107,10 @@
     });
   }
 
-  noteCallerGone(upstream: string | undefined): void {
+  /** @param attempt the attempt that was in progress, if any */
+  noteCallerGone(attempt: DirectAttempt | undefined): void {
     this.#options.context.metrics.count('request.refused', { reason: RefusalReason.CallerGone });
-    this.#write(LogLevel.Info, 'Caller disconnected.', { upstream });
+    this.#write(LogLevel.Info, 'Caller disconnected.', this.#describeAttempt(attempt));
   }
 
   /** Records the times of a request that has ended. */
@@ -122,6 +121,17 @@
     if (firstMs !== undefined) context.metrics.timing('request.first', firstMs);
   }
 
+  #describeAttempt(attempt: DirectAttempt | undefined): LogFields {
+    if (!attempt) return {};
+    return {
+      upstream: attempt.upstream.id,
+      attemptMs: Math.round(attempt.ageMs),
+      hasHead: attempt.hasHead,
+      hasOutput: attempt.hasOutput,
+      promptParts: this.#options.request.sharedPromptParts.join(','),
+    };
+  }
+
   #write(level: LogLevel, sentence: string, fields: LogFields): void {
     const { context, request, returnAssessment, route, times, history, admission } = this.#options;
     context.log.write(level, LOG_PART, sentence, {
--- a/packages/core/src/ports/upstreamCaller.ts
+++ b/packages/core/src/ports/upstreamCaller.ts
@@ -16,6 +16,11 @@
   /** End-to-end headers, without those that the entry sets itself. */
   readonly headers: HeaderMap;
   readonly body: RequestBody;
+  /**
+   * Ids of the parts of the prompt that other requests can have in common with this one, in order;
+   * empty where the caller names none.
+   */
+  readonly sharedPromptParts: readonly string[];
   /** Caller's deadline, from arrival; undefined if the caller gave none. */
   readonly deadlineMs: number | undefined;
   /** Secret key of the workspace; never logged. */
--- a/packages/core/test/direct/directFixture.ts
+++ b/packages/core/test/direct/directFixture.ts
@@ -151,6 +151,7 @@
         host: 'choir.example',
         headers: {},
         body: new InMemoryBody(Buffer.from('{}')),
+        sharedPromptParts: [],
         deadlineMs: DEADLINE_MS,
         workspaceKey: 'parish-key',
         arrivedAtMs: performance.now(),
