--- a/packages/core/test/direct/directFixture.ts
+++ b/packages/core/test/direct/directFixture.ts
@@ -85,20 +85,25 @@
 
 /** One entry with its fake upstreams. */
 export class DirectFixture {
-  readonly board = new FleetBoard('entry-1', 'zone-a', BOUNDS);
+  readonly board: FleetBoard;
 
   readonly metrics = new CountingMetrics();
 
   readonly upstreams = new FakeUpstreams();
 
-  readonly registry = new UpstreamRegistry(this.board, new SilentLog());
+  readonly registry: UpstreamRegistry;
 
   readonly controller: DirectController;
 
   #lastId = 0;
 
-  /** @param costs configured costs of the engines of pool `models` */
-  constructor(seed = 1, costs?: EngineCosts) {
+  /**
+   * @param costs configured costs of the engines of pool `models`
+   * @param name name of the entry
+   */
+  constructor(seed = 1, costs?: EngineCosts, name = 'entry-1') {
+    this.board = new FleetBoard(name, 'zone-a', BOUNDS);
+    this.registry = new UpstreamRegistry(this.board, new SilentLog());
     this.controller = new DirectController({
       board: this.board,
       upstreams: this.upstreams,
--- a/packages/core/test/direct/loadExchange.test.ts
+++ b/packages/core/test/direct/loadExchange.test.ts
@@ -5,53 +5,12 @@
 import { LoadExchange } from '../../src/direct/loadExchange.js';
 import { FleetBoard, LeavingSource } from '../../src/direct/fleetBoard.js';
 import { UpstreamRegistry } from '../../src/direct/upstreamRegistry.js';
-import type { Message } from '../../src/messages/message.js';
-import { Link, type LinkHandlers } from '../../src/ports/link.js';
-import { LinkDialer } from '../../src/ports/linkDialer.js';
 import { SilentLog } from '../../src/ports/silentLog.js';
 
 import { withClock } from './directFixture.js';
+import { createPairedDialer, type PairedLink } from './pairedLinks.js';
 import { BOUNDS } from './sampleBounds.js';
 
-/** One end of an in-memory link that delivers messages after 1 ms. */
-class PairedLink extends Link {
-  other: PairedLink | undefined;
-
-  isSilent = false;
-
-  #handlers: LinkHandlers | undefined;
-
-  #isClosed = false;
-
-  override get isOpen(): boolean {
-    return !this.#isClosed;
-  }
-
-  override get bufferedBytes(): number {
-    return 0;
-  }
-
-  override send(message: Message): void {
-    if (this.#isClosed || this.isSilent) return;
-    setTimeout(() => this.other?.deliver(message), 1);
-  }
-
-  override close(detail: string): void {
-    if (this.#isClosed) return;
-    this.#isClosed = true;
-    this.#handlers?.onClose(detail);
-    this.other?.close(detail);
-  }
-
-  override listen(handlers: LinkHandlers): void {
-    this.#handlers = handlers;
-  }
-
-  deliver(message: Message): void {
-    if (!this.#isClosed) this.#handlers?.onMessage(message);
-  }
-}
-
 interface Entry {
   readonly board: FleetBoard;
   readonly exchange: LoadExchange;
@@ -59,16 +18,7 @@
 
 function createEntries(names: readonly string[], links: PairedLink[]): readonly Entry[] {
   const entries = new Map<string, Entry>();
-  const dialer = Object.assign(Object.create(LinkDialer.prototype) as LinkDialer, {
-    dial: (address: string): Link => {
-      const [one, other] = [new PairedLink(), new PairedLink()];
-      one.other = other;
-      other.other = one;
-      links.push(one, other);
-      setTimeout(() => entries.get(address)?.exchange.attach(other), 0);
-      return one;
-    },
-  });
+  const dialer = createPairedDialer((name) => entries.get(name)?.exchange, links);
   names.forEach((name) => {
     const board = new FleetBoard(name, 'zone-a', BOUNDS);
     board.entryCount = names.length;
