Hold back prompt parts that crash upstreams

Cause: no entry connected a crash with the requests that the upstream was about to answer, so each request with the part was placed like any other as soon as the group was open. Class: a failure caused by the work itself was attributed to the place where it ran, and the work was sent on to the next place. Why this works: a broken connection whose upstream refuses new ones is a crash; the parts of the requests without output there are its possible causes. Parts that were served since are cleared, which leaves more of the crash to the others. Entries tell each other, so one crash is enough for all. A part that is the probable cause is refused at once, truly not run; the time for which it is held, and one trial after that, bound what a wrong attribution costs.

--- a/packages/core/src/direct/directAttempt.ts
+++ b/packages/core/src/direct/directAttempt.ts
@@ -39,6 +39,8 @@
 export interface AttemptFailure {
   /** Whether it is proved that the request did not run at this upstream and never will. */
   readonly isNotRun: boolean;
+  /** Whether the connection broke, as it does when the upstream crashes. */
+  readonly isConnectionLost: boolean;
   readonly reason: RefusalReason;
   readonly retryReason: RetryReason;
   readonly detail: string;
@@ -72,13 +74,15 @@
 
 const DECLINED_BY_UPSTREAM: AttemptFailure = {
   isNotRun: true,
+  isConnectionLost: false,
   reason: RefusalReason.UpstreamFull,
   retryReason: RetryReason.UpstreamRefused,
   detail: 'the upstream declined the request',
 };
 
 function createLostFailure(reason: RefusalReason, detail: string): AttemptFailure {
-  return { isNotRun: false, reason, retryReason: RetryReason.UpstreamFailed, detail };
+  const retryReason = RetryReason.UpstreamFailed;
+  return { isNotRun: false, isConnectionLost: false, reason, retryReason, detail };
 }
 
 /** An attempt in progress. */
@@ -244,11 +248,13 @@
     }
     this.#options.admission.noteFailure();
     if (kind === CallFailureKind.Lost) {
-      this.#fail(createLostFailure(RefusalReason.UpstreamFailed, detail));
+      const failure = createLostFailure(RefusalReason.UpstreamFailed, detail);
+      this.#fail({ ...failure, isConnectionLost: true });
       return;
     }
     this.#fail({
       isNotRun: true,
+      isConnectionLost: false,
       reason: RefusalReason.NoUpstream,
       retryReason: RetryReason.UpstreamUnreachable,
       detail,
@@ -275,6 +281,7 @@
     this.#call?.cancel();
     this.#fail({
       isNotRun: false,
+      isConnectionLost: false,
       reason: RefusalReason.UpstreamSilent,
       retryReason: RetryReason.ProgressTimeout,
       detail: `the upstream made no progress for ${silentMs} ms`,
--- a/packages/core/src/direct/directContext.ts
+++ b/packages/core/src/direct/directContext.ts
@@ -5,6 +5,7 @@
 import type { UpstreamCaller } from '../ports/upstreamCaller.js';
 
 import type { FleetBoard } from './fleetBoard.js';
+import type { CrashDetector } from './prompts/crashDetector.js';
 
 export interface DirectContext {
   readonly board: FleetBoard;
@@ -12,6 +13,7 @@
   readonly random: Random;
   readonly log: Log;
   readonly metrics: Metrics;
+  readonly crashes: CrashDetector;
   /**
    * Takes one retry of a pool from the budget that all entries share; false where it is used up.
    */
--- a/packages/core/src/direct/directController.ts
+++ b/packages/core/src/direct/directController.ts
@@ -16,6 +16,8 @@
 import { DirectRequest } from './directRequest.js';
 import type { FleetBoard } from './fleetBoard.js';
 import { PoolAdmission } from './poolAdmission.js';
+import { CrashDetector } from './prompts/crashDetector.js';
+import { QuarantineTelemetry } from './prompts/quarantineTelemetry.js';
 import { ReturnDetector } from './returnDetector.js';
 import {
   choosePool,
@@ -90,11 +92,15 @@
 
   constructor(options: DirectControllerOptions) {
     this.#options = options;
+    const { quarantine } = options.board;
     this.#context = {
       ...options,
+      crashes: new CrashDetector({ ...options, quarantine }),
       takeRetry: (pool, nowMs) => this.#findBudget(pool).take(this.#retryShare, nowMs),
       mayRetry: (pool, nowMs) => this.#findBudget(pool).canTake(this.#retryShare, nowMs),
     };
+    quarantine.addListener(new QuarantineTelemetry(options));
+    quarantine.onHold(() => this.#requests.forEach((each) => each.applyQuarantine()));
   }
 
   /** Retries that this entry allows for each of its requests. */
--- a/packages/core/src/direct/directRequest.ts
+++ b/packages/core/src/direct/directRequest.ts
@@ -15,6 +15,7 @@
 import type { DirectUpstream } from './directUpstream.js';
 import type { PoolAdmission } from './poolAdmission.js';
 import { canRunAgain, RouteKind, type DirectWorkspace, type Route } from './routeTable.js';
+import { PromptGuard } from './prompts/promptGuard.js';
 import { RetryDecision } from './retryDecision.js';
 import type { ReturnAssessment } from './returnDetector.js';
 import { GiveUpReason, RequestTelemetry } from './requestTelemetry.js';
@@ -56,6 +57,8 @@
 
   readonly #retry: RetryDecision;
 
+  readonly #guard: PromptGuard;
+
   /** When the route timeout or the caller's deadline expires. */
   readonly #endAtMs: number;
 
@@ -91,6 +94,7 @@
       telemetry: this.#telemetry,
       endAtMs: this.#endAtMs,
     });
+    this.#guard = new PromptGuard(options);
     caller.onDisconnect(() => this.#handleCallerGone());
     caller.onDrain(() => this.#handleDrain());
     request.body.onTooLarge(() => this.#refuseBody());
@@ -112,6 +116,13 @@
     });
   }
 
+  /** Ends the request if its prompt has been quarantined and it has no output yet. */
+  applyQuarantine(): void {
+    if (this.#isOver || this.#attempt?.hasOutput) return;
+    const refusal = this.#guard.check(performance.now());
+    if (refusal) this.#refuseQuarantined(refusal);
+  }
+
   /** Ends the request, as the process is about to exit. */
   abort(): void {
     if (this.#isOver) return;
@@ -127,6 +138,11 @@
   #requestAdmission(): void {
     const { admission } = this.#options;
     const nowMs = performance.now();
+    const quarantined = this.#guard.check(nowMs);
+    if (quarantined) {
+      this.#refuseQuarantined(quarantined);
+      return;
+    }
     const ticket: AdmissionTicket = {
       ...this.#ticketBase,
       ...planWait(this.#options, this.#estimateTimes(0), nowMs),
@@ -168,6 +184,12 @@
       this.#handleTimeout();
       return;
     }
+    const quarantined = this.#guard.check(nowMs);
+    if (quarantined) {
+      this.#refuseQuarantined(quarantined);
+      return;
+    }
+    this.#guard.noteSent();
     this.#history.noteSent();
     this.#telemetry.noteSent(upstream, isResumed);
     this.#attempt = new DirectAttempt({
@@ -235,6 +257,7 @@
     const { events, isProgress, isCallerReady } = this.#response.push(data);
     if (!isCallerReady) this.#pause();
     if (events > 0) this.#noteEvents();
+    if (isProgress && this.#response.isSuccess) this.#guard.notePiece();
     if (this.#response.isOversized) this.#attempt?.failEndless('an event exceeds its size limit');
     return isProgress;
   }
@@ -282,6 +305,7 @@
     if (!this.#response.end()) {
       this.#handleFailure({
         isNotRun: false,
+        isConnectionLost: true,
         reason: RefusalReason.UpstreamFailed,
         retryReason: RetryReason.StreamResumed,
         detail: 'the stream ended in the middle of an event',
@@ -289,6 +313,7 @@
       return;
     }
     const { admission, route } = this.#options;
+    if (this.#response.isSuccess) this.#guard.noteServed();
     if (this.#attempt) admission.capacity.noteCompleted(route.name, this.#attempt.ageMs);
     this.#telemetry.noteAnswered(this.#attempt?.upstream.id, this.#responseStatus);
     this.#finish();
@@ -301,6 +326,13 @@
     this.#history.noteFailed(failed.upstream.id);
     if (failure.isNotRun) this.#history.noteNotRun();
     this.#telemetry.noteFailed(failed, failure);
+    const cause = failure.isConnectionLost ? this.#guard.noteLost(failed) : undefined;
+    if (cause) cause.then(() => this.#continueAfter(failure));
+    else this.#continueAfter(failure);
+  }
+
+  #continueAfter(failure: AttemptFailure): void {
+    if (this.#isOver) return;
     if (this.#retry.canRetryAfter(failure)) this.#retryAfter(failure);
     else this.#end(failure.reason, failure.detail);
   }
@@ -371,6 +403,11 @@
     this.#refuse({ reason: finalReason, outcome: Outcome.NotRun, retryAfterMs, detail });
   }
 
+  #refuseQuarantined(refusal: Refusal): void {
+    if (this.#history.mayHaveRun) this.#end(refusal.reason, refusal.detail);
+    else this.#refuse(refusal);
+  }
+
   /**
    * Part of a body that turns out too large may have been sent already and may have taken effect.
    */
@@ -383,7 +420,7 @@
   #refuse(refusal: Refusal): void {
     if (this.#isOver) return;
     const { caller } = this.#options;
-    this.#attempt?.cancel();
+    this.#cancelAttempt();
     this.#telemetry.noteRefused(refusal, this.#response.isCommitted);
     if (this.#response.isCommitted) caller.abort(refusal);
     else caller.refuse(refusal);
@@ -393,14 +430,21 @@
   /** Cancels the attempt in progress, as the caller has disconnected. */
   #handleCallerGone(): void {
     if (this.#isOver) return;
-    this.#attempt?.cancel();
+    this.#cancelAttempt();
     this.#telemetry.noteCallerGone(this.#attempt);
     this.#finish();
   }
 
+  #cancelAttempt(): void {
+    if (!this.#attempt) return;
+    this.#guard.noteAbandoned(this.#attempt);
+    this.#attempt.cancel();
+  }
+
   #finish(refusal?: Refusal): void {
     if (this.#isOver) return;
     this.#isOver = true;
+    this.#guard.release();
     clearTimeout(this.#timer);
     clearTimeout(this.#patienceTimer);
     this.#options.admission.withdraw(this.#options.request.id);
--- a/packages/core/src/direct/fleetBoard.ts
+++ b/packages/core/src/direct/fleetBoard.ts
@@ -5,6 +5,7 @@
 import type { FleetBounds } from './fleetBounds.js';
 import { PoolActivity } from './poolActivity.js';
 import { BreakerChangeSource, PoolBreaker } from './poolBreaker.js';
+import { PromptQuarantine } from './prompts/promptQuarantine.js';
 import type { RouteTable } from './routeTable.js';
 
 /** Number of entries that is assumed until the registry has been read. */
@@ -35,6 +36,9 @@
 
   readonly domain: string;
 
+  /** Prompt parts that are held back, as they may crash upstreams. */
+  readonly quarantine = new PromptQuarantine();
+
   /** Current limits; replaced as a whole when the settings change. */
   bounds: FleetBounds;
 
--- a/packages/core/src/direct/loadExchange.ts
+++ b/packages/core/src/direct/loadExchange.ts
@@ -6,7 +6,7 @@
  * Both send on the same link: changes after a short delay, and full counts periodically. The counts
  * of a peer that has timed out are dropped.
  */
-import { MessageType, type Message } from '../messages/message.js';
+import { MessageType, type Message, type PromptNews } from '../messages/message.js';
 import type { Link } from '../ports/link.js';
 import type { LinkDialer } from '../ports/linkDialer.js';
 import { LogLevel, type Log } from '../ports/log.js';
@@ -58,6 +58,7 @@
   readonly recoveredPool?: string;
   /** Incarnations that have just started to leave; with full counts, all that are leaving. */
   readonly leaving?: readonly string[];
+  readonly prompts?: readonly PromptNews[];
 }
 
 function listInFlight(upstreams: readonly DirectUpstream[]): Record<string, number> {
@@ -86,6 +87,9 @@
       const leaving = [formatIncarnation(upstream.entry)];
       this.#peers.forEach(({ link }) => this.#send(link, {}, { isFull: false, leaving }));
     });
+    options.board.quarantine.onNews((news) => {
+      this.#peers.forEach(({ link }) => this.#send(link, {}, { isFull: false, prompts: [news] }));
+    });
     options.board.onRecovery((recoveredPool) => {
       this.#peers.forEach(({ link }) => this.#send(link, {}, { isFull: false, recoveredPool }));
     });
@@ -142,7 +146,9 @@
     const peer: Peer = { link, name, lastMessageAtMs: performance.now() };
     this.#peers.add(peer);
     const sendFullCounts = () => {
-      this.#send(link, listInFlight(this.#options.board.upstreams), { isFull: true });
+      const { upstreams, quarantine } = this.#options.board;
+      const prompts = quarantine.listNews();
+      this.#send(link, listInFlight(upstreams), { isFull: true, prompts });
     };
     link.listen({
       onOpen: sendFullCounts,
@@ -174,6 +180,7 @@
     message.leaving?.forEach((incarnation) =>
       board.noteLeavingIncarnation(incarnation, LeavingSource.Peer),
     );
+    message.prompts?.forEach((news) => board.quarantine.applyNews(news));
     const { recoveredPool } = message;
     if (recoveredPool) board.getBreaker(recoveredPool).noteSuccess(BreakerChangeSource.Peer);
   }
--- a/packages/core/src/direct/responseBuilder.ts
+++ b/packages/core/src/direct/responseBuilder.ts
@@ -62,6 +62,12 @@
     return this.#isCommitted;
   }
 
+  /** Whether the upstream's response is a success. */
+  get isSuccess(): boolean {
+    const status = this.#head?.status ?? 0;
+    return status >= 200 && status < 300;
+  }
+
   /** Id of the last event that was sent to the caller. */
   get lastEventId(): string | undefined {
     return this.#lastEventId;
@@ -81,7 +87,7 @@
   }
 
   push(data: Buffer): PieceResult {
-    return this.#isStream && this.#isSuccess ? this.#pushEvents(data) : this.#pushBody(data);
+    return this.#isStream && this.isSuccess ? this.#pushEvents(data) : this.#pushBody(data);
   }
 
   /** @returns false where the response ended in the middle of an event */
@@ -97,11 +103,6 @@
     return true;
   }
 
-  get #isSuccess(): boolean {
-    const status = this.#head?.status ?? 0;
-    return status >= 200 && status < 300;
-  }
-
   #pushEvents(data: Buffer): PieceResult {
     const complete = this.#splitter.push(data);
     if (!complete) return { events: 0, isProgress: false, isCallerReady: true };
--- a/packages/core/src/messages/message.ts
+++ b/packages/core/src/messages/message.ts
@@ -293,6 +293,29 @@
   validMs: z.number().positive(),
 });
 
+/** What an entry knows of the prompt parts that were involved in crashes of a pool's upstreams. */
+const PROMPT_NEWS = z.object({
+  pool: z.string(),
+  crashes: z
+    .array(
+      z.object({
+        /** Incarnation of the crashed upstream. */
+        upstream: z.string(),
+        ageMs: z.number().nonnegative(),
+        /** Likelihood of each part as the cause, relative to the others. */
+        weights: z.record(z.string(), z.number().positive()),
+      }),
+    )
+    .readonly()
+    .optional(),
+  /** Time since an answer on a part was last served. */
+  servedAgesMs: z.record(z.string(), z.number().nonnegative()).optional(),
+  /** Parts of which the entry lets a request through as a trial. */
+  trials: z.array(z.string()).readonly().optional(),
+});
+
+export type PromptNews = z.infer<typeof PROMPT_NEWS>;
+
 /**
  * Requests that an entry has in flight at upstreams that it calls directly. Both ends of a link
  * between two entries send it, often enough to serve as a heartbeat.
@@ -312,6 +335,8 @@
   recoveredPool: z.string().optional(),
   /** Incarnations of upstreams that are about to stop, as known to the entry. */
   leaving: z.array(z.string()).readonly().optional(),
+  /** Prompt parts that were involved in crashes of upstreams, by pool. */
+  prompts: z.array(PROMPT_NEWS).readonly().optional(),
 });
 
 const MESSAGE = z.discriminatedUnion('type', [
--- a/packages/core/src/model/reason.ts
+++ b/packages/core/src/model/reason.ts
@@ -39,6 +39,8 @@
   UpstreamFailed = 'upstream-failed',
   UpstreamSilent = 'upstream-silent',
   PoolStalled = 'pool-stalled',
+  /** A part of its prompt probably crashes upstreams. */
+  PromptQuarantined = 'prompt-quarantined',
   StaleIncarnation = 'stale-incarnation',
   StaleSubmission = 'stale-submission',
   StaleConfiguration = 'stale-configuration',
--- a/packages/core/src/ports/upstreamCaller.ts
+++ b/packages/core/src/ports/upstreamCaller.ts
@@ -92,4 +92,11 @@
 export abstract class UpstreamCaller {
   /** Starts a call; its result is reported by `events`. */
   abstract call(call: UpstreamCall, events: CallEvents): CallInProgress;
+
+  /**
+   * Checks whether an upstream refuses new connections, as a crashed one does.
+   *
+   * @returns resolves to false where it accepts one, or where that is not known in time
+   */
+  abstract isRefusingConnections(upstream: UpstreamEntry): Promise<boolean>;
 }
--- a/packages/core/test/direct/crashingFleet.ts
+++ b/packages/core/test/direct/crashingFleet.ts
@@ -202,6 +202,7 @@
     const nowMs = performance.now();
     this.crashesAtMs.push(nowMs);
     this.#downUntilMs.set(engine, nowMs + DOWN_MS);
+    this.entries.forEach(({ upstreams }) => upstreams.refusing.add(engine));
     this.#works
       .filter(({ call }) => call.call.upstream.id === engine)
       .forEach(({ call }) => call.fail());
@@ -217,7 +218,8 @@
       .forEach(([id]) => {
         this.#downUntilMs.delete(id);
         this.#starts += 1;
-        this.entries.forEach(({ board, registry }) => {
+        this.entries.forEach(({ board, registry, upstreams }) => {
+          upstreams.refusing.delete(id);
           const entry = board.findUpstream(id)?.entry;
           if (entry) registry.put({ ...entry, startedAtUnixMs: this.#starts });
         });
--- a/packages/daemon/src/direct/httpUpstreamCall.ts
+++ b/packages/daemon/src/direct/httpUpstreamCall.ts
@@ -30,7 +30,7 @@
 
 const METHODS_WITHOUT_BODY = new Set(['GET', 'HEAD', 'DELETE']);
 
-function splitAddress(address: string): { readonly host: string; readonly port: number } {
+export function splitAddress(address: string): { readonly host: string; readonly port: number } {
   const at = address.lastIndexOf(':');
   return { host: address.slice(0, at), port: Number(address.slice(at + 1)) };
 }
--- a/packages/daemon/src/direct/httpUpstreamCaller.ts
+++ b/packages/daemon/src/direct/httpUpstreamCaller.ts
@@ -1,4 +1,7 @@
 /** Calls upstreams over HTTP/1.1 on keep-alive connections. */
+import net from 'node:net';
+
+import type { UpstreamEntry } from '@radishbay/core/direct/directUpstream.js';
 import {
   CallFailureKind,
   UpstreamCaller,
@@ -7,7 +10,7 @@
   type UpstreamCall,
 } from '@radishbay/core/ports/upstreamCaller.js';
 
-import { HttpUpstreamCall } from './httpUpstreamCall.js';
+import { HttpUpstreamCall, splitAddress } from './httpUpstreamCall.js';
 import { UpstreamAgent } from './upstreamAgent.js';
 import type { WireCodec } from './wireCodec.js';
 
@@ -20,9 +23,19 @@
  */
 const NON_REPEATABLE_IDLE_LIMIT_MS = 1_000;
 
+/** Timeout of a check whether an upstream refuses connections: many round trips. */
+const CHECK_TIMEOUT_MS = 200;
+
+const PORT_MAX = 65_535;
+
 /** Stands for a call whose request could not be created. */
 const FAILED_CALL: CallInProgress = { cancel: () => {}, pause: () => {}, resume: () => {} };
 
+/** Node throws for a number that is no TCP port. */
+function isPort(port: number): boolean {
+  return Number.isInteger(port) && port > 0 && port <= PORT_MAX;
+}
+
 /** Calls upstreams over HTTP with its own connection pools. */
 export class HttpUpstreamCaller extends UpstreamCaller {
   readonly #codec: WireCodec;
@@ -48,6 +61,21 @@
     }
   }
 
+  override isRefusingConnections({ address }: UpstreamEntry): Promise<boolean> {
+    const target = splitAddress(address);
+    if (!isPort(target.port)) return Promise.resolve(false);
+    return new Promise((resolve) => {
+      const socket = net.connect(target);
+      const finish = (isRefusing: boolean): void => {
+        socket.destroy();
+        resolve(isRefusing);
+      };
+      socket.setTimeout(CHECK_TIMEOUT_MS, () => finish(false));
+      socket.once('connect', () => finish(false));
+      socket.once('error', ({ code }: NodeJS.ErrnoException) => finish(code === 'ECONNREFUSED'));
+    });
+  }
+
   /** Closes all connections, including those in use. */
   close(): void {
     this.#agent.destroy();
