Keep held prompt parts held over the restart of an entry

Cause: the restarted entry learned of the crashes from its peers, but computed the time to hold the parts from its own first requests, 6 s in place of 60 s, and then tried them out. Class: a value that depends on what a process has seen was derived anew after a restart. An entry that connects is now told how long the others hold each part, and which trials are running. Also: a part of several upstreams lost at once is weighed by the square of the share it explains, else the parts of the single requests outvoted the one that they have in common.

--- a/packages/core/src/direct/prompts/crashSuspicion.ts
+++ b/packages/core/src/direct/prompts/crashSuspicion.ts
@@ -83,9 +83,11 @@
       .filter(({ weight }) => weight > 0);
     if (involved.length === 0) return [];
     const largest = Math.max(...involved.map(({ weight }) => weight));
+    const coverage = involved.length / incident.length;
     return {
       part,
-      weight: (largest * involved.length) / incident.length,
+      // Squared, as the other crashes would need causes of their own at the same time.
+      weight: largest * coverage ** 2,
       unexplained: incident.length - involved.length,
       lastCrashAtMs: Math.max(...involved.map(({ crash }) => crash.atMs)),
     };
--- a/packages/core/src/direct/prompts/poolQuarantine.ts
+++ b/packages/core/src/direct/prompts/poolQuarantine.ts
@@ -86,6 +86,16 @@
     return [...this.#crashes.values()];
   }
 
+  get holds(): readonly Hold[] {
+    return [...this.#holds.values()];
+  }
+
+  /** Lists the parts that are being tried out. */
+  listTrials(nowMs: number): readonly string[] {
+    const running = [...this.#trials].filter(([, { endAtMs }]) => nowMs < endAtMs);
+    return running.map(([part]) => part);
+  }
+
   noteArrival(parts: readonly string[]): void {
     this.#arrivals.add(parts);
   }
@@ -112,6 +122,12 @@
     this.#reassess(nowMs);
   }
 
+  /** Extends a hold to the time of another entry, which may have seen more requests. */
+  notePeerHold(part: string, untilMs: number): void {
+    const known = this.#holds.get(part);
+    if (known && known.untilMs < untilMs) this.#holds.set(part, { ...known, untilMs });
+  }
+
   /** Records that another entry tries out a part. */
   notePeerTrial(part: string, nowMs: number): void {
     this.#trials.set(part, { request: undefined, endAtMs: nowMs + TRIAL_MS });
--- a/packages/core/src/direct/prompts/promptQuarantine.ts
+++ b/packages/core/src/direct/prompts/promptQuarantine.ts
@@ -81,19 +81,28 @@
   }
 
   /** Applies what another entry tells. */
-  applyNews({ pool, crashes = [], servedAgesMs = {}, trials = [] }: PromptNews): void {
+  applyNews({
+    pool,
+    crashes = [],
+    servedAgesMs = {},
+    trials = [],
+    holdsMs = {},
+  }: PromptNews): void {
     const nowMs = performance.now();
     const quarantine = this.#findPool(pool);
     Object.entries(servedAgesMs).forEach(([part, ageMs]) =>
       quarantine.noteServed(part, nowMs - ageMs, nowMs),
     );
-    trials.forEach((part) => quarantine.notePeerTrial(part, nowMs));
     crashes.forEach(({ upstream, ageMs, weights }) => {
       const crash = { upstream, atMs: nowMs - ageMs, weights: new Map(Object.entries(weights)) };
       quarantine.noteCrash(crash, nowMs);
       this.#tellServed(pool, [...crash.weights.keys()], nowMs);
       this.#onPeerCrash?.(pool, crash);
     });
+    Object.entries(holdsMs).forEach(([part, heldMs]) =>
+      quarantine.notePeerHold(part, nowMs + heldMs),
+    );
+    trials.forEach((part) => quarantine.notePeerTrial(part, nowMs));
   }
 
   /** Lists all that an entry that has just connected needs to know. */
@@ -109,6 +118,10 @@
           quarantine.crashes.flatMap(({ weights }) => [...weights.keys()]),
           nowMs,
         ),
+        holdsMs: Object.fromEntries(
+          quarantine.holds.map(({ part, untilMs }) => [part, Math.max(0, untilMs - nowMs)]),
+        ),
+        trials: quarantine.listTrials(nowMs),
       }));
   }
 
--- a/packages/core/src/messages/message.ts
+++ b/packages/core/src/messages/message.ts
@@ -312,6 +312,8 @@
   servedAgesMs: z.record(z.string(), z.number().nonnegative()).optional(),
   /** Parts of which the entry lets a request through as a trial. */
   trials: z.array(z.string()).readonly().optional(),
+  /** Remaining time for which parts are held back, in milliseconds. */
+  holdsMs: z.record(z.string(), z.number().nonnegative()).optional(),
 });
 
 export type PromptNews = z.infer<typeof PROMPT_NEWS>;
