Take an unframed stream without events for broken off

Callers saw: a stream whose answer had neither a length nor chunks and ended with its connection before the first event reached them as a complete, empty answer with the upstream's seal. Cause: completeness was judged by the parser of events alone, which holds nothing back there; and a stream that ended within an event had counted as a success of its upstream before the request looked at it, so that neither ejection, the pool's circuit breaker nor the attribution of crashes saw it. Class: an end of the connection taken for an end of the answer. Why this works: the attempt asks whether the response is complete before it counts it; a stream delimited by its connection needs an event of its own.

--- a/packages/core/src/direct/directAttempt.ts
+++ b/packages/core/src/direct/directAttempt.ts
@@ -58,6 +58,8 @@
    * @returns whether another upstream is to replace the silent one now
    */
   readonly onSilence: (silentMs: number) => boolean;
+  /** Whether the response, whose connection has delivered all of it, is complete. */
+  readonly isComplete: () => boolean;
   readonly onEnd: () => void;
   readonly onFailure: (failure: AttemptFailure) => void;
 }
@@ -85,6 +87,14 @@
   return { isNotRun: false, isConnectionLost: false, reason, retryReason, detail };
 }
 
+const BROKEN_OFF: AttemptFailure = {
+  isNotRun: false,
+  isConnectionLost: true,
+  reason: RefusalReason.UpstreamFailed,
+  retryReason: RetryReason.StreamResumed,
+  detail: 'the stream ended before its first event or in the middle of an event',
+};
+
 /** An attempt in progress. */
 export class DirectAttempt {
   readonly upstream: DirectUpstream;
@@ -232,6 +242,11 @@
 
   #handleEnd(): void {
     if (this.#isOver) return;
+    if (!this.#options.events.isComplete()) {
+      this.#options.admission.noteFailure();
+      this.#fail(BROKEN_OFF);
+      return;
+    }
     const nowMs = performance.now();
     this.#noteFirstOutput(nowMs);
     this.upstream.ejection.noteSuccess();
--- a/packages/core/src/direct/directRequest.ts
+++ b/packages/core/src/direct/directRequest.ts
@@ -209,6 +209,7 @@
         onHead: (head) => this.#handleHead(head),
         onData: (data) => this.#handleData(data),
         onSilence: (silentMs) => this.#canReplace(upstream, silentMs),
+        isComplete: () => this.#response.isComplete,
         onEnd: () => this.#handleEnd(),
         onFailure: (failure) => this.#handleFailure(failure),
       },
@@ -302,16 +303,7 @@
   }
 
   #handleEnd(): void {
-    if (!this.#response.end()) {
-      this.#handleFailure({
-        isNotRun: false,
-        isConnectionLost: true,
-        reason: RefusalReason.UpstreamFailed,
-        retryReason: RetryReason.StreamResumed,
-        detail: 'the stream ended in the middle of an event',
-      });
-      return;
-    }
+    this.#response.end();
     const { admission, route } = this.#options;
     if (this.#response.isSuccess) this.#guard.noteServed();
     if (this.#attempt) admission.capacity.noteCompleted(route.name, this.#attempt.ageMs);
--- a/packages/core/src/direct/responseBuilder.ts
+++ b/packages/core/src/direct/responseBuilder.ts
@@ -38,6 +38,12 @@
 
   #head: AnswerHead | undefined;
 
+  /** Framing of the current attempt's response. */
+  #framing = AnswerFraming.Delimited;
+
+  /** Whether the current attempt's response has had a complete event. */
+  #hasEvents = false;
+
   #splitter = new EventSplitter();
 
   readonly #buffered = new GrowingBuffer();
@@ -78,11 +84,23 @@
     return this.#splitter.isOversized;
   }
 
+  /**
+   * Whether the response of the attempt is complete if nothing follows. A stream that is delimited
+   * by the close of its connection shows only by its events that it was not cut off.
+   */
+  get isComplete(): boolean {
+    if (this.#splitter.isMidEvent) return false;
+    const isDelimited = this.#framing === AnswerFraming.Delimited;
+    return !this.#isStream || !this.isSuccess || isDelimited || this.#hasEvents;
+  }
+
   /** Starts the response of an attempt; the buffered data of an earlier one is discarded. */
   begin(head: AnswerHead): void {
     this.#splitter = new EventSplitter();
     this.#buffered.take();
     this.#bytesSinceProgress = PROGRESS_BYTES;
+    this.#framing = head.framing;
+    this.#hasEvents = false;
     if (!this.#isCommitted) this.#head = head;
   }
 
@@ -90,9 +108,8 @@
     return this.#isStream && this.isSuccess ? this.#pushEvents(data) : this.#pushBody(data);
   }
 
-  /** @returns false where the response ended in the middle of an event */
-  end(): boolean {
-    if (this.#splitter.isMidEvent) return false;
+  /** Ends a complete response. */
+  end(): void {
     if (!this.#isCommitted) {
       const body = this.#buffered.take();
       const isLengthDeclared = this.#head?.framing === AnswerFraming.Delimited;
@@ -100,12 +117,12 @@
       if (body.length > 0) this.#caller.writeData(body);
     }
     this.#caller.end();
-    return true;
   }
 
   #pushEvents(data: Buffer): PieceResult {
     const complete = this.#splitter.push(data);
     if (!complete) return { events: 0, isProgress: false, isCallerReady: true };
+    this.#hasEvents = true;
     this.#commit({});
     this.#lastEventId = complete.lastId ?? this.#lastEventId;
     const isCallerReady = this.#caller.writeData(complete.data);
--- a/packages/core/test/direct/prompts/crashDetector.test.ts
+++ b/packages/core/test/direct/prompts/crashDetector.test.ts
@@ -119,6 +119,17 @@
     assert.not(isHeld(entry, 'sound'));
   }));
 
+test('an unframed response that breaks off is attributed like a broken connection', () =>
+  withEntry(async (entry, clock) => {
+    const { caller, call } = send(entry, ['deadly']);
+    call.head().send('id: 1\ndata: cut in the mid');
+    entry.upstreams.refusing.add(call.call.upstream.id);
+    call.end();
+    await clock.tickAsync(VERDICT_MS);
+    assert.is(entry.calls.length, 1);
+    assert.is(caller.refusal?.reason, RefusalReason.PromptQuarantined);
+  }));
+
 test('a trial that its caller leaves before the result is followed by another', () =>
   withEntry(async (entry, clock) => {
     const { call } = send(entry, ['deadly']);
