Keep a prompt part held while its crash is being reported

Cause: each report was judged as if it were the last one. Why this works: a part that is not cleared stays held until 300 ms after the latest crash; by then links and checks of connections have reported. A part that was served is released at once.

--- a/packages/core/src/direct/prompts/poolQuarantine.ts
+++ b/packages/core/src/direct/prompts/poolQuarantine.ts
@@ -23,6 +23,9 @@
 /** Time in which a trial is decided, in milliseconds. */
 const TRIAL_MS = 5_000;
 
+/** Time after a crash in which entries still report what was involved, in milliseconds. */
+const REPORTS_MS = 300;
+
 /** Time for which a crash is remembered, in milliseconds. */
 const CRASH_VALID_MS = 600_000;
 
@@ -78,6 +81,9 @@
 
   readonly #trials = new Map<string, Trial>();
 
+  /** When the reports of the latest crash are complete, if holds depend on it. */
+  #reassessAtMs = Number.POSITIVE_INFINITY;
+
   constructor(events: PoolQuarantineEvents) {
     this.#events = events;
   }
@@ -145,6 +151,7 @@
     nowMs: number,
   ): { readonly hold: Hold; readonly untilMs: number } | undefined {
     if (this.#holds.size === 0) return undefined;
+    if (nowMs >= this.#reassessAtMs) this.#reassess(nowMs);
     const holds = parts.flatMap((part) => this.#holds.get(part) ?? []);
     const blocking = holds
       .map((hold) => ({ hold, untilMs: this.#findHeldUntilMs(hold, request, nowMs) }))
@@ -181,12 +188,23 @@
 
   #reassess(nowMs: number): void {
     const suspicions = computeSuspicions(this.crashes, (part) => this.#served.find(part));
-    [...this.#holds.keys()]
-      .filter((part) => (suspicions.get(part)?.probability ?? 0) < HOLD_PROBABILITY)
-      .forEach((part) => this.#release(part));
     suspicions.forEach((suspicion, part) => {
       if (suspicion.probability >= HOLD_PROBABILITY) this.#hold(part, suspicion, nowMs);
     });
+    this.#releaseUnsuspected(suspicions, nowMs);
+  }
+
+  /** Releases cleared parts at once, others only when the reports of the crash are complete. */
+  #releaseUnsuspected(suspicions: ReadonlyMap<string, Suspicion>, nowMs: number): void {
+    const lastCrashAtMs = Math.max(...this.crashes.map(({ atMs }) => atMs));
+    const isComplete = nowMs >= lastCrashAtMs + REPORTS_MS;
+    const unsuspected = [...this.#holds.keys()].filter(
+      (part) => (suspicions.get(part)?.probability ?? 0) < HOLD_PROBABILITY,
+    );
+    const released = unsuspected.filter((part) => isComplete || !suspicions.has(part));
+    released.forEach((part) => this.#release(part));
+    const hasUndecided = released.length < unsuspected.length;
+    this.#reassessAtMs = hasUndecided ? lastCrashAtMs + REPORTS_MS : Number.POSITIVE_INFINITY;
   }
 
   /** Starts a hold, or extends it after a further crash. */
