Tell the entries once that a part was served after a crash

Callers saw nothing; found while reading: for ten minutes after a crash, each answer on a part that was involved in it was told to all peers, at 35 entries some hundred messages a second for one common part. Cause: the test was whether the part was involved, not whether the answer changes what is known. Evidence: the new test of promptQuarantine.test counted 100 messages where one is due (failed before), and passes now.

--- a/packages/core/src/direct/prompts/poolQuarantine.ts
+++ b/packages/core/src/direct/prompts/poolQuarantine.ts
@@ -111,12 +111,15 @@
     return this.#served.find(part);
   }
 
-  /** @returns whether the part was involved in a crash, so that other entries need to know */
+  /** @returns whether this bears on a crash, so that other entries need to know */
   noteServed(part: string, atMs: number, nowMs: number): boolean {
+    const beforeMs = this.#served.find(part) ?? Number.NEGATIVE_INFINITY;
     this.#served.note(part, atMs);
-    const isInvolved = this.crashes.some(({ weights }) => weights.has(part));
-    if (isInvolved) this.#reassess(nowMs);
-    return isInvolved;
+    const isNews = this.crashes.some(
+      (crash) => crash.weights.has(part) && beforeMs <= crash.atMs && beforeMs < atMs,
+    );
+    if (isNews) this.#reassess(nowMs);
+    return isNews;
   }
 
   /** Adds a crash, or further parts that were involved in a known one. */
--- a/packages/core/test/direct/prompts/promptQuarantine.test.ts
+++ b/packages/core/test/direct/prompts/promptQuarantine.test.ts
@@ -96,6 +96,21 @@
     all.forEach((entry) => assert.ok(readHeldMs(entry, 'r-1', 'one') > 0));
   }));
 
+test('the entries are told only once that a part was served after a crash', () =>
+  withClock(async (clock) => {
+    const entry = new PromptQuarantine();
+    const told: PromptNews[] = [];
+    entry.onNews((news) => told.push(news));
+    crash(entry, 'u-1', ['part', 'other']);
+    const before = told.length;
+    for (let at = 0; at < 100; at += 1) {
+      // eslint-disable-next-line no-await-in-loop -- answers follow each other
+      await clock.tickAsync(10);
+      entry.noteServed(POOL, ['part']);
+    }
+    assert.is(told.length, before + 1);
+  }));
+
 test('after the hold a single request is let through, by one entry', () =>
   withEntries(async ({ all }, clock) => {
     crash(all[0], 'u-1');
