--- a/packages/core/src/direct/directRequest.ts
+++ b/packages/core/src/direct/directRequest.ts
@@ -8,6 +8,7 @@
 import type { Caller } from '../ports/caller.js';
 import type { AnswerHead, ForwardedRequest } from '../ports/upstreamCaller.js';
 
+import { CallerPatience } from './callerPatience.js';
 import { ResponseBuilder } from './responseBuilder.js';
 import { ResponseTimes } from './responseTimes.js';
 import { DirectAttempt, type AttemptFailure } from './directAttempt.js';
@@ -70,10 +71,7 @@
 
   #timer: NodeJS.Timeout | undefined;
 
-  #patienceTimer: NodeJS.Timeout | undefined;
-
-  /** Whether the response is paused, as the caller reads it more slowly than it arrives. */
-  #isCallerSlow = false;
+  readonly #patience: CallerPatience;
 
   constructor(options: DirectRequestOptions) {
     this.#options = options;
@@ -95,6 +93,14 @@
       endAtMs: this.#endAtMs,
     });
     this.#guard = new PromptGuard(options);
+    this.#patience = new CallerPatience({
+      patienceMs: route.patienceMs,
+      times: this.#times,
+      onExhausted: (silentMs) => {
+        const detail = `the caller has received no event for ${Math.round(silentMs)} ms`;
+        this.#end(RefusalReason.UpstreamSilent, detail);
+      },
+    });
     caller.onDisconnect(() => this.#handleCallerGone());
     caller.onDrain(() => this.#handleDrain());
     request.body.onTooLarge(() => this.#refuseBody());
@@ -110,7 +116,7 @@
   start(): void {
     const { request } = this.#options;
     this.#timer = setTimeout(() => this.#handleTimeout(), this.#endAtMs - performance.now());
-    this.#watchPatience();
+    if (this.isStream) this.#patience.start();
     request.body.onReady(() => {
       if (!this.#isOver) this.#requestAdmission();
     });
@@ -273,35 +279,16 @@
   }
 
   #pause(): void {
-    this.#isCallerSlow = true;
+    this.#patience.noteCallerSlow();
     this.#attempt?.pause();
   }
 
   #handleDrain(): void {
     if (this.#isOver) return;
-    this.#isCallerSlow = false;
-    this.#times.noteResumed(performance.now());
+    this.#patience.noteCallerReady();
     this.#attempt?.resume();
   }
 
-  /**
-   * Ends a stream whose caller has received no event for as long as callers wait, even if the
-   * upstream keeps sending incomplete events. Time during which the caller itself is slow does not
-   * count.
-   */
-  #watchPatience(): void {
-    const { route } = this.#options;
-    if (route.kind !== RouteKind.Stream) return;
-    const silentMs = this.#isCallerSlow ? 0 : this.#times.readSilentMs(performance.now());
-    const leftMs = route.patienceMs - silentMs;
-    if (leftMs > 0) {
-      this.#patienceTimer = setTimeout(() => this.#watchPatience(), Math.ceil(leftMs));
-      return;
-    }
-    const detail = `the caller has received no event for ${Math.round(silentMs)} ms`;
-    this.#end(RefusalReason.UpstreamSilent, detail);
-  }
-
   #handleEnd(): void {
     this.#response.end();
     const { admission, route } = this.#options;
@@ -438,7 +425,7 @@
     this.#isOver = true;
     this.#guard.release();
     clearTimeout(this.#timer);
-    clearTimeout(this.#patienceTimer);
+    this.#patience.stop();
     this.#options.admission.withdraw(this.#options.request.id);
     this.#telemetry.noteEnd();
     this.#options.onDone(this, refusal);
