--- a/packages/standin/src/engine/engineFaults.ts
+++ b/packages/standin/src/engine/engineFaults.ts
@@ -17,6 +17,9 @@
   /** Number of next requests to execute and abort after the first token. */
   #abortCount = 0;
 
+  /** Text of prompts that crash the engine when it begins to answer; empty for none. */
+  #crashingText = '';
+
   constructor(model: EngineModel) {
     this.#model = model;
     this.#handlers = new Map<string, FaultHandler>([
@@ -27,6 +30,7 @@
       ['restart', () => model.restart()],
       ['report-warm', () => model.overrideWarm(true)],
       ['fail-next', (params) => this.#abortNext(readNumber(params, 'count', 1))],
+      ['crash-on-prompt', (params) => this.#crashOnPrompt(readString(params, 'text', ''))],
       ['decline-next', (params) => this.#declineNext(readNumber(params, 'count', 1))],
     ]);
   }
@@ -56,6 +60,15 @@
     return true;
   }
 
+  /** Whether the engine crashes when it begins to answer the prompt. */
+  isCrashing(prompt: string): boolean {
+    return this.#crashingText !== '' && prompt.includes(this.#crashingText);
+  }
+
+  #crashOnPrompt(text: string): void {
+    this.#crashingText = text;
+  }
+
   #declineNext(count: number): void {
     this.#declineCount = count;
   }
@@ -69,5 +82,6 @@
     this.#model.overrideWarm(false);
     this.#declineCount = 0;
     this.#abortCount = 0;
+    this.#crashingText = '';
   }
 }
--- a/packages/standin/src/engine/engineServer.ts
+++ b/packages/standin/src/engine/engineServer.ts
@@ -112,8 +112,13 @@
     const answer = new CompletionAnswer(response, completion, offset);
     const work = this.#describeWork(request, completion, answer.firstToken);
     const isAborted = this.#faults.consumeAbort();
+    const isCrashing = this.#faults.isCrashing(completion.prompt);
     const sequence = this.model.submit(work, {
       onToken: (index) => {
+        if (isCrashing) {
+          this.model.restart();
+          return false;
+        }
         const isReady = answer.writeToken(index);
         if (isAborted) response.destroy();
         return isReady;
