--- a/packages/core/src/direct/directAttempt.ts
+++ b/packages/core/src/direct/directAttempt.ts
@@ -219,6 +219,7 @@
       board.noteLeaving(this.upstream, LeavingSource.Upstream);
     }
     if (!head.isForThisRequest || head.isMisdirected) return;
+    board.limits.noteAnswer(this.upstream.entry, head.requestLimit, this.#sentAtMs);
     if (head.load) this.upstream.noteLoad(head.load, nowMs);
     if (head.backoffMs !== undefined) this.upstream.backOff(nowMs + head.backoffMs);
   }
--- a/packages/core/src/direct/directController.ts
+++ b/packages/core/src/direct/directController.ts
@@ -18,6 +18,7 @@
 import { PoolAdmission } from './poolAdmission.js';
 import { CrashDetector } from './prompts/crashDetector.js';
 import { QuarantineTelemetry } from './prompts/quarantineTelemetry.js';
+import { LimitTelemetry } from './requestLimits/limitTelemetry.js';
 import { ReturnDetector } from './returnDetector.js';
 import {
   choosePool,
@@ -100,6 +101,7 @@
       mayRetry: (pool, nowMs) => this.#findBudget(pool).canTake(this.#retryShare, nowMs),
     };
     quarantine.addListener(new QuarantineTelemetry(options));
+    options.board.limits.addListener(new LimitTelemetry(options));
     quarantine.onHold(() => this.#requests.forEach((each) => each.applyQuarantine()));
   }
 
--- a/packages/core/src/direct/fleetBoard.ts
+++ b/packages/core/src/direct/fleetBoard.ts
@@ -3,9 +3,11 @@
  */
 import { DirectUpstream, type UpstreamEntry } from './directUpstream.js';
 import type { FleetBounds } from './fleetBounds.js';
+import { formatIncarnation } from './incarnation.js';
 import { PoolActivity } from './poolActivity.js';
 import { BreakerChangeSource, PoolBreaker } from './poolBreaker.js';
 import { PromptQuarantine } from './prompts/promptQuarantine.js';
+import { RequestLimits } from './requestLimits/requestLimits.js';
 import type { RouteTable } from './routeTable.js';
 
 /** Number of entries that is assumed until the registry has been read. */
@@ -25,11 +27,6 @@
   Peer = 'peer',
 }
 
-/** Returns the key of one incarnation of an upstream, as a restarted one may keep its id. */
-export function formatIncarnation({ id, startedAtUnixMs }: UpstreamEntry): string {
-  return `${id}@${startedAtUnixMs}`;
-}
-
 /** State shared by the controllers of one entry. */
 export class FleetBoard {
   readonly name: string;
@@ -39,6 +36,9 @@
   /** Prompt parts that are held back, as they may crash upstreams. */
   readonly quarantine = new PromptQuarantine();
 
+  /** Request limits that upstreams name. */
+  readonly limits = new RequestLimits();
+
   /** Current limits; replaced as a whole when the settings change. */
   bounds: FleetBounds;
 
--- a/packages/core/src/direct/loadExchange.ts
+++ b/packages/core/src/direct/loadExchange.ts
@@ -13,7 +13,8 @@
 import type { Metrics } from '../ports/metrics.js';
 
 import type { DirectUpstream } from './directUpstream.js';
-import { LeavingSource, formatIncarnation, type FleetBoard } from './fleetBoard.js';
+import { LeavingSource, type FleetBoard } from './fleetBoard.js';
+import { formatIncarnation } from './incarnation.js';
 import { BreakerChangeSource } from './poolBreaker.js';
 
 const LOG_PART = 'peers';
--- a/packages/core/src/direct/prompts/crashDetector.ts
+++ b/packages/core/src/direct/prompts/crashDetector.ts
@@ -8,7 +8,7 @@
 import type { Metrics } from '../../ports/metrics.js';
 import type { UpstreamCaller } from '../../ports/upstreamCaller.js';
 import type { DirectUpstream } from '../directUpstream.js';
-import { formatIncarnation } from '../fleetBoard.js';
+import { formatIncarnation } from '../incarnation.js';
 import type { Crash } from './crashSuspicion.js';
 import type { PromptQuarantine } from './promptQuarantine.js';
 
--- /dev/null
+++ b/packages/core/src/direct/requestLimits/requestLimits.ts
@@ -0,0 +1,102 @@
+/**
+ * Request limits that upstreams name in their answers: requests per second from all entries
+ * together.
+ *
+ * Answers can overtake each other, so an answer without a limit ends one only if its request was
+ * sent after the limit was last seen. A restarted upstream starts without a limit.
+ */
+import type { Result } from '../../outcome.js';
+import type { UpstreamEntry } from '../directUpstream.js';
+import { formatIncarnation } from '../incarnation.js';
+
+/**
+ * What one answer says about the request limit of its upstream: requests per second, undefined
+ * where it names none. Err describes a value that is not a limit; it changes nothing.
+ */
+export type NamedLimit = Result<number | undefined, string>;
+
+/** Maximum number of incarnations whose limits are remembered. */
+const RECORDS_MAX = 16_384;
+
+/** Limit of one incarnation as it was last seen. */
+export interface LimitRecord {
+  /** Requests per second; undefined where the limit has ended. */
+  readonly perS: number | undefined;
+  /** When the answer arrived at the entry that received it. */
+  readonly seenAtMs: number;
+}
+
+/** Events of request limits. */
+export interface LimitListener {
+  /** The limit of an incarnation was set, has changed or has ended. */
+  readonly onChange?: (incarnation: string, record: LimitRecord) => void;
+  readonly onInvalid?: (upstream: UpstreamEntry, detail: string) => void;
+  /** A control call is sent to a limited upstream. */
+  readonly onControlCall?: (rank: UpstreamEntry, path: string, perS: number) => void;
+}
+
+/** Limits of all upstreams, by incarnation, as an upstream may not be in the registry yet. */
+export class RequestLimits {
+  readonly #records = new Map<string, LimitRecord>();
+
+  readonly #listeners: LimitListener[] = [];
+
+  /** Incarnations that have a limit now. */
+  readonly #limited = new Set<string>();
+
+  addListener(listener: LimitListener): void {
+    this.#listeners.push(listener);
+  }
+
+  get limitedCount(): number {
+    return this.#limited.size;
+  }
+
+  /** Requests per second that an upstream takes; undefined where it names no limit. */
+  find(upstream: UpstreamEntry): number | undefined {
+    if (this.#limited.size === 0) return undefined;
+    return this.#records.get(formatIncarnation(upstream))?.perS;
+  }
+
+  /**
+   * Applies what an answer says.
+   *
+   * @param sentAtMs when the request of the answer was sent
+   */
+  noteAnswer(upstream: UpstreamEntry, named: NamedLimit, sentAtMs: number): void {
+    if (!named.ok) {
+      this.#listeners.forEach((listener) => listener.onInvalid?.(upstream, named.val));
+      return;
+    }
+    const incarnation = formatIncarnation(upstream);
+    const known = this.#records.get(incarnation);
+    const perS = named.val;
+    if (perS === undefined && (known?.perS === undefined || sentAtMs <= known.seenAtMs)) return;
+    this.#put(incarnation, { perS, seenAtMs: performance.now() });
+  }
+
+  /** Records a control call to a rank. */
+  noteControlCall(rank: UpstreamEntry, path: string): void {
+    const perS = this.find(rank);
+    if (perS === undefined) return;
+    this.#listeners.forEach((listener) => listener.onControlCall?.(rank, path, perS));
+  }
+
+  #put(incarnation: string, record: LimitRecord): void {
+    const previous = this.#records.get(incarnation)?.perS;
+    this.#records.delete(incarnation);
+    this.#records.set(incarnation, record);
+    if (record.perS === undefined) this.#limited.delete(incarnation);
+    else this.#limited.add(incarnation);
+    this.#evictOldest();
+    if (previous === record.perS) return;
+    this.#listeners.forEach((listener) => listener.onChange?.(incarnation, record));
+  }
+
+  #evictOldest(): void {
+    const [oldest] = this.#records.keys();
+    if (oldest === undefined || this.#records.size <= RECORDS_MAX) return;
+    this.#records.delete(oldest);
+    this.#limited.delete(oldest);
+  }
+}
--- a/packages/core/src/direct/requestTelemetry.ts
+++ b/packages/core/src/direct/requestTelemetry.ts
@@ -50,6 +50,7 @@
       upstream: upstream.id,
       load: board.countLoad(upstream, nowMs),
       pace: upstream.readSlowdown(nowMs),
+      requestLimitPerS: board.limits.find(upstream.entry),
       peersHeard: board.livePeers.size,
       configVersion: board.table?.version,
       isResumed,
--- a/packages/core/src/direct/upstreamRegistry.ts
+++ b/packages/core/src/direct/upstreamRegistry.ts
@@ -9,7 +9,8 @@
 import { LogLevel, type Log } from '../ports/log.js';
 
 import type { UpstreamEntry } from './directUpstream.js';
-import { LeavingSource, formatIncarnation, type FleetBoard } from './fleetBoard.js';
+import { LeavingSource, type FleetBoard } from './fleetBoard.js';
+import { formatIncarnation } from './incarnation.js';
 
 const LOG_PART = 'membership';
 
--- a/packages/core/src/ports/upstreamCaller.ts
+++ b/packages/core/src/ports/upstreamCaller.ts
@@ -1,6 +1,7 @@
 /** Interface for the calls that an entry makes to upstreams directly. */
 import type { HeaderMap } from '../model/request.js';
 import type { UpstreamEntry, UpstreamLoad } from '../direct/directUpstream.js';
+import type { NamedLimit } from '../direct/requestLimits/requestLimits.js';
 
 import type { AnswerFraming } from './caller.js';
 import type { RequestBody } from './requestBody.js';
@@ -60,6 +61,8 @@
   /** Time for which the upstream accepts nothing more from this entry; undefined if not stated. */
   readonly backoffMs: number | undefined;
   readonly load: UpstreamLoad | undefined;
+  /** Requests per second that the upstream takes from all entries together. */
+  readonly requestLimit: NamedLimit;
 }
 
 export enum CallFailureKind {
--- a/packages/core/test/direct/fakeCall.ts
+++ b/packages/core/test/direct/fakeCall.ts
@@ -1,4 +1,5 @@
 /** Call of an upstream to which the test gives the response. */
+import { Ok } from '../../src/outcome.js';
 import { AnswerFraming } from '../../src/ports/caller.js';
 import {
   CallFailureKind,
@@ -20,6 +21,7 @@
   isLeaving: false,
   backoffMs: undefined,
   load: undefined,
+  requestLimit: Ok(undefined),
 };
 
 /** Response head with which an upstream declines a request. */
--- a/packages/core/test/direct/upstreamTrouble.test.ts
+++ b/packages/core/test/direct/upstreamTrouble.test.ts
@@ -5,7 +5,8 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
-import { LeavingSource, formatIncarnation } from '../../src/direct/fleetBoard.js';
+import { LeavingSource } from '../../src/direct/fleetBoard.js';
+import { formatIncarnation } from '../../src/direct/incarnation.js';
 import { Outcome, RefusalReason } from '../../src/model/reason.js';
 
 import type { FakeCaller } from '../entry/fakeCaller.js';
