Check a queue once per interval, not once more after each freed slot

Callers saw later answers while a pool was overloaded, as the entry spent its processor time on checks of the queue. Cause: each first output and each end of a request checks the queue at once and schedules the next check, but left the scheduled one in place, so the number of checks grew with every freed slot until the queue was empty. The test makes 15 checks in 100 ms without the change, 5 with it.

--- a/packages/core/src/direct/poolAdmission.ts
+++ b/packages/core/src/direct/poolAdmission.ts
@@ -238,6 +238,7 @@
 
   /** Admits queued requests as far as there is capacity. */
   readonly #admitWaiting = (): void => {
+    clearTimeout(this.#admitTimer);
     this.#admitTimer = undefined;
     const nowMs = performance.now();
     for (let next = this.#queue.first; next; next = this.#queue.first) {
--- a/packages/core/test/direct/poolAdmission.test.ts
+++ b/packages/core/test/direct/poolAdmission.test.ts
@@ -56,6 +56,24 @@
     assert.is(entry.calls.length, SLOTS + 1);
   }));
 
+test('a queue is checked once per interval, however many slots were freed before', () =>
+  withClock(async (clock) => {
+    const entry = new DirectFixture();
+    entry.addUpstreams('models', 1);
+    fillSlots(entry, 1);
+    Array.from({ length: 10 }, () => entry.sendRequest('stream'));
+    entry.calls.slice(0, 2).forEach((call) => call.end());
+    assert.is(entry.calls.length, SLOTS + 2, 'two of the queued requests are sent');
+    const breaker = entry.board.getBreaker('models');
+    let checks = 0;
+    breaker.tryPass = () => {
+      checks += 1;
+      return false;
+    };
+    await clock.tickAsync(100);
+    assert.is(checks, 5);
+  }));
+
 test('a pool that was idle for a long time does not count as slow', () =>
   withClock(async (clock) => {
     const entry = new DirectFixture();
