--- a/packages/core/src/direct/requestLimits/permitGrantor.ts
+++ b/packages/core/src/direct/requestLimits/permitGrantor.ts
@@ -9,6 +9,7 @@
  * limits, however the entries are divided.
  */
 import type { PermitAsk, PermitGrant } from '../../messages/message.js';
+import { TokenBucket } from '../../limits/tokenBucket.js';
 import type { Random } from '../../ports/random.js';
 
 /** Time without an ask after which an entry no longer follows a grantor, in milliseconds. */
@@ -51,13 +52,6 @@
   lastGrantAtMs: number;
 }
 
-interface Bucket {
-  tokens: number;
-  refilledAtMs: number;
-  /** Since when it holds a whole token. */
-  readySinceMs: number;
-}
-
 /** What a follower still needs, and what it gets in this round. */
 interface Need {
   readonly entry: string;
@@ -67,23 +61,6 @@
   readonly permits: Record<string, number>;
 }
 
-/**
- * Adds the tokens that have accrued. A token of a partial share lapses if it is not used soon:
- * other entries would keep theirs as well, and use all of them at once.
- */
-function refillBucket(bucket: Bucket, perMs: number, isPartial: boolean, nowMs: number): void {
-  const wasReady = bucket.tokens >= 1;
-  const filled = bucket.tokens + (nowMs - bucket.refilledAtMs) * perMs;
-  const tokens = Math.min(Math.max(1, perMs * BURST_MS), filled);
-  const readySinceMs = wasReady ? bucket.readySinceMs : nowMs;
-  const isLapsed = isPartial && tokens >= 1 && nowMs - readySinceMs > PARTIAL_TOKEN_VALID_MS;
-  Object.assign(bucket, {
-    tokens: isLapsed ? tokens - 1 : tokens,
-    refilledAtMs: nowMs,
-    readySinceMs,
-  });
-}
-
 /** Entries with waiting requests come first; of these, the one whose last permit is the oldest. */
 function chooseNeed(needs: readonly Need[]): Need | undefined {
   const urgent = needs.filter(({ waiting }) => waiting > 0);
@@ -110,7 +87,7 @@
 
   readonly #followers = new Map<string, Follower>();
 
-  readonly #buckets = new Map<string, Bucket>();
+  readonly #buckets = new Map<string, TokenBucket>();
 
   constructor(options: PermitGrantorOptions) {
     this.#options = options;
@@ -197,8 +174,11 @@
       .forEach((incarnation) => this.#buckets.delete(incarnation));
     const share = this.#share;
     limited.forEach(({ incarnation, perS }) => {
-      const perMs = (Math.max(perS, TRIAL_PER_S) * share) / MS_PER_SECOND;
-      refillBucket(this.#findBucket(incarnation, nowMs), perMs, share < 1, nowMs);
+      const bucket = this.#findBucket(incarnation, nowMs);
+      bucket.refill((Math.max(perS, TRIAL_PER_S) * share) / MS_PER_SECOND, BURST_MS, nowMs);
+      // Others without links would keep such tokens as well, and use all of them at once.
+      const isLapsed = share < 1 && bucket.readReadyMs(nowMs) > PARTIAL_TOKEN_VALID_MS;
+      if (isLapsed) bucket.take();
     });
   }
 
@@ -206,26 +186,21 @@
    * A new bucket is filled in part at random, so that entries which grant themselves their part of
    * one limit don't do so at the same time.
    */
-  #findBucket(incarnation: string, nowMs: number): Bucket {
+  #findBucket(incarnation: string, nowMs: number): TokenBucket {
     const known = this.#buckets.get(incarnation);
     if (known) return known;
-    const tokens = this.#options.random.next();
-    const bucket = { tokens, refilledAtMs: nowMs, readySinceMs: nowMs };
+    const bucket = new TokenBucket(this.#options.random.next(), nowMs);
     this.#buckets.set(incarnation, bucket);
     return bucket;
   }
 
   /** Takes a token of the upstream that has most. */
   #takeToken(): string | undefined {
-    let fullest: string | undefined;
-    let most = 1;
-    this.#buckets.forEach(({ tokens }, incarnation) => {
-      if (tokens < most) return;
-      most = tokens;
-      fullest = incarnation;
-    });
-    const bucket = fullest === undefined ? undefined : this.#buckets.get(fullest);
-    if (bucket) bucket.tokens -= 1;
+    const [fullest] = [...this.#buckets].reduce<[string, TokenBucket] | []>(
+      (most, each) => (each[1].tokens >= (most[1]?.tokens ?? 1) ? each : most),
+      [],
+    );
+    if (fullest !== undefined) this.#buckets.get(fullest)?.take();
     return fullest;
   }
 
--- a/packages/core/src/direct/requestLimits/requestLimits.ts
+++ b/packages/core/src/direct/requestLimits/requestLimits.ts
@@ -6,16 +6,10 @@
  * sent after the limit was last seen. A restarted upstream starts without a limit.
  */
 import type { LimitNews } from '../../messages/message.js';
-import type { Result } from '../../outcome.js';
+import type { NamedLimit } from '../../model/namedLimit.js';
 import type { UpstreamEntry } from '../directUpstream.js';
 import { formatIncarnation } from '../incarnation.js';
 
-/**
- * What one answer says about the request limit of its upstream: requests per second, undefined
- * where it names none. Err describes a value that is not a limit; it changes nothing.
- */
-export type NamedLimit = Result<number | undefined, string>;
-
 /** Maximum number of incarnations whose limits are remembered. */
 const RECORDS_MAX = 16_384;
 
--- a/packages/core/src/ports/engine.ts
+++ b/packages/core/src/ports/engine.ts
@@ -1,5 +1,6 @@
 /** Interface to the upstream of a side process, which is its only caller. */
 import type { HeaderMap } from '../model/request.js';
+import type { NamedLimit } from '../model/namedLimit.js';
 import type { CacheEvent, EngineReport } from '../model/report.js';
 import type { Result } from '../outcome.js';
 
@@ -29,6 +30,8 @@
 
 /** Events of one call; the last event is either `onEnd` or `onFailure`. */
 export interface EngineEvents {
+  /** What an answer says about the request limit of the upstream; called before all others. */
+  readonly onRequestLimit?: (named: NamedLimit) => void;
   readonly onHead: (status: number, headers: HeaderMap) => void;
   readonly onData: (data: Uint8Array) => void;
   readonly onEnd: () => void;
--- a/packages/core/src/ports/upstreamCaller.ts
+++ b/packages/core/src/ports/upstreamCaller.ts
@@ -1,7 +1,7 @@
 /** Interface for the calls that an entry makes to upstreams directly. */
 import type { HeaderMap } from '../model/request.js';
 import type { UpstreamEntry, UpstreamLoad } from '../direct/directUpstream.js';
-import type { NamedLimit } from '../direct/requestLimits/requestLimits.js';
+import type { NamedLimit } from '../model/namedLimit.js';
 
 import type { AnswerFraming } from './caller.js';
 import type { RequestBody } from './requestBody.js';
--- a/packages/core/src/side/attempt.ts
+++ b/packages/core/src/side/attempt.ts
@@ -141,6 +141,7 @@
         priority: submit.priority,
       },
       {
+        onRequestLimit: (named) => this.#options.owner.onRequestLimit(this, named),
         onHead: (status, headers) => this.#handleHead(status, headers),
         onData: (data) => this.#handleData(data),
         onEnd: () => this.#handleEnd(),
--- a/packages/core/src/side/attemptController.ts
+++ b/packages/core/src/side/attemptController.ts
@@ -1,5 +1,6 @@
 /** Handles submissions, inquiries, cancellations and credit, and owns the attempts. */
 import { AttemptState, MessageType, type MessageOf } from '../messages/message.js';
+import type { NamedLimit } from '../model/namedLimit.js';
 import { RefusalReason } from '../model/reason.js';
 
 import { Attempt } from './attempt.js';
@@ -98,6 +99,10 @@
     this.#limiter.recordFirstByte(attempt.permit, readClockMs());
   }
 
+  onRequestLimit(attempt: Attempt, named: NamedLimit): void {
+    this.#limiter.recordRequestLimit(attempt.permit, named, readClockMs());
+  }
+
   chooseRetryAfterMs(): number {
     return this.#limiter.chooseRetryAfterMs();
   }
--- a/packages/core/src/side/attemptOwner.ts
+++ b/packages/core/src/side/attemptOwner.ts
@@ -1,4 +1,6 @@
 /** Callbacks of an attempt to its owner. */
+import type { NamedLimit } from '../model/namedLimit.js';
+
 import type { Attempt } from './attempt.js';
 import type { AttemptExit } from './concurrencyLimiter.js';
 
@@ -7,6 +9,9 @@
   /** Called once, when the first response byte or the response head arrives. */
   abstract onFirstByte(attempt: Attempt): void;
 
+  /** Called for each answer of the engine, before all other calls. */
+  abstract onRequestLimit(attempt: Attempt, named: NamedLimit): void;
+
   /** @param gapMs time since the previous chunk of the response */
   abstract onChunk(gapMs: number): void;
 
--- a/packages/core/src/side/concurrencyLimiter.ts
+++ b/packages/core/src/side/concurrencyLimiter.ts
@@ -8,11 +8,13 @@
  */
 import { ConfigKind } from '../config/object.js';
 import { RefusalReason } from '../model/reason.js';
+import type { NamedLimit } from '../model/namedLimit.js';
 import { Warmth, type EngineReport } from '../model/report.js';
 import { LogLevel } from '../ports/log.js';
 
 import { ColdUpstreamDetector, type WaitingAttempts } from './coldUpstreamDetector.js';
 import { LimitRamp } from './limitRamp.js';
+import { RequestRateLimiter } from './requestRateLimiter.js';
 import { readClockMs } from './sideClock.js';
 import type { SideOptions } from './sideOptions.js';
 import { SmoothedTime } from './smoothedTime.js';
@@ -70,6 +72,11 @@
 
   readonly #untracked: UntrackedWork;
 
+  readonly #requestRate = new RequestRateLimiter();
+
+  /** Last invalid request limit, so that it is logged once. */
+  #invalidLimit: string | undefined;
+
   readonly #permits = new Set<ConcurrencyPermit>();
 
   /** Permits whose first response byte has not arrived, in order of admission. */
@@ -124,9 +131,12 @@
     this.#updateRange();
     this.#resetIfCold(nowMs);
     const { limit, warmth } = board;
-    board.limit = this.#computeLimit();
-    board.warmth = this.#computeWarmth();
+    const fullLimit = this.#computeLimit();
+    board.warmth = this.#computeWarmth(fullLimit);
     board.inFlight = this.load;
+    // While the upstream takes no further request, it counts as full.
+    const isHeldBack = this.#requestRate.readWaitMs(nowMs) > 0;
+    board.limit = isHeldBack ? Math.min(fullLimit, this.load) : fullLimit;
     if (limit !== board.limit || warmth !== board.warmth) this.#onChange();
   }
 
@@ -144,7 +154,9 @@
   chooseRetryAfterMs(): number {
     const { board, random } = this.#options;
     const completionIntervalMs = this.serviceMs / Math.max(1, board.limit);
-    const waitMs = Math.min(RETRY_MAX_MS, Math.max(RETRY_MIN_MS, completionIntervalMs));
+    const rateWaitMs = this.#requestRate.readWaitMs(readClockMs());
+    const neededMs = Math.max(RETRY_MIN_MS, completionIntervalMs, rateWaitMs);
+    const waitMs = Math.min(RETRY_MAX_MS, neededMs);
     return Math.round(waitMs * (0.5 + random.next()));
   }
 
@@ -152,11 +164,31 @@
   acquire(nowMs: number): ConcurrencyPermit {
     const permit = { generation: this.#ramp.generation, acquiredAtMs: nowMs };
     this.#permits.add(permit);
+    this.#requestRate.noteStart(nowMs);
     this.#awaitingFirstByte.add(permit);
     this.#recordPermitCount(nowMs);
     return permit;
   }
 
+  /** Applies what the answer of an admitted attempt says about the request limit. */
+  recordRequestLimit(permit: ConcurrencyPermit, named: NamedLimit, nowMs: number): void {
+    const before = this.#requestRate.perS;
+    this.#requestRate.noteAnswer(named, permit.acquiredAtMs, nowMs);
+    const { log, metrics } = this.#options;
+    if (named.err && named.val !== this.#invalidLimit) {
+      this.#invalidLimit = named.val;
+      log.write(LogLevel.Warn, LOG_PART, 'The upstream names an invalid request limit.', {
+        detail: named.val,
+      });
+    }
+    if (this.#requestRate.perS === before) return;
+    metrics.gauge('side.limit', this.#requestRate.perS ?? 0);
+    log.write(LogLevel.Info, LOG_PART, 'The request limit of the upstream has changed.', {
+      requestLimitPerS: this.#requestRate.perS,
+    });
+    this.refresh(nowMs);
+  }
+
   /** Records the arrival of the first response byte. */
   recordFirstByte(permit: ConcurrencyPermit, nowMs: number): void {
     if (!this.#awaitingFirstByte.delete(permit)) return;
@@ -219,8 +251,7 @@
     return this.#hasReportFailed ? this.#ramp.clampToCold() : this.#ramp.limit;
   }
 
-  #computeWarmth(): Warmth {
-    const { limit } = this.#options.board;
+  #computeWarmth(limit: number): Warmth {
     if (limit < this.#ramp.limit || !this.#ramp.isWarm) {
       return this.#ramp.isCold || limit < this.#ramp.limit ? Warmth.Cold : Warmth.Warming;
     }
@@ -232,6 +263,7 @@
     this.#engineIncarnation = incarnation;
     if (!isNew) return;
     this.#untracked.clear();
+    this.#requestRate.clear();
     this.#resetToCold('new-engine');
   }
 
--- a/packages/core/test/side/fakeEngine.ts
+++ b/packages/core/test/side/fakeEngine.ts
@@ -78,6 +78,8 @@
   /** Errors of orders, by index of the order from 0; later orders succeed. */
   readonly orderErrors: readonly EngineOrderErrorKind[];
   readonly orderMs: number;
+  /** Requests per second that it names in its answers; none if undefined. */
+  readonly requestLimitPerS: number | undefined;
 }
 
 const DEFAULT_SETUP: EngineSetup = {
@@ -94,6 +96,7 @@
   failure: undefined,
   orderErrors: [],
   orderMs: 10,
+  requestLimitPerS: undefined,
 };
 
 export class FakeEngine extends Engine {
@@ -228,6 +231,7 @@
   #startResponse(id: number): void {
     const active = this.#active.get(id);
     if (!active) return;
+    active.events.onRequestLimit?.(Ok(this.#setup.requestLimitPerS));
     active.events.onHead(200, { 'content-type': 'text/plain' });
     this.#sendChunk(id);
   }
--- a/packages/daemon/src/upstream/httpRun.ts
+++ b/packages/daemon/src/upstream/httpRun.ts
@@ -13,11 +13,17 @@
   type EngineEvents,
   type EngineRun,
 } from '@radishbay/core/ports/engine.js';
+import { parseRequestLimit } from '@radishbay/core/model/namedLimit.js';
 import type { HeaderMap } from '@radishbay/core/model/request.js';
 
+import { readHeader } from '../callers/headers.js';
+
 /** Statuses by which a model engine declines a request without starting it. */
 const DECLINED_STATUSES = new Set([429, 503]);
 
+/** Requests per second that the upstream takes; any of its answers may carry it. */
+const REQUEST_LIMIT_HEADER = 'x-request-limit';
+
 /** Hop-by-hop headers (RFC 9110, 7.6.1) and headers that Node sets itself. */
 const HOP_BY_HOP_HEADERS = new Set([
   'connection',
@@ -106,6 +112,9 @@
     if (this.#isDone) return;
     this.#response = response;
     const status = response.statusCode ?? 0;
+    this.#events.onRequestLimit?.(
+      parseRequestLimit(REQUEST_LIMIT_HEADER, readHeader(response, REQUEST_LIMIT_HEADER)),
+    );
     if (this.#isModel && DECLINED_STATUSES.has(status)) {
       response.resume();
       this.#fail(
