--- a/packages/core/src/direct/fleetBoard.ts
+++ b/packages/core/src/direct/fleetBoard.ts
@@ -130,6 +130,7 @@
     const isSame = known?.entry.startedAtUnixMs === entry.startedAtUnixMs;
     if (known && isSame) known.update(entry);
     else this.#upstreams.set(entry.id, new DirectUpstream(entry));
+    if (known && !isSame) this.limits.forget(known.incarnation);
     const upstream = this.#upstreams.get(entry.id);
     if (upstream && this.#leavingIncarnations.has(formatIncarnation(entry))) upstream.noteLeaving();
     this.#indexPools();
@@ -179,7 +180,11 @@
   }
 
   removeUpstream(id: string): void {
-    if (this.#upstreams.delete(id)) this.#indexPools();
+    const upstream = this.#upstreams.get(id);
+    if (!upstream) return;
+    this.#upstreams.delete(id);
+    this.limits.forget(upstream.incarnation);
+    this.#indexPools();
   }
 
   isDomainClosed(domain: string): boolean {
--- a/packages/core/src/direct/requestLimits/heldPermits.ts
+++ b/packages/core/src/direct/requestLimits/heldPermits.ts
@@ -26,6 +26,11 @@
     this.#replace(incarnation, others);
   }
 
+  /** Removes permits that have expired. */
+  prune(nowMs: number): void {
+    [...this.#expiriesMs.keys()].forEach((incarnation) => this.#listValid(incarnation, nowMs));
+  }
+
   #listValid(incarnation: string, nowMs: number): readonly number[] {
     const known = this.#expiriesMs.get(incarnation);
     if (!known) return [];
--- a/packages/core/src/direct/requestLimits/limitTelemetry.ts
+++ b/packages/core/src/direct/requestLimits/limitTelemetry.ts
@@ -8,6 +8,9 @@
 
 const LOG_PART = 'limits';
 
+/** Number of upstreams whose last invalid value is remembered. */
+const INVALID_VALUES_MAX = 1_024;
+
 export interface LimitTelemetryOptions {
   readonly board: FleetBoard;
   readonly log: Log;
@@ -39,6 +42,7 @@
     const { log, metrics } = this.#options;
     metrics.count('upstream.limit.invalid');
     if (this.#invalidValues.get(id) === detail) return;
+    if (this.#invalidValues.size >= INVALID_VALUES_MAX) this.#invalidValues.clear();
     this.#invalidValues.set(id, detail);
     const fields = { upstream: id, detail };
     log.write(LogLevel.Warn, LOG_PART, 'An upstream names an invalid request limit.', fields);
--- a/packages/core/src/direct/requestLimits/permitController.ts
+++ b/packages/core/src/direct/requestLimits/permitController.ts
@@ -13,6 +13,7 @@
 import type { Metrics } from '../../ports/metrics.js';
 import type { Random } from '../../ports/random.js';
 import type { FleetBoard } from '../fleetBoard.js';
+import { isInService } from '../placement.js';
 
 import { PermitGrantor, type LimitedUpstream } from './permitGrantor.js';
 
@@ -33,6 +34,9 @@
 /** Age of an ask from which the grants that answer it are outdated, in milliseconds. */
 const GRANT_VALID_MS = 1_000;
 
+/** Interval at which limits and permits of upstreams that are gone are removed. */
+const PRUNE_INTERVAL_MS = 10_000;
+
 /** Range of the numbers that tell the sessions of an entry apart. */
 const SESSION_RANGE = 2 ** 31;
 
@@ -74,6 +78,8 @@
 
   #timer: NodeJS.Timeout | undefined;
 
+  #pruneAtMs = 0;
+
   #flushTimer: NodeJS.Timeout | undefined;
 
   readonly #hurriedPools = new Set<string>();
@@ -111,6 +117,7 @@
     const nowMs = performance.now();
     this.#listLimitedPools().forEach((pool) => this.#ask(pool, nowMs));
     this.#grantors.forEach((grantor, pool) => this.#grant(pool, grantor, nowMs));
+    this.#prune(nowMs);
   }
 
   /** Asks before the next tick, as a request has begun to wait. */
@@ -245,14 +252,29 @@
     board.permits.addGrant(grant, nowMs);
   }
 
-  /** Limited upstreams of a pool that may get requests. */
+  /**
+   * Limited upstreams of a pool that may get requests. Those that this entry's registry lacks are
+   * included: others may have read a newer one.
+   */
   #listLimited(pool: string, nowMs: number): readonly LimitedUpstream[] {
     const { board } = this.#options;
-    return board.listPool(pool).flatMap((upstream) => {
-      const perS = board.limits.find(upstream.incarnation);
-      const isUsable = !upstream.isLeaving && !board.isDomainClosed(upstream.entry.domain);
-      if (perS === undefined || !isUsable || upstream.isBackingOff(nowMs)) return [];
-      return [{ incarnation: upstream.incarnation, perS }];
+    const upstreams = board.listPool(pool);
+    const unusable = new Set(
+      upstreams
+        .filter((each) => !isInService(board, each) || each.isBackingOff(nowMs))
+        .map(({ incarnation }) => incarnation),
+    );
+    return board.limits.listLimited(pool).flatMap((incarnation) => {
+      const perS = board.limits.find(incarnation);
+      return perS === undefined || unusable.has(incarnation) ? [] : [{ incarnation, perS }];
     });
   }
+
+  #prune(nowMs: number): void {
+    if (nowMs < this.#pruneAtMs) return;
+    this.#pruneAtMs = nowMs + PRUNE_INTERVAL_MS;
+    const { limits, permits, upstreams } = this.#options.board;
+    limits.prune(new Set(upstreams.map(({ incarnation }) => incarnation)));
+    permits.held.prune(nowMs);
+  }
 }
--- a/packages/core/src/direct/requestLimits/requestLimits.ts
+++ b/packages/core/src/direct/requestLimits/requestLimits.ts
@@ -13,8 +13,12 @@
 /** Maximum number of incarnations whose limits are remembered. */
 const RECORDS_MAX = 16_384;
 
+/** Time for which the limit of an upstream that the registry doesn't list is remembered. */
+const UNLISTED_VALID_MS = 60_000;
+
 /** Limit of one incarnation as it was last seen. */
 export interface LimitRecord {
+  readonly pool: string;
   /** Requests per second; undefined where the limit has ended. */
   readonly perS: number | undefined;
   /** When the answer arrived at the entry that received it. */
@@ -69,29 +73,57 @@
       this.#listeners.forEach((listener) => listener.onInvalid?.(upstream, named.val));
       return;
     }
+    const { pool } = upstream;
     const incarnation = formatIncarnation(upstream);
     const known = this.#records.get(incarnation);
     const perS = named.val;
     if (perS === undefined && (known?.perS === undefined || sentAtMs <= known.seenAtMs)) return;
-    const isChanged = this.#put(incarnation, { perS, seenAtMs: performance.now() });
-    if (isChanged) this.#onNews?.({ incarnation, perS, ageMs: 0 });
+    const isChanged = this.#put(incarnation, { pool, perS, seenAtMs: performance.now() });
+    if (isChanged) this.#onNews?.({ incarnation, pool, perS, ageMs: 0 });
   }
 
   /** Applies what another entry has seen, unless a later answer is known. */
-  applyNews({ incarnation, perS, ageMs }: LimitNews): void {
+  applyNews({ incarnation, pool, perS, ageMs }: LimitNews): void {
     const seenAtMs = performance.now() - ageMs;
     const known = this.#records.get(incarnation);
     if (known ? known.seenAtMs >= seenAtMs : perS === undefined) return;
-    this.#put(incarnation, { perS, seenAtMs });
+    this.#put(incarnation, { pool, perS, seenAtMs });
   }
 
-  /** Lists all limits, for an entry that has just connected. */
+  /**
+   * Lists all that is known, for an entry that has just connected. Limits that have ended are
+   * included, as the other entry may not have heard of their end.
+   */
   listNews(): readonly LimitNews[] {
     const nowMs = performance.now();
-    return [...this.#limited].flatMap((incarnation) => {
-      const record = this.#records.get(incarnation);
-      return record ? [{ incarnation, perS: record.perS, ageMs: nowMs - record.seenAtMs }] : [];
-    });
+    return [...this.#records].map(([incarnation, { pool, perS, seenAtMs }]) => ({
+      incarnation,
+      pool,
+      perS,
+      ageMs: nowMs - seenAtMs,
+    }));
+  }
+
+  /** Incarnations of a pool that have a limit now, in the registry or not. */
+  listLimited(pool: string): readonly string[] {
+    return [...this.#limited].filter((each) => this.#records.get(each)?.pool === pool);
+  }
+
+  /** Forgets an incarnation, as it is gone. */
+  forget(incarnation: string): void {
+    const record = this.#records.get(incarnation);
+    this.#records.delete(incarnation);
+    if (!record || !this.#limited.delete(incarnation)) return;
+    const ended = { ...record, perS: undefined };
+    this.#listeners.forEach((listener) => listener.onChange?.(incarnation, ended));
+  }
+
+  /** Forgets incarnations that are not in the registry and were last seen long ago. */
+  prune(listed: ReadonlySet<string>): void {
+    const oldestMs = performance.now() - UNLISTED_VALID_MS;
+    [...this.#records]
+      .filter(([incarnation, { seenAtMs }]) => seenAtMs < oldestMs && !listed.has(incarnation))
+      .forEach(([incarnation]) => this.forget(incarnation));
   }
 
   /** Records a control call to a rank. */
--- a/packages/core/src/messages/message.ts
+++ b/packages/core/src/messages/message.ts
@@ -321,6 +321,7 @@
 /** Request limit of an incarnation of an upstream, as an entry has seen it. */
 const LIMIT_NEWS = z.object({
   incarnation: z.string(),
+  pool: z.string(),
   /** Requests per second from all entries together; missing where the limit has ended. */
   perS: z.number().nonnegative().optional(),
   /** Time since the answer arrived that says so. */
--- a/packages/core/test/direct/requestLimits/limitedFleet.ts
+++ b/packages/core/test/direct/requestLimits/limitedFleet.ts
@@ -100,6 +100,10 @@
     return Array.from({ length: this.#options.entryCount }, (_, at) => `entry-${at + 100}`);
   }
 
+  get #addresses() {
+    return this.#names.map((name) => ({ name, address: name }));
+  }
+
   get pool(): string {
     return this.#options.pool ?? 'models';
   }
@@ -119,6 +123,11 @@
     [...this.links].forEach((link) => link.close('cut by the test'));
   }
 
+  /** Connects all entries again. */
+  connectEntries(): void {
+    this.exchanges.forEach((exchange) => exchange.setAddresses(this.#addresses));
+  }
+
   /** Cuts the links between the first entries and the others for good. */
   divideEntries(firstCount: number): void {
     const firstNames = this.#names.slice(0, firstCount);
@@ -211,7 +220,7 @@
 
   #startExchange(exchange: LoadExchange): void {
     exchange.start();
-    exchange.setAddresses(this.#names.map((name) => ({ name, address: name })));
+    exchange.setAddresses(this.#addresses);
   }
 
   async #step(): Promise<void> {
--- a/packages/core/test/direct/requestLimits/requestLimitChanges.test.ts
+++ b/packages/core/test/direct/requestLimits/requestLimitChanges.test.ts
@@ -4,6 +4,8 @@
 
 import { Outcome } from '../../../src/model/reason.js';
 import { Err, Ok } from '../../../src/outcome.js';
+import { chooseGrantor } from '../../../src/direct/requestLimits/permitController.js';
+import type { Random } from '../../../src/ports/random.js';
 import { withClock } from '../directFixture.js';
 import { BOUNDS } from '../sampleBounds.js';
 
@@ -141,6 +143,64 @@
     assertKept(fleet, 1.5, fromMs);
   }));
 
+test('an entry that was cut off while a limit ended uses the upstream again', () =>
+  withClock(async (clock) => {
+    const fleet = new LimitedFleet(clock, { entryCount: 3, upstreamCount: 2 });
+    fleet.naming = limitFirst(0.5);
+    await fleet.run(6_000, 20);
+    fleet.isolateEntries();
+    fleet.naming = () => Ok(undefined);
+    const isWithoutThird = (random: Random): number => random.nextInt(2);
+    await fleet.run(30_000, 20, isWithoutThird);
+    fleet.connectEntries();
+    await fleet.run(2_000, 20, isWithoutThird);
+    const third = fleet.entries[2]?.board;
+    assert.is(third?.limits.limitedCount, 0);
+    fleet.stop();
+  }));
+
+test('limits of upstreams that are gone are forgotten', () =>
+  withClock(async (clock) => {
+    const fleet = new LimitedFleet(clock, ALL_OF_THREE);
+    fleet.naming = () => Ok(2);
+    await fleet.run(4_000, PER_S);
+    fleet.naming = () => Ok(undefined);
+    fleet.entries.forEach(({ registry }) => {
+      Array.from({ length: 12 }, (_, at) => registry.remove(`models-${at}`, performance.now()));
+    });
+    await fleet.run(75_000, 0);
+    fleet.entries.forEach(({ board }) => {
+      assert.is(board.limits.limitedCount, 0);
+      assert.equal(board.limits.listNews(), []);
+    });
+    fleet.stop();
+  }));
+
+test('upstreams that the registry of the grantor lacks get requests from the other entries', () =>
+  withClock(async (clock) => {
+    const fleet = new LimitedFleet(clock, { entryCount: 3, upstreamCount: 2 });
+    fleet.naming = () => Ok(4);
+    await fleet.run(4_000, 12);
+    const grantor = chooseGrantor(
+      'models',
+      fleet.entries.map(({ board }) => board.name),
+    );
+    fleet.entries
+      .filter(({ board }) => board.name !== grantor)
+      .forEach(({ registry, board }) => {
+        const entry = board.findUpstream('models-0')?.entry;
+        if (entry) registry.put({ ...entry, id: 'models-9' });
+        registry.remove('models-0', performance.now());
+      });
+    const busy = fleet.entries.findIndex(({ board }) => board.name !== grantor);
+    await fleet.run(3_000, 12, () => busy);
+    const fromMs = performance.now();
+    await fleet.run(8_000, 12, () => busy);
+    const perS = fleet.readRate('models-9', fromMs, performance.now());
+    fleet.stop();
+    assert.ok(perS >= 2, `${perS} requests per second`);
+  }));
+
 test('entries that lose their links keep the limit together', () =>
   withClock(async (clock) => {
     const fleet = new LimitedFleet(clock, { entryCount: 35, upstreamCount: 4 });
