--- a/packages/core/src/direct/requestLimits/permitController.ts
+++ b/packages/core/src/direct/requestLimits/permitController.ts
@@ -115,7 +115,7 @@
 
   #tick(): void {
     const nowMs = performance.now();
-    this.#listLimitedPools().forEach((pool) => this.#ask(pool, nowMs));
+    this.#options.board.limits.listPools().forEach((pool) => this.#ask(pool, nowMs));
     this.#grantors.forEach((grantor, pool) => this.#grant(pool, grantor, nowMs));
     this.#prune(nowMs);
   }
@@ -127,7 +127,7 @@
     this.#flushTimer ??= setTimeout(() => {
       this.#flushTimer = undefined;
       const nowMs = performance.now();
-      const limitedPools = new Set(this.#listLimitedPools());
+      const limitedPools = new Set(this.#options.board.limits.listPools());
       [...this.#hurriedPools]
         .filter((each) => limitedPools.has(each))
         .forEach((each) => this.#ask(each, nowMs, true));
@@ -135,12 +135,6 @@
     }, BATCH_MS);
   }
 
-  #listLimitedPools(): readonly string[] {
-    const { limits, upstreams } = this.#options.board;
-    const limited = upstreams.filter(({ incarnation }) => limits.find(incarnation) !== undefined);
-    return [...new Set(limited.map(({ entry }) => entry.pool))];
-  }
-
   #ask(pool: string, nowMs: number, isHurried = false): void {
     const session = this.#findSession(pool, nowMs);
     if (!isHurried && nowMs - session.lastAskAtMs < ASK_INTERVAL_MS) return;
@@ -248,7 +242,7 @@
     }
     const counts = Object.values(grant.permits);
     session.received += counts.reduce((sum, count) => sum + count, 0);
-    if (counts.length > 0) metrics.count('permits.received', { pool: grant.pool });
+    if (counts.length > 0) metrics.count('permits.grants', { pool: grant.pool });
     board.permits.addGrant(grant, nowMs);
   }
 
--- a/packages/core/src/direct/requestLimits/requestLimits.ts
+++ b/packages/core/src/direct/requestLimits/requestLimits.ts
@@ -104,6 +104,12 @@
     }));
   }
 
+  /** Pools in which an upstream has a limit now. */
+  listPools(): readonly string[] {
+    const pools = [...this.#limited].flatMap((each) => this.#records.get(each)?.pool ?? []);
+    return [...new Set(pools)];
+  }
+
   /** Incarnations of a pool that have a limit now, in the registry or not. */
   listLimited(pool: string): readonly string[] {
     return [...this.#limited].filter((each) => this.#records.get(each)?.pool === pool);
