--- a/packages/soak/src/checks/check.ts
+++ b/packages/soak/src/checks/check.ts
@@ -13,6 +13,8 @@
   readonly drainMs: number;
   /** Time after which a closed domain must receive no more requests. */
   readonly evacuateMs: number;
+  /** Time after which entries must keep a request limit that an upstream names. */
+  readonly contactMs: number;
   /** Time within which entries must apply a new configuration. */
   readonly configMs: number;
   /** Requests per second for a cold upstream, before the factor and the addition. */
--- a/packages/soak/src/faults/upstreamFaults.ts
+++ b/packages/soak/src/faults/upstreamFaults.ts
@@ -25,6 +25,15 @@
 /** Time after a crash at which the upstream is removed from the registry. */
 const REGISTRY_EXPIRY_MS = 1_500;
 
+/** Largest request limit that an upstream names, in requests per second. */
+const LIMIT_MAX_PER_S = 6;
+
+/** Shortest time for which a limit holds: until it has to be kept, and the span of its check. */
+const LIMITED_MIN_MS = 9_000;
+
+/** Time for which the value of the header is invalid meanwhile. */
+const INVALID_LIMIT_MS = 300;
+
 const CONDUCTS = Object.values(WorkerBehavior).filter((each) => each !== WorkerBehavior.Serve);
 
 export interface UpstreamFaultOptions {
@@ -47,6 +56,10 @@
   /** Injects a fault and waits for its end. */
   async inject(fault: Fault, upstream: SoakUpstream): Promise<void> {
     if (this.#down.has(upstream)) return;
+    if (fault.kind === FaultKind.UpstreamLimit) {
+      await this.#limitRequests(fault, upstream);
+      return;
+    }
     const { faultTimeline } = this.#options;
     const endFault = faultTimeline.beginFault(upstream.worker.id, performance.now());
     await this.#apply(fault, upstream);
@@ -114,6 +127,27 @@
     if (!this.#down.has(upstream)) operators.register(upstream);
   }
 
+  /**
+   * Names a limit, and a value that is none for a moment in the middle. It does not count as a
+   * fault in the timeline, as all invariants hold meanwhile.
+   */
+  async #limitRequests({ forMs, draw }: Fault, upstream: SoakUpstream): Promise<void> {
+    const { operators } = this.#options;
+    const { worker } = upstream;
+    if (worker.requestLimit !== undefined) return;
+    const limitPerS = Math.round(draw * LIMIT_MAX_PER_S * 10) / 10;
+    const halfMs = (LIMITED_MIN_MS + forMs) / 2;
+    worker.requestLimit = String(limitPerS);
+    operators.recordLimit(upstream, limitPerS);
+    await wait(halfMs);
+    worker.requestLimit = 'no number';
+    await wait(INVALID_LIMIT_MS);
+    worker.requestLimit = String(limitPerS);
+    await wait(halfMs);
+    worker.requestLimit = undefined;
+    operators.recordLimitEnd(upstream);
+  }
+
   /** Makes a rank cold without updating its registry entry. */
   async #makeCold(upstream: SoakUpstream): Promise<void> {
     if (upstream.pool !== MODELS) return;
--- a/packages/soak/src/fleet/operators.ts
+++ b/packages/soak/src/fleet/operators.ts
@@ -66,7 +66,15 @@
     if (pool === MODELS) this.#recordChange(ChangeKind.UpstreamWarm, worker.id);
   }
 
-  #recordChange(kind: ChangeKind, subject: string): void {
-    this.#record.recordChange({ kind, subject, atMs: performance.now() });
+  recordLimit({ worker }: SoakUpstream, limitPerS: number): void {
+    this.#recordChange(ChangeKind.UpstreamLimited, worker.id, { limitPerS });
+  }
+
+  recordLimitEnd({ worker }: SoakUpstream): void {
+    this.#recordChange(ChangeKind.UpstreamUnlimited, worker.id);
+  }
+
+  #recordChange(kind: ChangeKind, subject: string, fields: { limitPerS?: number } = {}): void {
+    this.#record.recordChange({ kind, subject, atMs: performance.now(), ...fields });
   }
 }
--- a/packages/soak/src/plan/fault.ts
+++ b/packages/soak/src/plan/fault.ts
@@ -27,6 +27,8 @@
   UpstreamLeave = 'upstream-leave',
   /** It becomes cold without announcing it. */
   UpstreamCold = 'upstream-cold',
+  /** It names a limit of the requests per second that it takes from all entries. */
+  UpstreamLimit = 'upstream-limit',
   StoreSilent = 'store-silent',
   StoreFailing = 'store-failing',
   StoreSlow = 'store-slow',
--- a/packages/soak/src/record/observation.ts
+++ b/packages/soak/src/record/observation.ts
@@ -73,6 +73,8 @@
   UpstreamRegistered = 'upstream-entered',
   UpstreamCold = 'upstream-cold',
   UpstreamWarm = 'upstream-warm',
+  UpstreamLimited = 'upstream-limited',
+  UpstreamUnlimited = 'upstream-unlimited',
   /** A new configuration; each generation allows other routes and keys. */
   ConfigGeneration = 'generation',
   StopRequested = 'stop-asked',
@@ -84,4 +86,6 @@
   /** Name of the domain, upstream or entry, or number of the generation. */
   readonly subject: string;
   readonly atMs: number;
+  /** Requests per second that a limited upstream takes. */
+  readonly limitPerS?: number;
 }
--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -14,6 +14,7 @@
 import { DrainEnforcement } from './checks/drainEnforcement.js';
 import { GracefulShutdown } from './checks/gracefulShutdown.js';
 import { RequestIntegrity } from './checks/requestIntegrity.js';
+import { RequestLimit } from './checks/requestLimit.js';
 import { ResponseIntegrity } from './checks/responseIntegrity.js';
 import { RetryLimits } from './checks/retryLimits.js';
 import { ServiceRecovery } from './checks/serviceRecovery.js';
@@ -32,6 +33,7 @@
 const BOUNDS: Bounds = {
   drainMs: 2_000,
   evacuateMs: 5_000,
+  contactMs: 3_000,
   configMs: 3_000,
   coldPerS: COLD_PER_S,
   coldFactor: 1.5,
@@ -138,6 +140,7 @@
       new DrainEnforcement(context),
       new ConfigFreshness(context),
       new ColdStartLimit(context),
+      new RequestLimit(context),
       new RetryLimits(context),
       new CompletionDeadline(context),
       new GracefulShutdown(context),
--- a/packages/soak/test/checks.test.ts
+++ b/packages/soak/test/checks.test.ts
@@ -9,6 +9,7 @@
 import { DrainEnforcement } from '../src/checks/drainEnforcement.js';
 import { GracefulShutdown } from '../src/checks/gracefulShutdown.js';
 import { RequestIntegrity } from '../src/checks/requestIntegrity.js';
+import { RequestLimit } from '../src/checks/requestLimit.js';
 import { ResponseIntegrity } from '../src/checks/responseIntegrity.js';
 import { RetryLimits } from '../src/checks/retryLimits.js';
 import { ServiceRecovery } from '../src/checks/serviceRecovery.js';
@@ -131,6 +132,21 @@
   assert.is(history.violations.length, 1);
 });
 
+test('more requests than an upstream takes are reported once the limit has to be kept', () => {
+  const history = new History((context) => new RequestLimit(context));
+  history.change(ChangeKind.UpstreamLimited, 'up-1', 10_000, 1);
+  const send = (at: number, sentAtMs: number) =>
+    history.run(history.send({ id: `r-${at}`, sentAtMs }));
+  Array.from({ length: 30 }, (_, at) => send(at, 10_000 + at * 50));
+  Array.from({ length: 11 }, (_, at) => send(100 + at, 14_000 + at * 300));
+  assert.is(history.violations.length, 0);
+  send(200, 17_500);
+  assert.match(history.violations[0] ?? '', /got 12 in 4 s/u);
+  history.change(ChangeKind.UpstreamUnlimited, 'up-1', 18_000);
+  Array.from({ length: 30 }, (_, at) => send(300 + at, 18_100 + at * 50));
+  assert.is(history.violations.length, 1);
+});
+
 test('retries beyond the attempts of a route, or beyond the shared budget, are reported', () => {
   const history = new History((context) => new RetryLimits(context));
   const kind = RequestKind.Repeatable;
--- a/packages/soak/test/history.ts
+++ b/packages/soak/test/history.ts
@@ -2,7 +2,6 @@
 import type { Bounds, Check, CheckContext } from '../src/checks/check.js';
 import {
   RequestKind,
-  type Change,
   type ChangeKind,
   type ObservedResponse,
   type ObservedExecution,
@@ -14,6 +13,7 @@
 export const BOUNDS: Bounds = {
   drainMs: 2_000,
   evacuateMs: 5_000,
+  contactMs: 3_000,
   configMs: 3_000,
   coldPerS: 2,
   coldFactor: 1.5,
@@ -93,8 +93,13 @@
     });
   }
 
-  change(kind: ChangeKind, subject: string, atMs: Change['atMs']): void {
-    this.#record.recordChange({ kind, subject, atMs });
+  change(kind: ChangeKind, subject: string, atMs: number, limitPerS?: number): void {
+    this.#record.recordChange({
+      kind,
+      subject,
+      atMs,
+      ...(limitPerS !== undefined && { limitPerS }),
+    });
   }
 
   finish(): void {
