--- a/packages/core/src/direct/loadExchange.ts
+++ b/packages/core/src/direct/loadExchange.ts
@@ -87,6 +87,9 @@
 
   readonly #changed = new Set<DirectUpstream>();
 
+  /** Latest changes of request limits, by incarnation. */
+  readonly #changedLimits = new Map<string, LimitNews>();
+
   #sendTimer: NodeJS.Timeout | undefined;
 
   #heartbeatTimer: NodeJS.Timeout | undefined;
@@ -103,7 +106,8 @@
       this.#peers.forEach(({ link }) => this.#send(link, {}, { isFull: false, prompts: [news] }));
     });
     options.board.limits.onNews((news) => {
-      this.#peers.forEach(({ link }) => this.#send(link, {}, { isFull: false, limits: [news] }));
+      this.#changedLimits.set(news.incarnation, news);
+      this.#scheduleChanges();
     });
     options.board.permitMessages.setSender({
       sendAsk: (entry, permitAsk) => this.#sendTo(entry, { isFull: false, permitAsk }),
@@ -239,14 +243,21 @@
 
   #noteChange(upstream: DirectUpstream): void {
     this.#changed.add(upstream);
+    this.#scheduleChanges();
+  }
+
+  #scheduleChanges(): void {
     this.#sendTimer ??= setTimeout(() => this.#sendChanges(), BATCH_MS);
   }
 
   #sendChanges(): void {
     this.#sendTimer = undefined;
     const counts = listInFlight([...this.#changed]);
+    const limits = [...this.#changedLimits.values()];
     this.#changed.clear();
-    this.#peers.forEach(({ link }) => this.#send(link, counts, { isFull: false }));
+    this.#changedLimits.clear();
+    const extras = { isFull: false, ...(limits.length > 0 && { limits }) };
+    this.#peers.forEach(({ link }) => this.#send(link, counts, extras));
   }
 
   #send(link: Link, counts: Record<string, number>, extras: CountsExtras): void {
--- a/packages/core/src/direct/requestLimits/limitTelemetry.ts
+++ b/packages/core/src/direct/requestLimits/limitTelemetry.ts
@@ -28,14 +28,17 @@
     this.#options = options;
   }
 
-  onChange(incarnation: string, { perS }: LimitRecord): void {
+  onChange(incarnation: string, { perS }: LimitRecord, previousPerS: number | undefined): void {
     const { board, log, metrics } = this.#options;
     metrics.gauge('upstream.limited', board.limits.limitedCount);
     const sentence =
       perS === undefined
         ? 'The request limit of an upstream ended.'
         : 'An upstream limits its requests.';
-    log.write(LogLevel.Info, LOG_PART, sentence, { incarnation, requestLimitPerS: perS });
+    // A limit can change with every answer.
+    const isOther = perS !== undefined && previousPerS !== undefined;
+    const level = isOther ? LogLevel.Routine : LogLevel.Info;
+    log.write(level, LOG_PART, sentence, { incarnation, requestLimitPerS: perS });
   }
 
   onInvalid({ id }: UpstreamEntry, detail: string): void {
--- a/packages/core/src/direct/requestLimits/requestLimits.ts
+++ b/packages/core/src/direct/requestLimits/requestLimits.ts
@@ -28,7 +28,11 @@
 /** Events of request limits. */
 export interface LimitListener {
   /** The limit of an incarnation was set, has changed or has ended. */
-  readonly onChange?: (incarnation: string, record: LimitRecord) => void;
+  readonly onChange?: (
+    incarnation: string,
+    record: LimitRecord,
+    previousPerS: number | undefined,
+  ) => void;
   readonly onInvalid?: (upstream: UpstreamEntry, detail: string) => void;
   /** A control call is sent to a limited upstream. */
   readonly onControlCall?: (rank: UpstreamEntry, path: string, perS: number) => void;
@@ -121,7 +125,7 @@
     this.#records.delete(incarnation);
     if (!record || !this.#limited.delete(incarnation)) return;
     const ended = { ...record, perS: undefined };
-    this.#listeners.forEach((listener) => listener.onChange?.(incarnation, ended));
+    this.#listeners.forEach((listener) => listener.onChange?.(incarnation, ended, record.perS));
   }
 
   /** Forgets incarnations that are not in the registry and were last seen long ago. */
@@ -148,7 +152,7 @@
     else this.#limited.add(incarnation);
     this.#evictOldest();
     if (previous === record.perS) return false;
-    this.#listeners.forEach((listener) => listener.onChange?.(incarnation, record));
+    this.#listeners.forEach((listener) => listener.onChange?.(incarnation, record, previous));
     return true;
   }
 
--- a/packages/core/test/direct/pairedLinks.ts
+++ b/packages/core/test/direct/pairedLinks.ts
@@ -10,6 +10,8 @@
 
   isSilent = false;
 
+  readonly sent: Message[] = [];
+
   #handlers: LinkHandlers | undefined;
 
   #isClosed = false;
@@ -24,6 +26,7 @@
 
   override send(message: Message): void {
     if (this.#isClosed || this.isSilent) return;
+    this.sent.push(message);
     setTimeout(() => this.other?.deliver(message), 1);
   }
 
--- a/packages/core/test/direct/requestLimits/limitedFleet.ts
+++ b/packages/core/test/direct/requestLimits/limitedFleet.ts
@@ -1,5 +1,6 @@
 /** Entries in front of one pool of upstreams that name request limits in their answers. */
 import { LoadExchange } from '../../../src/direct/loadExchange.js';
+import type { Message } from '../../../src/messages/message.js';
 import { Ok, type Result } from '../../../src/outcome.js';
 import { CountingMetrics } from '../../../src/ports/countingMetrics.js';
 import { Random } from '../../../src/ports/random.js';
@@ -54,6 +55,10 @@
   refusedAfterMs?: number;
 }
 
+function hasLimits(message: Message): boolean {
+  return 'limits' in message && message.limits !== undefined;
+}
+
 const NO_LIMIT: Naming = () => Ok(undefined);
 
 /** Largest number of arrivals that a limit allows in the window in which they are counted. */
@@ -123,6 +128,11 @@
     [...this.links].forEach((link) => link.close('cut by the test'));
   }
 
+  /** Number of messages with news of limits that entries have sent. */
+  countLimitMessages(): number {
+    return this.links.reduce((sum, { sent }) => sum + sent.filter(hasLimits).length, 0);
+  }
+
   /** Connects all entries again. */
   connectEntries(): void {
     this.exchanges.forEach((exchange) => exchange.setAddresses(this.#addresses));
--- a/packages/core/test/direct/requestLimits/requestLimitChanges.test.ts
+++ b/packages/core/test/direct/requestLimits/requestLimitChanges.test.ts
@@ -82,6 +82,22 @@
     assertKept(fleet, 1, fromMs);
   }));
 
+test('limits that change with every answer are told to other entries in batches', () =>
+  withClock(async (clock) => {
+    const fleet = new LimitedFleet(clock, { entryCount: 2, upstreamCount: 12 });
+    let answers = 0;
+    fleet.naming = () => {
+      answers += 1;
+      return Ok(30 + (answers % 100) / 100);
+    };
+    await fleet.run(2_000, 200);
+    const before = fleet.countLimitMessages();
+    await fleet.run(4_000, 200);
+    const perS = (fleet.countLimitMessages() - before) / 4 / fleet.links.length;
+    fleet.stop();
+    assert.ok(perS <= 50, `${perS} messages with limits per second on each end of a link`);
+  }));
+
 test('a value that is no number leaves the limit as it is', () =>
   withClock(async (clock) => {
     const fleet = new LimitedFleet(clock, ALL_OF_THREE);
