Excuse work that goes on behind a held link in the soak's check of abandoned requests

The entries' logs show "Caller disconnected." with the attempt cancelled after 80 and 379 ms; the relay of the upstream (rank-5) held all bytes meanwhile, in faults.log from 7.1 s for 4.7 s and from 9.6 s for 4.7 s, so the close reached it only after that. The check now requires that the upstream and its link had no fault from the stable period before the caller left until the end of the work; without one it reports as before. The test has both.

--- a/packages/soak/src/checks/completionDeadline.ts
+++ b/packages/soak/src/checks/completionDeadline.ts
@@ -1,4 +1,9 @@
-import { isRepeatable, type ObservedResponse, type SentRequest } from '../record/observation.js';
+import {
+  isRepeatable,
+  type ObservedExecution,
+  type ObservedResponse,
+  type SentRequest,
+} from '../record/observation.js';
 
 import { Check } from './check.js';
 
@@ -17,8 +22,12 @@
 
   readonly #disconnectedAtMs = new Map<string, number>();
 
-  override onExecutionStart({ id }: { readonly id: string }): void {
+  /** Upstream at which each request ran last. */
+  readonly #upstreams = new Map<string, string>();
+
+  override onExecutionStart({ id, upstream }: ObservedExecution): void {
     this.#runningCounts.set(id, (this.#runningCounts.get(id) ?? 0) + 1);
+    this.#upstreams.set(id, upstream);
   }
 
   override onExecutionEnd(id: string, _isEarly: boolean, atMs: number): void {
@@ -30,9 +39,18 @@
     const lateMs = Math.round(atMs - leftAtMs);
     if (lateMs <= SLACK_MS || !this.context.timeline.isStable(sent.entry, atMs)) return;
     if (!isRepeatable(sent.kind) || !this.context.timeline.isStable(sent.entry, leftAtMs)) return;
+    if (this.#isLinkHeld(this.#upstreams.get(id) ?? '', leftAtMs, atMs)) return;
     this.report(`request ${id} was still running ${lateMs} ms after its caller disconnected`, atMs);
   }
 
+  /** Whether a fault of the upstream or its link can have held up the end of the work. */
+  #isLinkHeld(upstream: string, leftAtMs: number, atMs: number): boolean {
+    const { timeline } = this.context;
+    return (
+      !timeline.isStable(upstream, leftAtMs) || !timeline.isFaultFree(upstream, leftAtMs, atMs)
+    );
+  }
+
   override onCallerDisconnect({ id }: SentRequest, atMs: number): void {
     this.#disconnectedAtMs.set(id, atMs);
   }
--- a/packages/soak/src/record/soakRecord.ts
+++ b/packages/soak/src/record/soakRecord.ts
@@ -45,8 +45,8 @@
     this.#checks.forEach((check) => check.onExecutionStart?.(execution));
   }
 
-  recordExecutionEnd(id: string, isEarly: boolean): void {
-    this.#checks.forEach((check) => check.onExecutionEnd?.(id, isEarly, performance.now()));
+  recordExecutionEnd(id: string, isEarly: boolean, atMs = performance.now()): void {
+    this.#checks.forEach((check) => check.onExecutionEnd?.(id, isEarly, atMs));
   }
 
   recordResponse(request: SentRequest, response: ObservedResponse): void {
@@ -54,8 +54,8 @@
     this.#checks.forEach((check) => check.onResponse?.(request, response));
   }
 
-  recordCallerDisconnect(request: SentRequest): void {
-    this.#checks.forEach((check) => check.onCallerDisconnect?.(request, performance.now()));
+  recordCallerDisconnect(request: SentRequest, atMs = performance.now()): void {
+    this.#checks.forEach((check) => check.onCallerDisconnect?.(request, atMs));
   }
 
   recordChange(change: Change): void {
--- a/packages/soak/test/checks.test.ts
+++ b/packages/soak/test/checks.test.ts
@@ -162,6 +162,26 @@
   assert.match(history.violations[1] ?? '', /ran 3 times/u);
 });
 
+test('work that goes on after its caller has gone is reported, unless its link was held', () => {
+  const history = new History((context) => new CompletionDeadline(context));
+  const abandon = (id: string, upstream: string) => {
+    const request = history.send({ id, kind: RequestKind.ResumableStream });
+    history.run(request, { upstream });
+    history.disconnect(request, 10_400);
+    history.endRun(request, 11_500);
+  };
+  history.faultTimeline.beginFault('up-held', 9_800)(11_400);
+  history.faultTimeline.beginFault('up-before', 8_000)(9_000);
+  history.faultTimeline.beginFault('up-long-before', 2_000)(3_000);
+  abandon('r-1', 'up-held');
+  abandon('r-2', 'up-before');
+  assert.is(history.violations.length, 0);
+  abandon('r-3', 'up-long-before');
+  assert.is(history.violations.length, 1);
+  abandon('r-4', 'up-1');
+  assert.is(history.violations.length, 2);
+});
+
 test('a response after its route timeout is reported, from a stable entry only', () => {
   const history = new History((context) => new CompletionDeadline(context));
   history.answer(history.send({ id: 'r-1' }), { endedAtMs: 12_400 });
--- a/packages/soak/test/history.ts
+++ b/packages/soak/test/history.ts
@@ -93,6 +93,16 @@
     });
   }
 
+  /** Records that the caller disconnects. */
+  disconnect(request: SentRequest, atMs: number): void {
+    this.#record.recordCallerDisconnect(request, atMs);
+  }
+
+  /** Records that the upstream stops working on the request. */
+  endRun({ id }: SentRequest, atMs: number): void {
+    this.#record.recordExecutionEnd(id, true, atMs);
+  }
+
   change(kind: ChangeKind, subject: string, atMs: number, limitPerS?: number): void {
     this.#record.recordChange({
       kind,
