--- a/packages/core/src/direct/requestLimits/permitGrantor.ts
+++ b/packages/core/src/direct/requestLimits/permitGrantor.ts
@@ -9,26 +9,16 @@
  * limits, however the entries are divided.
  */
 import type { PermitAsk, PermitGrant } from '../../messages/message.js';
+import { refillForLimit } from '../../limits/limitRate.js';
 import { TokenBucket } from '../../limits/tokenBucket.js';
 import type { Random } from '../../ports/random.js';
 
 /** Time without an ask after which an entry no longer follows a grantor, in milliseconds. */
 const FOLLOWER_TIMEOUT_MS = 1_200;
 
-/** Time whose tokens a bucket holds; it always holds at least one. */
-const BURST_MS = 250;
-
-/**
- * Rate at which an upstream is tried that takes fewer requests, per second. Only an answer shows
- * that a limit has ended.
- */
-const TRIAL_PER_S = 0.1;
-
 /** Time for which a token of a partial share can be used, in milliseconds. */
 const PARTIAL_TOKEN_VALID_MS = 600;
 
-const MS_PER_SECOND = 1_000;
-
 /** A limited upstream that is in service. */
 export interface LimitedUpstream {
   readonly incarnation: string;
@@ -175,7 +165,7 @@
     const share = this.#share;
     limited.forEach(({ incarnation, perS }) => {
       const bucket = this.#findBucket(incarnation, nowMs);
-      bucket.refill((Math.max(perS, TRIAL_PER_S) * share) / MS_PER_SECOND, BURST_MS, nowMs);
+      refillForLimit(bucket, perS, share, nowMs);
       // Others without links would keep such tokens as well, and use all of them at once.
       const isLapsed = share < 1 && bucket.readReadyMs(nowMs) > PARTIAL_TOKEN_VALID_MS;
       if (isLapsed) bucket.take();
--- a/packages/core/src/side/requestRateLimiter.ts
+++ b/packages/core/src/side/requestRateLimiter.ts
@@ -5,20 +5,10 @@
  * Answers can overtake each other, so an answer without a limit ends one only if its request was
  * sent after the limit was last seen.
  */
+import { computeTokensPerMs, refillForLimit } from '../limits/limitRate.js';
 import { TokenBucket } from '../limits/tokenBucket.js';
 import type { NamedLimit } from '../model/namedLimit.js';
 
-/** Time whose tokens can be saved; one can always be saved. */
-const BURST_MS = 250;
-
-/**
- * Rate at which an upstream is tried that takes fewer requests, per second. Only an answer shows
- * that a limit has ended.
- */
-const TRIAL_PER_S = 0.1;
-
-const MS_PER_SECOND = 1_000;
-
 interface SeenLimit {
   readonly perS: number;
   readonly atMs: number;
@@ -57,9 +47,8 @@
   readWaitMs(nowMs: number): number {
     if (!this.#seen) return 0;
     const { bucket } = this.#seen;
-    const perMs = Math.max(this.#seen.perS, TRIAL_PER_S) / MS_PER_SECOND;
-    bucket.refill(perMs, BURST_MS, nowMs);
-    return Math.max(0, (1 - bucket.tokens) / perMs);
+    refillForLimit(bucket, this.#seen.perS, 1, nowMs);
+    return Math.max(0, (1 - bucket.tokens) / computeTokensPerMs(this.#seen.perS));
   }
 
   /** Records that a request is sent. */
