Draw request limits in the soak that its load exceeds

The soak sends a rank some seven requests a second, so of limits up to 6 a second with half as much again and five requests in 4 s most could not be broken.

--- a/packages/soak/src/faults/upstreamFaults.ts
+++ b/packages/soak/src/faults/upstreamFaults.ts
@@ -26,7 +26,7 @@
 const REGISTRY_EXPIRY_MS = 1_500;
 
 /** Largest request limit that an upstream names, in requests per second. */
-const LIMIT_MAX_PER_S = 6;
+const LIMIT_MAX_PER_S = 3;
 
 /** Shortest time for which a limit holds: until it has to be kept, and the span of its check. */
 const LIMITED_MIN_MS = 9_000;
