--- a/packages/core/src/direct/loadExchange.ts
+++ b/packages/core/src/direct/loadExchange.ts
@@ -6,15 +6,8 @@
  * Both send on the same link: changes after a short delay, and full counts periodically. The counts
  * of a peer that has timed out are dropped.
  */
-import {
-  MessageType,
-  type LimitNews,
-  type Message,
-  type MessageOf,
-  type PermitAsk,
-  type PermitGrant,
-  type PromptNews,
-} from '../messages/message.js';
+import { MessageType, type Message, type MessageOf, type PromptNews } from '../messages/message.js';
+import type { LimitNews, PermitAsk, PermitGrant } from '../messages/permitMessage.js';
 import type { Link } from '../ports/link.js';
 import type { LinkDialer } from '../ports/linkDialer.js';
 import { LogLevel, type Log } from '../ports/log.js';
--- a/packages/core/src/direct/requestLimits/permitController.ts
+++ b/packages/core/src/direct/requestLimits/permitController.ts
@@ -8,7 +8,7 @@
  */
 import { createHash } from 'node:crypto';
 
-import type { PermitAsk, PermitGrant } from '../../messages/message.js';
+import type { PermitAsk, PermitGrant } from '../../messages/permitMessage.js';
 import { LogLevel, type Log } from '../../ports/log.js';
 import type { Metrics } from '../../ports/metrics.js';
 import type { Random } from '../../ports/random.js';
@@ -59,7 +59,10 @@
   return createHash('sha1').update(text).digest('hex');
 }
 
-/** Chooses the grantor of a pool: every entry with the same candidates chooses the same one. */
+/**
+ * Chooses the grantor of a pool: every entry with the same candidates chooses the same one. The
+ * ranking of `membership/rendezvous` hashes by a native module, which the bundle cannot contain.
+ */
 export function chooseGrantor(pool: string, candidates: readonly string[]): string | undefined {
   const ranked = candidates.map((name) => ({ name, weight: hash(`${pool}/${name}`) }));
   return ranked.sort((a, b) => (a.weight < b.weight ? -1 : 1))[0]?.name;
--- a/packages/core/src/direct/requestLimits/permitGrantor.ts
+++ b/packages/core/src/direct/requestLimits/permitGrantor.ts
@@ -8,7 +8,7 @@
  * grantor issues their part of each limit. Thus two grantors together stay below one and a half
  * limits, however the entries are divided.
  */
-import type { PermitAsk, PermitGrant } from '../../messages/message.js';
+import type { PermitAsk, PermitGrant } from '../../messages/permitMessage.js';
 import { refillForLimit } from '../../limits/limitRate.js';
 import { TokenBucket } from '../../limits/tokenBucket.js';
 import type { Random } from '../../ports/random.js';
--- a/packages/core/src/direct/requestLimits/permitMessages.ts
+++ b/packages/core/src/direct/requestLimits/permitMessages.ts
@@ -1,5 +1,5 @@
 /** Connects the permits of an entry with its links to other entries. */
-import type { PermitAsk, PermitGrant } from '../../messages/message.js';
+import type { PermitAsk, PermitGrant } from '../../messages/permitMessage.js';
 
 /** Receives what other entries send. */
 export interface PermitReceiver {
--- a/packages/core/src/direct/requestLimits/requestLimits.ts
+++ b/packages/core/src/direct/requestLimits/requestLimits.ts
@@ -5,7 +5,7 @@
  * Answers can overtake each other, so an answer without a limit ends one only if its request was
  * sent after the limit was last seen. A restarted upstream starts without a limit.
  */
-import type { LimitNews } from '../../messages/message.js';
+import type { LimitNews } from '../../messages/permitMessage.js';
 import type { NamedLimit } from '../../model/namedLimit.js';
 import type { UpstreamEntry } from '../directUpstream.js';
 import { formatIncarnation } from '../incarnation.js';
--- a/packages/core/src/direct/requestLimits/requestPermits.ts
+++ b/packages/core/src/direct/requestLimits/requestPermits.ts
@@ -4,7 +4,7 @@
  * The limits hold for all entries together, so one entry grants the permits of a pool, and each
  * entry sends a limited upstream a request only with a permit.
  */
-import type { PermitGrant } from '../../messages/message.js';
+import type { PermitGrant } from '../../messages/permitMessage.js';
 
 import { HeldPermits } from './heldPermits.js';
 import { PoolDemand } from './poolDemand.js';
--- a/packages/core/test/direct/requestLimits/permitGrantor.test.ts
+++ b/packages/core/test/direct/requestLimits/permitGrantor.test.ts
@@ -6,7 +6,7 @@
   type LimitedUpstream,
 } from '../../../src/direct/requestLimits/permitGrantor.js';
 import { chooseGrantor } from '../../../src/direct/requestLimits/permitController.js';
-import type { PermitAsk, PermitGrant } from '../../../src/messages/message.js';
+import type { PermitAsk, PermitGrant } from '../../../src/messages/permitMessage.js';
 import { Random } from '../../../src/ports/random.js';
 
 const STEP_MS = 20;
