--- a/packages/core/src/direct/requestLimits/requestLimits.ts
+++ b/packages/core/src/direct/requestLimits/requestLimits.ts
@@ -86,6 +86,14 @@
     if (isChanged) this.#onNews?.({ incarnation, pool, perS, ageMs: 0 });
   }
 
+  /**
+   * Applies what the answer to a control call says. It can name a limit but not end one, as a rank
+   * may name its limit only in answers to requests.
+   */
+  noteControlAnswer(rank: UpstreamEntry, named: NamedLimit, sentAtMs: number): void {
+    if (named.err || named.val !== undefined) this.noteAnswer(rank, named, sentAtMs);
+  }
+
   /** Applies what another entry has seen, unless a later answer is known. */
   applyNews({ incarnation, pool, perS, ageMs }: LimitNews): void {
     const seenAtMs = performance.now() - ageMs;
--- a/packages/core/test/direct/requestLimits/requestLimitChanges.test.ts
+++ b/packages/core/test/direct/requestLimits/requestLimitChanges.test.ts
@@ -127,6 +127,22 @@
     fleet.stop();
   }));
 
+test('an answer to a control call names a limit but does not end one', () =>
+  withClock(async (clock) => {
+    const fleet = new LimitedFleet(clock, { entryCount: 1, upstreamCount: 1 });
+    const { limits, upstreams } = fleet.entries[0]?.board ?? {};
+    const [upstream] = upstreams ?? [];
+    if (!limits || !upstream) throw new Error('there is no upstream');
+    limits.noteControlAnswer(upstream.entry, Ok(2), performance.now());
+    assert.is(limits.find(upstream.incarnation), 2);
+    await clock.tickAsync(1_000);
+    limits.noteControlAnswer(upstream.entry, Ok(undefined), performance.now() - 1);
+    assert.is(limits.find(upstream.incarnation), 2);
+    limits.noteAnswer(upstream.entry, Ok(undefined), performance.now() - 1);
+    assert.is(limits.find(upstream.incarnation), undefined);
+    fleet.stop();
+  }));
+
 test('a restarted upstream starts without the limit of its life before', () =>
   withClock(async (clock) => {
     const fleet = new LimitedFleet(clock, ALL_OF_THREE);
