--- a/review/common/deployment.mjs
+++ b/review/common/deployment.mjs
@@ -26,8 +26,10 @@
    * @param onRequest handles a request at a worker
    * @param group takes the place of the workers of the streams
    * @param beforeEntries is called before the entries start
+   * @param peers proxies on the channels between entries
    */
-  async start({ record, onRequest, group, config = createConfig(5), beforeEntries = () => {} }) {
+  async start({ record, onRequest, group, config, beforeEntries, peers }) {
+    if (peers) this.store.translate = (spec) => peers.translate(spec);
     await this.store.start();
     await Promise.all(
       ZONES.flatMap((zone, at) => [
@@ -36,15 +38,15 @@
       ]),
     );
     await group?.start(this.store);
-    this.store.put('config', 'main', config);
+    this.store.put('config', 'main', config ?? createConfig(5));
     // Each entry has an address of its own, as its metrics port is fixed.
     const net = `127.${randomInt(20, 250)}.${randomInt(1, 250)}`;
     for (let at = 0; at < ENTRIES; at += 1) {
       const zone = ZONES[at % ZONES.length];
       const name = `edge-${zone}-${at}`;
-      this.entries.push(new Entry({ name, zone, address: `${net}.${at + 1}`, record }));
+      this.entries.push(new Entry({ name, zone, address: `${net}.${at + 1}`, record, peers }));
     }
-    beforeEntries();
+    beforeEntries?.();
     await Promise.all(this.entries.map((entry) => entry.start(this.store.address)));
   }
 
--- a/review/common/entry.mjs
+++ b/review/common/entry.mjs
@@ -48,15 +48,15 @@
 
   #isKilled = false;
 
-  constructor({ name, zone, address, record }) {
-    Object.assign(this, { name, zone, address, record });
+  constructor({ name, zone, address, record, peers }) {
+    Object.assign(this, { name, zone, address, record, peers });
   }
 
   async start(storeAddress) {
     const { name, zone, address } = this;
     const front = await findFreePort(address);
     const ready = await findFreePort(address);
-    const internal = await findFreePort(address);
+    const internal = await (this.peers?.open(address) ?? findFreePort(address));
     const ports = { front, ready, internal };
     this.port = front;
     this.readyPort = ready;
--- a/review/common/store.mjs
+++ b/review/common/store.mjs
@@ -27,6 +27,9 @@
 
   #server = http.createServer((message, response) => this.#serve(message, response));
 
+  /** Changes what an entry writes, as a proxy between entries needs it. */
+  translate;
+
   async start() {
     this.address = `127.0.0.1:${await listen(this.#server)}`;
   }
@@ -166,6 +169,10 @@
       this.#send(response, 200, {});
       return;
     }
-    this.#send(response, 200, this.put(kind, name ?? metadata.name, spec));
+    this.#send(
+      response,
+      200,
+      this.put(kind, name ?? metadata.name, this.translate?.(spec) ?? spec),
+    );
   }
 }
