--- a/review/common/group.mjs
+++ b/review/common/group.mjs
@@ -170,8 +170,10 @@
       response.writeHead(421, { 'X-Radishbay-Not-Executed': '1' }).end();
     } else if (answers[url]) this.#answer(rank, response, 200, answers[url]());
     else if (url === '/order') this.#handleOrder(rank, response, JSON.parse(body));
-    else if (headers['x-radishbay-attempt-id']) startStream(rank, headers, response);
-    else response.writeHead(url === '/healthz' ? 200 : 400).end();
+    else if (headers['x-radishbay-attempt-id']) {
+      this.record.write(`${rank.id} runs ${headers['x-radishbay-attempt-id']}`);
+      startStream(rank, headers, response);
+    } else response.writeHead(url === '/healthz' ? 200 : 400).end();
   }
 
   /** Sends the copy of an earlier answer at the point where the next answer is expected. */
--- a/review/common/traffic.mjs
+++ b/review/common/traffic.mjs
@@ -18,11 +18,19 @@
   }
 }
 
+async function consumeStream(entry) {
+  const answer = await send(entry, { path: '/gono990/2f' });
+  const { id, status, isComplete, error } = answer;
+  const end = isComplete ? 'complete' : `broken off (${error})`;
+  entry.record.write(`consumer of ${id} at ${entry.name}: status ${status}, ${end}`);
+  return answer;
+}
+
 /** Sends streams to an entry until the play is over; @returns their answers. */
 export async function consumeStreams(entry, isOver) {
   const streams = [];
   while (!isOver()) {
-    streams.push(send(entry, { path: '/gono990/2f' }));
+    streams.push(consumeStream(entry));
     // eslint-disable-next-line no-await-in-loop -- one stream after the other
     await wait(STREAM_GAP_MS);
   }
