--- a/review/common/record.mjs
+++ b/review/common/record.mjs
@@ -43,11 +43,12 @@
   const end = (code, text) => {
     record.write(text);
     record.save();
-    cleanUp();
     console.log(text);
     // eslint-disable-next-line n/no-process-exit -- the exit code is the result of the case
     process.exit(code);
   };
+  // Also after an exception that nothing catches, no process stays behind.
+  process.on('exit', cleanUp);
   const limit = setTimeout(() => end(NOT_RUN, 'could not run: out of time'), LIMIT_MS);
   ['SIGINT', 'SIGTERM', 'SIGHUP'].forEach((name) =>
     process.on(name, () => end(NOT_RUN, `could not run: ${name}`)),
