List all objects again when the store returns from an older copy

Cause: revisions go back and are given out again, and the followers watched on from a revision of the old history. Nothing read Store-Era. As the revision existed again, the store had no reason to answer 410.

Ruled out: a lost 410; a configuration refused as old (no attempt is logged).

Change: the store client records the era of each answer and discards answers of older eras. On a new era each follower lists its objects at once. The first watch after a failure waits for 1 ms only, so that the era is known as soon as the store is back.

--- a/packages/core/src/config/configFollower.ts
+++ b/packages/core/src/config/configFollower.ts
@@ -48,6 +48,8 @@
     return Math.min(timing.watchTimeoutMs, timing.configLeaseMs * share);
   }
 
+  protected override onRecovery(): void {}
+
   protected onCallStart(): () => void {
     const { board, lease, timing } = this.#options;
     const until = Deadline.after(timing.configLeaseMs);
--- a/packages/core/src/config/prefixFollower.ts
+++ b/packages/core/src/config/prefixFollower.ts
@@ -2,8 +2,9 @@
  * Follows the objects in the platform under one prefix.
  *
  * Lists the objects once, then watches for changes by long polls with a timeout, one at a time. If
- * the watch revision has been compacted, the objects are listed again. Failed calls are retried
- * with jittered backoff, multiplied by the pace that all callers of this process share.
+ * the watch revision has been compacted, or the store has returned from an older copy, the objects
+ * are listed again. Failed calls are retried with jittered backoff, multiplied by the pace that all
+ * callers of this process share.
  */
 import { Backoff } from '../membership/backoff.js';
 import type { Result } from '../outcome.js';
@@ -40,6 +41,15 @@
 /** Shortest delay between calls while calls fail. */
 const RETRY_MIN_MS = 100;
 
+/**
+ * Wait of the first watch after a failed call. A store that has returned from an older copy would
+ * hold a longer one without naming its new era.
+ */
+const PROBE_WAIT_MS = 1;
+
+/** Time over which the followers of all processes spread their lists after a new era. */
+const ERA_LIST_SPREAD_MS = 200;
+
 export interface FollowerContext {
   readonly store: ObjectStore;
   readonly pace: PlatformPace;
@@ -92,6 +102,14 @@
 
   #isFailing = false;
 
+  /** Changes when the follower stops and with each era; earlier calls are discarded by it. */
+  #generation = 0;
+
+  #removeEraListener: (() => void) | undefined;
+
+  /** Time of the last change of era until the objects have been listed; undefined otherwise. */
+  #newEraAtMs: number | undefined;
+
   #lastChangeAtMs = Number.NEGATIVE_INFINITY;
 
   /** Delay before the next call, set when the last one is answered. */
@@ -109,17 +127,29 @@
   start(): void {
     if (this.#isRunning) return;
     this.#isRunning = true;
+    this.#removeEraListener = this.#context.store.eras.onChange(() => this.#handleNewEra());
     this.#schedule(0);
   }
 
   /** Stops; the answer to a call in flight is ignored. */
   stop(): void {
     this.#isRunning = false;
+    this.#generation += 1;
+    this.#removeEraListener?.();
     clearTimeout(this.#timer);
   }
 
-  /** Handles the complete list of objects at a revision. */
-  protected abstract handleList(objects: readonly StoredObject[], revision: number): void;
+  /**
+   * Handles the complete list of objects at a revision.
+   *
+   * @param isOlderCopy whether the store has returned from an older copy since the last list, so
+   *   that the newest writes may be missing
+   */
+  protected abstract handleList(
+    objects: readonly StoredObject[],
+    revision: number,
+    isOlderCopy: boolean,
+  ): void;
 
   /** Handles changes, in the order of their versions. */
   protected abstract handleChanges(changes: readonly ObjectChange[]): void;
@@ -134,44 +164,74 @@
    */
   protected abstract onCallStart(): () => void;
 
+  /** Called when calls succeed again after a failed one, before the result is handled. */
+  protected abstract onRecovery(): void;
+
   #schedule(delayMs: number): void {
+    const generation = this.#generation;
     this.#timer = setTimeout(() => {
-      this.#poll().then((nextDelayMs) => {
-        if (this.#isRunning) this.#schedule(nextDelayMs);
+      this.#poll(generation).then((nextDelayMs) => {
+        if (generation === this.#generation) this.#schedule(nextDelayMs);
       });
     }, delayMs);
   }
 
+  /** Lists the objects anew; a call in progress no longer counts. */
+  #handleNewEra(): void {
+    this.#generation += 1;
+    this.#watchRevision = undefined;
+    this.#newEraAtMs ??= performance.now();
+    clearTimeout(this.#timer);
+    this.#schedule(this.#context.random.next() * ERA_LIST_SPREAD_MS);
+  }
+
   /** @returns delay until the next call, in ms */
-  async #poll(): Promise<number> {
+  async #poll(generation: number): Promise<number> {
     const onAnswered = this.onCallStart();
     this.#nextDelayMs = 0;
     const startedAtMs = Date.now();
-    const outcome = await (this.#watchRevision === undefined ? this.#list() : this.#watch());
-    if (!this.#isRunning) return 0;
+    const isProbe = this.#isFailing;
+    const outcome = await (this.#watchRevision === undefined
+      ? this.#list(generation)
+      : this.#watch(generation, isProbe ? PROBE_WAIT_MS : this.chooseWatchTimeoutMs()));
+    if (generation !== this.#generation) return 0;
     this.#context.pace.recordResult(outcome);
     this.#adaptLimit(outcome, Date.now() - startedAtMs);
     if (!outcome.ok) return this.#handleFailure(outcome.val);
     onAnswered();
+    if (!isProbe) this.#backoff.reset();
     this.#handleSuccess();
     return this.#nextDelayMs;
   }
 
-  async #list(): Promise<Result<unknown, StoreError>> {
+  async #list(generation: number): Promise<Result<unknown, StoreError>> {
     const listed = await withCallTimeout(this.#context.store.list(this.#prefix), this.#callLimitMs);
-    if (!listed.ok || !this.#isRunning) return listed;
+    if (!listed.ok || generation !== this.#generation) return listed;
     this.#watchRevision = listed.val.revision;
-    this.handleList(listed.val.objects, listed.val.revision);
+    if (this.#isFailing) this.onRecovery();
+    const newEraAtMs = this.#newEraAtMs;
+    this.#newEraAtMs = undefined;
+    this.handleList(listed.val.objects, listed.val.revision, newEraAtMs !== undefined);
+    if (newEraAtMs !== undefined) this.#noteRelisted(performance.now() - newEraAtMs);
     return listed;
   }
 
-  async #watch(): Promise<Result<unknown, StoreError>> {
-    const timeoutMs = this.chooseWatchTimeoutMs();
+  #noteRelisted(tookMs: number): void {
+    this.#context.metrics.count('platform.follow.relisted', { prefix: this.#prefix });
+    this.#context.log.write(LogLevel.Info, PART, 'Objects were listed again in a new era.', {
+      prefix: this.#prefix,
+      era: this.#context.store.eras.current,
+      tookMs: Math.round(tookMs),
+    });
+  }
+
+  async #watch(generation: number, timeoutMs: number): Promise<Result<unknown, StoreError>> {
     const after = this.#watchRevision ?? 0;
     const call = this.#context.store.watch(this.#prefix, after, timeoutMs);
     const batch = await withCallTimeout(call, timeoutMs + this.#callLimitMs);
-    if (!batch.ok || !this.#isRunning) return batch;
+    if (!batch.ok || generation !== this.#generation) return batch;
     this.#watchRevision = Math.max(after, batch.val.revision);
+    if (this.#isFailing) this.onRecovery();
     if (batch.val.changes.length > 0) {
       this.handleChanges(batch.val.changes);
       this.#scheduleAfterChange();
@@ -200,13 +260,7 @@
     this.#callLimitMs = Math.max(this.#limits.callLimitMinMs, neededMs);
   }
 
-  /** Whether the last call failed. */
-  protected get isFailing(): boolean {
-    return this.#isFailing;
-  }
-
   #handleSuccess(): void {
-    this.#backoff.reset();
     if (!this.#isFailing) return;
     this.#isFailing = false;
     this.#context.log.write(LogLevel.Info, PART, 'Calls to the platform succeed again.', {
--- a/packages/core/src/membership/registryFollower.ts
+++ b/packages/core/src/membership/registryFollower.ts
@@ -57,6 +57,8 @@
     return this.#options.watchTimeoutMs;
   }
 
+  protected override onRecovery(): void {}
+
   protected onCallStart(): () => void {
     const until = Deadline.after(REGISTRATION_VALID_MS);
     return () => this.#options.onAnswer?.(until);
--- a/packages/core/src/ports/objectStore.ts
+++ b/packages/core/src/ports/objectStore.ts
@@ -2,10 +2,13 @@
  * Interface to the platform's object API.
  *
  * Keys are paths and values are JSON of up to 1 MB. Versions are revisions of the whole store and
- * only increase. The platform counts every call; a waiting watch counts as one.
+ * only increase within one era ({@link StoreEras}). The platform counts every call; a waiting watch
+ * counts as one.
  */
 import type { Result } from '../outcome.js';
 
+import { StoreEras } from './storeEras.js';
+
 export enum StoreErrorKind {
   /** The expected version is not the current one; nothing was written. */
   Conflict = 'conflict',
@@ -56,6 +59,9 @@
 
 /** Client of the platform's object API. */
 export abstract class ObjectStore {
+  /** Eras named by the store's answers; answers of an older era are returned as errors. */
+  readonly eras = new StoreEras();
+
   /** Reads one object; Ok(undefined) if it does not exist. */
   abstract get(key: string): Promise<Result<StoredObject | undefined, StoreError>>;
 
--- a/packages/standin/test/config/prefixFollower.test.ts
+++ b/packages/standin/test/config/prefixFollower.test.ts
@@ -44,6 +44,8 @@
   protected override onCallStart(): () => void {
     return () => {};
   }
+
+  protected override onRecovery(): void {}
 }
 
 let clock: Clock;
