Skip registry entries that no request could be sent to

Cause: the decoder accepted any digits and dots as an address; `new URL` threw for it in a promise that nobody caught.

Ruled out: deep nesting (100,000 levels are parsed and skipped).

--- a/packages/core/src/membership/registry.ts
+++ b/packages/core/src/membership/registry.ts
@@ -6,6 +6,8 @@
  */
 import { z } from 'zod';
 
+import { isSocketAddress } from '../model/socketAddress.js';
+
 export const ENTRY_REGISTRY_PREFIX = 'registry/entry/';
 
 export const SIDE_REGISTRY_PREFIX = 'registry/side/';
@@ -21,7 +23,7 @@
 export const REGISTRATION_VALID_MS = 60_000;
 
 const REGISTRATION = z.object({
-  address: z.string().regex(/^[0-9a-f.:[\]]+:\d+$/u),
+  address: z.string().refine(isSocketAddress),
   incarnation: z.string(),
   domain: z.string(),
 });
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -1,6 +1,7 @@
 /** Schema of a daemon's settings: fields, allowed values and defaults. */
 import { z } from 'zod';
 
+import { isSocketAddress } from '@radishbay/core/model/socketAddress.js';
 import { DEFAULT_TIMING } from '@radishbay/core/model/timing.js';
 import { LogLevel } from '@radishbay/core/ports/log.js';
 
@@ -8,7 +9,7 @@
 const IP_ADDRESS = z.union([z.ipv4(), z.ipv6()]);
 const ADDRESS = z
   .string()
-  .regex(/^[0-9a-f.:[\]]+:\d+$/u, 'must be an IP address and port, such as 127.0.0.1:7100');
+  .refine(isSocketAddress, 'must be an IP address and port, such as 127.0.0.1:7100');
 const DURATION_MS = z.number().int().positive();
 const BYTES = z.number().int().positive();
 
--- a/packages/objects/src/httpCall.ts
+++ b/packages/objects/src/httpCall.ts
@@ -4,7 +4,13 @@
  * A failed call reports whether any byte of the request can have left this process: only then may
  * a write have taken effect.
  */
-import { request, type Agent, type IncomingHttpHeaders, type IncomingMessage } from 'node:http';
+import {
+  request,
+  type Agent,
+  type ClientRequest,
+  type IncomingHttpHeaders,
+  type IncomingMessage,
+} from 'node:http';
 
 import { Err, Ok, type Result } from '@radishbay/core/outcome.js';
 
@@ -62,6 +68,15 @@
   });
 }
 
+/** @returns the request, or why Node does not accept its method, address or headers */
+function openRequest({ url, method, headers, agent }: HttpCall): Result<ClientRequest, string> {
+  try {
+    return Ok(request(url, { method, headers, agent }));
+  } catch (error) {
+    return Err(error instanceof Error ? error.message : String(error));
+  }
+}
+
 /**
  * Sends one request.
  *
@@ -70,8 +85,12 @@
 export function sendCall(call: HttpCall): Promise<Result<HttpResponse, HttpFailure>> {
   return new Promise((resolve) => {
     let isSent = false;
-    const { method, headers, agent } = call;
-    const clientRequest = request(call.url, { method, headers, agent });
+    const opened = openRequest(call);
+    if (opened.err) {
+      resolve(Err({ isSent, isTimeout: false, detail: opened.val }));
+      return;
+    }
+    const clientRequest = opened.val;
     const timer = setTimeout(() => {
       clientRequest.destroy(new ResponseTimeoutError(`no answer within ${call.timeoutMs} ms`));
     }, call.timeoutMs);
