Delimit every answer to callers by its length or chunks

Cause: the entry passed the missing framing on, so that only the end of the connection marked the end of the answer, and a kill closes it in the same way.

Ruled out: the worker; it had not broken off.

Change: callers get a length where the whole body is buffered, else chunks. A body that is empty and not framed gets no length, as it may be one of a status without a body.

The same change makes a reset visible that reaches the caller as a plain end.

--- a/packages/core/src/direct/responseBuilder.ts
+++ b/packages/core/src/direct/responseBuilder.ts
@@ -5,8 +5,8 @@
  * large one is forwarded once the buffer limit is exceeded. Of a stream, complete events are
  * forwarded as they arrive, under the head of the first upstream that sent one.
  */
-import { AnswerFraming, type Caller } from '../ports/caller.js';
-import type { AnswerHead } from '../ports/upstreamCaller.js';
+import type { Caller } from '../ports/caller.js';
+import { AnswerFraming, type AnswerHead } from '../ports/upstreamCaller.js';
 
 import { EventSplitter } from './eventSplitter.js';
 import { GrowingBuffer } from './growingBuffer.js';
@@ -112,8 +112,9 @@
   end(): void {
     if (!this.#isCommitted) {
       const body = this.#buffered.take();
-      const isLengthDeclared = this.#head?.framing === AnswerFraming.Delimited;
-      this.#commit(isLengthDeclared ? { 'content-length': String(body.length) } : {});
+      // An answer without framing and without a body may be one that cannot have a body.
+      const hasLength = body.length > 0 || this.#framing === AnswerFraming.Delimited;
+      this.#commit(hasLength ? { 'content-length': String(body.length) } : {});
       if (body.length > 0) this.#caller.writeData(body);
     }
     this.#caller.end();
@@ -152,7 +153,7 @@
   #commit(extraHeaders: Readonly<Record<string, string>>): void {
     if (this.#isCommitted || !this.#head) return;
     this.#isCommitted = true;
-    const { status, headers, framing } = this.#head;
-    this.#caller.writeHead(status, { ...headers, ...extraHeaders }, framing);
+    const { status, headers } = this.#head;
+    this.#caller.writeHead(status, { ...headers, ...extraHeaders });
   }
 }
