Pass a plain answer without framing on without one again

Workers break off plain answers without framing with a regular end, and the entry then declared half an answer as whole.

Change: only events of a stream are put into chunks; a stream that was broken off ends inside an event, so the entry can tell.

--- a/packages/core/src/direct/responseBuilder.ts
+++ b/packages/core/src/direct/responseBuilder.ts
@@ -4,9 +4,13 @@
  * A plain response is buffered until it is complete, so that one that breaks off can be replaced; a
  * large one is forwarded once the buffer limit is exceeded. Of a stream, complete events are
  * forwarded as they arrive, under the head of the first upstream that sent one.
+ *
+ * A stream is delimited for the caller even if the upstream does not do so: otherwise the events
+ * forwarded before the end of this process would look like all of them. A plain response without
+ * framing is forwarded without one, since it may have been truncated at the upstream.
  */
-import type { Caller } from '../ports/caller.js';
-import { AnswerFraming, type AnswerHead } from '../ports/upstreamCaller.js';
+import { AnswerFraming, type Caller } from '../ports/caller.js';
+import type { AnswerHead } from '../ports/upstreamCaller.js';
 
 import { EventSplitter } from './eventSplitter.js';
 import { GrowingBuffer } from './growingBuffer.js';
@@ -112,9 +116,8 @@
   end(): void {
     if (!this.#isCommitted) {
       const body = this.#buffered.take();
-      // An answer without framing and without a body may be one that cannot have a body.
-      const hasLength = body.length > 0 || this.#framing === AnswerFraming.Delimited;
-      this.#commit(hasLength ? { 'content-length': String(body.length) } : {});
+      const isLengthDeclared = this.#head?.framing === AnswerFraming.Delimited;
+      this.#commit(isLengthDeclared ? { 'content-length': String(body.length) } : {});
       if (body.length > 0) this.#caller.writeData(body);
     }
     this.#caller.end();
@@ -154,6 +157,8 @@
     if (this.#isCommitted || !this.#head) return;
     this.#isCommitted = true;
     const { status, headers } = this.#head;
-    this.#caller.writeHead(status, { ...headers, ...extraHeaders });
+    const isEvents = this.#isStream && this.isSuccess;
+    const framing = isEvents ? AnswerFraming.Delimited : this.#head.framing;
+    this.#caller.writeHead(status, { ...headers, ...extraHeaders }, framing);
   }
 }
--- a/packages/core/src/ports/caller.ts
+++ b/packages/core/src/ports/caller.ts
@@ -2,13 +2,22 @@
 import type { HeaderMap } from '../model/request.js';
 import type { Refusal } from '../model/reason.js';
 
+/** How the end of an answer's body is delimited. */
+export enum AnswerFraming {
+  /** By a content length or a last chunk. */
+  Delimited = 'told',
+  /** By the close of the connection, so that a truncated body cannot be detected. */
+  UntilClose = 'until-close',
+}
+
 /** Sends the answer to one request. The implementation over HTTP contains no decisions. */
 export abstract class Caller {
   /**
-   * Sends the status and the headers of the answer. The end of the body is marked by a declared
-   * length or by its last chunk, so that the caller can detect a truncated body.
+   * Sends the status and the headers of the answer.
+   *
+   * @param framing how the caller detects the end of the answer
    */
-  abstract writeHead(status: number, headers: HeaderMap): void;
+  abstract writeHead(status: number, headers: HeaderMap, framing?: AnswerFraming): void;
 
   /**
    * Writes bytes of the answer's body.
--- a/packages/core/src/ports/upstreamCaller.ts
+++ b/packages/core/src/ports/upstreamCaller.ts
@@ -3,6 +3,7 @@
 import type { UpstreamEntry, UpstreamLoad } from '../direct/directUpstream.js';
 import type { NamedLimit } from '../model/namedLimit.js';
 
+import type { AnswerFraming } from './caller.js';
 import type { RequestBody } from './requestBody.js';
 
 /** A caller's request that is forwarded unchanged. */
@@ -42,14 +43,6 @@
   readonly isFreshConnectionNeeded: boolean;
 }
 
-/** How an upstream marks the end of an answer's body. */
-export enum AnswerFraming {
-  /** By a content length or a last chunk. */
-  Delimited = 'told',
-  /** By the close of the connection, so that a truncated body cannot be detected. */
-  UntilClose = 'until-close',
-}
-
 /** Status and headers of an answer, with what the upstream states in them. */
 export interface AnswerHead {
   readonly status: number;
--- a/packages/core/test/direct/unframedStream.test.ts
+++ b/packages/core/test/direct/unframedStream.test.ts
@@ -6,7 +6,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
-import { AnswerFraming } from '../../src/ports/upstreamCaller.js';
+import { AnswerFraming } from '../../src/ports/caller.js';
 import { DirectFixture, withClock } from './directFixture.js';
 
 const UNFRAMED = { framing: AnswerFraming.UntilClose };
--- a/packages/daemon/src/callers/httpCaller.ts
+++ b/packages/daemon/src/callers/httpCaller.ts
@@ -1,7 +1,7 @@
 /** Sends responses to a caller over HTTP. */
 import type http from 'node:http';
 
-import { Caller } from '@radishbay/core/ports/caller.js';
+import { AnswerFraming, Caller } from '@radishbay/core/ports/caller.js';
 import type { Refusal } from '@radishbay/core/model/reason.js';
 import type { HeaderMap } from '@radishbay/core/model/request.js';
 
@@ -19,7 +19,12 @@
     this.#retryAfterFormat = retryAfterFormat;
   }
 
-  override writeHead(status: number, headers: HeaderMap): void {
+  override writeHead(status: number, headers: HeaderMap, framing = AnswerFraming.Delimited): void {
+    if (framing === AnswerFraming.UntilClose) {
+      // With both off, Node marks the end of the body by closing the connection.
+      this.#response.useChunkedEncodingByDefault = false;
+      this.#response.shouldKeepAlive = false;
+    }
     this.#response.writeHead(status, headers);
     this.#response.flushHeaders();
   }
