Close the connection of a whole response that is rejected

Cause: the connection of the first response was back in the pool when the attempt failed. The resumed request took it and met the late copy, whose id is that of the caller's attempt and so the same.

Change: a call that is cancelled while it reports its end destroys its connection.

--- a/packages/daemon/src/direct/httpUpstreamCall.ts
+++ b/packages/daemon/src/direct/httpUpstreamCall.ts
@@ -74,6 +74,9 @@
 
   #isDone = false;
 
+  /** Whether the end of the response is being handled; the agent takes the connection after that. */
+  #isReportingEnd = false;
+
   constructor(call: UpstreamCall, codec: WireCodec, agent: UpstreamAgent, events: CallEvents) {
     this.#call = call;
     this.#codec = codec;
@@ -107,6 +110,7 @@
   }
 
   readonly cancel = (): void => {
+    if (this.#isReportingEnd) this.#closeConnection();
     this.#isDone = true;
     clearTimeout(this.#connectTimer);
     this.#body.stop();
@@ -181,7 +185,17 @@
     if (this.#isDone || !isWhole) return;
     this.#isDone = true;
     this.#abortUnsentBody();
+    this.#isReportingEnd = true;
     this.#events.onEnd();
+    this.#isReportingEnd = false;
+  }
+
+  /**
+   * Closes the connection of a whole response that was rejected. The request may be sent again, and
+   * a late copy of this response would be taken for the next one, as both have the same id.
+   */
+  #closeConnection(): void {
+    this.#request.socket?.destroy();
   }
 
   /**
