--- a/packages/daemon/src/direct/httpUpstreamCall.ts
+++ b/packages/daemon/src/direct/httpUpstreamCall.ts
@@ -74,7 +74,7 @@
 
   #isDone = false;
 
-  /** Whether the end of the response is being handled; the agent takes the connection after that. */
+  /** Whether the end of the response is being handled; the agent reuses the connection later. */
   #isReportingEnd = false;
 
   constructor(call: UpstreamCall, codec: WireCodec, agent: UpstreamAgent, events: CallEvents) {
--- a/packages/objects/src/httpCall.ts
+++ b/packages/objects/src/httpCall.ts
@@ -14,7 +14,7 @@
 
 import { Err, Ok, type Result } from '@radishbay/core/outcome.js';
 
-const MAX_RESPONSE_BYTES = 64 * 1024 * 1024;
+const DEFAULT_RESPONSE_LIMIT_BYTES = 64 * 1024 * 1024;
 
 /** A request and how to send it. */
 export interface HttpCall {
@@ -24,6 +24,8 @@
   readonly body: string | undefined;
   /** Longest time until the whole response has been read. */
   readonly timeoutMs: number;
+  /** Size of the body from which the call fails; 64 MiB by default. */
+  readonly responseLimitBytes?: number;
   /** Connection pool; `false` opens a connection for this call only. */
   readonly agent: Agent | false;
 }
@@ -40,13 +42,28 @@
   /** Whether the connection was established, so that the server may have received the request. */
   readonly isSent: boolean;
   readonly isTimeout: boolean;
+  /** Whether the body exceeded its size limit. */
+  readonly isTooLarge: boolean;
   readonly detail: string;
 }
 
-class ResponseTimeoutError extends Error {}
+enum Limit {
+  Time,
+  Size,
+}
+
+class LimitError extends Error {
+  readonly limit: Limit;
+
+  constructor(limit: Limit, message: string) {
+    super(message);
+    this.limit = limit;
+  }
+}
 
 function readResponse(
   response: IncomingMessage,
+  limitBytes: number,
   onComplete: (response: HttpResponse) => void,
   onError: (error: Error) => void,
 ): void {
@@ -54,8 +71,12 @@
   let sizeBytes = 0;
   response.on('data', (chunk: Buffer) => {
     sizeBytes += chunk.length;
-    if (sizeBytes > MAX_RESPONSE_BYTES) response.destroy(new Error('answer is too large'));
-    else chunks.push(chunk);
+    if (sizeBytes <= limitBytes) {
+      chunks.push(chunk);
+      return;
+    }
+    chunks.length = 0;
+    response.destroy(new LimitError(Limit.Size, `the answer exceeds ${limitBytes} bytes`));
   });
   response.on('end', () => {
     if (!response.complete) return;
@@ -87,19 +108,29 @@
     let isSent = false;
     const opened = openRequest(call);
     if (opened.err) {
-      resolve(Err({ isSent, isTimeout: false, detail: opened.val }));
+      resolve(Err({ isSent, isTimeout: false, isTooLarge: false, detail: opened.val }));
       return;
     }
     const clientRequest = opened.val;
-    const timer = setTimeout(() => {
-      clientRequest.destroy(new ResponseTimeoutError(`no answer within ${call.timeoutMs} ms`));
-    }, call.timeoutMs);
-
+    let hasResponse = false;
+    let timer: NodeJS.Timeout | undefined;
     const fail = (error: Error): void => {
       clearTimeout(timer);
-      const isTimeout = error instanceof ResponseTimeoutError;
-      resolve(Err({ isSent, isTimeout, detail: error.message || 'connection failed' }));
+      const limit = error instanceof LimitError ? error.limit : undefined;
+      resolve(
+        Err({
+          isSent,
+          isTimeout: limit === Limit.Time,
+          isTooLarge: limit === Limit.Size,
+          detail: error.message || 'connection failed',
+        }),
+      );
     };
+    timer = setTimeout(() => {
+      const error = new LimitError(Limit.Time, `no answer within ${call.timeoutMs} ms`);
+      fail(error);
+      clientRequest.destroy(error);
+    }, call.timeoutMs);
     const succeed = (response: HttpResponse): void => {
       clearTimeout(timer);
       resolve(Ok(response));
@@ -115,8 +146,18 @@
       });
     });
     clientRequest.on('error', fail);
+    // A request that Node destroys after a 101 response emits neither a response nor an error.
+    clientRequest.on('close', () => {
+      if (!hasResponse) fail(new Error('the connection closed without a response'));
+    });
     clientRequest.on('response', (response) => {
-      readResponse(response, succeed, fail);
+      hasResponse = true;
+      readResponse(
+        response,
+        call.responseLimitBytes ?? DEFAULT_RESPONSE_LIMIT_BYTES,
+        succeed,
+        fail,
+      );
     });
     clientRequest.end(call.body);
   });
--- a/packages/objects/src/storeCaller.ts
+++ b/packages/objects/src/storeCaller.ts
@@ -22,6 +22,8 @@
   readonly callTimeoutMs: number;
   /** Time after the end of a watch's own wait at which the call fails. */
   readonly watchMarginMs: number;
+  /** Size of an answer from which a call fails; 64 MiB by default. */
+  readonly responseLimitBytes?: number;
   /** Maximum number of pooled connections to the store; watches are not counted. */
   readonly connectionLimit: number;
 }
@@ -61,7 +63,7 @@
 
   /** @returns the response with any status, or why there is none */
   async send(call: StoreCall): Promise<Result<HttpResponse, StoreError>> {
-    const { headers, callTimeoutMs, watchMarginMs } = this.#options;
+    const { headers, callTimeoutMs, watchMarginMs, responseLimitBytes } = this.#options;
     const isWatch = call.waitMs !== undefined;
     const response = await sendCall({
       method: call.method,
@@ -69,6 +71,7 @@
       headers: call.body === undefined ? headers : { ...headers, ...JSON_HEADERS },
       body: call.body === undefined ? undefined : JSON.stringify(call.body),
       timeoutMs: isWatch ? call.waitMs + watchMarginMs : callTimeoutMs,
+      ...(responseLimitBytes !== undefined && { responseLimitBytes }),
       agent: isWatch ? false : this.#agent,
     });
     if (response.ok) return response;
