Draw returns of the store from an older copy in the soak

Cause: nothing but unit tests played a return with real entries beside other faults.

Change: a plan draws returns from random numbers of its own, so plans of earlier seeds keep their faults.

Fifty seeds were not run.

--- a/packages/soak/src/plan/fault.ts
+++ b/packages/soak/src/plan/fault.ts
@@ -40,6 +40,8 @@
   OrdersLate = 'orders-late',
   DomainClose = 'domain-close',
   ConfigChange = 'config-change',
+  /** The store returns from an older copy, and all writers but the entries write again. */
+  StoreReturns = 'store-returns',
 }
 
 /** One fault of a plan, as written to plan.json. */
--- a/packages/soak/src/plan/faultPlan.ts
+++ b/packages/soak/src/plan/faultPlan.ts
@@ -21,7 +21,14 @@
 
 const TARGET_RANGE = 1_000;
 
-const KINDS = Object.values(FaultKind);
+/** Mean time between two returns of the store from an older copy. */
+const RETURN_MEAN_GAP_MS = 9_000;
+
+/** Added to the seed for the returns, which have random numbers of their own. */
+const RETURN_SEED_OFFSET = 1_000_003;
+
+/** Returns are drawn apart from all others, so that plans of earlier seeds keep their faults. */
+const KINDS = Object.values(FaultKind).filter((kind) => kind !== FaultKind.StoreReturns);
 
 /** Kinds that are drawn more often than others, as operators act frequently. */
 const EXTRA_KINDS: readonly FaultKind[] = [
@@ -47,6 +54,25 @@
   }));
 }
 
+function drawReturns(seed: number, durationMs: number): readonly Fault[] {
+  const random = new Random(seed + RETURN_SEED_OFFSET);
+  const returns: Fault[] = [];
+  for (
+    let atMs = random.next() * RETURN_MEAN_GAP_MS;
+    atMs < durationMs;
+    atMs += random.next() * 2 * RETURN_MEAN_GAP_MS
+  ) {
+    returns.push({
+      kind: FaultKind.StoreReturns,
+      atMs: Math.round(atMs),
+      forMs: Math.round(DURATION_MIN_MS + random.next() * (DURATION_MAX_MS - DURATION_MIN_MS)),
+      target: 0,
+      draw: random.next(),
+    });
+  }
+  return returns;
+}
+
 /** Draws the plan of a run, sorted by time; equal seeds and durations give equal plans. */
 export function createPlan(seed: number, durationMs: number): readonly Fault[] {
   const random = new Random(seed);
@@ -58,5 +84,6 @@
   ) {
     plan.push(...drawSeries(random, atMs));
   }
+  plan.push(...drawReturns(seed, durationMs));
   return plan.filter((fault) => fault.atMs < durationMs).sort((a, b) => a.atMs - b.atMs);
 }
