--- a/packages/core/src/ports/upstreamCaller.ts
+++ b/packages/core/src/ports/upstreamCaller.ts
@@ -2,6 +2,7 @@
 import type { HeaderMap } from '../model/request.js';
 import type { UpstreamEntry, UpstreamLoad } from '../direct/directUpstream.js';
 import type { NamedLimit } from '../model/namedLimit.js';
+import type { RequestSize } from '../model/requestSize.js';
 
 import type { AnswerFraming } from './caller.js';
 import type { RequestBody } from './requestBody.js';
@@ -22,6 +23,8 @@
    * empty where the caller names none.
    */
   readonly sharedPromptParts: readonly string[];
+  /** Declared size; undefined where the caller declares none. */
+  readonly size?: RequestSize | undefined;
   /** Caller's deadline, from arrival; undefined if the caller gave none. */
   readonly deadlineMs: number | undefined;
   /** Secret key of the workspace; never logged. */
