Let several kinds of state travel with the in-flight counts

Cause: the parts to come (demand, workspace shares, work left) each exchange a little state among entries, and each would grow the load exchange by its own cases. Change: PeerState, an abstract class with whole state, changes, application and removal of a peer; the load exchange asks all that the board lists. The list is empty so far.

--- a/packages/core/src/direct/fleetBoard.ts
+++ b/packages/core/src/direct/fleetBoard.ts
@@ -4,6 +4,7 @@
 import { DirectUpstream, type UpstreamEntry } from './directUpstream.js';
 import type { FleetBounds } from './fleetBounds.js';
 import { formatIncarnation } from './incarnation.js';
+import type { PeerState } from './peerState.js';
 import { PoolActivity } from './poolActivity.js';
 import { BreakerChangeSource, PoolBreaker } from './poolBreaker.js';
 import { PromptQuarantine } from './prompts/promptQuarantine.js';
@@ -46,6 +47,9 @@
 
   readonly permitMessages = new PermitMessages();
 
+  /** State that is exchanged with the other entries beside in-flight counts. */
+  readonly peerStates: readonly PeerState[] = [];
+
   /** Connected entries that can grant permits. */
   permitPeers: ReadonlySet<string> = new Set();
 
--- a/packages/core/src/direct/loadExchange.ts
+++ b/packages/core/src/direct/loadExchange.ts
@@ -102,6 +102,9 @@
       this.#changedLimits.set(news.incarnation, news);
       this.#scheduleChanges();
     });
+    options.board.peerStates.forEach((state) =>
+      state.setChangeListener(() => this.#scheduleChanges()),
+    );
     options.board.permitMessages.setSender({
       sendAsk: (entry, permitAsk) => this.#sendTo(entry, { isFull: false, permitAsk }),
       sendGrant: (entry, permitGrant) => this.#sendTo(entry, { isFull: false, permitGrant }),
@@ -197,6 +200,7 @@
       board.noteLeavingIncarnation(incarnation, LeavingSource.Peer),
     );
     message.prompts?.forEach((news) => board.quarantine.applyNews(news));
+    board.peerStates.forEach((state) => state.apply(message, nowMs));
     this.#applyLimits(message);
     const { recoveredPool } = message;
     if (recoveredPool) board.getBreaker(recoveredPool).noteSuccess(BreakerChangeSource.Peer);
@@ -230,6 +234,7 @@
     board.permitPeers = new Set([...board.permitPeers].filter((entry) => entry !== name));
     board.permitMessages.notePeerLost(name);
     board.upstreams.forEach((upstream) => upstream.notePeerInFlight(name, 0));
+    board.peerStates.forEach((state) => state.dropPeer(name));
     metrics.count('peers.lost');
     log.write(LogLevel.Info, LOG_PART, 'Peer lost.', { entry: name, detail });
   }
@@ -249,7 +254,13 @@
     const limits = [...this.#changedLimits.values()];
     this.#changed.clear();
     this.#changedLimits.clear();
-    const extras = { isFull: false, ...(limits.length > 0 && { limits }) };
+    const nowMs = performance.now();
+    const stateFields = this.#options.board.peerStates.map((state) => state.takeChanges(nowMs));
+    const extras = {
+      isFull: false,
+      ...(limits.length > 0 && { limits }),
+      ...Object.assign({}, ...stateFields),
+    };
     this.#peers.forEach(({ link }) => this.#send(link, counts, extras));
   }
 
@@ -268,8 +279,10 @@
 
   /** Parts that are sent with full counts only. */
   #readFullExtras() {
-    const { measuredSlowdowns, selfReportedLeaving } = this.#options.board;
+    const { measuredSlowdowns, selfReportedLeaving, peerStates } = this.#options.board;
+    const nowMs = performance.now();
     return {
+      ...Object.assign({}, ...peerStates.map((state) => state.readFull(nowMs))),
       ...(measuredSlowdowns.size > 0 && { paces: Object.fromEntries(measuredSlowdowns) }),
       ...(selfReportedLeaving.length > 0 && { leaving: selfReportedLeaving }),
     };
