--- a/packages/daemon/src/direct/upstreamAgent.ts
+++ b/packages/daemon/src/direct/upstreamAgent.ts
@@ -35,9 +35,12 @@
 export class UpstreamAgent extends http.Agent {
   readonly #idleLimitMs: number;
 
-  /** @param idleLimitMs maximum idle time of a connection */
-  constructor(idleLimitMs: number) {
-    super({ keepAlive: true, scheduling: 'lifo', maxFreeSockets: 64 });
+  /**
+   * @param idleLimitMs maximum idle time of a connection
+   * @param maxSockets maximum number of connections to one address
+   */
+  constructor(idleLimitMs: number, maxSockets = Infinity) {
+    super({ keepAlive: true, scheduling: 'lifo', maxFreeSockets: 64, maxSockets });
     this.#idleLimitMs = idleLimitMs;
   }
 
