--- a/packages/objects/src/httpCall.ts
+++ b/packages/objects/src/httpCall.ts
@@ -16,6 +16,12 @@
 
 const DEFAULT_RESPONSE_LIMIT_BYTES = 64 * 1024 * 1024;
 
+/** Maximum number of informational (1xx) responses before the final response. */
+const INFORMATIONAL_MAX = 16;
+
+/** Lowest status of a final response. */
+const STATUS_FINAL_MIN = 200;
+
 /** A request and how to send it. */
 export interface HttpCall {
   readonly method: string;
@@ -69,14 +75,14 @@
 ): void {
   const chunks: Buffer[] = [];
   let sizeBytes = 0;
-  response.on('data', (chunk: Buffer) => {
-    sizeBytes += chunk.length;
-    if (sizeBytes <= limitBytes) {
-      chunks.push(chunk);
-      return;
-    }
+  const failTooLarge = (): void => {
     chunks.length = 0;
     response.destroy(new LimitError(Limit.Size, `the answer exceeds ${limitBytes} bytes`));
+  };
+  response.on('data', (chunk: Buffer) => {
+    sizeBytes += chunk.length;
+    if (sizeBytes <= limitBytes) chunks.push(chunk);
+    else failTooLarge();
   });
   response.on('end', () => {
     if (!response.complete) return;
@@ -87,6 +93,7 @@
   response.on('close', () => {
     if (!response.complete) onError(new Error('answer broke off'));
   });
+  if (Number(response.headers['content-length']) > limitBytes) failTooLarge();
 }
 
 /** @returns the request, or why Node does not accept its method, address or headers */
@@ -150,8 +157,20 @@
     clientRequest.on('close', () => {
       if (!hasResponse) fail(new Error('the connection closed without a response'));
     });
+    let informationalCount = 0;
+    clientRequest.on('information', () => {
+      informationalCount += 1;
+      if (informationalCount <= INFORMATIONAL_MAX) return;
+      clientRequest.removeAllListeners('information');
+      clientRequest.destroy(new Error(`more than ${INFORMATIONAL_MAX} informational responses`));
+    });
     clientRequest.on('response', (response) => {
       hasResponse = true;
+      // Node takes a 101 without an Upgrade header for a complete response.
+      if ((response.statusCode ?? 0) < STATUS_FINAL_MIN) {
+        clientRequest.destroy(new Error('the server switched protocols'));
+        return;
+      }
       readResponse(
         response,
         call.responseLimitBytes ?? DEFAULT_RESPONSE_LIMIT_BYTES,
--- /dev/null
+++ b/packages/objects/test/httpCall.test.ts
@@ -0,0 +1,153 @@
+/** Answers that never become a complete response. */
+import net, { type AddressInfo } from 'node:net';
+
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { sendCall } from '../src/httpCall.js';
+
+const TIMEOUT_MS = 80;
+
+/** Time by which a call may end late on a busy machine. */
+const TOLERANCE_MS = 700;
+
+/** Interval between two pieces of an answer without end. */
+const PIECE_INTERVAL_MS = 2;
+
+/** Interval between two pieces of an answer that drips. */
+const DRIP_INTERVAL_MS = 30;
+
+const LIMIT_BYTES = 64 * 1024;
+
+/** A start of an answer, sent once, and a piece that is then sent again and again. */
+interface Form {
+  readonly start: string;
+  readonly piece: string;
+  readonly intervalMs?: number;
+  /** Whether the call ends by another cause than its timeout, without waiting for it. */
+  readonly isEndedAtOnce?: boolean;
+}
+
+const FILLER = 'x'.repeat(16 * 1024);
+
+const PROCESSING = 'HTTP/1.1 102 Processing\r\n\r\n';
+
+const FORMS: Readonly<Record<string, Form>> = {
+  'a complete 101, then silence': {
+    start: 'HTTP/1.1 101 Switching\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n',
+    piece: '',
+    isEndedAtOnce: true,
+  },
+  'a complete 101, then endless bytes': {
+    start: 'HTTP/1.1 101 Switching\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n',
+    piece: FILLER,
+    isEndedAtOnce: true,
+  },
+  'a 101 that names no protocol, then silence': {
+    start: 'HTTP/1.1 101 Switching\r\n\r\n',
+    piece: '',
+    isEndedAtOnce: true,
+  },
+  'the head of a 101 without end': {
+    start: 'HTTP/1.1 101 Switching\r\nconnection: upgrade\r\nupgrade: x\r\nx-long: ',
+    piece: FILLER,
+    isEndedAtOnce: true,
+  },
+  'half the head of a 101, then silence': { start: 'HTTP/1.1 101 Switching\r\nx-', piece: '' },
+  'the head of a 101 in drips': {
+    start: 'HTTP/1.1 101 Switching\r\nx-long: ',
+    piece: 'x',
+    intervalMs: DRIP_INTERVAL_MS,
+  },
+  'a 100 and silence': { start: 'HTTP/1.1 100 Continue\r\n\r\n', piece: '' },
+  'a 103 and silence': { start: 'HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n', piece: '' },
+  'the head of a 102 without end': {
+    start: 'HTTP/1.1 102 Processing\r\nx-long: ',
+    piece: FILLER,
+    isEndedAtOnce: true,
+  },
+  'half the head of a 102, then silence': { start: 'HTTP/1.1 102 Processing\r\nx-', piece: '' },
+  'endless 102s': { start: '', piece: PROCESSING.repeat(256), isEndedAtOnce: true },
+  'a 102 at intervals': { start: '', piece: PROCESSING, intervalMs: DRIP_INTERVAL_MS },
+  'half a status line, then silence': { start: 'HTTP/1.1 1', piece: '' },
+  'a declared length above the limit': {
+    start: `HTTP/1.1 200 OK\r\ncontent-length: ${LIMIT_BYTES + 1}\r\n\r\n`,
+    piece: '',
+    isEndedAtOnce: true,
+  },
+  'a body without end': { start: 'HTTP/1.1 200 OK\r\n\r\n', piece: FILLER, isEndedAtOnce: true },
+};
+
+interface Context {
+  server: net.Server;
+  port: number;
+  sockets: Set<net.Socket>;
+  form: Form;
+}
+
+const test = suite<Context>('answers without end');
+
+function answer(socket: net.Socket, { start, piece, intervalMs }: Form): void {
+  socket.write(start);
+  if (piece === '') return;
+  const timer = setInterval(() => {
+    if (!socket.writableNeedDrain) socket.write(piece);
+  }, intervalMs ?? PIECE_INTERVAL_MS);
+  socket.on('close', () => clearInterval(timer));
+}
+
+test.before.each(async (context) => {
+  const sockets = new Set<net.Socket>();
+  context.sockets = sockets;
+  context.server = net.createServer((socket) => {
+    sockets.add(socket);
+    socket.on('error', () => {});
+    socket.on('close', () => sockets.delete(socket));
+    socket.once('data', () => answer(socket, context.form));
+  });
+  await new Promise<void>((resolve) => {
+    context.server.listen(0, '127.0.0.1', resolve);
+  });
+  context.port = (context.server.address() as AddressInfo).port;
+});
+
+test.after.each(({ server, sockets }) => {
+  sockets.forEach((socket) => socket.destroy());
+  server.close();
+});
+
+/** Resolves when the server's connections have closed. */
+async function waitForClose(sockets: ReadonlySet<net.Socket>): Promise<void> {
+  await Promise.all(
+    [...sockets].map(
+      (socket) =>
+        new Promise((resolve) => {
+          socket.once('close', resolve);
+        }),
+    ),
+  );
+}
+
+/** Guards against a control call that never ends, and so stops the loop that awaits it for good. */
+Object.entries(FORMS).forEach(([name, form]) => {
+  test(`a call ends within its timeout, and so does its connection (${name})`, async (context) => {
+    Object.assign(context, { form });
+    const startedAtMs = performance.now();
+    const result = await sendCall({
+      method: 'GET',
+      url: new URL(`http://127.0.0.1:${context.port}/report`),
+      headers: {},
+      body: undefined,
+      timeoutMs: TIMEOUT_MS,
+      responseLimitBytes: LIMIT_BYTES,
+      agent: false,
+    });
+    const tookMs = performance.now() - startedAtMs;
+    assert.ok(result.err, 'no response counts as complete');
+    assert.is(result.val.isTimeout, form.isEndedAtOnce !== true, result.val.detail);
+    assert.ok(tookMs < TIMEOUT_MS + TOLERANCE_MS, `${tookMs} ms`);
+    await waitForClose(context.sockets);
+  });
+});
+
+test.run();
