Keep tests of control calls apart from the time that a busy machine takes

platform/test/repeatedAnswers failed once at a load of 25 on 7 cores: a sound report was not read within the 80 ms of a call.

--- a/packages/objects/test/httpCall.test.ts
+++ b/packages/objects/test/httpCall.test.ts
@@ -8,6 +8,9 @@
 
 const TIMEOUT_MS = 80;
 
+/** Timeout of calls that end by another cause, also on a busy machine. */
+const LONG_TIMEOUT_MS = 5_000;
+
 /** Time by which a call may end late on a busy machine. */
 const TOLERANCE_MS = 700;
 
@@ -132,20 +135,21 @@
 Object.entries(FORMS).forEach(([name, form]) => {
   test(`a call ends within its timeout, and so does its connection (${name})`, async (context) => {
     Object.assign(context, { form });
+    const timeoutMs = form.isEndedAtOnce ? LONG_TIMEOUT_MS : TIMEOUT_MS;
     const startedAtMs = performance.now();
     const result = await sendCall({
       method: 'GET',
       url: new URL(`http://127.0.0.1:${context.port}/report`),
       headers: {},
       body: undefined,
-      timeoutMs: TIMEOUT_MS,
+      timeoutMs,
       responseLimitBytes: LIMIT_BYTES,
       agent: false,
     });
     const tookMs = performance.now() - startedAtMs;
     assert.ok(result.err, 'no response counts as complete');
     assert.is(result.val.isTimeout, form.isEndedAtOnce !== true, result.val.detail);
-    assert.ok(tookMs < TIMEOUT_MS + TOLERANCE_MS, `${tookMs} ms`);
+    assert.ok(tookMs < timeoutMs + TOLERANCE_MS, `${tookMs} ms`);
     await waitForClose(context.sockets);
   });
 });
