Predict the work of requests and place them by the work left

Cause: placement counts requests, 1 each and 1.6 before the first output, whatever they cost; a slow upstream is known only where a rank reports its pace. Change: a predictor of prefill and decoding from declared sizes, corrected by route and workspace; the work left at each upstream, own and of peers, exchanged beside the counts; placement by the time that a pass takes, spread by core/routing/spread.ts; pace learned from pauses.

--- a/packages/core/src/direct/admissionQueue.ts
+++ b/packages/core/src/direct/admissionQueue.ts
@@ -1,4 +1,5 @@
 /** Queue of the requests of one pool that wait for admission, in order of admission. */
+import type { RequestCost } from './cost/requestCost.js';
 import type { DirectUpstream } from './directUpstream.js';
 
 /** Why a request is not admitted. */
@@ -25,6 +26,8 @@
    */
   readonly waitBudgetMs: number;
   readonly arrivedAtMs: number;
+  /** Predicted work; undefined where the pool's engines have no configured costs. */
+  readonly cost?: RequestCost | undefined;
   readonly onAdmitted: (upstream: DirectUpstream) => void;
   readonly onDenied: (denial: AdmissionDenial) => void;
 }
--- a/packages/core/src/direct/directAttempt.ts
+++ b/packages/core/src/direct/directAttempt.ts
@@ -13,6 +13,8 @@
   type UpstreamCall,
 } from '../ports/upstreamCaller.js';
 
+import type { RequestCost } from './cost/requestCost.js';
+import type { AttemptWork } from './cost/attemptWork.js';
 import type { DirectContext } from './directContext.js';
 import type { DirectUpstream } from './directUpstream.js';
 import { LeavingSource } from './fleetBoard.js';
@@ -71,6 +73,10 @@
   readonly call: UpstreamCall;
   /** Time without progress of the response after which `onSilence` is called. */
   readonly silenceLimitMs: number;
+  /** Predicted work; undefined where the pool's engines have no configured costs. */
+  readonly cost: RequestCost | undefined;
+  /** Events that earlier attempts at the request have given. */
+  readonly earlierEvents: number;
   readonly events: AttemptEvents;
 }
 
@@ -105,6 +111,8 @@
 
   #call: CallInProgress | undefined;
 
+  #work: AttemptWork | undefined;
+
   #silenceTimer: NodeJS.Timeout | undefined;
 
   #progressAtMs = this.#sentAtMs;
@@ -138,8 +146,10 @@
   }
 
   start(): void {
-    const { upstreams } = this.#options.context;
-    this.#options.context.board.addInFlight(this.upstream, 1);
+    const { context, cost, earlierEvents } = this.#options;
+    const { upstreams } = context;
+    context.board.addInFlight(this.upstream, 1);
+    if (cost) this.#work = context.board.work.begin(this.upstream, cost, earlierEvents);
     this.upstream.awaitingFirstOutput += 1;
     this.upstream.startRate.noteStart(this.#sentAtMs);
     this.#options.context.board.permits.noteStart(this.upstream.incarnation, this.#sentAtMs);
@@ -183,6 +193,11 @@
     this.#call?.resume();
   }
 
+  /** Records complete events of the response. */
+  noteEvents(count: number): void {
+    this.#work?.noteEvents(count);
+  }
+
   #handleHead(head: AnswerHead): void {
     if (this.#isOver) return;
     const nowMs = performance.now();
@@ -239,6 +254,7 @@
     if (this.#hasOutput) return;
     this.#hasOutput = true;
     this.upstream.awaitingFirstOutput -= 1;
+    if (this.#work) this.#options.context.board.work.noteFirstOutput(this.upstream, this.#work);
     this.#options.admission.noteFirstOutput(nowMs - this.#sentAtMs, nowMs);
   }
 
@@ -331,6 +347,7 @@
     clearTimeout(this.#silenceTimer);
     this.#options.context.board.addInFlight(this.upstream, -1);
     if (!this.#hasOutput) this.upstream.awaitingFirstOutput -= 1;
+    if (this.#work) this.#options.context.board.work.end(this.upstream, this.#work);
     this.#options.admission.noteEnd();
   }
 }
--- a/packages/core/src/direct/directRequest.ts
+++ b/packages/core/src/direct/directRequest.ts
@@ -11,6 +11,7 @@
 import { CallerPatience } from './callerPatience.js';
 import { ResponseBuilder } from './responseBuilder.js';
 import { ResponseTimes } from './responseTimes.js';
+import type { RequestCost } from './cost/requestCost.js';
 import { DirectAttempt, type AttemptFailure } from './directAttempt.js';
 import type { DirectContext } from './directContext.js';
 import type { DirectUpstream } from './directUpstream.js';
@@ -67,6 +68,12 @@
 
   #responseStatus = 0;
 
+  /** Predicted work; undefined where the pool's engines have no configured costs. */
+  readonly #cost: RequestCost | undefined;
+
+  /** Events of the response so far. */
+  #eventCount = 0;
+
   #isOver = false;
 
   #timer: NodeJS.Timeout | undefined;
@@ -85,8 +92,14 @@
       times: this.#times,
       history: this.#history,
     });
+    this.#cost = options.admission.cost?.predict({
+      route: route.name,
+      workspace: options.workspace?.name ?? '',
+      size: request.size,
+    });
     this.#retry = new RetryDecision({
       ...options,
+      cost: this.#cost,
       response: this.#response,
       history: this.#history,
       telemetry: this.#telemetry,
@@ -175,10 +188,10 @@
     };
   }
 
-  get #ticketBase(): Pick<AdmissionTicket, 'id' | 'priority' | 'arrivedAtMs'> {
+  get #ticketBase(): Pick<AdmissionTicket, 'id' | 'priority' | 'arrivedAtMs' | 'cost'> {
     const { route, request, workspace } = this.#options;
     const priority = workspace?.priority ?? route.priority;
-    return { id: request.id, priority, arrivedAtMs: request.arrivedAtMs };
+    return { id: request.id, priority, arrivedAtMs: request.arrivedAtMs, cost: this.#cost };
   }
 
   #send(upstream: DirectUpstream, isResumed: boolean): void {
@@ -203,6 +216,8 @@
       admission,
       upstream,
       silenceLimitMs: chooseSilenceLimitMs(route, 0),
+      cost: this.#cost,
+      earlierEvents: isResumed ? this.#eventCount : 0,
       call: {
         request,
         upstream: upstream.entry,
@@ -263,18 +278,20 @@
   #handleData(data: Buffer): boolean {
     const { events, isProgress, isCallerReady } = this.#response.push(data);
     if (!isCallerReady) this.#pause();
-    if (events > 0) this.#noteEvents();
+    if (events > 0) this.#noteEvents(events);
     if (isProgress && this.#response.isSuccess) this.#guard.notePiece();
     if (this.#response.isOversized) this.#attempt?.failEndless('an event exceeds its size limit');
     return isProgress;
   }
 
-  #noteEvents(): void {
+  #noteEvents(count: number): void {
     const { route, admission } = this.#options;
+    this.#eventCount += count;
+    this.#attempt?.noteEvents(count);
     const nowMs = performance.now();
     const pauseMs = this.#times.noteEvents(nowMs);
     if (pauseMs === undefined) return;
-    admission.notePause(pauseMs, route.pauseTargetMs, nowMs);
+    admission.notePause(pauseMs, route.pauseTargetMs, nowMs, this.#attempt?.upstream);
     this.#telemetry.notePause(pauseMs);
   }
 
@@ -293,6 +310,9 @@
     this.#response.end();
     const { admission, route } = this.#options;
     if (this.#response.isSuccess) this.#guard.noteServed();
+    if (this.#cost && this.#response.isSuccess) {
+      admission.cost?.noteAnswered(this.#cost, this.#eventCount);
+    }
     if (this.#attempt) admission.capacity.noteCompleted(route.name, this.#attempt.ageMs);
     this.#telemetry.noteAnswered(this.#attempt?.upstream.id, this.#responseStatus);
     this.#finish();
--- a/packages/core/src/direct/directUpstream.ts
+++ b/packages/core/src/direct/directUpstream.ts
@@ -1,4 +1,6 @@
 /** State of one upstream that entries call themselves, as known to this entry. */
+import { UpstreamPace } from './cost/upstreamPace.js';
+import { UpstreamWork } from './cost/upstreamWork.js';
 import { formatIncarnation } from './incarnation.js';
 import { StartRate } from './startRate.js';
 import { OutlierEjection } from './outlierEjection.js';
@@ -40,6 +42,12 @@
 
   readonly ejection = new OutlierEjection();
 
+  /** Pace as observed by this entry. */
+  readonly pace = new UpstreamPace();
+
+  /** Work left here, as far as requests declare it. */
+  readonly work = new UpstreamWork();
+
   /** Key of its incarnation. */
   readonly incarnation: string;
 
@@ -114,6 +122,15 @@
     else this.#inFlightByPeer.delete(entry);
   }
 
+  /** Requests in flight whose work is known. */
+  countKnownWork(): number {
+    let count = this.work.ownCount;
+    this.work.peers.forEach((entry) => {
+      count += this.#inFlightByPeer.get(entry) ?? 0;
+    });
+    return count;
+  }
+
   /**
    * Requests in flight from all entries, as far as known to this one.
    *
@@ -139,7 +156,8 @@
 
   /** Factor by which the upstream is slower than a healthy one; 1 where unknown. */
   readSlowdown(nowMs: number): number {
-    return nowMs - this.#slowdownAtMs < SLOWDOWN_VALID_MS ? this.#slowdown : 1;
+    const reported = nowMs - this.#slowdownAtMs < SLOWDOWN_VALID_MS ? this.#slowdown : 1;
+    return Math.max(reported, this.pace.readSlowdown(nowMs));
   }
 
   /** Sends the upstream no requests until the given time, as its response asked for. */
--- a/packages/core/src/direct/fleetBoard.ts
+++ b/packages/core/src/direct/fleetBoard.ts
@@ -1,6 +1,7 @@
 /**
  * Blackboard of an entry that calls upstreams itself: followers write to it, requests read from it.
  */
+import { WorkExchange } from './cost/workExchange.js';
 import { DirectUpstream, type UpstreamEntry } from './directUpstream.js';
 import type { FleetBounds } from './fleetBounds.js';
 import { formatIncarnation } from './incarnation.js';
@@ -47,8 +48,11 @@
 
   readonly permitMessages = new PermitMessages();
 
+  /** Work left at upstreams, exchanged with the other entries. */
+  readonly work = new WorkExchange((id) => this.findUpstream(id));
+
   /** State that is exchanged with the other entries beside in-flight counts. */
-  readonly peerStates: readonly PeerState[] = [];
+  readonly peerStates: readonly PeerState[] = [this.work];
 
   /** Connected entries that can grant permits. */
   permitPeers: ReadonlySet<string> = new Set();
--- a/packages/core/src/direct/placement.ts
+++ b/packages/core/src/direct/placement.ts
@@ -5,6 +5,9 @@
  * The upstream with the least load is chosen; of equally loaded ones, one that has no other prefill
  * in progress. A slow upstream receives less.
  */
+import { drawOption } from '../routing/spread.js';
+
+import type { WorkWeights } from './cost/poolCost.js';
 import type { DirectUpstream } from './directUpstream.js';
 import type { FleetBoard } from './fleetBoard.js';
 
@@ -37,6 +40,8 @@
   /** Requests per second that this entry may start at one upstream. */
   readonly startsPerS: number;
   readonly nowMs: number;
+  /** Weighs upstreams by the work left; undefined where they are weighed by their requests. */
+  readonly weights: WorkWeights | undefined;
   /** Returns a random number from 0 (inclusive) to 1 (exclusive). */
   readonly draw: () => number;
 }
@@ -88,6 +93,42 @@
   return healthy.length >= available.length * HEALTHY_FRACTION_MIN ? healthy : available;
 }
 
+/** Chooses the upstream with the fewest requests in flight. */
+function chooseByCount(
+  board: FleetBoard,
+  eligible: readonly DirectUpstream[],
+  query: PlacementQuery,
+): DirectUpstream | undefined {
+  const scored = eligible.map((upstream) => ({
+    upstream,
+    score: scoreUpstream(board, upstream, query),
+  }));
+  const best = scored.reduce<(typeof scored)[number] | undefined>(
+    (least, each) => (least && least.score <= each.score ? least : each),
+    undefined,
+  );
+  return best?.upstream;
+}
+
+/**
+ * Chooses the upstream with the least work. Requests that other entries may have sent meanwhile are
+ * spread over the upstreams that they would fill, as all entries choose on the same news.
+ */
+function chooseByWork(
+  board: FleetBoard,
+  eligible: readonly DirectUpstream[],
+  { weigh, unreported }: WorkWeights,
+  draw: number,
+): DirectUpstream | undefined {
+  const options = eligible.map((upstream) => {
+    const { costMs, marginalMs } = weigh(upstream);
+    const isOwnDomain = upstream.entry.domain === board.domain;
+    const bonusMs = isOwnDomain ? OWN_DOMAIN_BONUS * marginalMs : 0;
+    return { upstream, costMs: costMs - bonusMs, marginalMs };
+  });
+  return drawOption(options, unreported, draw)?.upstream;
+}
+
 /** Chooses the upstream of a request; `upstream` is undefined where none has capacity. */
 export function choosePlacement(board: FleetBoard, query: PlacementQuery): PlacementResult {
   const { pool, excluded, limit, startsPerS, nowMs } = query;
@@ -99,13 +140,8 @@
       upstream.startRate.count(nowMs) < startsPerS &&
       board.permits.allows(upstream.incarnation, nowMs),
   );
-  const scored = eligible.map((upstream) => ({
-    upstream,
-    score: scoreUpstream(board, upstream, query),
-  }));
-  const best = scored.reduce<(typeof scored)[number] | undefined>(
-    (least, each) => (least && least.score <= each.score ? least : each),
-    undefined,
-  );
-  return { upstream: best?.upstream, availableCount: available.length };
+  const upstream = query.weights
+    ? chooseByWork(board, eligible, query.weights, query.draw())
+    : chooseByCount(board, eligible, query);
+  return { upstream, availableCount: available.length };
 }
--- a/packages/core/src/direct/poolAdmission.ts
+++ b/packages/core/src/direct/poolAdmission.ts
@@ -6,10 +6,14 @@
  * immediately with a Retry-After delay. A request that is already late is queued behind the on-time
  * ones, for as long as it can still be answered at all.
  */
+import { isDeepStrictEqual } from 'node:util';
+
 import type { Refusal } from '../model/reason.js';
 import { LogLevel, type Log, type LogFields } from '../ports/log.js';
 import type { Random } from '../ports/random.js';
 
+import { PoolCost, type WorkWeights } from './cost/poolCost.js';
+import type { RequestCost } from './cost/requestCost.js';
 import type { DirectUpstream } from './directUpstream.js';
 import type { FleetBoard } from './fleetBoard.js';
 import { choosePlacement, readBackoffMs, type PlacementResult } from './placement.js';
@@ -55,12 +59,19 @@
   readonly getStartLimitPerS: (pool: DirectPool) => number | undefined;
 }
 
+function createCost({ engine }: DirectPool): PoolCost | undefined {
+  return engine?.costs && new PoolCost(engine.costs, engine.group !== undefined);
+}
+
 /** Admission control of one pool. */
 export class PoolAdmission {
   readonly #breaker: PoolBreaker;
 
   readonly capacity: PoolCapacity;
 
+  /** Costs of requests; undefined where the pool's engines have no configured costs. */
+  cost: PoolCost | undefined;
+
   readonly #options: PoolAdmissionOptions;
 
   #pool: DirectPool;
@@ -80,6 +91,7 @@
     this.#pool = pool;
     this.#refusals = new PoolRefusals(pool.name, options.random);
     const onAdjust = (ratio: number): void => this.#logLimit(ratio);
+    this.cost = createCost(pool);
     this.capacity = new PoolCapacity({ ...options, onAdjust }, pool);
     this.#demand = options.board.permits.getDemand(pool.name);
     this.#queue = new AdmissionQueue((size) => this.#demand.setWaiting(size));
@@ -98,6 +110,9 @@
 
   /** Applies the pool's settings from a newer configuration. */
   update(pool: DirectPool): void {
+    const { costs } = pool.engine ?? {};
+    const isSame = isDeepStrictEqual(costs, this.#pool.engine?.costs);
+    if (!isSame) this.cost = createCost(pool);
     this.#pool = pool;
     this.capacity.update(pool);
   }
@@ -150,7 +165,7 @@
       else ticket.onDenied(AdmissionDenial.Stalled);
       return;
     }
-    const { upstream, availableCount } = this.#place(new Set(), nowMs, ticket.isLate);
+    const { upstream, availableCount } = this.#place(new Set(), nowMs, ticket.cost, ticket.isLate);
     if (ahead === 0 && upstream) {
       ticket.onAdmitted(upstream);
       return;
@@ -178,9 +193,13 @@
   /**
    * Chooses an upstream for another attempt without queueing; undefined where none has capacity.
    */
-  chooseUpstream(excluded: ReadonlySet<string>, nowMs: number): DirectUpstream | undefined {
+  chooseUpstream(
+    excluded: ReadonlySet<string>,
+    nowMs: number,
+    cost?: RequestCost,
+  ): DirectUpstream | undefined {
     if (!this.#breaker.tryPass(nowMs)) return undefined;
-    return this.#place(excluded, nowMs).upstream;
+    return this.#place(excluded, nowMs, cost).upstream;
   }
 
   /**
@@ -216,6 +235,7 @@
 
   /** Records that a request was sent to an upstream. */
   noteStart(nowMs: number): void {
+    this.cost?.noteChoice(nowMs);
     this.#activity.noteStart(nowMs);
   }
 
@@ -227,12 +247,25 @@
   }
 
   /** Records a pause between two events of a stream. */
-  notePause(pauseMs: number, targetMs: number, nowMs: number): void {
-    this.capacity.notePause(pauseMs, targetMs, nowMs);
-    this.#activity.notePause(pauseMs);
+  notePause(
+    pauseMs: number,
+    targetMs: number,
+    nowMs: number,
+    upstream: DirectUpstream | undefined,
+  ): void {
+    if (!upstream || this.#isOfPool(upstream, pauseMs, nowMs)) {
+      this.capacity.notePause(pauseMs, targetMs, nowMs);
+      this.#activity.notePause(pauseMs);
+    }
     this.#noteOutput(nowMs);
   }
 
+  /** Whether a pause tells about the whole pool, not only about a slow upstream. */
+  #isOfPool(upstream: DirectUpstream, pauseMs: number, nowMs: number): boolean {
+    const load = this.#options.board.countLoad(upstream, nowMs);
+    return this.cost?.notePause(upstream, pauseMs, load, nowMs) ?? true;
+  }
+
   /** Records that an attempt has ended and its slot is free. */
   noteEnd(): void {
     this.#activity.noteEnd();
@@ -260,10 +293,15 @@
 
   #placeQueued(ticket: AdmissionTicket, nowMs: number): DirectUpstream | undefined {
     if (this.#isSilent(nowMs) || !this.#breaker.tryPass(nowMs, QUEUED_PROBE_MS)) return undefined;
-    return this.#place(new Set(), nowMs, ticket.isLate).upstream;
+    return this.#place(new Set(), nowMs, ticket.cost, ticket.isLate).upstream;
   }
 
-  #place(excluded: ReadonlySet<string>, nowMs: number, isLate = false): PlacementResult {
+  #place(
+    excluded: ReadonlySet<string>,
+    nowMs: number,
+    cost: RequestCost | undefined,
+    isLate = false,
+  ): PlacementResult {
     const { board, random } = this.#options;
     const isReserved = isLate && this.capacity.isReservedForOnTime(nowMs);
     if (isReserved || this.capacity.isPrefillFull || this.capacity.isFull(nowMs)) {
@@ -275,12 +313,23 @@
       limit: Math.ceil(this.capacity.limitPerUpstream),
       startsPerS: this.capacity.startsPerS,
       nowMs,
+      weights: cost?.isDeclared ? this.#weigh(cost, nowMs) : undefined,
       draw: () => random.next(),
     });
     if (!result.upstream) this.capacity.noteLimitReached();
     return result;
   }
 
+  #weigh(cost: RequestCost, nowMs: number): WorkWeights | undefined {
+    const { board } = this.#options;
+    return this.cost?.createWeights(cost, {
+      passMs: this.meanPauseMs,
+      peers: board.livePeers.size,
+      countLoad: (upstream) => board.countLoad(upstream, nowMs),
+      nowMs,
+    });
+  }
+
   /** @param expectedMs estimated time until admission; undefined while the pool is stalled */
   #enqueue(ticket: AdmissionTicket, ahead: number, expectedMs?: number): void {
     this.#write(LogLevel.Routine, 'Request waits for capacity.', {
--- a/packages/core/src/direct/retryDecision.ts
+++ b/packages/core/src/direct/retryDecision.ts
@@ -4,6 +4,7 @@
 import type { ForwardedRequest } from '../ports/upstreamCaller.js';
 
 import type { ResponseBuilder } from './responseBuilder.js';
+import type { RequestCost } from './cost/requestCost.js';
 import type { AttemptFailure } from './directAttempt.js';
 import type { DirectContext } from './directContext.js';
 import type { DirectUpstream } from './directUpstream.js';
@@ -19,6 +20,7 @@
   readonly route: Route;
   readonly pool: string;
   readonly admission: PoolAdmission;
+  readonly cost: RequestCost | undefined;
   readonly returnAssessment: ReturnAssessment;
   readonly response: ResponseBuilder;
   readonly history: SendHistory;
@@ -48,11 +50,11 @@
    * Chooses an upstream for a retry; fails with the reason why request, route or time allow none.
    */
   chooseUpstream(nowMs: number): Result<DirectUpstream, GiveUpReason> {
-    const { admission, endAtMs, request, route, history } = this.#options;
+    const { admission, cost, endAtMs, request, route, history } = this.#options;
     if (nowMs >= endAtMs) return Err(GiveUpReason.TimeOver);
     if (!request.body.isRepeatable) return Err(GiveUpReason.BodyPassedOn);
     if (!history.canSendAgain(route)) return Err(GiveUpReason.AttemptsSpent);
-    const upstream = admission.chooseUpstream(history.failedUpstreams, nowMs);
+    const upstream = admission.chooseUpstream(history.failedUpstreams, nowMs, cost);
     return upstream ? Ok(upstream) : Err(GiveUpReason.NoUpstream);
   }
 
@@ -61,13 +63,12 @@
    * then, as it may only be slow.
    */
   canReplace(upstream: string, nowMs: number): boolean {
-    const { context, admission, endAtMs, pool, request, route, history } = this.#options;
+    const { context, admission, cost, endAtMs, pool, request, route, history } = this.#options;
     if (!canRunAgain(route) || !request.body.isComplete || nowMs >= endAtMs) return false;
     if (!request.body.isRepeatable || !history.canSendAgain(route)) return false;
     if (!context.mayRetry(pool, nowMs)) return false;
-    return (
-      admission.chooseUpstream(new Set([...history.failedUpstreams, upstream]), nowMs) !== undefined
-    );
+    const excluded = new Set([...history.failedUpstreams, upstream]);
+    return admission.chooseUpstream(excluded, nowMs, cost) !== undefined;
   }
 
   /**
--- a/packages/core/test/direct/groupModel.ts
+++ b/packages/core/test/direct/groupModel.ts
@@ -68,6 +68,9 @@
 
   readonly #costs: EngineCosts;
 
+  /** Slowdown factors of slow ranks, by upstream id. */
+  readonly slowdowns = new Map<string, number>();
+
   #isBroken = false;
 
   constructor(size: number, slots: number, skew: number, costs = DEFAULT_COSTS) {
@@ -110,13 +113,35 @@
 
   /** Duration of the next pass. */
   get passMs(): number {
+    return this.slowdowns.size > 0 ? this.#slowedPassMs : this.#evenPassMs;
+  }
+
+  /** Duration of the next pass where some ranks are slow; each rank adds up its own work. */
+  get #slowedPassMs(): number {
+    const works = [...this.#ranks].map(([rank, streams]) => {
+      const running = this.#listRunning(streams);
+      const prompts = running.reduce((sum, each) => sum + each.promptTokens, 0);
+      const workMs = this.#readWriteMs(running.length) + prompts / this.#costs.prefillTokensPerMs;
+      return { workMs, rankMs: workMs * (this.slowdowns.get(rank) ?? 1) };
+    });
+    const fullestMs = Math.max(this.#readWriteMs(0), ...works.map(({ rankMs }) => rankMs));
+    const meanMs = works.reduce((sum, { workMs }) => sum + workMs, 0) / this.#size;
+    return (1 - EXPERT_FRACTION) * fullestMs + EXPERT_FRACTION * this.skew * meanMs;
+  }
+
+  #readWriteMs(decodingRequests: number): number {
+    const { stepMs, decodeMs, stepsPerPass } = this.#costs;
+    return stepsPerPass * (stepMs + decodeMs * decodingRequests);
+  }
+
+  get #evenPassMs(): number {
     const ranks = [...this.#ranks.values()].map((streams) => this.#listRunning(streams));
     const fullest = Math.max(0, ...ranks.map((streams) => streams.length));
     const prefilling = ranks.map((streams) =>
       streams.reduce((sum, each) => sum + each.promptTokens, 0),
     );
-    const { stepMs, decodeMs, stepsPerPass, prefillTokensPerMs } = this.#costs;
-    const writeMs = stepsPerPass * (stepMs + decodeMs * fullest);
+    const { prefillTokensPerMs } = this.#costs;
+    const writeMs = this.#readWriteMs(fullest);
     const fullestRankMs = writeMs + Math.max(0, ...prefilling) / prefillTokensPerMs;
     const meanPrefilling = prefilling.reduce((sum, tokens) => sum + tokens, 0) / this.#size;
     const expertMs = writeMs + meanPrefilling / prefillTokensPerMs;
--- a/packages/core/test/direct/loadRun.ts
+++ b/packages/core/test/direct/loadRun.ts
@@ -8,11 +8,16 @@
  */
 import { Outcome } from '../../src/model/reason.js';
 import { Random } from '../../src/ports/random.js';
+import type { ForwardedRequest } from '../../src/ports/upstreamCaller.js';
 import type { FakeCaller } from '../entry/fakeCaller.js';
 
+import { LoadExchange } from '../../src/direct/loadExchange.js';
+import { SilentLog } from '../../src/ports/silentLog.js';
 import { DEADLINE_MS, DirectFixture, type TestClock } from './directFixture.js';
 import type { FakeCall } from './fakeCall.js';
 import { DEFAULT_COSTS, GroupModel } from './groupModel.js';
+import { createPairedDialer } from './pairedLinks.js';
+import { declareSize, drawWork, type UnevenLoad, type Work } from './unevenLoad.js';
 
 export const RANKS = 12;
 export const SLOTS = 8;
@@ -35,16 +40,12 @@
 /** Range of the callers' deadlines, relative to the longest. */
 const PATIENCE_SPREAD = 0.15;
 
-/** Work that a request requires of an engine. */
-interface Work {
-  readonly promptTokens: number;
-  readonly events: number;
-}
-
 /** First attempt of a caller. */
 interface FirstAttempt {
   readonly firstAtMs: number;
   readonly firstDeadlineMs: number;
+  /** Set where the load is uneven. */
+  readonly fields?: Pick<ForwardedRequest, 'id' | 'size'>;
 }
 
 interface Arrival extends FirstAttempt {
@@ -53,6 +54,13 @@
   readonly isRetry: boolean;
 }
 
+/** Upstreams with common passes. */
+interface PassingGroup {
+  readonly model: GroupModel;
+  readonly slowdown: number;
+  readonly passEndMs: number;
+}
+
 /** Observed response of one caller. */
 interface Observation {
   firstEventMs?: number;
@@ -69,6 +77,14 @@
 
   readonly group: GroupModel;
 
+  /** All entries, of which `entry` is the first. */
+  readonly entries: readonly DirectFixture[];
+
+  /** Groups of the upstreams, of which `group` is the first; each has passes of its own. */
+  readonly #groups: readonly PassingGroup[];
+
+  readonly #uneven: UnevenLoad | undefined;
+
   readonly #clock: TestClock;
 
   readonly #random = new Random(11);
@@ -82,19 +98,62 @@
 
   readonly #works = new Map<string, Work>();
 
-  #handledCalls = 0;
+  readonly #handledCalls = new Map<DirectFixture, number>();
 
-  #passEndMs = 0;
+  /** Draws sizes and entries of an uneven load. */
+  readonly #sizeRandom: Random;
 
   /**
    * @param costs costs of the engines
    * @param hasCosts whether the configuration contains them
    */
-  constructor(clock: TestClock, costs = DEFAULT_COSTS, hasCosts = false) {
+  constructor(clock: TestClock, costs = DEFAULT_COSTS, hasCosts = false, uneven?: UnevenLoad) {
     this.#clock = clock;
+    this.#uneven = uneven;
+    this.#sizeRandom = new Random(uneven?.seed ?? 0);
     this.entry = new DirectFixture(3, hasCosts ? costs : undefined);
-    this.group = new GroupModel(RANKS, SLOTS, MATCHING_SKEW, costs);
-    this.entry.addUpstreams('models', RANKS, SLOTS);
+    const others = Array.from(
+      { length: (uneven?.entryCount ?? 1) - 1 },
+      (_, at) => new DirectFixture(4 + at, hasCosts ? costs : undefined, `entry-${at + 2}`),
+    );
+    this.entries = [this.entry, ...others];
+    this.entries.forEach((entry) => entry.addUpstreams('models', RANKS, SLOTS));
+    if (others.length > 0) this.#link();
+    const isApart = uneven?.isLockStep === false;
+    this.#groups = Array.from({ length: isApart ? RANKS : 1 }, (_, at) => ({
+      model: new GroupModel(isApart ? 1 : RANKS, SLOTS, MATCHING_SKEW, costs),
+      slowdown: isApart ? (uneven.slowdowns[`models-${at}`] ?? 1) : 1,
+      passEndMs: 0,
+    }));
+    this.group = this.#findGroup('models-0').model;
+    if (isApart) return;
+    Object.entries(uneven?.slowdowns ?? {}).forEach(([id, slowdown]) =>
+      this.group.slowdowns.set(id, slowdown),
+    );
+  }
+
+  /** Connects all entries, so that they tell each other their load. */
+  #link(): void {
+    const exchanges = new Map<string, LoadExchange>();
+    const dialer = createPairedDialer((name) => exchanges.get(name), []);
+    const addresses = this.entries.map(({ board: { name } }) => ({ name, address: name }));
+    this.entries.forEach((entry) => {
+      const { board, metrics } = entry;
+      board.entryCount = this.entries.length;
+      exchanges.set(board.name, new LoadExchange({ board, dialer, log: new SilentLog(), metrics }));
+    });
+    exchanges.forEach((exchange) => {
+      exchange.start();
+      exchange.setAddresses(addresses);
+    });
+  }
+
+  #findGroup(upstream: string): PassingGroup {
+    const [first] = this.#groups;
+    const own = this.#groups[Number(upstream.slice('models-'.length))];
+    const found = this.#groups.length > 1 ? own : first;
+    if (!found) throw new Error(`no group of ${upstream}`);
+    return found;
   }
 
   async run(perS: number, spanMs: number): Promise<void> {
@@ -126,6 +185,15 @@
     return served.length / Math.max(1, firstAttempts.length);
   }
 
+  /** Longest pauses that callers saw within a time span, as their mean. */
+  readLongestPauseMs(fromMs: number, toMs: number): number {
+    const pausesMs = this.arrivals
+      .filter(({ atMs }) => atMs >= fromMs && atMs < toMs)
+      .flatMap(({ caller }) => this.#observations.get(caller) ?? [])
+      .map(({ longestPauseMs }) => longestPauseMs);
+    return pausesMs.reduce((sum, each) => sum + each, 0) / Math.max(1, pausesMs.length);
+  }
+
   #isOnTime({ caller, firstAtMs }: Arrival): boolean {
     const stats = this.#observations.get(caller);
     if (!stats?.firstEventMs || caller.ends[0] !== 'end') return false;
@@ -135,14 +203,35 @@
 
   #sendFirstAttempt(): void {
     const patienceFactor = 1 - PATIENCE_SPREAD * this.#patienceRandom.next();
-    this.#send({ firstAtMs: performance.now(), firstDeadlineMs: DEADLINE_MS * patienceFactor });
+    const first = {
+      firstAtMs: performance.now(),
+      firstDeadlineMs: DEADLINE_MS * patienceFactor,
+    };
+    this.#send(this.#uneven ? { ...first, fields: this.#drawFields(this.#uneven) } : first);
+  }
+
+  #drawFields({ isDeclared }: UnevenLoad): Pick<ForwardedRequest, 'id' | 'size'> {
+    const id = `uneven-${this.#works.size}`;
+    const work = drawWork(this.#sizeRandom, MEAN_PROMPT_TOKENS, MEAN_EVENTS);
+    this.#works.set(id, work);
+    const size = declareSize(this.#sizeRandom, work, MEAN_EVENTS);
+    return { id, size: isDeclared ? size : undefined };
+  }
+
+  #chooseEntry(): DirectFixture {
+    if (this.entries.length === 1) return this.entry;
+    return this.entries[this.#sizeRandom.nextInt(this.entries.length)] ?? this.entry;
   }
 
-  #send({ firstAtMs, firstDeadlineMs }: FirstAttempt): void {
+  #send({ firstAtMs, firstDeadlineMs, fields }: FirstAttempt): void {
     const atMs = performance.now();
     const spentMs = atMs - firstAtMs;
-    const caller = this.entry.sendRequest('stream', { deadlineMs: firstDeadlineMs - spentMs });
-    this.arrivals.push({ atMs, firstAtMs, firstDeadlineMs, caller, isRetry: spentMs > 0 });
+    const caller = this.#chooseEntry().sendRequest('stream', {
+      deadlineMs: firstDeadlineMs - spentMs,
+      ...fields,
+    });
+    const first = { firstAtMs, firstDeadlineMs, ...(fields && { fields }) };
+    this.arrivals.push({ ...first, atMs, caller, isRetry: spentMs > 0 });
     this.#observations.set(caller, { longestPauseMs: 0, text: '' });
   }
 
@@ -156,22 +245,31 @@
   }
 
   async #step(): Promise<void> {
-    const { calls } = this.entry;
-    for (; this.#handledCalls < calls.length; this.#handledCalls += 1) {
-      const call = calls[this.#handledCalls];
-      if (call) this.#addCall(call);
-    }
-    if (performance.now() >= this.#passEndMs) {
-      this.group.runPass();
-      this.#passEndMs = performance.now() + this.group.passMs;
-    }
+    this.entries.forEach((entry) => {
+      entry.calls.slice(this.#handledCalls.get(entry) ?? 0).forEach((call) => this.#addCall(call));
+      this.#handledCalls.set(entry, entry.calls.length);
+    });
+    this.#groups.forEach((group) => {
+      if (performance.now() < group.passEndMs) return;
+      group.model.runPass();
+      Object.assign(group, { passEndMs: performance.now() + group.slowdown * group.model.passMs });
+    });
+    if (this.#uneven?.areSlowdownsReported) this.#reportSlowdowns(this.#uneven);
     await this.#clock.tickAsync(STEP_MS);
     this.arrivals.forEach((arrival) => this.#observe(arrival));
   }
 
   #addCall(call: FakeCall): void {
     const { promptTokens, events } = this.#findWork(call.call.request.id);
-    this.group.addCall(call, promptTokens, events);
+    this.#findGroup(call.call.upstream.id).model.addCall(call, promptTokens, events);
+  }
+
+  #reportSlowdowns({ slowdowns }: UnevenLoad): void {
+    this.entries.forEach(({ board }) => {
+      board.upstreams.forEach((upstream) =>
+        upstream.noteSlowdown(slowdowns[upstream.id] ?? 1, performance.now()),
+      );
+    });
   }
 
   #findWork(id: string): Work {
