Learn the pace of upstreams, bound each choice and fade prefills

Cause: a prompt that waits for its first output was weighed for two passes although it is read in the next one, and news of peers was taken for younger than it is: placement by work was worse than by count on equal upstreams (0.880 to 0.889 on time, 32 seeds). A choice looked at every upstream of the pool. Change: prefill fades within a pass; the base time of a step counts, so that slow upstreams get less; slow upstreams come back by and by; pools of more than 128 upstreams are sampled; metrics of prediction error, choices and work left.

--- a/packages/core/src/direct/cost/attemptWork.ts
+++ b/packages/core/src/direct/cost/attemptWork.ts
@@ -1,25 +1,30 @@
 /** Work of one attempt that its upstream has yet to do. */
 import { readTokensLeft, type RequestCost } from './requestCost.js';
-import type { WorkLeft } from './workLeft.js';
+import { fadePrefill, type PassClock, type WorkLeft } from './workLeft.js';
+
+export interface AttemptWorkOptions {
+  readonly cost: RequestCost;
+  /** Events that earlier attempts at the request have given. */
+  readonly earlierEvents: number;
+  readonly sentAtMs: number;
+}
 
 /** One attempt's work at an upstream. */
 export class AttemptWork {
   readonly #cost: RequestCost;
 
+  readonly #sentAtMs: number;
+
   #tokensOut = 0;
 
   #hasOutput = false;
 
-  /** @param earlierEvents events that earlier attempts at the request have given */
-  constructor(cost: RequestCost, earlierEvents: number) {
+  constructor({ cost, earlierEvents, sentAtMs }: AttemptWorkOptions) {
     this.#cost = cost;
+    this.#sentAtMs = sentAtMs;
     this.noteEvents(earlierEvents);
   }
 
-  get hasOutput(): boolean {
-    return this.#hasOutput;
-  }
-
   noteFirstOutput(): void {
     this.#hasOutput = true;
   }
@@ -28,10 +33,10 @@
     this.#tokensOut += count * this.#cost.tokensPerEvent;
   }
 
-  get left(): WorkLeft {
+  readLeft(clock: PassClock): WorkLeft {
     const { prefillMs, stepMs } = this.#cost;
     return {
-      prefillMs: this.#hasOutput ? 0 : prefillMs,
+      prefillMs: this.#hasOutput ? 0 : fadePrefill(prefillMs, this.#sentAtMs, clock),
       decodeMs: readTokensLeft(this.#cost, this.#tokensOut) * stepMs,
       stepMs,
     };
--- a/packages/core/src/direct/cost/poolCost.ts
+++ b/packages/core/src/direct/cost/poolCost.ts
@@ -14,19 +14,22 @@
 import { EngineWork } from './engineWork.js';
 import { PoolPace } from './poolPace.js';
 import type { RequestCost } from './requestCost.js';
-import { addWork, type WorkLeft } from './workLeft.js';
+import type { PassClock, WorkLeft } from './workLeft.js';
 
 /**
  * Weight of the time that decoding takes over the whole answer against that in the next pass. A
  * request that is about to end still prolongs the next pass, but not the answer.
  */
-const LIFETIME_WEIGHT = 0.5;
+const LIFETIME_WEIGHT = 0.1;
 
 /** Weight of prefills, which prolong one pass, against decoding, which prolongs many. */
 const PREFILL_WEIGHT = 0.3;
 
-/** Mean age of what peers tell, in milliseconds: half a batch, and the link. */
-const NEWS_AGE_MS = 12;
+/** Age of what peers tell, in milliseconds: a batch, the link, and the work of both ends. */
+const NEWS_AGE_MS = 25;
+
+/** Interval of metrics, in milliseconds. */
+const REPORT_MS = 1_000;
 
 /** Weight of the newest request in the usual one. */
 const SMOOTHING_WEIGHT = 0.02;
@@ -51,7 +54,9 @@
 
 /** Costs of requests at the engines of one pool. */
 export class PoolCost {
-  readonly predictor: CostPredictor;
+  readonly #predictor: CostPredictor;
+
+  #reportedAtMs = Number.NEGATIVE_INFINITY;
 
   readonly #pace: PoolPace;
 
@@ -68,8 +73,8 @@
   constructor(costs: EngineCosts, isGroup: boolean) {
     this.#pace = new PoolPace(isGroup);
     this.#engine = new EngineWork(costs);
-    this.predictor = new CostPredictor(this.#engine);
-    const { prefillMs, stepMs, answerTokens } = this.predictor.predict({
+    this.#predictor = new CostPredictor(this.#engine);
+    const { prefillMs, stepMs, answerTokens } = this.#predictor.predict({
       route: '',
       workspace: '',
       size: undefined,
@@ -79,7 +84,7 @@
   }
 
   predict(input: PredictionInput): RequestCost {
-    const cost = this.predictor.predict(input);
+    const cost = this.#predictor.predict(input);
     const { stepMs, answerTokens, prefillMs } = cost;
     const { stepMs: usualStepMs, decodeMs } = this.#usual;
     const decodeHalfMs = (stepMs * answerTokens) / 2;
@@ -94,7 +99,7 @@
 
   /** Records how many events a complete answer had. */
   noteAnswered(cost: RequestCost, events: number): void {
-    this.predictor.noteAnswered(cost, events * cost.tokensPerEvent);
+    this.#predictor.noteAnswered(cost, events * cost.tokensPerEvent);
   }
 
   /**
@@ -108,6 +113,18 @@
     return this.#pace.notePause({ upstream, pauseMs, expectedMs }, nowMs);
   }
 
+  /** Quantile of observed over predicted tokens of recent answers. */
+  readError(fraction: number): number | undefined {
+    return this.#predictor.errors.readQuantile(fraction);
+  }
+
+  /** Whether metrics are due; counts as told. */
+  takeReport(nowMs: number): boolean {
+    if (nowMs - this.#reportedAtMs < REPORT_MS) return false;
+    this.#reportedAtMs = nowMs;
+    return true;
+  }
+
   /** Records that a request was sent. */
   noteChoice(nowMs: number): void {
     this.#rate.add(nowMs);
@@ -122,7 +139,7 @@
     const marginalMs = this.usualPassMs + PREFILL_WEIGHT * this.#usualPrefillMs;
     return {
       weigh: (upstream) => {
-        const slowdown = upstream.readSlowdown(view.nowMs);
+        const slowdown = upstream.readRecentSlowdown(view.nowMs);
         const passMs = this.#forecastPassMs(this.readLeft(upstream, view), cost);
         return { costMs: slowdown * passMs, marginalMs: slowdown * marginalMs };
       },
@@ -132,9 +149,9 @@
 
   /** Work left at an upstream; requests whose work is not known count as usual ones. */
   readLeft(upstream: DirectUpstream, view: PoolView): WorkLeft {
-    const { work } = upstream;
-    const stepsPerMs = view.passMs ? this.#engine.stepsPerPass / view.passMs : 0;
-    const known = addWork(work.own, work.readPeers(view.nowMs, stepsPerMs));
+    const { nowMs, passMs } = view;
+    const clock: PassClock = { nowMs, passMs, stepsPerPass: this.#engine.stepsPerPass };
+    const known = upstream.work.readLeft(clock);
     const unknown = Math.max(0, view.countLoad(upstream) - upstream.countKnownWork());
     return {
       prefillMs: known.prefillMs,
@@ -143,11 +160,11 @@
     };
   }
 
-  /** Time that a pass with the request takes beyond one without any, as a mean over its answer. */
+  /** Time of a pass with the request, as a mean over its answer. */
   #forecastPassMs(left: WorkLeft, { answerTokens, stepMs, prefillMs }: RequestCost): number {
     const lifetimeStepMs = Math.min(left.stepMs, left.decodeMs / answerTokens);
     const meanStepMs = left.stepMs + LIFETIME_WEIGHT * (lifetimeStepMs - left.stepMs);
-    const decodeMs = this.#engine.stepsPerPass * (meanStepMs + stepMs);
+    const decodeMs = this.#engine.readPassMs(meanStepMs + stepMs);
     return decodeMs + PREFILL_WEIGHT * (left.prefillMs + prefillMs);
   }
 }
--- a/packages/core/src/direct/cost/upstreamPace.ts
+++ b/packages/core/src/direct/cost/upstreamPace.ts
@@ -15,6 +15,12 @@
  */
 const FORGET_MS = 4_000;
 
+/**
+ * Time after which a slowdown that is over counts for 1/e, in milliseconds: an upstream that is
+ * back has no requests, and would get all of the next ones.
+ */
+const EASE_MS = 1_000;
+
 /** Pace of one upstream, as observed by this entry. */
 export class UpstreamPace {
   #mean = 0;
@@ -27,6 +33,10 @@
 
   #comparedAtMs = 0;
 
+  #recent = 1;
+
+  #recentAtMs = 0;
+
   /** Records a pause between two events, in a unit that is the same for the whole pool. */
   notePause(pause: number, nowMs: number): void {
     const isOutdated = nowMs - this.#notedAtMs > COMPARABLE_MS;
@@ -51,6 +61,19 @@
   noteSlowdown(slowdown: number, nowMs: number): void {
     this.#slowdown = slowdown;
     this.#comparedAtMs = nowMs;
+    this.noteRecent(slowdown, nowMs);
+  }
+
+  /** Records a slowdown, own or reported, so that the way back from it is gradual. */
+  noteRecent(slowdown: number, nowMs: number): void {
+    if (slowdown < this.readRecent(nowMs)) return;
+    this.#recent = slowdown;
+    this.#recentAtMs = nowMs;
+  }
+
+  /** Largest recent slowdown, which fades to 1. */
+  readRecent(nowMs: number): number {
+    return 1 + (this.#recent - 1) * Math.exp((this.#recentAtMs - nowMs) / EASE_MS);
   }
 
   /** Factor by which the upstream is slower than its pool. */
--- a/packages/core/src/direct/cost/upstreamWork.ts
+++ b/packages/core/src/direct/cost/upstreamWork.ts
@@ -8,7 +8,8 @@
 import type { WorkNews } from '../../messages/workMessage.js';
 
 import type { AttemptWork } from './attemptWork.js';
-import { addWork, NO_WORK, type WorkLeft } from './workLeft.js';
+import { addWork, ageDecoding, fadePrefill, NO_WORK } from './workLeft.js';
+import type { PassClock, WorkLeft } from './workLeft.js';
 
 const US_PER_MS = 1_000;
 
@@ -16,29 +17,20 @@
   readonly atMs: number;
 }
 
-function age(part: PeerPart, nowMs: number, stepsPerMs: number): WorkLeft {
-  const doneMs = Math.max(0, nowMs - part.atMs) * stepsPerMs * part.stepMs;
-  return { ...part, decodeMs: Math.max(0, part.decodeMs - doneMs) };
-}
-
 /** Work of all entries at one upstream. */
 export class UpstreamWork {
   readonly #own = new Set<AttemptWork>();
 
   readonly #byPeer = new Map<string, PeerPart>();
 
-  get isIdle(): boolean {
-    return this.#own.size === 0;
-  }
-
   /** Number of this entry's attempts with known work. */
   get ownCount(): number {
     return this.#own.size;
   }
 
-  /** Entries that have told their part. */
-  get peers(): { readonly forEach: (visit: (entry: string) => void) => void } {
-    return { forEach: (visit) => this.#byPeer.forEach((_, entry) => visit(entry)) };
+  /** Calls a function with each entry that has told its part. */
+  forEachPeer(visit: (entry: string) => void): void {
+    this.#byPeer.forEach((_, entry) => visit(entry));
   }
 
   begin(attempt: AttemptWork): void {
@@ -49,37 +41,38 @@
     this.#own.delete(attempt);
   }
 
-  /** Applies a peer's part; undefined removes it. */
-  setPeer(entry: string, news: WorkNews | undefined, nowMs: number): void {
-    if (!news) {
-      this.#byPeer.delete(entry);
-      return;
-    }
-    const [prefillMs, decodeMs, stepUs] = news;
-    this.#byPeer.set(entry, { prefillMs, decodeMs, stepMs: stepUs / US_PER_MS, atMs: nowMs });
+  /** Applies a peer's part. */
+  setPeer(entry: string, [prefillMs, decodeMs, stepUs]: WorkNews, nowMs: number): void {
+    if (stepUs === 0) this.#byPeer.delete(entry);
+    else this.#byPeer.set(entry, { prefillMs, decodeMs, stepMs: stepUs / US_PER_MS, atMs: nowMs });
   }
 
-  /** Work of this entry's attempts. */
-  get own(): WorkLeft {
-    let sum = NO_WORK;
-    this.#own.forEach(({ left }) => {
-      sum = addWork(sum, left);
-    });
-    return sum;
+  removePeer(entry: string): void {
+    this.#byPeer.delete(entry);
   }
 
-  /** Work of the peers that tell it. */
-  readPeers(nowMs: number, stepsPerMs: number): WorkLeft {
-    let sum = NO_WORK;
+  /** Work of all entries that tell it. */
+  readLeft(clock: PassClock): WorkLeft {
+    let sum = this.#readOwn(clock);
     this.#byPeer.forEach((part) => {
-      sum = addWork(sum, age(part, nowMs, stepsPerMs));
+      const prefillMs = fadePrefill(part.prefillMs, part.atMs, clock);
+      const decodeMs = ageDecoding(part, part.atMs, clock);
+      sum = addWork(sum, { prefillMs, decodeMs, stepMs: part.stepMs });
     });
     return sum;
   }
 
   /** Work of this entry's attempts as its peers are told. */
-  describeOwn(): WorkNews {
-    const { prefillMs, decodeMs, stepMs } = this.own;
+  describeOwn(clock: PassClock): WorkNews {
+    const { prefillMs, decodeMs, stepMs } = this.#readOwn(clock);
     return [Math.round(prefillMs), Math.round(decodeMs), Math.round(stepMs * US_PER_MS)];
   }
+
+  #readOwn(clock: PassClock): WorkLeft {
+    let sum = NO_WORK;
+    this.#own.forEach((attempt) => {
+      sum = addWork(sum, attempt.readLeft(clock));
+    });
+    return sum;
+  }
 }
--- a/packages/core/src/direct/cost/workExchange.ts
+++ b/packages/core/src/direct/cost/workExchange.ts
@@ -7,18 +7,18 @@
 import type { DirectUpstream } from '../directUpstream.js';
 import { PeerState, type CountsFields, type CountsMessage } from '../peerState.js';
 
-import type { RequestCost } from './requestCost.js';
-import { AttemptWork } from './attemptWork.js';
+import { AttemptWork, type AttemptWorkOptions } from './attemptWork.js';
+import type { PassClock } from './workLeft.js';
 
-function describe(upstreams: Iterable<DirectUpstream>): CountsFields {
-  return {
-    work: Object.fromEntries([...upstreams].map(({ id, work }) => [id, work.describeOwn()])),
-  };
+export interface WorkExchangeOptions {
+  readonly findUpstream: (id: string) => DirectUpstream | undefined;
+  /** Time of a pass of a pool; undefined before the first one. */
+  readonly readPassMs: (pool: string) => number | undefined;
 }
 
 /** Work left at all upstreams, exchanged among entries. */
 export class WorkExchange extends PeerState {
-  readonly #findUpstream: (id: string) => DirectUpstream | undefined;
+  readonly #options: WorkExchangeOptions;
 
   /** Upstreams with work of this entry. */
   readonly #active = new Set<DirectUpstream>();
@@ -28,14 +28,16 @@
   /** Upstreams with work of a peer. */
   readonly #byPeer = new Map<string, Set<DirectUpstream>>();
 
-  constructor(findUpstream: (id: string) => DirectUpstream | undefined) {
+  /** Whole state of a moment, as it goes to every peer. */
+  #full: { readonly atMs: number; readonly fields: CountsFields } | undefined;
+
+  constructor(options: WorkExchangeOptions) {
     super();
-    this.#findUpstream = findUpstream;
+    this.#options = options;
   }
 
-  /** @param earlierEvents events that earlier attempts at the request have given */
-  begin(upstream: DirectUpstream, cost: RequestCost, earlierEvents: number): AttemptWork {
-    const attempt = new AttemptWork(cost, earlierEvents);
+  begin(upstream: DirectUpstream, options: AttemptWorkOptions): AttemptWork {
+    const attempt = new AttemptWork(options);
     upstream.work.begin(attempt);
     this.#active.add(upstream);
     this.#noteChanged(upstream);
@@ -49,19 +51,22 @@
 
   end(upstream: DirectUpstream, attempt: AttemptWork): void {
     upstream.work.end(attempt);
-    if (upstream.work.isIdle) this.#active.delete(upstream);
+    if (upstream.work.ownCount === 0) this.#active.delete(upstream);
     this.#noteChanged(upstream);
   }
 
-  override readFull(): CountsFields {
-    return describe([...this.#active].filter((upstream) => this.#isKnown(upstream)));
+  override readFull(nowMs: number): CountsFields {
+    if (this.#full?.atMs === nowMs) return this.#full.fields;
+    const fields = this.#describe(this.#active, nowMs);
+    this.#full = { atMs: nowMs, fields };
+    return fields;
   }
 
-  override takeChanges(): CountsFields | undefined {
+  override takeChanges(nowMs: number): CountsFields | undefined {
     if (this.#changed.size === 0) return undefined;
-    const changed = [...this.#changed].filter((upstream) => this.#isKnown(upstream));
+    const fields = this.#describe(this.#changed, nowMs);
     this.#changed.clear();
-    return describe(changed);
+    return fields;
   }
 
   override apply({ entry, isFull, work }: CountsMessage, nowMs: number): void {
@@ -70,7 +75,7 @@
     const upstreams = this.#byPeer.get(entry) ?? new Set();
     this.#byPeer.set(entry, upstreams);
     Object.entries(work).forEach(([id, news]) => {
-      const upstream = this.#findUpstream(id);
+      const upstream = this.#options.findUpstream(id);
       if (!upstream) return;
       upstream.work.setPeer(entry, news, nowMs);
       upstreams.add(upstream);
@@ -78,17 +83,25 @@
   }
 
   override dropPeer(entry: string): void {
-    this.#byPeer.get(entry)?.forEach(({ work }) => work.setPeer(entry, undefined, 0));
+    this.#byPeer.get(entry)?.forEach(({ work }) => work.removePeer(entry));
     this.#byPeer.delete(entry);
   }
 
-  /** Attempts can outlive the registry's entry of the incarnation that they run on. */
-  #isKnown(upstream: DirectUpstream): boolean {
-    return this.#findUpstream(upstream.id) === upstream;
+  /** Describes the work at upstreams that are in the registry; attempts can outlive their entry. */
+  #describe(upstreams: ReadonlySet<DirectUpstream>, nowMs: number): CountsFields {
+    const { findUpstream, readPassMs } = this.#options;
+    const work = [...upstreams]
+      .filter((upstream) => findUpstream(upstream.id) === upstream)
+      .map(({ id, entry: { pool }, work: left }) => {
+        const clock: PassClock = { nowMs, passMs: readPassMs(pool), stepsPerPass: 0 };
+        return [id, left.describeOwn(clock)] as const;
+      });
+    return { work: Object.fromEntries(work) };
   }
 
   #noteChanged(upstream: DirectUpstream): void {
     this.#changed.add(upstream);
+    this.#full = undefined;
     this.noteChange();
   }
 }
--- a/packages/core/src/direct/directAttempt.ts
+++ b/packages/core/src/direct/directAttempt.ts
@@ -149,7 +149,10 @@
     const { context, cost, earlierEvents } = this.#options;
     const { upstreams } = context;
     context.board.addInFlight(this.upstream, 1);
-    if (cost) this.#work = context.board.work.begin(this.upstream, cost, earlierEvents);
+    if (cost) {
+      const options = { cost, earlierEvents, sentAtMs: this.#sentAtMs };
+      this.#work = context.board.work.begin(this.upstream, options);
+    }
     this.upstream.awaitingFirstOutput += 1;
     this.upstream.startRate.noteStart(this.#sentAtMs);
     this.#options.context.board.permits.noteStart(this.upstream.incarnation, this.#sentAtMs);
--- a/packages/core/src/direct/directRequest.ts
+++ b/packages/core/src/direct/directRequest.ts
@@ -210,7 +210,7 @@
     }
     this.#guard.noteSent();
     this.#history.noteSent();
-    this.#telemetry.noteSent(upstream, isResumed);
+    this.#telemetry.noteSent(upstream, isResumed, this.#cost);
     this.#attempt = new DirectAttempt({
       context,
       admission,
--- a/packages/core/src/direct/directUpstream.ts
+++ b/packages/core/src/direct/directUpstream.ts
@@ -125,7 +125,7 @@
   /** Requests in flight whose work is known. */
   countKnownWork(): number {
     let count = this.work.ownCount;
-    this.work.peers.forEach((entry) => {
+    this.work.forEachPeer((entry) => {
       count += this.#inFlightByPeer.get(entry) ?? 0;
     });
     return count;
@@ -151,6 +151,7 @@
   /** Records by which factor the upstream is slower than a healthy one. */
   noteSlowdown(slowdown: number, nowMs: number): void {
     this.#slowdown = slowdown;
+    this.pace.noteRecent(slowdown, nowMs);
     this.#slowdownAtMs = nowMs;
   }
 
@@ -160,6 +161,11 @@
     return Math.max(reported, this.pace.readSlowdown(nowMs));
   }
 
+  /** As {@link readSlowdown}, but after a slow time it falls to the present factor gradually. */
+  readRecentSlowdown(nowMs: number): number {
+    return Math.max(this.readSlowdown(nowMs), this.pace.readRecent(nowMs));
+  }
+
   /** Sends the upstream no requests until the given time, as its response asked for. */
   backOff(untilMs: number): void {
     this.#backoffUntilMs = Math.max(this.#backoffUntilMs, untilMs);
--- a/packages/core/src/direct/fleetBoard.ts
+++ b/packages/core/src/direct/fleetBoard.ts
@@ -49,7 +49,10 @@
   readonly permitMessages = new PermitMessages();
 
   /** Work left at upstreams, exchanged with the other entries. */
-  readonly work = new WorkExchange((id) => this.findUpstream(id));
+  readonly work = new WorkExchange({
+    findUpstream: (id) => this.findUpstream(id),
+    readPassMs: (pool) => this.getActivity(pool).meanPauseMs,
+  });
 
   /** State that is exchanged with the other entries beside in-flight counts. */
   readonly peerStates: readonly PeerState[] = [this.work];
--- a/packages/core/src/direct/placement.ts
+++ b/packages/core/src/direct/placement.ts
@@ -2,11 +2,13 @@
  * Chooses the upstream of a request.
  *
  * The engines of a group work in lock-step, so the most loaded one determines the pass time of all.
- * The upstream with the least load is chosen; of equally loaded ones, one that has no other prefill
- * in progress. A slow upstream receives less.
+ * A request that declares its size goes where a pass with it is shortest, by the work left there.
+ * Any other goes where the fewest requests are; of equally loaded upstreams, to one that has no
+ * other prefill in progress. A slow upstream receives less.
  */
 import { drawOption } from '../routing/spread.js';
 
+import { sampleCandidates } from './candidateSample.js';
 import type { WorkWeights } from './cost/poolCost.js';
 import type { DirectUpstream } from './directUpstream.js';
 import type { FleetBoard } from './fleetBoard.js';
@@ -20,6 +22,9 @@
 /** Score advantage of upstreams in the entry's own failure domain; it only breaks ties. */
 const OWN_DOMAIN_BONUS = 0.1;
 
+/** The same where upstreams are weighed by their work, of which small differences count. */
+const OWN_DOMAIN_TIE = 0.01;
+
 /**
  * Range of the random score term, which spreads the choices of several entries among equal
  * upstreams.
@@ -49,7 +54,10 @@
 /** Result of a placement. */
 export interface PlacementResult {
   readonly upstream: DirectUpstream | undefined;
-  /** Upstreams that are in service and not backing off, whether or not they have capacity. */
+  /**
+   * Upstreams that are in service and not backing off, whether or not they have capacity; of a
+   * large pool those in the sample.
+   */
   readonly availableCount: number;
 }
 
@@ -81,6 +89,19 @@
   return load - domainBonus + query.draw() * JITTER_RANGE;
 }
 
+/**
+ * Available upstreams of the pool, or of a sample where it is large. Permits name single upstreams,
+ * which a sample would miss.
+ */
+function listAvailable(board: FleetBoard, query: PlacementQuery): readonly DirectUpstream[] {
+  const { pool, nowMs, draw } = query;
+  const all = board.listPool(pool);
+  const candidates = board.limits.limitedCount > 0 ? all : sampleCandidates(all, draw);
+  const available = candidates.filter((upstream) => isAvailable(board, upstream, nowMs));
+  if (available.length > 0 || candidates.length === all.length) return available;
+  return all.filter((upstream) => isAvailable(board, upstream, nowMs));
+}
+
 /** Upstreams that are neither ejected as outliers nor so slow that they would delay their group. */
 function pickHealthy(
   available: readonly DirectUpstream[],
@@ -123,7 +144,7 @@
   const options = eligible.map((upstream) => {
     const { costMs, marginalMs } = weigh(upstream);
     const isOwnDomain = upstream.entry.domain === board.domain;
-    const bonusMs = isOwnDomain ? OWN_DOMAIN_BONUS * marginalMs : 0;
+    const bonusMs = isOwnDomain ? OWN_DOMAIN_TIE * marginalMs : 0;
     return { upstream, costMs: costMs - bonusMs, marginalMs };
   });
   return drawOption(options, unreported, draw)?.upstream;
@@ -131,8 +152,8 @@
 
 /** Chooses the upstream of a request; `upstream` is undefined where none has capacity. */
 export function choosePlacement(board: FleetBoard, query: PlacementQuery): PlacementResult {
-  const { pool, excluded, limit, startsPerS, nowMs } = query;
-  const available = board.listPool(pool).filter((upstream) => isAvailable(board, upstream, nowMs));
+  const { excluded, limit, startsPerS, nowMs } = query;
+  const available = listAvailable(board, query);
   const eligible = pickHealthy(available, nowMs).filter(
     (upstream) =>
       !excluded.has(upstream.id) &&
--- a/packages/core/src/direct/requestTelemetry.ts
+++ b/packages/core/src/direct/requestTelemetry.ts
@@ -3,6 +3,8 @@
 import { LogLevel, type LogFields } from '../ports/log.js';
 import type { ForwardedRequest } from '../ports/upstreamCaller.js';
 
+import { reportCosts } from './cost/costTelemetry.js';
+import type { RequestCost } from './cost/requestCost.js';
 import type { ResponseTimes } from './responseTimes.js';
 import type { AttemptFailure, DirectAttempt } from './directAttempt.js';
 import type { DirectContext } from './directContext.js';
@@ -43,9 +45,14 @@
     this.#options = options;
   }
 
-  noteSent(upstream: DirectUpstream, isResumed: boolean): void {
-    const { board } = this.#options.context;
+  /** @param cost predicted work, where it is known */
+  noteSent(upstream: DirectUpstream, isResumed: boolean, cost?: RequestCost): void {
+    const { board, metrics } = this.#options.context;
     const nowMs = performance.now();
+    metrics.count('placement.choice', {
+      by: cost?.isDeclared ? 'work' : 'count',
+      domain: upstream.entry.domain === board.domain ? 'own' : 'other',
+    });
     this.#write(LogLevel.Routine, 'Request sent.', {
       upstream: upstream.id,
       load: board.countLoad(upstream, nowMs),
@@ -53,6 +60,7 @@
       requestLimitPerS: board.limits.find(upstream.incarnation),
       peersHeard: board.livePeers.size,
       configVersion: board.table?.version,
+      answerTokens: cost && Math.round(cost.answerTokens),
       isResumed,
     });
   }
@@ -87,7 +95,9 @@
   }
 
   noteAnswered(upstream: string | undefined, status: number): void {
-    const { context, request } = this.#options;
+    const { admission, context, pool, request } = this.#options;
+    const { cost } = admission;
+    if (cost) reportCosts({ ...context, pool, cost, nowMs: performance.now() });
     context.metrics.count('request.answered', { status: String(status) });
     context.metrics.timing('request.time', performance.now() - request.arrivedAtMs);
     this.#write(LogLevel.Routine, 'Request answered.', { upstream, status });
