--- a/packages/core/src/direct/candidateSample.ts
+++ b/packages/core/src/direct/candidateSample.ts
@@ -7,7 +7,7 @@
  */
 
 /** Pool size up to which all upstreams are candidates. */
-const SCAN_MAX = 128;
+export const SCAN_MAX = 128;
 
 /** Size of the sample of a larger pool. */
 const SAMPLE_SIZE = 32;
--- a/packages/core/src/direct/cost/workExchange.ts
+++ b/packages/core/src/direct/cost/workExchange.ts
@@ -2,8 +2,11 @@
  * Tells the peers how much work this entry has left at upstreams, and applies what they tell.
  *
  * A start, a first output and an end are told with the next batch. Progress between them is told
- * with full counts only, as the receiver ages the work by itself.
+ * with full counts only, as the receiver ages the work by itself. Of pools that are too large to
+ * look at all upstreams at a choice nothing is told, which keeps messages small: there the requests
+ * of others count as usual ones.
  */
+import { SCAN_MAX } from '../candidateSample.js';
 import type { DirectUpstream } from '../directUpstream.js';
 import { PeerState, type CountsFields, type CountsMessage } from '../peerState.js';
 
@@ -14,6 +17,8 @@
   readonly findUpstream: (id: string) => DirectUpstream | undefined;
   /** Time of a pass of a pool; undefined before the first one. */
   readonly readPassMs: (pool: string) => number | undefined;
+  /** Number of upstreams of a pool. */
+  readonly countPool: (pool: string) => number;
 }
 
 /** Work left at all upstreams, exchanged among entries. */
@@ -91,7 +96,7 @@
   #describe(upstreams: ReadonlySet<DirectUpstream>, nowMs: number): CountsFields {
     const { findUpstream, readPassMs } = this.#options;
     const work = [...upstreams]
-      .filter((upstream) => findUpstream(upstream.id) === upstream)
+      .filter((upstream) => findUpstream(upstream.id) === upstream && this.#isTold(upstream))
       .map(({ id, entry: { pool }, work: left }) => {
         const clock: PassClock = { nowMs, passMs: readPassMs(pool), stepsPerPass: 0 };
         return [id, left.describeOwn(clock)] as const;
@@ -99,7 +104,12 @@
     return { work: Object.fromEntries(work) };
   }
 
+  #isTold({ entry: { pool } }: DirectUpstream): boolean {
+    return this.#options.countPool(pool) <= SCAN_MAX;
+  }
+
   #noteChanged(upstream: DirectUpstream): void {
+    if (!this.#isTold(upstream)) return;
     this.#changed.add(upstream);
     this.#full = undefined;
     this.noteChange();
--- a/packages/core/src/direct/fleetBoard.ts
+++ b/packages/core/src/direct/fleetBoard.ts
@@ -52,6 +52,7 @@
   readonly work = new WorkExchange({
     findUpstream: (id) => this.findUpstream(id),
     readPassMs: (pool) => this.getActivity(pool).meanPauseMs,
+    countPool: (pool) => this.listPool(pool).length,
   });
 
   /** State that is exchanged with the other entries beside in-flight counts. */
--- a/packages/core/test/direct/cost/costPredictor.test.ts
+++ b/packages/core/test/direct/cost/costPredictor.test.ts
@@ -70,8 +70,9 @@
 
 test('after a change of mix predictions follow within a few hundred answers', () => {
   const predictor = createPredictor();
-  learn(predictor, 1, 1_000);
-  learn(predictor, 3, 300);
+  // Each answer is of another workspace, so that none has a correction of its own.
+  Array.from({ length: 1_000 }).forEach((_, at) => learn(predictor, 1, 1, `before-${at}`));
+  Array.from({ length: 300 }).forEach((_, at) => learn(predictor, 3, 1, `after-${at}`));
   const { answerTokens } = predictor.predict(createInput(100));
   assert.ok(answerTokens > 230 && answerTokens < 450, `${answerTokens} expected`);
 });
--- a/packages/core/test/direct/cost/workExchange.test.ts
+++ b/packages/core/test/direct/cost/workExchange.test.ts
@@ -84,11 +84,8 @@
     countLoad: (upstream) => entry.board.countLoad(upstream, nowMs),
     nowMs,
   };
-  const { prefillMs, decodeMs } = new PoolCost(DEFAULT_COSTS, true).readLeft(
-    findUpstream(entry),
-    view,
-  );
-  return [Math.round(prefillMs), Math.round(decodeMs)];
+  const left = new PoolCost(DEFAULT_COSTS, true).readLeft(findUpstream(entry), view);
+  return [Math.round(left.prefillMs), Math.round(left.decodeMs)];
 }
 
 async function withEntries(
@@ -157,6 +154,8 @@
     assert.ok(decodeMs > 20 && decodeMs < 30, `${decodeMs} ms after 10 passes of 5 steps`);
     await pass(1_100);
     assert.equal(readLeft(own), [0, 0]);
+    const clock = { nowMs: performance.now(), passMs: PASS_MS, stepsPerPass: 5 };
+    assert.is(findUpstream(own).work.readLeft(clock).stepMs, 0, 'its requests are gone as well');
   }));
 
 test('a new incarnation of an upstream begins without work, whatever still ends at the old', () =>
@@ -173,6 +172,20 @@
     assert.equal(readLeft(peer), [0, 0]);
   }));
 
+test('the work of a pool that is too large to look at as a whole is not told', () =>
+  withEntries(async ([own], pass, links) => {
+    Array.from({ length: 200 }).forEach((_, at) =>
+      own.board.putUpstream({ ...UPSTREAM, id: `other-${at}` }),
+    );
+    begin(own);
+    await pass(600);
+    const told = links
+      .flatMap(({ sent }) => sent)
+      .flatMap((message) => (message.type === MessageType.UpstreamCounts ? [message.work] : []));
+    assert.ok(told.length > 0);
+    assert.ok(told.every((work) => Object.keys(work ?? {}).length === 0));
+  }));
+
 test('requests of a peer of an earlier version count as usual ones', () =>
   withEntries(async ([own], pass, links) => {
     const counts = { [UPSTREAM.id]: 2 };
--- a/packages/core/test/direct/placement.test.ts
+++ b/packages/core/test/direct/placement.test.ts
@@ -87,6 +87,18 @@
     assert.is(choose(board, createWeights(board, cost, predict(cost, 800, 100))), 'm-1');
   }));
 
+test('an idle upstream is not chosen where a busier but faster one has shorter passes', () =>
+  withClock(async (clock) => {
+    const board = createBoard(2);
+    const cost = new PoolCost(DEFAULT_COSTS, true);
+    begin(board, 'm-1', predict(cost, 800, 100));
+    begin(board, 'm-1', predict(cost, 800, 100));
+    begin(board, 'm-1', predict(cost, 800, 100));
+    board.findUpstream('m-0')?.noteSlowdown(2, performance.now());
+    await clock.tickAsync(200);
+    assert.is(choose(board, createWeights(board, cost, predict(cost, 800, 100))), 'm-1');
+  }));
+
 test('the own failure domain only breaks ties', () =>
   withClock(async (clock) => {
     const board = createBoard(2);
