Learn how long requests of plain services hold an upstream

Cause: requests of plain services declare no size, so that nothing told how long they take, by route and with their tail. Change: decayed histogram of holding times for each route of pools without engine costs, its error as a metric. Placement of these requests is as before.

--- a/packages/core/src/direct/cost/costTelemetry.ts
+++ b/packages/core/src/direct/cost/costTelemetry.ts
@@ -3,6 +3,8 @@
 import type { DirectUpstream } from '../directUpstream.js';
 import type { FleetBoard } from '../fleetBoard.js';
 
+import type { DecayedQuantiles } from './decayedQuantiles.js';
+import type { HoldingTimes } from './holdingTimes.js';
 import type { PoolCost } from './poolCost.js';
 
 /** Quantiles of observed over predicted work that are told. */
@@ -19,13 +21,27 @@
   readonly nowMs: number;
 }
 
-/** Writes the metrics of one pool, at most once in a second. */
-export function reportCosts({ metrics, board, pool, cost, nowMs }: CostReport): void {
-  if (!cost.takeReport(nowMs)) return;
+function gaugeErrors(metrics: Metrics, pool: string, errors: DecayedQuantiles): void {
   ERROR_QUANTILES.forEach((fraction) => {
-    const ratio = cost.readError(fraction);
+    const ratio = errors.readQuantile(fraction);
     if (ratio !== undefined) metrics.gauge('cost.error', ratio, { pool, q: String(fraction) });
   });
+}
+
+/** Writes the metrics of a pool of plain services, at most once in a second. */
+export function reportHoldingTimes(
+  metrics: Metrics,
+  pool: string,
+  times: HoldingTimes,
+  nowMs: number,
+): void {
+  if (times.reports.take(nowMs)) gaugeErrors(metrics, pool, times.errors);
+}
+
+/** Writes the metrics of one pool of engines, at most once in a second. */
+export function reportCosts({ metrics, board, pool, cost, nowMs }: CostReport): void {
+  if (!cost.reports.take(nowMs)) return;
+  gaugeErrors(metrics, pool, cost.errors);
   const view = {
     passMs: board.getActivity(pool).meanPauseMs,
     peers: board.livePeers.size,
--- a/packages/core/src/direct/cost/poolCost.ts
+++ b/packages/core/src/direct/cost/poolCost.ts
@@ -11,8 +11,10 @@
 import type { EngineCosts } from '../passModel.js';
 
 import { CostPredictor, type PredictionInput } from './costPredictor.js';
+import type { DecayedQuantiles } from './decayedQuantiles.js';
 import { EngineWork } from './engineWork.js';
 import { PoolPace } from './poolPace.js';
+import { ReportTimer } from './reportTimer.js';
 import type { RequestCost } from './requestCost.js';
 import type { PassClock, WorkLeft } from './workLeft.js';
 
@@ -28,9 +30,6 @@
 /** Age of what peers tell, in milliseconds: a batch, the link, and the work of both ends. */
 const NEWS_AGE_MS = 25;
 
-/** Interval of metrics, in milliseconds. */
-const REPORT_MS = 1_000;
-
 /** Weight of the newest request in the usual one. */
 const SMOOTHING_WEIGHT = 0.02;
 
@@ -56,7 +55,7 @@
 export class PoolCost {
   readonly #predictor: CostPredictor;
 
-  #reportedAtMs = Number.NEGATIVE_INFINITY;
+  readonly reports = new ReportTimer();
 
   readonly #pace: PoolPace;
 
@@ -113,16 +112,9 @@
     return this.#pace.notePause({ upstream, pauseMs, expectedMs }, nowMs);
   }
 
-  /** Quantile of observed over predicted tokens of recent answers. */
-  readError(fraction: number): number | undefined {
-    return this.#predictor.errors.readQuantile(fraction);
-  }
-
-  /** Whether metrics are due; counts as told. */
-  takeReport(nowMs: number): boolean {
-    if (nowMs - this.#reportedAtMs < REPORT_MS) return false;
-    this.#reportedAtMs = nowMs;
-    return true;
+  /** Ratios of observed to predicted tokens of recent answers. */
+  get errors(): DecayedQuantiles {
+    return this.#predictor.errors;
   }
 
   /** Records that a request was sent. */
--- a/packages/core/src/direct/directRequest.ts
+++ b/packages/core/src/direct/directRequest.ts
@@ -313,7 +313,10 @@
     if (this.#cost && this.#response.isSuccess) {
       admission.cost?.noteAnswered(this.#cost, this.#eventCount);
     }
-    if (this.#attempt) admission.capacity.noteCompleted(route.name, this.#attempt.ageMs);
+    if (this.#attempt) {
+      admission.capacity.noteCompleted(route.name, this.#attempt.ageMs);
+      if (!admission.cost) admission.holdingTimes.note(route.name, this.#attempt.ageMs);
+    }
     this.#telemetry.noteAnswered(this.#attempt?.upstream.id, this.#responseStatus);
     this.#finish();
   }
--- a/packages/core/src/direct/poolAdmission.ts
+++ b/packages/core/src/direct/poolAdmission.ts
@@ -12,6 +12,7 @@
 import { LogLevel, type Log, type LogFields } from '../ports/log.js';
 import type { Random } from '../ports/random.js';
 
+import { HoldingTimes } from './cost/holdingTimes.js';
 import { PoolCost, type WorkWeights } from './cost/poolCost.js';
 import type { RequestCost } from './cost/requestCost.js';
 import type { DirectUpstream } from './directUpstream.js';
@@ -72,6 +73,9 @@
   /** Costs of requests; undefined where the pool's engines have no configured costs. */
   cost: PoolCost | undefined;
 
+  /** Holding times of requests, where their costs are not known. */
+  readonly holdingTimes = new HoldingTimes();
+
   readonly #options: PoolAdmissionOptions;
 
   #pool: DirectPool;
--- a/packages/core/src/direct/requestTelemetry.ts
+++ b/packages/core/src/direct/requestTelemetry.ts
@@ -3,7 +3,7 @@
 import { LogLevel, type LogFields } from '../ports/log.js';
 import type { ForwardedRequest } from '../ports/upstreamCaller.js';
 
-import { reportCosts } from './cost/costTelemetry.js';
+import { reportCosts, reportHoldingTimes } from './cost/costTelemetry.js';
 import type { RequestCost } from './cost/requestCost.js';
 import type { ResponseTimes } from './responseTimes.js';
 import type { AttemptFailure, DirectAttempt } from './directAttempt.js';
@@ -96,8 +96,10 @@
 
   noteAnswered(upstream: string | undefined, status: number): void {
     const { admission, context, pool, request } = this.#options;
-    const { cost } = admission;
-    if (cost) reportCosts({ ...context, pool, cost, nowMs: performance.now() });
+    const { cost, holdingTimes } = admission;
+    const nowMs = performance.now();
+    if (cost) reportCosts({ ...context, pool, cost, nowMs });
+    else reportHoldingTimes(context.metrics, pool, holdingTimes, nowMs);
     context.metrics.count('request.answered', { status: String(status) });
     context.metrics.timing('request.time', performance.now() - request.arrivedAtMs);
     this.#write(LogLevel.Routine, 'Request answered.', { upstream, status });
--- a/packages/core/test/direct/cost/workExchange.test.ts
+++ b/packages/core/test/direct/cost/workExchange.test.ts
@@ -7,7 +7,7 @@
 import type { DirectUpstream, UpstreamEntry } from '../../../src/direct/directUpstream.js';
 import { FleetBoard } from '../../../src/direct/fleetBoard.js';
 import { LoadExchange } from '../../../src/direct/loadExchange.js';
-import { MessageType } from '../../../src/messages/message.js';
+import { MessageType, parseMessage } from '../../../src/messages/message.js';
 import { CountingMetrics } from '../../../src/ports/countingMetrics.js';
 import { SilentLog } from '../../../src/ports/silentLog.js';
 import { withClock } from '../directFixture.js';
@@ -186,6 +186,14 @@
     assert.ok(told.every((work) => Object.keys(work ?? {}).length === 0));
   }));
 
+test('a message with work that is negative or not whole is invalid as a whole', () => {
+  const message = { type: MessageType.UpstreamCounts, entry: 'a', isFull: true, counts: {} };
+  assert.ok(parseMessage({ ...message, work: { 'm-1': [10, 53, 530] } }).ok);
+  assert.ok(parseMessage(message).ok, 'an earlier version sends none');
+  assert.not(parseMessage({ ...message, work: { 'm-1': [10, -1, 530] } }).ok);
+  assert.not(parseMessage({ ...message, work: { 'm-1': [10, 0.5, 530] } }).ok);
+});
+
 test('requests of a peer of an earlier version count as usual ones', () =>
   withEntries(async ([own], pass, links) => {
     const counts = { [UPSTREAM.id]: 2 };
--- a/packages/core/test/direct/unevenUpstreams.test.ts
+++ b/packages/core/test/direct/unevenUpstreams.test.ts
@@ -56,6 +56,22 @@
   areSlowdownsReported: true,
 };
 
+test('metrics tell the error of predictions, the choices and the work left', () =>
+  withClock(async (clock) => {
+    const load = { ...SLOW_RANKS, isDeclared: true, seed: 1 };
+    const run = new LoadRun(clock, COSTLY_DECODE_COSTS, true, load);
+    await run.run(30, 4_000);
+    const values = new Map(run.entry.metrics.list());
+    const median = values.get('cost.error{pool=models,q=0.5}') ?? 0;
+    assert.ok(median > 0.5 && median < 2, `median error ${median}`);
+    const choices = run.entry.metrics.readCount('placement.choice{by=work,domain=own}');
+    assert.ok(choices > 0, `${choices} in the own domain`);
+    const [mean = 0, most = 0] = ['mean', 'most'].map((each) =>
+      values.get(`upstream.work.${each}{pool=models}`),
+    );
+    assert.ok(mean > 0 && most >= mean, `${mean} and ${most} ms left`);
+  }));
+
 test('with slow ranks in a group, more callers are on time by work than by count', async () => {
   const byCount = await replay(35, { ...SLOW_RANKS, isDeclared: false });
   const byWork = await replay(35, { ...SLOW_RANKS, isDeclared: true });
