Count no pauses that slow callers make, and keep the limits of slow groups

Cause: a caller that reads slowly made its upstream look slow, so that workspaces with slow readers could drive work away from it; and among groups a learned pace lowered a limit that already falls with the passes of the slowest group. Change: the pause after a caller was slow does not count for the pace; among groups the pace only weighs in the choice.

--- a/packages/core/src/direct/cost/poolPace.ts
+++ b/packages/core/src/direct/cost/poolPace.ts
@@ -4,7 +4,8 @@
  *
  * Each upstream's mean pause is compared with the median of the pool's at the same time, as passes
  * of all of them become longer under load. Where each upstream has passes of its own, the time that
- * a pass takes at its load is allowed for; all ranks of a group advance together.
+ * a pass takes at its load is allowed for. Ranks of a group advance together, and the in-flight
+ * limit falls with their passes: there a slow group is only chosen less, and keeps its limit.
  */
 import type { DirectUpstream } from '../directUpstream.js';
 
@@ -84,7 +85,9 @@
     means.forEach(({ pace, mean }) => {
       const ratio = Math.min(RATIO_MAX, mean / median);
       const leastSlow = pace.readSlowdown(nowMs) > STILL_SLOW_MIN ? STILL_SLOW_MIN : SLOW_MIN;
-      pace.noteSlowdown(ratio < leastSlow ? 1 : ratio, nowMs);
+      const slowdown = ratio < leastSlow ? 1 : ratio;
+      if (this.#isGroup) pace.noteRecent(slowdown, nowMs);
+      else pace.noteSlowdown(slowdown, nowMs);
     });
   }
 }
--- a/packages/core/src/direct/directRequest.ts
+++ b/packages/core/src/direct/directRequest.ts
@@ -71,6 +71,9 @@
   /** Predicted work; undefined where the pool's engines have no configured costs. */
   readonly #cost: RequestCost | undefined;
 
+  /** Whether the caller's slowness has paused the attempt since the last event. */
+  #wasPaused = false;
+
   /** Events of the response so far. */
   #eventCount = 0;
 
@@ -290,8 +293,10 @@
     this.#attempt?.noteEvents(count);
     const nowMs = performance.now();
     const pauseMs = this.#times.noteEvents(nowMs);
+    const upstream = this.#wasPaused ? undefined : this.#attempt?.upstream;
+    this.#wasPaused = false;
     if (pauseMs === undefined) return;
-    admission.notePause(pauseMs, route.pauseTargetMs, nowMs, this.#attempt?.upstream);
+    admission.notePause(pauseMs, route.pauseTargetMs, nowMs, upstream);
     this.#telemetry.notePause(pauseMs);
   }
 
@@ -303,6 +308,7 @@
   #handleDrain(): void {
     if (this.#isOver) return;
     this.#patience.noteCallerReady();
+    this.#wasPaused = true;
     this.#attempt?.resume();
   }
 
--- a/packages/core/src/direct/poolAdmission.ts
+++ b/packages/core/src/direct/poolAdmission.ts
@@ -250,7 +250,11 @@
     this.#admitWaiting();
   }
 
-  /** Records a pause between two events of a stream. */
+  /**
+   * Records a pause between two events of a stream.
+   *
+   * @param upstream undefined where the caller's slowness has made the pause longer
+   */
   notePause(
     pauseMs: number,
     targetMs: number,
--- a/packages/core/test/direct/cost/poolPace.test.ts
+++ b/packages/core/test/direct/cost/poolPace.test.ts
@@ -57,6 +57,14 @@
   assert.equal(readSlowdowns(upstreams, 2_000), [1, 1, 1, 1, 1]);
 });
 
+test('a slow group among others is chosen less, and keeps its in-flight limit', () => {
+  const upstreams = createUpstreams(6);
+  play(new PoolPace(true), upstreams, (at) => (at < 2 ? 2 : 1), 0, 1_000);
+  assert.equal(readSlowdowns(upstreams, 1_000), [1, 1, 1, 1, 1, 1]);
+  const recent = upstreams.map((upstream) => Math.round(upstream.readRecentSlowdown(1_000)));
+  assert.equal(recent, [2, 2, 1, 1, 1, 1]);
+});
+
 test('pauses of a slow upstream do not tell about the pool, but those of all do', () => {
   const upstreams = createUpstreams(5);
   const [slow] = upstreams;
