--- a/packages/core/src/direct/directRequest.ts
+++ b/packages/core/src/direct/directRequest.ts
@@ -11,6 +11,7 @@
 import { CallerPatience } from './callerPatience.js';
 import { ResponseBuilder } from './responseBuilder.js';
 import { ResponseTimes } from './responseTimes.js';
+import type { RequestCost } from './cost/requestCost.js';
 import { DirectAttempt, type AttemptFailure } from './directAttempt.js';
 import type { DirectContext } from './directContext.js';
 import type { DirectUpstream } from './directUpstream.js';
@@ -70,6 +71,15 @@
 
   #responseStatus = 0;
 
+  /** Predicted work; undefined where the pool's engines have no configured costs. */
+  readonly #cost: RequestCost | undefined;
+
+  /** Whether the caller's slowness has paused the attempt since the last event. */
+  #wasPaused = false;
+
+  /** Events of the response so far. */
+  #eventCount = 0;
+
   #isOver = false;
 
   #timer: NodeJS.Timeout | undefined;
@@ -88,8 +98,14 @@
       times: this.#times,
       history: this.#history,
     });
+    this.#cost = options.admission.cost?.predict({
+      route: route.name,
+      workspace: options.workspace?.name ?? '',
+      size: request.size,
+    });
     this.#retry = new RetryDecision({
       ...options,
+      cost: this.#cost,
       response: this.#response,
       history: this.#history,
       telemetry: this.#telemetry,
@@ -178,10 +194,10 @@
     };
   }
 
-  get #ticketBase(): Pick<AdmissionTicket, 'id' | 'priority' | 'arrivedAtMs'> {
+  get #ticketBase(): Pick<AdmissionTicket, 'id' | 'priority' | 'arrivedAtMs' | 'cost'> {
     const { route, request, workspace } = this.#options;
     const priority = workspace?.priority ?? route.priority;
-    return { id: request.id, priority, arrivedAtMs: request.arrivedAtMs };
+    return { id: request.id, priority, arrivedAtMs: request.arrivedAtMs, cost: this.#cost };
   }
 
   #send(upstream: DirectUpstream, isResumed: boolean): void {
@@ -200,12 +216,14 @@
     }
     this.#guard.noteSent();
     this.#history.noteSent();
-    this.#telemetry.noteSent(upstream, isResumed);
+    this.#telemetry.noteSent(upstream, isResumed, this.#cost);
     this.#attempt = new DirectAttempt({
       context,
       admission,
       upstream,
       silenceLimitMs: chooseSilenceLimitMs(route, 0),
+      cost: this.#cost,
+      earlierEvents: isResumed ? this.#eventCount : 0,
       call: {
         request,
         upstream: upstream.entry,
@@ -281,18 +299,22 @@
   #handleData(data: Buffer): boolean {
     const { events, isProgress, isCallerReady } = this.#response.push(data);
     if (!isCallerReady) this.#pause();
-    if (events > 0) this.#noteEvents();
+    if (events > 0) this.#noteEvents(events);
     if (isProgress && this.#response.isSuccess) this.#guard.notePiece();
     if (this.#response.isOversized) this.#attempt?.failEndless('an event exceeds its size limit');
     return isProgress;
   }
 
-  #noteEvents(): void {
+  #noteEvents(count: number): void {
     const { route, admission } = this.#options;
+    this.#eventCount += count;
+    this.#attempt?.noteEvents(count);
     const nowMs = performance.now();
     const pauseMs = this.#times.noteEvents(nowMs);
+    const upstream = this.#wasPaused ? undefined : this.#attempt?.upstream;
+    this.#wasPaused = false;
     if (pauseMs === undefined) return;
-    admission.notePause(pauseMs, route.pauseTargetMs, nowMs);
+    admission.notePause(pauseMs, route.pauseTargetMs, nowMs, upstream);
     this.#telemetry.notePause(pauseMs);
   }
 
@@ -304,6 +326,7 @@
   #handleDrain(): void {
     if (this.#isOver) return;
     this.#patience.noteCallerReady();
+    this.#wasPaused = true;
     this.#attempt?.resume();
   }
 
@@ -311,7 +334,13 @@
     this.#response.end();
     const { admission, route } = this.#options;
     if (this.#response.isSuccess) this.#guard.noteServed();
-    if (this.#attempt) admission.capacity.noteCompleted(route.name, this.#attempt.ageMs);
+    if (this.#cost && this.#response.isSuccess) {
+      admission.cost?.noteAnswered(this.#cost, this.#eventCount);
+    }
+    if (this.#attempt) {
+      admission.capacity.noteCompleted(route.name, this.#attempt.ageMs);
+      if (!admission.cost) admission.holdingTimes.note(route.name, this.#attempt.ageMs);
+    }
     this.#telemetry.noteAnswered(this.#attempt?.upstream.id, this.#responseStatus);
     this.#finish();
   }
