Share the capacity of a pool among workspaces

Cause: entries that call upstreams directly admit whoever asks. Change: entries exchange which workspace holds and wants how much of a full pool, each computes the weighted max-min level, and a workspace that holds its share leaves free slots to those below theirs. The tags of start-time fair queueing move from FairQueue to FairTags, which the queue of direct entries uses too. Without several workspaces with keys nothing changes and nothing is sent.

--- a/packages/core/src/direct/directAttempt.ts
+++ b/packages/core/src/direct/directAttempt.ts
@@ -17,6 +17,7 @@
 import type { DirectUpstream } from './directUpstream.js';
 import { LeavingSource } from './fleetBoard.js';
 import type { PoolAdmission } from './poolAdmission.js';
+import type { WorkspaceClaim } from './sharing/workspaceClaim.js';
 
 const LOG_PART = 'membership';
 
@@ -67,6 +68,7 @@
 export interface DirectAttemptOptions {
   readonly context: DirectContext;
   readonly admission: PoolAdmission;
+  readonly claim?: WorkspaceClaim | undefined;
   readonly upstream: DirectUpstream;
   readonly call: UpstreamCall;
   /** Time without progress of the response after which `onSilence` is called. */
@@ -143,7 +145,7 @@
     this.upstream.awaitingFirstOutput += 1;
     this.upstream.startRate.noteStart(this.#sentAtMs);
     this.#options.context.board.permits.noteStart(this.upstream.incarnation, this.#sentAtMs);
-    this.#options.admission.noteStart(this.#sentAtMs);
+    this.#options.admission.noteStart(this.#sentAtMs, this.#options.claim);
     this.#watchSilence(this.#options.silenceLimitMs);
     this.#call = upstreams.call(this.#options.call, {
       onHead: (head) => this.#handleHead(head),
@@ -331,6 +333,6 @@
     clearTimeout(this.#silenceTimer);
     this.#options.context.board.addInFlight(this.upstream, -1);
     if (!this.#hasOutput) this.upstream.awaitingFirstOutput -= 1;
-    this.#options.admission.noteEnd();
+    this.#options.admission.noteEnd(this.#options.claim);
   }
 }
--- a/packages/core/src/direct/directRequest.ts
+++ b/packages/core/src/direct/directRequest.ts
@@ -24,6 +24,7 @@
 import { chooseSilenceLimitMs } from './silenceLimit.js';
 import { planLateWait, planWait, type ExpectedTimes } from './waitPlan.js';
 import { AdmissionDenial, type AdmissionTicket } from './admissionQueue.js';
+import type { WorkspaceClaim } from './sharing/workspaceClaim.js';
 
 const STATUS_SERVER_ERROR = 500;
 
@@ -73,9 +74,13 @@
 
   readonly #patience: CallerPatience;
 
+  /** Constant, so that what is added to the workspace's use is what is taken off. */
+  readonly #claim: WorkspaceClaim | undefined;
+
   constructor(options: DirectRequestOptions) {
     this.#options = options;
     const { caller, request, route } = options;
+    this.#claim = options.admission.createClaim(options.workspace?.name, request.size);
     this.#response = new ResponseBuilder(caller, route.kind === RouteKind.Stream);
     this.#times = new ResponseTimes(request.arrivedAtMs);
     this.#endAtMs =
@@ -158,6 +163,7 @@
       },
       onDenied: (denial) => {
         const deniedAtMs = performance.now();
+        admission.noteDenied(ticket, denial, deniedAtMs);
         this.#refuse(
           admission.createRefusal(denial, this.#maxReturnDelayMs(deniedAtMs), deniedAtMs),
         );
@@ -175,10 +181,10 @@
     };
   }
 
-  get #ticketBase(): Pick<AdmissionTicket, 'id' | 'priority' | 'arrivedAtMs'> {
+  get #ticketBase(): Pick<AdmissionTicket, 'id' | 'priority' | 'arrivedAtMs' | 'claim'> {
     const { route, request, workspace } = this.#options;
     const priority = workspace?.priority ?? route.priority;
-    return { id: request.id, priority, arrivedAtMs: request.arrivedAtMs };
+    return { id: request.id, priority, arrivedAtMs: request.arrivedAtMs, claim: this.#claim };
   }
 
   #send(upstream: DirectUpstream, isResumed: boolean): void {
@@ -201,6 +207,7 @@
     this.#attempt = new DirectAttempt({
       context,
       admission,
+      claim: this.#claim,
       upstream,
       silenceLimitMs: chooseSilenceLimitMs(route, 0),
       call: {
--- a/packages/core/src/direct/fleetBoard.ts
+++ b/packages/core/src/direct/fleetBoard.ts
@@ -12,6 +12,7 @@
 import { RequestLimits } from './requestLimits/requestLimits.js';
 import { RequestPermits } from './requestLimits/requestPermits.js';
 import type { RouteTable } from './routeTable.js';
+import { WorkspaceFairness } from './sharing/workspaceFairness.js';
 
 /** Number of entries that is assumed until the registry has been read. */
 const ASSUMED_ENTRY_COUNT = 4;
@@ -47,8 +48,15 @@
 
   readonly permitMessages = new PermitMessages();
 
+  /** Shares of workspaces in the pools' capacity. */
+  readonly fairness = new WorkspaceFairness({
+    readWeight: (workspace) => this.#table?.readWeight(workspace) ?? 1,
+    countEntries: () => this.entryCount,
+    session: Date.now(),
+  });
+
   /** State that is exchanged with the other entries beside in-flight counts. */
-  readonly peerStates: readonly PeerState[] = [];
+  readonly peerStates: readonly PeerState[] = [this.fairness];
 
   /** Connected entries that can grant permits. */
   permitPeers: ReadonlySet<string> = new Set();
--- a/packages/core/src/direct/poolAdmission.ts
+++ b/packages/core/src/direct/poolAdmission.ts
@@ -7,7 +7,9 @@
  * ones, for as long as it can still be answered at all.
  */
 import type { Refusal } from '../model/reason.js';
+import type { RequestSize } from '../model/requestSize.js';
 import { LogLevel, type Log, type LogFields } from '../ports/log.js';
+import type { Metrics } from '../ports/metrics.js';
 import type { Random } from '../ports/random.js';
 
 import type { DirectUpstream } from './directUpstream.js';
@@ -19,6 +21,8 @@
 import { PoolCapacity } from './poolCapacity.js';
 import { PoolRefusals } from './poolRefusals.js';
 import type { DirectPool } from './routeTable.js';
+import { ShareTelemetry } from './sharing/shareTelemetry.js';
+import { estimateCost, type WorkspaceClaim } from './sharing/workspaceClaim.js';
 import { AdmissionDenial, AdmissionQueue, type AdmissionTicket } from './admissionQueue.js';
 
 const LOG_PART = 'admission';
@@ -48,6 +52,7 @@
   readonly board: FleetBoard;
   readonly random: Random;
   readonly log: Log;
+  readonly metrics: Metrics;
   /**
    * Limit of the requests per second that all entries together may start at one upstream; undefined
    * where there is none.
@@ -71,6 +76,8 @@
 
   readonly #queue: AdmissionQueue;
 
+  readonly #shareTelemetry: ShareTelemetry;
+
   readonly #unsubscribeBreaker: () => void;
 
   #admitTimer: NodeJS.Timeout | undefined;
@@ -82,7 +89,14 @@
     const onAdjust = (ratio: number): void => this.#logLimit(ratio);
     this.capacity = new PoolCapacity({ ...options, onAdjust }, pool);
     this.#demand = options.board.permits.getDemand(pool.name);
-    this.#queue = new AdmissionQueue((size) => this.#demand.setWaiting(size));
+    const { fairness } = options.board;
+    this.#queue = new AdmissionQueue({
+      onSizeChange: (size) => this.#demand.setWaiting(size),
+      onWaiting: (ticket, change) => fairness.addWaiting(pool.name, ticket, change),
+      isAboveShare: ({ claim }) =>
+        fairness.findExcess(pool.name, claim, performance.now()) !== undefined,
+    });
+    this.#shareTelemetry = new ShareTelemetry({ ...options, pool: pool.name });
     options.board.permits.onGranted(pool.name, () => this.#admitWaiting());
     this.#breaker = options.board.getBreaker(pool.name);
     this.#unsubscribeBreaker = this.#breaker.onChange((source) =>
@@ -122,6 +136,25 @@
     return this.#options.board.getActivity(this.#pool.name);
   }
 
+  /**
+   * Returns what a request takes from its workspace's share; undefined where workspaces have none.
+   *
+   * @param workspace undefined for callers without a key, which share the capacity of one workspace
+   */
+  createClaim(
+    workspace: string | undefined,
+    size: RequestSize | undefined,
+  ): WorkspaceClaim | undefined {
+    const { table } = this.#options.board;
+    if (!table?.isShared) return undefined;
+    const weight = workspace === undefined ? 1 : table.readWeight(workspace);
+    return {
+      workspace: workspace ?? '',
+      weight,
+      cost: estimateCost(size, this.#pool.engine?.costs),
+    };
+  }
+
   get waitingCount(): number {
     return this.#queue.size;
   }
@@ -151,12 +184,14 @@
       return;
     }
     const { upstream, availableCount } = this.#place(new Set(), nowMs, ticket.isLate);
-    if (ahead === 0 && upstream) {
+    const isYielding = this.#isYielding(ticket, nowMs);
+    if (ahead === 0 && upstream && !isYielding) {
       ticket.onAdmitted(upstream);
       return;
     }
-    const expectedMs = this.capacity.estimateWaitMs(ahead, nowMs);
+    const expectedMs = this.#estimateWaitMs(ticket, ahead, nowMs);
     if (availableCount === 0) this.#admitDuringBackoff(ticket, ahead, nowMs);
+    else if (isYielding) ticket.onDenied(AdmissionDenial.Full);
     else if (expectedMs > ticket.waitBudgetMs) ticket.onDenied(AdmissionDenial.Full);
     else this.#enqueue(ticket, ahead, expectedMs);
   }
@@ -214,8 +249,40 @@
     else this.#enqueue(ticket, ahead, backoffMs);
   }
 
+  /**
+   * Whether a request leaves the free slots to others: its workspace holds its share, and the slots
+   * are no more than what workspaces below their share wait for.
+   */
+  #isYielding({ claim, priority }: AdmissionTicket, nowMs: number): boolean {
+    const { fairness } = this.#options.board;
+    if (!claim || !fairness.findExcess(this.#pool.name, claim, nowMs)) return false;
+    const pending = fairness.countPending(this.#pool.name, priority, nowMs);
+    return this.capacity.isReservedFor(pending, nowMs);
+  }
+
+  /** A workspace below its share gets the next slot that any entry frees. */
+  #estimateWaitMs({ claim, priority }: AdmissionTicket, ahead: number, nowMs: number): number {
+    const { fairness } = this.#options.board;
+    const { name } = this.#pool;
+    const ownMs = this.capacity.estimateWaitMs(ahead, nowMs);
+    if (!claim || !fairness.isContended(name, nowMs)) return ownMs;
+    if (fairness.findExcess(name, claim, nowMs)) return ownMs;
+    const fleetAhead = fairness.countPending(name, priority, nowMs);
+    return Math.min(ownMs, this.capacity.estimateFleetWaitMs(fleetAhead, nowMs) ?? ownMs);
+  }
+
+  /** Records that a request was refused. */
+  noteDenied(ticket: AdmissionTicket, denial: AdmissionDenial, nowMs: number): void {
+    if (denial !== AdmissionDenial.Full || !ticket.claim) return;
+    const { fairness } = this.#options.board;
+    const excess = fairness.findExcess(this.#pool.name, ticket.claim, nowMs);
+    if (excess) this.#shareTelemetry.noteRefused(ticket.claim.workspace, excess, nowMs);
+    fairness.noteRefused(this.#pool.name, ticket, nowMs);
+  }
+
   /** Records that a request was sent to an upstream. */
-  noteStart(nowMs: number): void {
+  noteStart(nowMs: number, claim?: WorkspaceClaim): void {
+    this.#options.board.fairness.addInFlight(this.#pool.name, claim, 1);
     this.#activity.noteStart(nowMs);
   }
 
@@ -234,7 +301,8 @@
   }
 
   /** Records that an attempt has ended and its slot is free. */
-  noteEnd(): void {
+  noteEnd(claim?: WorkspaceClaim): void {
+    this.#options.board.fairness.addInFlight(this.#pool.name, claim, -1);
     this.#activity.noteEnd();
     this.#admitWaiting();
   }
@@ -252,7 +320,7 @@
     for (let next = this.#queue.first; next; next = this.#queue.first) {
       const upstream = this.#placeQueued(next, nowMs);
       if (!upstream) break;
-      this.#queue.remove(next.id);
+      this.#queue.dequeue(next.id);
       next.onAdmitted(upstream);
     }
     if (this.#queue.size > 0) this.#admitTimer ??= setTimeout(this.#admitWaiting, RECHECK_MS);
@@ -260,6 +328,7 @@
 
   #placeQueued(ticket: AdmissionTicket, nowMs: number): DirectUpstream | undefined {
     if (this.#isSilent(nowMs) || !this.#breaker.tryPass(nowMs, QUEUED_PROBE_MS)) return undefined;
+    if (this.#isYielding(ticket, nowMs)) return undefined;
     return this.#place(new Set(), nowMs, ticket.isLate).upstream;
   }
 
--- a/packages/core/src/direct/poolCapacity.ts
+++ b/packages/core/src/direct/poolCapacity.ts
@@ -129,6 +129,16 @@
     return this.#countFreeSlots(nowMs) < Math.floor(this.#slotCount * RESERVED_FRACTION);
   }
 
+  /**
+   * Whether the free slots are reserved for the given number of requests, up to the part of the
+   * slots that is reserved at most.
+   */
+  isReservedFor(requests: number, nowMs: number): boolean {
+    if (requests === 0) return false;
+    const reservedMax = Math.max(1, Math.floor(this.#slotCount * RESERVED_FRACTION));
+    return this.#countFreeSlots(nowMs) < Math.min(requests, reservedMax) + 1;
+  }
+
   get #slotCount(): number {
     return this.#upstreams.length * this.limitPerUpstream;
   }
@@ -229,6 +239,18 @@
     return this.#options.board.permits.estimateWaitMs(this.#pool.name, perS, ahead, nowMs);
   }
 
+  /**
+   * Estimates the time until a request is admitted that gets the next slot that any entry frees, by
+   * Little's law; undefined before the first complete response.
+   *
+   * @param ahead number of requests of all entries that are admitted before it
+   */
+  estimateFleetWaitMs(ahead: number, nowMs: number): number | undefined {
+    const heldMs = this.#serviceTimes.meanMs;
+    if (heldMs === 0) return undefined;
+    return ((ahead + 1) * heldMs) / Math.max(1, this.#countLoad(nowMs));
+  }
+
   /** Records the time from sending a request to its first output. */
   noteFirstOutput(tookMs: number): void {
     this.#firstOutputMs += SMOOTHING_WEIGHT * (tookMs - this.#firstOutputMs);
--- a/packages/core/src/direct/routeTable.ts
+++ b/packages/core/src/direct/routeTable.ts
@@ -88,6 +88,8 @@
   readonly keys: readonly string[];
   /** Overrides the route's priority where it is set. */
   readonly priority: number | undefined;
+  /** Share of a pool's capacity relative to other workspaces; 1 where it is not set. */
+  readonly weight?: number | undefined;
 }
 
 /** Limits on the size and duration of a caller's request. */
@@ -134,14 +136,21 @@
 
   readonly #workspacesByKey = new Map<string, DirectWorkspace>();
 
+  readonly #weights: ReadonlyMap<string, number>;
+
   readonly #hasWorkspaces: boolean;
 
+  /** Whether the pools are shared by several workspaces with keys. */
+  readonly isShared: boolean;
+
   constructor(content: RouteTableContent) {
     this.version = content.version;
     this.limits = content.limits;
     content.routes.forEach((route) => this.#addRoute(route));
     this.#pools = new Map(content.pools.map((pool) => [pool.name, pool]));
     this.#hasWorkspaces = content.workspaces.length > 0;
+    this.#weights = new Map(content.workspaces.map(({ name, weight }) => [name, weight ?? 1]));
+    this.isShared = content.workspaces.filter(({ keys }) => keys.length > 0).length > 1;
     content.workspaces.forEach((workspace) => {
       workspace.keys.forEach((key) => this.#workspacesByKey.set(key, workspace));
     });
@@ -173,6 +182,11 @@
     return this.#workspacesByKey.get(key);
   }
 
+  /** Share of a workspace relative to others. */
+  readWeight(workspace: string): number {
+    return this.#weights.get(workspace) ?? 1;
+  }
+
   /** Whether a request of the route needs the API key of a workspace. */
   isKeyRequired(route: Route): boolean {
     return this.#hasWorkspaces && !route.isPublic;
--- a/packages/core/src/limits/fairQueue.ts
+++ b/packages/core/src/limits/fairQueue.ts
@@ -1,17 +1,12 @@
 /**
- * Weighted fair queue: orders waiting requests by priority, then fairly among workspaces.
- *
- * Implements start-time fair queueing (Goyal, Vin and Cheng, 1996): the start tag of a request is
- * the later of the queue's virtual time and the finish tag of its workspace's previous request; the
- * request with the smallest start tag is dequeued first. A workspace that floods the queue only
- * advances its own tags.
+ * Weighted fair queue: orders waiting requests by priority, then by start-time fair queueing among
+ * workspaces.
  */
 import type { Queue, QueueAddOptions } from 'p-queue';
 
-type RunFunction = () => Promise<unknown>;
+import { FairTags } from './fairTags.js';
 
-/** Finish tags in excess of the waiting requests at which expired tags are deleted. */
-const TAG_CLEANUP_MARGIN = 64;
+type RunFunction = () => Promise<unknown>;
 
 /** What determines the position of a request in the queue. */
 export interface SchedulingParams {
@@ -36,8 +31,7 @@
 
 /** Waiting requests of one priority, sorted by start tag. */
 interface Level {
-  virtualTime: number;
-  readonly finishTags: Map<string, number>;
+  readonly tags: FairTags;
   readonly items: Item[];
 }
 
@@ -53,17 +47,6 @@
   return low;
 }
 
-function computeStartTag(level: Level, workspace: string): number {
-  return Math.max(level.virtualTime, level.finishTags.get(workspace) ?? 0);
-}
-
-function dropExpiredTags(level: Level): void {
-  if (level.finishTags.size < level.items.length + TAG_CLEANUP_MARGIN) return;
-  level.finishTags.forEach((tag, workspace) => {
-    if (tag <= level.virtualTime) level.finishTags.delete(workspace);
-  });
-}
-
 /** Counts the requests of each workspace, divided by its weight. */
 function sumQueueShares(requests: readonly SchedulingParams[]): ReadonlyMap<string, number> {
   const shares = new Map<string, number>();
@@ -88,10 +71,9 @@
   enqueue(run: RunFunction, options: Partial<FairQueueOptions> = {}): void {
     const { workspace = '', weight = 1, priority = 0, id = '' } = options;
     const level = this.#getOrCreateLevel(priority);
-    const startTag = computeStartTag(level, workspace);
+    const startTag = level.tags.assign(workspace, 1 / weight);
     const item = { run, id, workspace, weight, priority, startTag };
     level.items.splice(findPosition(level.items, startTag), 0, item);
-    level.finishTags.set(workspace, startTag + 1 / weight);
     this.#size += 1;
   }
 
@@ -101,8 +83,7 @@
     const item = level?.items.shift();
     if (!level || !item) return undefined;
     this.#size -= 1;
-    level.virtualTime = item.startTag;
-    dropExpiredTags(level);
+    level.tags.noteServed(item.startTag, level.items.length);
     this.#deleteIfEmpty(item.priority, level);
     return item.run;
   }
@@ -134,7 +115,7 @@
     const counts = [...this.#levels].map(([priority, level]) => {
       if (priority > candidate.priority) return 0;
       if (priority < candidate.priority) return level.items.length;
-      return findPosition(level.items, computeStartTag(level, candidate.workspace));
+      return findPosition(level.items, level.tags.peek(candidate.workspace));
     });
     return counts.reduce((sum, count) => sum + count, 0);
   }
@@ -160,7 +141,7 @@
   #getOrCreateLevel(priority: number): Level {
     const known = this.#levels.get(priority);
     if (known) return known;
-    const level: Level = { virtualTime: 0, finishTags: new Map(), items: [] };
+    const level: Level = { tags: new FairTags(), items: [] };
     this.#levels.set(priority, level);
     return level;
   }
@@ -173,8 +154,7 @@
 
     level.items.splice(level.items.indexOf(item), 1);
     this.#size -= 1;
-    const isLast = level.finishTags.get(item.workspace) === item.startTag + 1 / item.weight;
-    if (isLast) level.finishTags.set(item.workspace, item.startTag);
+    level.tags.revoke(item.workspace, item.startTag, 1 / item.weight);
     this.#deleteIfEmpty(item.priority, level);
     return item;
   }
--- a/packages/core/src/messages/message.ts
+++ b/packages/core/src/messages/message.ts
@@ -13,6 +13,7 @@
 import { Err, Ok, type Result } from '../outcome.js';
 
 import { LIMIT_NEWS, PERMIT_ASK, PERMIT_GRANT } from './permitMessage.js';
+import { WORKSPACE_USAGE } from './workspaceUsageMessage.js';
 
 /** Incremented whenever a message changes in a way that older processes cannot read. */
 export const PROTOCOL_VERSION = 1;
@@ -345,6 +346,7 @@
   limits: z.array(LIMIT_NEWS).readonly().optional(),
   permitAsk: PERMIT_ASK.optional(),
   permitGrant: PERMIT_GRANT.optional(),
+  workspaceUsage: WORKSPACE_USAGE.optional(),
 });
 
 const MESSAGE = z.discriminatedUnion('type', [
