--- a/packages/core/src/direct/sharing/workspaceFairness.ts
+++ b/packages/core/src/direct/sharing/workspaceFairness.ts
@@ -10,16 +10,11 @@
 import { WORKSPACES_MAX } from '../../messages/workspaceUsageMessage.js';
 import { PeerState, type CountsFields, type CountsMessage } from '../peerState.js';
 
+import { PeerUsages, type PeerSum } from './peerUsages.js';
 import { solveWaterLevel } from './waterLevel.js';
 import { COST_STEP, type WorkspaceClaim } from './workspaceClaim.js';
 import { WorkspaceUsage, type ClaimingRequest, type WorkspaceNeed } from './workspaceUsage.js';
 
-/**
- * Age from which a peer's state is ignored, in milliseconds. It is checked when it is read, as the
- * exchange itself drops a silent peer only at its next heartbeat.
- */
-const PEER_VALID_MS = 1_600;
-
 /**
  * Shortest interval between two messages with the use by workspace, in milliseconds. Waiting
  * requests are reported with each batch, as others yield to them.
@@ -36,28 +31,17 @@
 /** Lowest level, so that a workspace that holds nothing is never above its share. */
 const LEVEL_MIN = COST_STEP;
 
-type Counts = Readonly<Record<string, number>>;
-
-interface PeerUsage {
-  readonly session: number;
-  readonly sequence: number;
-  readonly receivedAtMs: number;
-  readonly pending: Readonly<Record<string, Counts>>;
-  readonly pools: Readonly<Record<string, PoolUsageNews>>;
-}
-
 /** Shares of one pool, as computed from all that is known at one time. */
 interface PoolView {
   readonly atMs: number;
-  /** Use of each workspace in other entries. */
-  readonly peerUses: ReadonlyMap<string, number>;
+  readonly peers: PeerSum;
   /** Share per unit of weight of the workspaces whose demand is not met. */
   readonly level: number;
-  /** Pending requests of workspaces below their share, by priority, in all entries. */
-  readonly pending: ReadonlyMap<number, number>;
+  /** Pending requests of workspaces below their share in this entry, by priority. */
+  readonly ownPending: ReadonlyMap<number, number>;
 }
 
-/** A workspace that holds more than its share. */
+/** What a workspace holds that has at least its share. */
 export interface ShareExcess {
   readonly use: number;
   readonly share: number;
@@ -91,7 +75,7 @@
 
   readonly #own = new Map<string, WorkspaceUsage>();
 
-  readonly #peers = new Map<string, PeerUsage>();
+  readonly #peers = new PeerUsages();
 
   readonly #views = new Map<string, PoolView>();
 
@@ -119,7 +103,6 @@
   addWaiting(pool: string, request: ClaimingRequest, change: 1 | -1): void {
     if (!request.claim) return;
     this.#findOwn(pool).addWaiting(request, change);
-    this.#views.delete(pool);
     this.noteChange();
   }
 
@@ -127,25 +110,33 @@
   noteRefused(pool: string, request: ClaimingRequest, nowMs: number): void {
     if (!request.claim) return;
     this.#findOwn(pool).noteRefused(request, nowMs);
-    this.#views.delete(pool);
     this.noteChange();
   }
 
-  /** Returns by how much a workspace holds its share or more; undefined where it is below. */
+  /** Cost of the requests of a workspace in flight from all entries. */
+  readUse(pool: string, workspace: string, nowMs: number): number {
+    const ownUse = this.#own.get(pool)?.readUse(workspace) ?? 0;
+    return ownUse + (this.#peers.sum(pool, nowMs).uses.get(workspace) ?? 0);
+  }
+
+  /** Returns what a workspace holds if that is its share or more; undefined if it is below. */
   findExcess(
     pool: string,
     claim: WorkspaceClaim | undefined,
     nowMs: number,
   ): ShareExcess | undefined {
     if (!claim) return undefined;
-    const { level, peerUses } = this.#view(pool, nowMs);
-    return this.#findExcess(pool, claim.workspace, level, peerUses);
+    return this.#findExcess(pool, claim.workspace, this.#view(pool, nowMs).level, nowMs);
   }
 
-  /** Requests of workspaces below their share, at least as urgent, that wait in any entry. */
+  /**
+   * Requests of workspaces below their share that are at least as urgent, and that wait or were
+   * refused lately, in all entries.
+   */
   countPending(pool: string, priority: number, nowMs: number): number {
-    const { pending } = this.#view(pool, nowMs);
-    return [...pending].reduce((sum, [each, count]) => sum + (each <= priority ? count : 0), 0);
+    const { ownPending, peers } = this.#view(pool, nowMs);
+    const all = [...ownPending, ...peers.pending];
+    return all.reduce((sum, [each, count]) => sum + (each <= priority ? count : 0), 0);
   }
 
   /** Whether some workspace wants more than it has, so that shares decide. */
@@ -176,23 +167,15 @@
   }
 
   override apply({ entry, isFull, workspaceUsage }: CountsMessage, nowMs: number): void {
-    const known = this.#peers.get(entry);
-    if (!workspaceUsage) {
-      if (isFull) this.dropPeer(entry);
-      return;
-    }
-    const { session, sequence, pending, pools } = workspaceUsage;
-    const isSameSession = known?.session === session;
-    if (isSameSession && sequence <= known.sequence) return;
-    const earlierPools = isSameSession && !isFull ? known.pools : {};
-    const usage = { session, sequence, pending, pools: pools ?? earlierPools };
-    this.#peers.set(entry, { ...usage, receivedAtMs: nowMs });
-    this.#views.clear();
-    if (!known) this.noteChange();
+    if (workspaceUsage) {
+      const isNew = this.#peers.apply(entry, workspaceUsage, isFull, nowMs);
+      if (isNew) this.noteChange();
+    } else if (isFull) this.#peers.drop(entry);
   }
 
   override dropPeer(entry: string): void {
-    if (this.#peers.delete(entry)) this.#views.clear();
+    this.#peers.drop(entry);
+    this.#views.clear();
   }
 
   #findOwn(pool: string): WorkspaceUsage {
@@ -203,12 +186,6 @@
     return usage;
   }
 
-  #listPeers(nowMs: number): readonly PeerUsage[] {
-    return [...this.#peers.values()].filter(
-      ({ receivedAtMs }) => nowMs - receivedAtMs < PEER_VALID_MS,
-    );
-  }
-
   /** Pools in which requests wait or were refused lately, in any entry. */
   #listContended(nowMs: number): readonly string[] {
     return [...this.#own.keys()].filter((pool) => this.isContended(pool, nowMs));
@@ -217,7 +194,7 @@
   #createNews(pools: readonly string[], nowMs: number, hasUsage: boolean): WorkspaceUsageNews {
     this.#sequence += 1;
     const pending = Object.fromEntries(
-      pools.map((pool) => [pool, formatPending(this.#countOwnPending(pool, nowMs))]),
+      pools.map((pool) => [pool, formatPending(this.#view(pool, nowMs).ownPending)]),
     );
     const usages = pools.map((pool) => [pool, this.#describeUsage(pool, nowMs)] as const);
     return {
@@ -252,82 +229,47 @@
   }
 
   #computeView(pool: string, nowMs: number): PoolView {
-    const peers = this.#listPeers(nowMs);
-    const usages = peers.flatMap(({ pools }) => pools[pool] ?? []);
-    const peerUses = new Map<string, number>();
-    const wants = new Map<string, number>();
-    usages.forEach(({ workspaces }) =>
-      workspaces.forEach(([workspace, use, want]) => {
-        peerUses.set(workspace, (peerUses.get(workspace) ?? 0) + use * COST_STEP);
-        wants.set(workspace, (wants.get(workspace) ?? 0) + want * COST_STEP);
-      }),
-    );
-    const uses = new Map(peerUses);
-    this.#own
-      .get(pool)
-      ?.list(nowMs)
-      .forEach(({ workspace, use, want }) => {
-        uses.set(workspace, (uses.get(workspace) ?? 0) + use);
-        wants.set(workspace, (wants.get(workspace) ?? 0) + want);
-      });
-    const othersWant = usages.reduce((sum, { others }) => sum + others[1] * COST_STEP, 0);
-    const level = this.#solveLevel(uses, wants, othersWant);
-    const ownPending = this.#countPendingBelow(pool, level, peerUses, nowMs);
-    const pending = new Map(ownPending);
-    peers.forEach((peer) =>
-      Object.entries(peer.pending[pool] ?? {}).forEach(([priority, count]) => {
-        pending.set(Number(priority), (pending.get(Number(priority)) ?? 0) + count);
-      }),
-    );
-    return { atMs: nowMs, peerUses, level, pending };
+    const own = this.#own.get(pool);
+    const peers = this.#peers.sum(pool, nowMs);
+    const level = this.#solveLevel(own?.list(nowMs) ?? [], peers);
+    const isBelow = (workspace: string) => !this.#findExcess(pool, workspace, level, nowMs);
+    const ownPending = own?.countPending(isBelow, nowMs) ?? new Map<number, number>();
+    return { atMs: nowMs, peers, level, ownPending };
   }
 
   /**
    * The capacity is what all workspaces hold now: while requests wait, no slot is free for long.
-   * Measured so, it needs neither the limit in flight nor the mean cost of requests.
-   *
-   * @param othersWant demand of workspaces that are not listed, which are small and come first
+   * Measured so, it needs neither the limit in flight nor the mean cost of requests. Workspaces
+   * that are not listed by name are small, and their demand is met first.
    */
-  #solveLevel(
-    uses: ReadonlyMap<string, number>,
-    wants: ReadonlyMap<string, number>,
-    othersWant: number,
-  ): number {
-    const wanted = [...wants.values()].reduce((sum, want) => sum + want, 0) + othersWant;
-    if (wanted === 0) return Number.POSITIVE_INFINITY;
-    const names = [...new Set([...uses.keys(), ...wants.keys()])];
-    const demands = names.map((workspace) => ({
-      demand: (uses.get(workspace) ?? 0) + (wants.get(workspace) ?? 0),
+  #solveLevel(ownNeeds: readonly WorkspaceNeed[], peers: PeerSum): number {
+    const demands = new Map(peers.uses);
+    const add = (workspace: string, amount: number): void => {
+      demands.set(workspace, (demands.get(workspace) ?? 0) + amount);
+    };
+    const [ownUse, ownWant] = sumNeeds(ownNeeds);
+    const peerUse = [...peers.uses.values()].reduce((sum, use) => sum + use, 0);
+    const peerWant = [...peers.wants.values()].reduce((sum, want) => sum + want, 0);
+    if (ownWant + peerWant + peers.othersWant === 0) return Number.POSITIVE_INFINITY;
+
+    peers.wants.forEach((want, workspace) => add(workspace, want));
+    ownNeeds.forEach(({ workspace, use, want }) => add(workspace, use + want));
+    const weighted = [...demands].map(([workspace, demand]) => ({
+      demand,
       weight: this.#options.readWeight(workspace),
     }));
-    const capacity = [...uses.values()].reduce((sum, use) => sum + use, 0) - othersWant;
-    return Math.max(LEVEL_MIN, solveWaterLevel(demands, capacity));
-  }
-
-  #countOwnPending(pool: string, nowMs: number): ReadonlyMap<number, number> {
-    const { level, peerUses } = this.#view(pool, nowMs);
-    return this.#countPendingBelow(pool, level, peerUses, nowMs);
-  }
-
-  #countPendingBelow(
-    pool: string,
-    level: number,
-    peerUses: ReadonlyMap<string, number>,
-    nowMs: number,
-  ): ReadonlyMap<number, number> {
-    const own = this.#own.get(pool);
-    const isBelow = (workspace: string) => !this.#findExcess(pool, workspace, level, peerUses);
-    return own?.countPending(isBelow, nowMs) ?? new Map<number, number>();
+    const capacity = ownUse + peerUse - peers.othersWant;
+    return Math.max(LEVEL_MIN, solveWaterLevel(weighted, capacity));
   }
 
   #findExcess(
     pool: string,
     workspace: string,
     level: number,
-    peerUses: ReadonlyMap<string, number>,
+    nowMs: number,
   ): ShareExcess | undefined {
     if (!Number.isFinite(level)) return undefined;
-    const use = (this.#own.get(pool)?.readUse(workspace) ?? 0) + (peerUses.get(workspace) ?? 0);
+    const use = this.readUse(pool, workspace, nowMs);
     const share = level * this.#options.readWeight(workspace);
     return use >= share ? { use, share } : undefined;
   }
