Serve the largest workspace a quarter as often as all in a deep overload

Change: 0.3 of the common ratio of capacity to demand is a floor of every share; the level is solved for the rest. The floor also bounds what inflated demand can gain. The new test failed before.

--- a/packages/core/src/direct/sharing/waterLevel.ts
+++ b/packages/core/src/direct/sharing/waterLevel.ts
@@ -3,13 +3,12 @@
 export interface Demand {
   readonly demand: number;
   readonly weight: number;
+  /** Part of the demand that is met whatever the level. */
+  readonly floor: number;
 }
 
-/**
- * Finds the capacity per unit of weight that the demands get which are not met in full; infinite
- * where all of them are met.
- */
-export function solveWaterLevel(demands: readonly Demand[], capacity: number): number {
+/** Solves the level without regard to floors. */
+function solveFreely(demands: readonly Demand[], capacity: number): number {
   const sorted = [...demands].sort((a, b) => a.demand / a.weight - b.demand / b.weight);
   let restCapacity = capacity;
   let restWeight = sorted.reduce((sum, { weight }) => sum + weight, 0);
@@ -21,3 +20,20 @@
   });
   return unmet ? Math.max(0, restCapacity) / restWeight : Number.POSITIVE_INFINITY;
 }
+
+/**
+ * Finds the capacity per unit of weight that the demands get which are not met in full, and whose
+ * floor is lower; infinite where all demands are met.
+ */
+export function solveWaterLevel(demands: readonly Demand[], capacity: number): number {
+  let free = demands;
+  let restCapacity = capacity;
+  for (;;) {
+    const level = solveFreely(free, restCapacity);
+    const isOnFloor = ({ floor, weight }: Demand): boolean => floor > level * weight;
+    const onFloor = free.filter(isOnFloor);
+    if (onFloor.length === 0) return level;
+    restCapacity -= onFloor.reduce((sum, { floor }) => sum + floor, 0);
+    free = free.filter((each) => !isOnFloor(each));
+  }
+}
--- a/packages/core/src/direct/sharing/workspaceFairness.ts
+++ b/packages/core/src/direct/sharing/workspaceFairness.ts
@@ -28,15 +28,23 @@
 const FLEET_WORKSPACES = 480;
 const WORKSPACES_MIN = 4;
 
-/** Lowest level, so that a workspace that holds nothing is never above its share. */
-const LEVEL_MIN = COST_STEP;
+/** Lowest share, so that a workspace that holds nothing is always below it. */
+const SHARE_MIN = COST_STEP;
+
+/**
+ * Part of the common ratio of capacity to demand that every workspace gets: in a deep overload, the
+ * equal shares of max-min fairness alone would serve the largest of 24 workspaces less than a
+ * quarter as often as all. It bounds what a workspace gains by inflated demand to this part of the
+ * pool.
+ */
+const FLOOR_FRACTION = 0.3;
 
 /** Shares of one pool, as computed from all that is known at one time. */
 interface PoolView {
   readonly atMs: number;
   readonly peers: PeerSum;
-  /** Share per unit of weight of the workspaces whose demand is not met. */
-  readonly level: number;
+  /** Share of each workspace; undefined while all demands are met. */
+  readonly shares: ReadonlyMap<string, number> | undefined;
   /** Pending requests of workspaces below their share in this entry, by priority. */
   readonly ownPending: ReadonlyMap<number, number>;
 }
@@ -126,7 +134,7 @@
     nowMs: number,
   ): ShareExcess | undefined {
     if (!claim) return undefined;
-    return this.#findExcess(pool, claim.workspace, this.#view(pool, nowMs).level, nowMs);
+    return this.#findExcess(pool, claim.workspace, this.#view(pool, nowMs).shares, nowMs);
   }
 
   /**
@@ -141,7 +149,7 @@
 
   /** Whether some workspace wants more than it has, so that shares decide. */
   isContended(pool: string, nowMs: number): boolean {
-    return Number.isFinite(this.#view(pool, nowMs).level);
+    return this.#view(pool, nowMs).shares !== undefined;
   }
 
   override readFull(nowMs: number): CountsFields {
@@ -231,10 +239,10 @@
   #computeView(pool: string, nowMs: number): PoolView {
     const own = this.#own.get(pool);
     const peers = this.#peers.sum(pool, nowMs);
-    const level = this.#solveLevel(own?.list(nowMs) ?? [], peers);
-    const isBelow = (workspace: string) => !this.#findExcess(pool, workspace, level, nowMs);
+    const shares = this.#computeShares(own?.list(nowMs) ?? [], peers);
+    const isBelow = (workspace: string) => !this.#findExcess(pool, workspace, shares, nowMs);
     const ownPending = own?.countPending(isBelow, nowMs) ?? new Map<number, number>();
-    return { atMs: nowMs, peers, level, ownPending };
+    return { atMs: nowMs, peers, shares, ownPending };
   }
 
   /**
@@ -242,7 +250,10 @@
    * Measured so, it needs neither the limit in flight nor the mean cost of requests. Workspaces
    * that are not listed by name are small, and their demand is met first.
    */
-  #solveLevel(ownNeeds: readonly WorkspaceNeed[], peers: PeerSum): number {
+  #computeShares(
+    ownNeeds: readonly WorkspaceNeed[],
+    peers: PeerSum,
+  ): ReadonlyMap<string, number> | undefined {
     const demands = new Map(peers.uses);
     const add = (workspace: string, amount: number): void => {
       demands.set(workspace, (demands.get(workspace) ?? 0) + amount);
@@ -250,27 +261,34 @@
     const [ownUse, ownWant] = sumNeeds(ownNeeds);
     const peerUse = [...peers.uses.values()].reduce((sum, use) => sum + use, 0);
     const peerWant = [...peers.wants.values()].reduce((sum, want) => sum + want, 0);
-    if (ownWant + peerWant + peers.othersWant === 0) return Number.POSITIVE_INFINITY;
+    if (ownWant + peerWant + peers.othersWant === 0) return undefined;
 
     peers.wants.forEach((want, workspace) => add(workspace, want));
     ownNeeds.forEach(({ workspace, use, want }) => add(workspace, use + want));
+    const capacity = Math.max(0, ownUse + peerUse - peers.othersWant);
+    const floorRatio = (FLOOR_FRACTION * capacity) / (ownUse + ownWant + peerUse + peerWant);
     const weighted = [...demands].map(([workspace, demand]) => ({
+      workspace,
       demand,
       weight: this.#options.readWeight(workspace),
+      floor: demand * floorRatio,
     }));
-    const capacity = ownUse + peerUse - peers.othersWant;
-    return Math.max(LEVEL_MIN, solveWaterLevel(weighted, capacity));
+    const level = solveWaterLevel(weighted, capacity);
+    if (!Number.isFinite(level)) return undefined;
+    return new Map(
+      weighted.map(({ workspace, weight, floor }) => [workspace, Math.max(level * weight, floor)]),
+    );
   }
 
+  /** A workspace that has just come holds nothing, so it is below any share. */
   #findExcess(
     pool: string,
     workspace: string,
-    level: number,
+    shares: ReadonlyMap<string, number> | undefined,
     nowMs: number,
   ): ShareExcess | undefined {
-    if (!Number.isFinite(level)) return undefined;
+    const share = Math.max(SHARE_MIN, shares?.get(workspace) ?? Number.POSITIVE_INFINITY);
     const use = this.readUse(pool, workspace, nowMs);
-    const share = level * this.#options.readWeight(workspace);
     return use >= share ? { use, share } : undefined;
   }
 }
--- a/packages/core/test/direct/sharing/sharesReplay.test.ts
+++ b/packages/core/test/direct/sharing/sharesReplay.test.ts
@@ -73,11 +73,13 @@
   assert.ok(served < others.served - 0.2, `${served} of the repeated, ${others.served} of others`);
 });
 
-test('every workspace is served at least a quarter as often as all', async () => {
-  const { workspaces, all } = await replay({ load: 1.4, isGuarded: true });
-  workspaces.forEach(({ served }, at) =>
-    assert.ok(served >= all.served / 4, `workspace ${at}: ${served}`),
-  );
+[1.4, 6].forEach((load) => {
+  test(`at ${load} times the capacity every workspace is served a quarter as often as all`, async () => {
+    const { workspaces, all } = await replay({ load, isGuarded: true });
+    workspaces.forEach(({ served }, at) =>
+      assert.ok(served >= all.served / 4, `workspace ${at}: ${served} of ${all.served}`),
+    );
+  });
 });
 
 test('shares leave no capacity unused', async () => {
--- a/packages/core/test/direct/sharing/waterLevel.test.ts
+++ b/packages/core/test/direct/sharing/waterLevel.test.ts
@@ -14,10 +14,15 @@
     fc.property(
       fc.array(DEMAND, { minLength: 1, maxLength: 30 }),
       fc.double({ min: 1, max: 500, noNaN: true }),
-      (demands, capacity) => {
-        const level = solveWaterLevel(demands, capacity);
+      fc.double({ min: 0, max: 0.9, noNaN: true }),
+      (demands, capacity, floorFraction) => {
         const total = demands.reduce((sum, { demand }) => sum + demand, 0);
-        const shares = demands.map(({ demand, weight }) => Math.min(demand, level * weight));
+        const ratio = (floorFraction * Math.min(capacity, total)) / total;
+        const withFloors = demands.map((each) => ({ ...each, floor: each.demand * ratio }));
+        const level = solveWaterLevel(withFloors, capacity);
+        const shares = withFloors.map(({ demand, weight, floor }) =>
+          Math.min(demand, Math.max(floor, level * weight)),
+        );
         const used = shares.reduce((sum, share) => sum + share, 0);
         assert.ok(Math.abs(used - Math.min(total, capacity)) < 1e-6, `${used} of ${capacity}`);
       },
@@ -26,7 +31,7 @@
 });
 
 test('without capacity the level is 0, and infinite where all demands are met', () => {
-  const demands = [{ demand: 2, weight: 1 }];
+  const demands = [{ demand: 2, weight: 1, floor: 0 }];
   assert.is(solveWaterLevel(demands, -1), 0);
   assert.is(solveWaterLevel(demands, 2), Number.POSITIVE_INFINITY);
 });
