Weigh requests in flight by their work per time, and the queue by their whole work

Cause: a request's whole work was counted while it held its slot, so a long answer counted twice: by its work and by the time for which it holds the slot. Change: RequestWeight has the work of the whole request (for the tags of the fair queue) and its load while it holds a slot (for the use of the workspace). Refusals of workspaces above their share are counted by a label for at most 16 workspaces and logged every 5 s.

--- a/packages/core/src/direct/admissionQueue.ts
+++ b/packages/core/src/direct/admissionQueue.ts
@@ -48,8 +48,8 @@
   return `${isLate} ${priority}`;
 }
 
-function readSpan({ cost, weight }: WorkspaceClaim): number {
-  return cost / weight;
+function readSpan({ work, share }: WorkspaceClaim): number {
+  return work / share;
 }
 
 /** Connections of a queue to the state of its pool. */
--- a/packages/core/src/direct/poolAdmission.ts
+++ b/packages/core/src/direct/poolAdmission.ts
@@ -22,7 +22,7 @@
 import { PoolRefusals } from './poolRefusals.js';
 import type { DirectPool } from './routeTable.js';
 import { ShareTelemetry } from './sharing/shareTelemetry.js';
-import { estimateCost, type WorkspaceClaim } from './sharing/workspaceClaim.js';
+import { weighRequest, type WorkspaceClaim } from './sharing/workspaceClaim.js';
 import { AdmissionDenial, AdmissionQueue, type AdmissionTicket } from './admissionQueue.js';
 
 const LOG_PART = 'admission';
@@ -147,12 +147,8 @@
   ): WorkspaceClaim | undefined {
     const { table } = this.#options.board;
     if (!table?.isShared) return undefined;
-    const weight = workspace === undefined ? 1 : table.readWeight(workspace);
-    return {
-      workspace: workspace ?? '',
-      weight,
-      cost: estimateCost(size, this.#pool.engine?.costs),
-    };
+    const share = workspace === undefined ? 1 : table.readWeight(workspace);
+    return { workspace: workspace ?? '', share, ...weighRequest(size, this.#pool.engine) };
   }
 
   get waitingCount(): number {
--- a/packages/core/src/direct/sharing/peerUsages.ts
+++ b/packages/core/src/direct/sharing/peerUsages.ts
@@ -1,7 +1,7 @@
 /** What the other entries have told of the use of pools by workspaces. */
 import type { PoolUsageNews, WorkspaceUsageNews } from '../../messages/workspaceUsageMessage.js';
 
-import { COST_STEP } from './workspaceClaim.js';
+import { FACTOR_STEP } from './workspaceClaim.js';
 
 /**
  * Age from which a peer's use is ignored, in milliseconds. It is checked when it is read, as the
@@ -88,10 +88,10 @@
       const ageMs = nowMs - peer.receivedAtMs;
       const usage = ageMs < USE_VALID_MS ? peer.pools[pool] : undefined;
       usage?.workspaces.forEach(([workspace, use, want]) => {
-        addTo(uses, workspace, use * COST_STEP);
-        addTo(wants, workspace, want * COST_STEP);
+        addTo(uses, workspace, use * FACTOR_STEP);
+        addTo(wants, workspace, want * FACTOR_STEP);
       });
-      othersWant += (usage?.others[1] ?? 0) * COST_STEP;
+      othersWant += (usage?.others[1] ?? 0) * FACTOR_STEP;
       if (ageMs >= PENDING_VALID_MS) return;
       Object.entries(peer.pending[pool] ?? {}).forEach(([priority, count]) =>
         addTo(pending, Number(priority), count),
--- a/packages/core/src/direct/sharing/shareTelemetry.ts
+++ b/packages/core/src/direct/sharing/shareTelemetry.ts
@@ -10,11 +10,14 @@
 const LOG_INTERVAL_MS = 5_000;
 
 /** Workspaces that are named in metrics, so that the number of time series is bounded. */
-const NAMED_MAX = 16;
+const LABELS_MAX = 16;
 
 /** Metric label of all other workspaces. */
 const OTHERS = 'others';
 
+/** Workspaces whose refusals are counted for log lines; the one first refused is forgotten first. */
+const EPISODES_MAX = 64;
+
 export interface ShareTelemetryOptions {
   readonly pool: string;
   readonly log: Log;
@@ -31,6 +34,8 @@
 export class ShareTelemetry {
   readonly #options: ShareTelemetryOptions;
 
+  readonly #labels = new Set<string>();
+
   readonly #episodes = new Map<string, Episode>();
 
   constructor(options: ShareTelemetryOptions) {
@@ -40,10 +45,9 @@
   /** Records that a workspace was refused while it held its share. */
   noteRefused(workspace: string, { use, share }: ShareExcess, nowMs: number): void {
     const { pool, log, metrics } = this.#options;
-    const episode = this.#findEpisode(workspace);
-    const label = episode ? workspace : OTHERS;
+    const label = this.#chooseLabel(workspace);
     metrics.count('workspace.above.share.refused', { pool, workspace: label });
-    if (!episode) return;
+    const episode = this.#findEpisode(workspace);
     episode.refused += 1;
     if (nowMs - episode.loggedAtMs < LOG_INTERVAL_MS) return;
     log.write(LogLevel.Info, LOG_PART, 'A workspace that holds its share was refused.', {
@@ -56,9 +60,16 @@
     Object.assign(episode, { loggedAtMs: nowMs, refused: 0 });
   }
 
-  #findEpisode(workspace: string): Episode | undefined {
+  #chooseLabel(workspace: string): string {
+    if (this.#labels.size < LABELS_MAX) this.#labels.add(workspace);
+    return this.#labels.has(workspace) ? workspace : OTHERS;
+  }
+
+  #findEpisode(workspace: string): Episode {
     const known = this.#episodes.get(workspace);
-    if (known || this.#episodes.size >= NAMED_MAX) return known;
+    if (known) return known;
+    const [oldest] = this.#episodes.keys();
+    if (oldest !== undefined && this.#episodes.size >= EPISODES_MAX) this.#episodes.delete(oldest);
     const episode = { loggedAtMs: Number.NEGATIVE_INFINITY, refused: 0 };
     this.#episodes.set(workspace, episode);
     return episode;
--- a/packages/core/src/direct/sharing/workspaceFairness.ts
+++ b/packages/core/src/direct/sharing/workspaceFairness.ts
@@ -12,7 +12,7 @@
 
 import { PeerUsages, type PeerSum } from './peerUsages.js';
 import { solveWaterLevel } from './waterLevel.js';
-import { COST_STEP, type WorkspaceClaim } from './workspaceClaim.js';
+import { FACTOR_STEP, type WorkspaceClaim } from './workspaceClaim.js';
 import { WorkspaceUsage, type ClaimingRequest, type WorkspaceNeed } from './workspaceUsage.js';
 
 /**
@@ -29,7 +29,7 @@
 const WORKSPACES_MIN = 4;
 
 /** Lowest share, so that a workspace that holds nothing is always below it. */
-const SHARE_MIN = COST_STEP;
+const SHARE_MIN = FACTOR_STEP;
 
 /**
  * Part of the common ratio of capacity to demand that every workspace gets: in a deep overload, the
@@ -64,7 +64,7 @@
 }
 
 function toSteps(units: number): number {
-  return Math.ceil(units / COST_STEP);
+  return Math.ceil(units / FACTOR_STEP);
 }
 
 function sumNeeds(needs: readonly WorkspaceNeed[]): readonly [number, number] {
@@ -121,7 +121,7 @@
     this.noteChange();
   }
 
-  /** Cost of the requests of a workspace in flight from all entries. */
+  /** Load of the requests of a workspace in flight from all entries. */
   readUse(pool: string, workspace: string, nowMs: number): number {
     const ownUse = this.#own.get(pool)?.readUse(workspace) ?? 0;
     return ownUse + (this.#peers.sum(pool, nowMs).uses.get(workspace) ?? 0);
--- a/packages/core/src/direct/sharing/workspaceUsage.ts
+++ b/packages/core/src/direct/sharing/workspaceUsage.ts
@@ -33,11 +33,11 @@
 }
 
 interface Usage {
-  /** Cost of the requests in flight. */
+  /** Load of the requests in flight. */
   inFlight: number;
-  /** Cost of the waiting requests. */
+  /** Load of the waiting requests. */
   waiting: number;
-  /** Cost of the requests refused lately. */
+  /** Load of the requests refused lately. */
   readonly refused: DecayingCount;
   readonly pending: Map<number, PendingRequests>;
 }
@@ -75,26 +75,26 @@
 export class WorkspaceUsage {
   readonly #usages = new Map<string, Usage>();
 
-  /** Cost that a workspace holds. */
+  /** Load that a workspace holds. */
   readUse(workspace: string): number {
     return this.#usages.get(workspace)?.inFlight ?? 0;
   }
 
-  addInFlight({ workspace, cost }: WorkspaceClaim, change: 1 | -1): void {
-    this.#find(workspace).inFlight += change * cost;
+  addInFlight({ workspace, load }: WorkspaceClaim, change: 1 | -1): void {
+    this.#find(workspace).inFlight += change * load;
   }
 
   addWaiting({ claim, priority, isLate }: ClaimingRequest, change: 1 | -1): void {
     if (!claim) return;
     const usage = this.#find(claim.workspace);
-    usage.waiting += change * claim.cost;
+    usage.waiting += change * claim.load;
     if (!isLate) findPending(usage, priority).waiting += change;
   }
 
   noteRefused({ claim, priority, isLate }: ClaimingRequest, nowMs: number): void {
     if (!claim) return;
     const usage = this.#find(claim.workspace);
-    usage.refused.add(claim.cost, nowMs);
+    usage.refused.add(claim.load, nowMs);
     if (!isLate) findPending(usage, priority).refused.add(1, nowMs);
   }
 
--- a/packages/core/test/direct/admissionQueue.test.ts
+++ b/packages/core/test/direct/admissionQueue.test.ts
@@ -16,7 +16,7 @@
     isLate: false,
     waitBudgetMs: 1_000,
     arrivedAtMs: lastArrivalMs,
-    claim: { workspace: id.charAt(0), weight: 1, cost: 1 },
+    claim: { workspace: id.charAt(0), share: 1, work: 1, load: 1 },
     onAdmitted: () => {},
     onDenied: () => {},
     ...changes,
@@ -63,10 +63,10 @@
     assert.equal(drain(queue), ['b1', 'b2', 'a1', 'c1']);
   }));
 
-test('a large request moves its workspace back by its cost', () =>
+test('a large request moves its workspace back by its work', () =>
   withClock(() => {
     const queue = new AdmissionQueue();
-    queue.add(createTicket('a1', { claim: { workspace: 'a', weight: 1, cost: 3 } }));
+    queue.add(createTicket('a1', { claim: { workspace: 'a', share: 1, work: 3, load: 1 } }));
     addAll(queue, ['a2', 'b1', 'b2', 'b3']);
     assert.equal(drain(queue), ['a1', 'b1', 'b2', 'b3', 'a2']);
   }));
--- a/packages/core/test/direct/sharing/sharesReplay.test.ts
+++ b/packages/core/test/direct/sharing/sharesReplay.test.ts
@@ -109,4 +109,13 @@
   assert.ok(result.large.served >= result.all.served / 2, `${result.large.served}`);
 });
 
+test('a workspace of large requests pays for the slots that they hold, and only once', async () => {
+  // It wants 0.6 of the capacity, of which water-filling meets 0.25.
+  const large = { fraction: 1, factor: 4, workspace: 1 };
+  const { workspaces } = await replay({ load: 1, isGuarded: true, seed: 2, large });
+  const served = workspaces[1]?.served ?? 0;
+  assert.ok(Math.abs(served - 0.25 / 0.6) < 0.1, `${served} of the large ones`);
+  workspaces.slice(2).forEach((each, at) => assert.ok(each.served > 0.75, `workspace ${at + 2}`));
+});
+
 test.run();
--- a/packages/core/test/direct/sharing/sharesRun.ts
+++ b/packages/core/test/direct/sharing/sharesRun.ts
@@ -6,6 +6,7 @@
  * caller returns once, after the Retry-After delay, unless its workspace repeats requests at once.
  */
 import { LoadExchange } from '../../../src/direct/loadExchange.js';
+import type { EngineCosts } from '../../../src/direct/passModel.js';
 import { RouteTable } from '../../../src/direct/routeTable.js';
 import type { RequestSize } from '../../../src/model/requestSize.js';
 import { CountingMetrics } from '../../../src/ports/countingMetrics.js';
@@ -39,6 +40,19 @@
 const SIZES = Array.from({ length: WORKSPACES }, (_, at) => (at + 1) ** -SIZE_EXPONENT);
 const SIZES_SUM = SIZES.reduce((sum, size) => sum + size, 0);
 
+/** Costs by which the sizes of requests are weighed; passes are far below the target of pauses. */
+const COSTS: EngineCosts = {
+  stepMs: 20,
+  decodeMs: 0.5,
+  contextMsPerKTokens: 0,
+  prefillTokensPerMs: 61.2,
+  stepsPerPass: 5,
+  promptTokens: 835,
+  answerTokens: MEAN_EVENTS * TOKENS_PER_EVENT,
+};
+
+const PAUSE_TARGET_MS = 400;
+
 /** How one workspace departs from the others. */
 export interface Excess {
   readonly workspace: number;
@@ -58,8 +72,13 @@
   readonly excess?: Excess;
   /** Whether the entries apply shares. */
   readonly isGuarded: boolean;
-  /** Part of the requests that are large, and by which factor. */
-  readonly large?: { readonly fraction: number; readonly factor: number };
+  /** Requests that are larger than the usual ones by a factor. */
+  readonly large?: {
+    readonly fraction: number;
+    readonly factor: number;
+    /** The only workspace that sends them; undefined if all do. */
+    readonly workspace?: number;
+  };
   readonly weights?: readonly number[];
 }
 
@@ -136,14 +155,19 @@
   }
 
   #createEntry(name: string, seed: number): DirectFixture {
-    const { entries = 4, isGuarded, weights } = this.#options;
+    const { entries = 4, isGuarded, weights, large } = this.#options;
     const fixture = new DirectFixture(seed, undefined, name);
     fixture.board.entryCount = entries;
     fixture.addUpstreams('models', UPSTREAMS, SLOTS);
     const table = new RouteTable({
       ...CONTENT,
       version: CONTENT.version + 1,
-      pools: CONTENT.pools.map((pool) => ({ ...pool, coldPerS: 0 })),
+      routes: CONTENT.routes.map((route) => ({ ...route, pauseTargetMs: PAUSE_TARGET_MS })),
+      pools: CONTENT.pools.map(({ engine, ...pool }) => ({
+        ...pool,
+        coldPerS: 0,
+        engine: engine && large ? { ...engine, costs: COSTS } : engine,
+      })),
       workspaces: SIZES.map((_, at) => ({
         name: `workspace-${at}`,
         keys: [`key-${at}`],
@@ -197,12 +221,13 @@
     if (this.#random.next() >= perStep) return;
     const anyEntry = this.#random.nextInt(this.entries.length);
     const entry = (isExcess ? excess.entry : undefined) ?? anyEntry;
-    const isLarge = this.#random.next() < (large?.fraction ?? 0);
+    const isSender = large?.workspace === undefined || large.workspace === workspace;
+    const isLarge = this.#random.next() < (large?.fraction ?? 0) && isSender;
     const events = Math.round(MEAN_EVENTS * (isLarge ? (large?.factor ?? 1) : 1));
     const size: RequestSize = {
-      promptTokens: isLarge ? 835 * (large?.factor ?? 1) : 835,
+      promptTokens: COSTS.promptTokens * (isLarge ? (large?.factor ?? 1) : 1),
       answerTokensMax: events * TOKENS_PER_EVENT,
-      answerTokensHint: undefined,
+      answerTokensHint: events * TOKENS_PER_EVENT,
     };
     const journey: Journey = {
       workspace,
--- a/packages/core/test/direct/sharing/workspaceClaim.test.ts
+++ b/packages/core/test/direct/sharing/workspaceClaim.test.ts
@@ -1,39 +1,49 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
-import { estimateCost } from '../../../src/direct/sharing/workspaceClaim.js';
+import { weighRequest, type RequestWeight } from '../../../src/direct/sharing/workspaceClaim.js';
 import { DEFAULT_COSTS } from '../groupModel.js';
 
 const { promptTokens, answerTokens } = DEFAULT_COSTS;
+const ENGINE = { slots: 8, costs: DEFAULT_COSTS, group: undefined };
+const USUAL = { work: 1, load: 1 };
 
-function estimate(prompt: number, answerMax: number, hint?: number): number {
+function weigh(prompt: number, answerMax: number, hint?: number): RequestWeight {
   const size = { promptTokens: prompt, answerTokensMax: answerMax, answerTokensHint: hint };
-  return estimateCost(size, DEFAULT_COSTS);
+  return weighRequest(size, ENGINE);
 }
 
-test('the usual request costs 1, and one of twice its size 2', () => {
-  assert.is(estimate(promptTokens, answerTokens), 1);
-  assert.is(estimate(2 * promptTokens, 2 * answerTokens, 2 * answerTokens), 2);
+test('the usual request weighs 1; one of twice its size works twice, for twice the time', () => {
+  assert.equal(weigh(promptTokens, answerTokens), USUAL);
+  const twice = weigh(2 * promptTokens, 2 * answerTokens, 2 * answerTokens);
+  assert.equal(twice, { work: 2, load: 1 });
 });
 
-test('an answer limit far above the usual answer costs nothing by itself', () => {
-  assert.is(estimate(promptTokens, 100 * answerTokens), 1);
+test('a long prompt loads its engine more for the time of its answer', () => {
+  const { work, load } = weigh(20 * promptTokens, answerTokens);
+  assert.ok(work > 3 && load > 2, `${work}, ${load}`);
 });
 
-test('false declarations cost between a quarter and 8 usual requests', () => {
-  assert.is(estimate(0, 0, 0), 0.25);
-  assert.is(estimate(1e9, 1e9, 1e9), 8);
+test('an answer limit far above the usual answer weighs nothing by itself', () => {
+  assert.equal(weigh(promptTokens, 100 * answerTokens), USUAL);
+});
+
+test('false declarations weigh between a quarter and 8 usual requests', () => {
+  assert.is(weigh(0, 0, 0).work, 0.25);
+  assert.is(weigh(1e9, 1e9, 1e9).work, 8);
+  assert.is(weigh(1e9, 0, 0).load, 8);
 });
 
 test('a hint counts up to the limit of the answer', () => {
-  assert.is(estimate(promptTokens, answerTokens, 50 * answerTokens), 1);
+  assert.equal(weigh(promptTokens, answerTokens, 50 * answerTokens), USUAL);
 });
 
-test('without a declared size or configured costs a request counts as usual', () => {
-  assert.is(estimateCost(undefined, DEFAULT_COSTS), 1);
+test('without a declared size or configured costs a request weighs as the usual one', () => {
+  assert.equal(weighRequest(undefined, ENGINE), USUAL);
   const size = { promptTokens: 9_000, answerTokensMax: 900, answerTokensHint: 900 };
-  assert.is(estimateCost(size, undefined), 1);
-  assert.is(estimateCost(size, { ...DEFAULT_COSTS, decodeMs: 0, promptTokens: 0 }), 1);
+  assert.equal(weighRequest(size, { slots: 8, group: undefined }), USUAL);
+  const costs = { ...DEFAULT_COSTS, decodeMs: 0, promptTokens: 0 };
+  assert.is(weighRequest(size, { ...ENGINE, costs }).work, 1);
 });
 
 test.run();
--- a/packages/core/test/direct/sharing/workspaceFairness.test.ts
+++ b/packages/core/test/direct/sharing/workspaceFairness.test.ts
@@ -12,7 +12,7 @@
 const POOL = 'models';
 
 function createRequest(workspace: string, priority = 1): ClaimingRequest {
-  return { claim: { workspace, weight: 1, cost: 1 }, priority, isLate: false };
+  return { claim: { workspace, share: 1, work: 1, load: 1 }, priority, isLate: false };
 }
 
 function createFairness(session = 1): WorkspaceFairness {
