--- a/packages/core/src/direct/sharing/shareTelemetry.ts
+++ b/packages/core/src/direct/sharing/shareTelemetry.ts
@@ -15,7 +15,7 @@
 /** Metric label of all other workspaces. */
 const OTHERS = 'others';
 
-/** Workspaces whose refusals are counted for log lines; the one first refused is forgotten first. */
+/** Workspaces whose refusals are counted for log lines; the oldest is forgotten first. */
 const EPISODES_MAX = 64;
 
 export interface ShareTelemetryOptions {
