--- a/packages/core/test/direct/sharing/sharesReplay.test.ts
+++ b/packages/core/test/direct/sharing/sharesReplay.test.ts
@@ -55,17 +55,14 @@
 ];
 
 BURSTS.forEach(([name, excess, load]) => {
-  test(`${name} costs the others next to nothing`, async () => {
-    const loss = await measureLoss(excess, load, true);
-    assert.ok(loss < LOSS_MAX, `${loss} less on time`);
+  test(`${name} costs the others next to nothing, and much without shares`, async () => {
+    const guarded = await measureLoss(excess, load, true);
+    const free = await measureLoss(excess, load, false);
+    assert.ok(guarded < LOSS_MAX, `${guarded} less on time`);
+    assert.ok(free > 1.5 * LOSS_MAX, `${free} without shares: the load still needs them`);
   });
 });
 
-test('without shares, such a burst makes a third of the others late', async () => {
-  const loss = await measureLoss({ workspace: 0, burst: 5, repeats: 0 }, 0.7, false);
-  assert.ok(loss > 1 / 3, `${loss} less on time: the load still needs the shares`);
-});
-
 test('refusals that are repeated at once gain no more than the share', async () => {
   const excess = { workspace: 0, burst: 1, repeats: 3 };
   const { workspaces, others } = await replay({ load: 1.2, isGuarded: true, excess });
--- a/packages/core/test/direct/sharing/workspaceFairness.test.ts
+++ b/packages/core/test/direct/sharing/workspaceFairness.test.ts
@@ -125,6 +125,8 @@
 test('the use of an entry that freezes is gone within 1.6 s, what it waits for within 0.8 s', () =>
   withEntries(async (run, clock, uses) => {
     const [one] = run.entries.map(({ board }) => board.fairness);
+    // The exchange itself drops a peer that has been silent since now 1.9 s after this.
+    await refuseFor(run, clock, 700);
     run.links.forEach((link) => Object.assign(link, { isSilent: true }));
     await clock.tickAsync(800);
     const pending = one?.countPending(POOL, 9, performance.now());
@@ -168,7 +170,7 @@
     await clock.tickAsync(50);
     contend(peer, 1);
     const second = createMessage(peer);
-    [first, second, first, second].forEach((each) => fairness.apply(each, performance.now()));
+    [first, second, second, first].forEach((each) => fairness.apply(each, performance.now()));
     assert.is(readUse(fairness), 8);
   }));
 
