Keep slots that are left for urgent requests from less urgent ones

Cause: a workspace that holds its share left slots free for others of its priority, and less urgent arrivals took them. Change: requests leave free slots to pending ones that are more urgent, whatever their own share; one new request in four does not, so that each class keeps a quarter of the common share. Both new tests fail without their rule (seen).

--- a/packages/core/src/direct/poolAdmission.ts
+++ b/packages/core/src/direct/poolAdmission.ts
@@ -48,6 +48,12 @@
  */
 const QUEUED_PROBE_MS = 600;
 
+/**
+ * Number of less urgent requests of which one competes as if nothing more urgent were pending, as
+ * each class gets at least a quarter of the common share.
+ */
+const YIELD_CYCLE = 4;
+
 export interface PoolAdmissionOptions {
   readonly board: FleetBoard;
   readonly random: Random;
@@ -78,6 +84,9 @@
 
   readonly #shareTelemetry: ShareTelemetry;
 
+  /** Less urgent requests that have yielded since the last one that did not. */
+  #yieldCount = 0;
+
   readonly #unsubscribeBreaker: () => void;
 
   #admitTimer: NodeJS.Timeout | undefined;
@@ -180,7 +189,7 @@
       return;
     }
     const { upstream, availableCount } = this.#place(new Set(), nowMs, ticket.isLate);
-    const isYielding = this.#isYielding(ticket, nowMs);
+    const isYielding = this.#isNewYielding(ticket, nowMs);
     if (ahead === 0 && upstream && !isYielding) {
       ticket.onAdmitted(upstream);
       return;
@@ -246,16 +255,29 @@
   }
 
   /**
-   * Whether a request leaves the free slots to others: its workspace holds its share, and the slots
-   * are no more than what workspaces below their share wait for.
+   * Whether a request leaves the free slots to requests of workspaces below their share: to those
+   * of the same priority if its own workspace holds its share, and to more urgent ones in any case.
    */
   #isYielding({ claim, priority }: AdmissionTicket, nowMs: number): boolean {
     const { fairness } = this.#options.board;
-    if (!claim || !fairness.findExcess(this.#pool.name, claim, nowMs)) return false;
-    const pending = fairness.countPending(this.#pool.name, priority, nowMs);
+    const { name } = this.#pool;
+    if (!claim || !fairness.isContended(name, nowMs)) return false;
+    const isAbove = fairness.findExcess(name, claim, nowMs) !== undefined;
+    const pending = fairness.countPending(name, isAbove ? priority : priority - 1, nowMs);
     return this.capacity.isReservedFor(pending, nowMs);
   }
 
+  /**
+   * Whether a new request yields. One in {@link YIELD_CYCLE} of those of workspaces below their
+   * share does not, so that more urgent classes leave each class its part.
+   */
+  #isNewYielding(ticket: AdmissionTicket, nowMs: number): boolean {
+    if (!this.#isYielding(ticket, nowMs)) return false;
+    if (this.#options.board.fairness.findExcess(this.#pool.name, ticket.claim, nowMs)) return true;
+    this.#yieldCount = (this.#yieldCount + 1) % YIELD_CYCLE;
+    return this.#yieldCount > 0;
+  }
+
   /** A workspace below its share gets the next slot that any entry frees. */
   #estimateWaitMs({ claim, priority }: AdmissionTicket, ahead: number, nowMs: number): number {
     const { fairness } = this.#options.board;
--- a/packages/core/test/direct/sharing/sharesReplay.test.ts
+++ b/packages/core/test/direct/sharing/sharesReplay.test.ts
@@ -115,4 +115,29 @@
   workspaces.slice(2).forEach((each, at) => assert.ok(each.served > 0.75, `workspace ${at + 2}`));
 });
 
+const PRIORITIES = 3;
+
+/** Requests of one priority of the given workspaces that are on time. */
+function readOnTime(workspaces: readonly Tally[], priority: number): number {
+  const ofPriority = workspaces.filter((_, at) => at % PRIORITIES === priority);
+  const offered = ofPriority.reduce((sum, each) => sum + each.offered, 0);
+  return ofPriority.reduce((sum, each) => sum + each.onTime * each.offered, 0) / offered;
+}
+
+test('slots that a workspace leaves to urgent requests are not taken by less urgent ones', async () => {
+  const options = { load: 1.2, priorities: PRIORITIES };
+  const guarded = await replay({ ...options, isGuarded: true });
+  const free = await replay({ ...options, isGuarded: false });
+  const [urgent, before] = [guarded, free].map(({ workspaces }) => readOnTime(workspaces, 0));
+  assert.ok((urgent ?? 0) > (before ?? 1) - 0.05, `${urgent}, ${before} without shares`);
+});
+
+test('in a deep overload each priority is on time a quarter as often as all', async () => {
+  const { workspaces, all } = await replay({ load: 3, priorities: PRIORITIES, isGuarded: true });
+  [0, 1, 2].forEach((priority) => {
+    const onTime = readOnTime(workspaces, priority);
+    assert.ok(onTime > all.onTime / 4, `priority ${priority}: ${onTime} of ${all.onTime}`);
+  });
+});
+
 test.run();
--- a/packages/core/test/direct/sharing/sharesRun.ts
+++ b/packages/core/test/direct/sharing/sharesRun.ts
@@ -80,6 +80,8 @@
     readonly workspace?: number;
   };
   readonly weights?: readonly number[];
+  /** Number of priorities, which the workspaces have by turns. */
+  readonly priorities?: number;
 }
 
 /** One request of a caller, with all of its attempts. */
@@ -155,7 +157,7 @@
   }
 
   #createEntry(name: string, seed: number): DirectFixture {
-    const { entries = 4, isGuarded, weights, large } = this.#options;
+    const { entries = 4, isGuarded, weights, large, priorities } = this.#options;
     const fixture = new DirectFixture(seed, undefined, name);
     fixture.board.entryCount = entries;
     fixture.addUpstreams('models', UPSTREAMS, SLOTS);
@@ -171,7 +173,7 @@
       workspaces: SIZES.map((_, at) => ({
         name: `workspace-${at}`,
         keys: [`key-${at}`],
-        priority: undefined,
+        priority: priorities === undefined ? undefined : at % priorities,
         weight: weights?.[at],
       })),
     });
