--- a/packages/core/src/direct/sharing/workspaceFairness.ts
+++ b/packages/core/src/direct/sharing/workspaceFairness.ts
@@ -287,7 +287,9 @@
     shares: ReadonlyMap<string, number> | undefined,
     nowMs: number,
   ): ShareExcess | undefined {
-    const share = Math.max(SHARE_MIN, shares?.get(workspace) ?? Number.POSITIVE_INFINITY);
+    const known = shares?.get(workspace);
+    if (known === undefined) return undefined;
+    const share = Math.max(SHARE_MIN, known);
     const use = this.readUse(pool, workspace, nowMs);
     return use >= share ? { use, share } : undefined;
   }
