--- a/packages/core/src/direct/directAttempt.ts
+++ b/packages/core/src/direct/directAttempt.ts
@@ -19,6 +19,7 @@
 import type { DirectUpstream } from './directUpstream.js';
 import { LeavingSource } from './fleetBoard.js';
 import type { PoolAdmission } from './poolAdmission.js';
+import type { WorkspaceClaim } from './sharing/workspaceClaim.js';
 
 const LOG_PART = 'membership';
 
@@ -69,6 +70,7 @@
 export interface DirectAttemptOptions {
   readonly context: DirectContext;
   readonly admission: PoolAdmission;
+  readonly claim?: WorkspaceClaim | undefined;
   readonly upstream: DirectUpstream;
   readonly call: UpstreamCall;
   /** Time without progress of the response after which `onSilence` is called. */
@@ -158,7 +160,7 @@
     this.upstream.awaitingFirstOutput += 1;
     this.upstream.startRate.noteStart(this.#sentAtMs);
     this.#options.context.board.permits.noteStart(this.upstream.incarnation, this.#sentAtMs);
-    this.#options.admission.noteStart(this.#sentAtMs);
+    this.#options.admission.noteStart(this.#sentAtMs, this.#options.claim);
     this.#watchSilence(this.#options.silenceLimitMs);
     this.#call = upstreams.call(this.#options.call, {
       onHead: (head) => this.#handleHead(head),
@@ -357,6 +359,6 @@
     this.#options.context.board.addInFlight(this.upstream, -1);
     if (!this.#hasOutput) this.upstream.awaitingFirstOutput -= 1;
     if (this.#work) this.#options.context.board.work.end(this.upstream, this.#work);
-    this.#options.admission.noteEnd();
+    this.#options.admission.noteEnd(this.#options.claim);
   }
 }
--- a/packages/core/src/messages/message.ts
+++ b/packages/core/src/messages/message.ts
@@ -14,6 +14,7 @@
 
 import { LIMIT_NEWS, PERMIT_ASK, PERMIT_GRANT } from './permitMessage.js';
 import { WORK_NEWS } from './workMessage.js';
+import { WORKSPACE_USAGE } from './workspaceUsageMessage.js';
 
 /** Incremented whenever a message changes in a way that older processes cannot read. */
 export const PROTOCOL_VERSION = 1;
@@ -348,6 +349,7 @@
   permitGrant: PERMIT_GRANT.optional(),
   /** Work left by upstream id; sent, even if empty, with full counts. */
   work: z.record(z.string(), WORK_NEWS).optional(),
+  workspaceUsage: WORKSPACE_USAGE.optional(),
 });
 
 const MESSAGE = z.discriminatedUnion('type', [
