Give free slots to the most urgent request at any entry

Priority ordered only the queue of a single entry, so a request that waited lost the slots that other entries released to less urgent requests there. Each entry also limited the prefills in progress to its own part of the pool's.

Entries tell each other what waits and arrives by priority, and how many prefills they run. A request takes a slot only beyond those that more urgent requests wait for elsewhere; equally urgent ones keep what their entry releases and draw for the rest. Waits are estimated from the releases of all entries. Each priority is put first often enough to keep a part of the common share. Applies to pools whose routes differ in priority.

--- a/packages/core/src/direct/admissionQueue.ts
+++ b/packages/core/src/direct/admissionQueue.ts
@@ -59,6 +59,11 @@
     return this.#waiters[0]?.ticket;
   }
 
+  /** All queued requests, in order of admission. */
+  list(): readonly AdmissionTicket[] {
+    return this.#waiters.map(({ ticket }) => ticket);
+  }
+
   /** Number of queued requests that are admitted before this one. */
   countAhead(ticket: AdmissionTicket): number {
     return this.#waiters.filter((waiter) => !isBefore(ticket, waiter.ticket)).length;
--- a/packages/core/src/direct/directRequest.ts
+++ b/packages/core/src/direct/directRequest.ts
@@ -151,7 +151,11 @@
     }
     const ticket: AdmissionTicket = {
       ...this.#ticketBase,
-      ...planWait(this.#options, this.#estimateTimes(0), nowMs),
+      ...planWait(
+        { ...this.#options, isByPriority: admission.isByPriority },
+        this.#estimateTimes(0),
+        nowMs,
+      ),
       onAdmitted: (upstream) => {
         this.#times.noteAdmitted(performance.now());
         this.#send(upstream, false);
--- a/packages/core/src/direct/fleetBoard.ts
+++ b/packages/core/src/direct/fleetBoard.ts
@@ -12,6 +12,7 @@
 import { RequestLimits } from './requestLimits/requestLimits.js';
 import { RequestPermits } from './requestLimits/requestPermits.js';
 import type { RouteTable } from './routeTable.js';
+import { FleetDemand } from './sharing/fleetDemand.js';
 
 /** Number of entries that is assumed until the registry has been read. */
 const ASSUMED_ENTRY_COUNT = 4;
@@ -47,8 +48,11 @@
 
   readonly permitMessages = new PermitMessages();
 
+  /** What waits and arrives at all entries in pools whose requests differ in urgency. */
+  readonly demand = new FleetDemand();
+
   /** State that is exchanged with the other entries beside in-flight counts. */
-  readonly peerStates: readonly PeerState[] = [];
+  readonly peerStates: readonly PeerState[] = [this.demand];
 
   /** Connected entries that can grant permits. */
   permitPeers: ReadonlySet<string> = new Set();
--- a/packages/core/src/direct/poolAdmission.ts
+++ b/packages/core/src/direct/poolAdmission.ts
@@ -20,6 +20,8 @@
 import { PoolRefusals } from './poolRefusals.js';
 import type { DirectPool } from './routeTable.js';
 import { AdmissionDenial, AdmissionQueue, type AdmissionTicket } from './admissionQueue.js';
+import { PoolUrgency } from './sharing/poolUrgency.js';
+import { readUrgencyRank } from './sharing/urgencyRank.js';
 
 const LOG_PART = 'admission';
 
@@ -71,6 +73,9 @@
 
   readonly #queue: AdmissionQueue;
 
+  /** Set where the pool's requests differ in priority by their routes. */
+  #urgency: PoolUrgency | undefined;
+
   readonly #unsubscribeBreaker: () => void;
 
   #admitTimer: NodeJS.Timeout | undefined;
@@ -80,9 +85,14 @@
     this.#pool = pool;
     this.#refusals = new PoolRefusals(pool.name, options.random);
     const onAdjust = (ratio: number): void => this.#logLimit(ratio);
-    this.capacity = new PoolCapacity({ ...options, onAdjust }, pool);
+    const countPeersPrefilling = () => this.#urgency?.countPeersPrefilling(performance.now());
+    this.capacity = new PoolCapacity({ ...options, countPeersPrefilling, onAdjust }, pool);
     this.#demand = options.board.permits.getDemand(pool.name);
-    this.#queue = new AdmissionQueue((size) => this.#demand.setWaiting(size));
+    this.#queue = new AdmissionQueue((size) => {
+      this.#demand.setWaiting(size);
+      this.#tellWaiting();
+    });
+    this.#updateUrgency();
     options.board.permits.onGranted(pool.name, () => this.#admitWaiting());
     this.#breaker = options.board.getBreaker(pool.name);
     this.#unsubscribeBreaker = this.#breaker.onChange((source) =>
@@ -94,12 +104,39 @@
   close(): void {
     this.#unsubscribeBreaker();
     this.#options.board.permits.removePool(this.#pool.name);
+    this.#urgency?.close();
   }
 
   /** Applies the pool's settings from a newer configuration. */
   update(pool: DirectPool): void {
     this.#pool = pool;
     this.capacity.update(pool);
+    this.#updateUrgency();
+  }
+
+  #updateUrgency(): void {
+    const { board, random } = this.#options;
+    const pool = this.#pool.name;
+    const isNeeded = board.table?.hasPriorities(pool) ?? false;
+    if (isNeeded === (this.#urgency !== undefined)) return;
+    this.#urgency?.close();
+    if (!isNeeded) {
+      this.#urgency = undefined;
+      return;
+    }
+    const countPrefilling = () => this.capacity.countPrefilling();
+    this.#urgency = new PoolUrgency({ board, pool, countPrefilling, draw: () => random.next() });
+  }
+
+  /** Tells the peers what waits here for a slot; nothing while the pool is stalled. */
+  #tellWaiting(): void {
+    if (!this.#urgency) return;
+    const isUsable =
+      this.#queue.size > 0 &&
+      !this.#breaker.isOpen &&
+      (this.#urgency.isKnown || !this.capacity.isPrefillFull) &&
+      !this.#isSilent(performance.now());
+    this.#urgency.setWaiting(isUsable ? this.#queue.list() : []);
   }
 
   /** @param ratio pauses relative to their target, or to the pass time that the model predicts */
@@ -122,6 +159,11 @@
     return this.#options.board.getActivity(this.#pool.name);
   }
 
+  /** Whether the pool's requests are admitted by priority over all entries. */
+  get isByPriority(): boolean {
+    return this.#urgency !== undefined;
+  }
+
   get waitingCount(): number {
     return this.#queue.size;
   }
@@ -142,7 +184,8 @@
   }
 
   /** Requests admission. Calls `onAdmitted` or `onDenied` of the ticket, possibly synchronously. */
-  admit(ticket: AdmissionTicket, nowMs: number): void {
+  admit(arrived: AdmissionTicket, nowMs: number): void {
+    const ticket = this.#applyUrgency(arrived, nowMs);
     const ahead = this.#queue.countAhead(ticket);
     this.#demand.noteArrival(nowMs);
     if (this.#isSilent(nowMs) || !this.#breaker.tryPass(nowMs)) {
@@ -150,17 +193,43 @@
       else ticket.onDenied(AdmissionDenial.Stalled);
       return;
     }
-    const { upstream, availableCount } = this.#place(new Set(), nowMs, ticket.isLate);
+    const { upstream, availableCount } = this.#placeTicket(ticket, false, false, nowMs);
     if (ahead === 0 && upstream) {
       ticket.onAdmitted(upstream);
       return;
     }
-    const expectedMs = this.capacity.estimateWaitMs(ahead, nowMs);
+    const expectedMs = this.#estimateWaitMs(ticket, ahead, nowMs);
     if (availableCount === 0) this.#admitDuringBackoff(ticket, ahead, nowMs);
     else if (expectedMs > ticket.waitBudgetMs) ticket.onDenied(AdmissionDenial.Full);
     else this.#enqueue(ticket, ahead, expectedMs);
   }
 
+  /** Records a request's arrival, and puts it first where its priority is starved. */
+  #applyUrgency(ticket: AdmissionTicket, nowMs: number): AdmissionTicket {
+    const urgency = this.#urgency;
+    if (!urgency || ticket.isLate) return ticket;
+    return {
+      ...ticket,
+      priority: urgency.noteArrival(ticket, nowMs),
+      onAdmitted: (upstream) => {
+        urgency.noteAdmitted(ticket.priority);
+        ticket.onAdmitted(upstream);
+      },
+    };
+  }
+
+  /** Estimates the time until a request is admitted, by all entries where that is known. */
+  #estimateWaitMs(ticket: AdmissionTicket, ahead: number, nowMs: number): number {
+    const intervalMs = this.#urgency && this.capacity.readReleaseIntervalMs(nowMs);
+    if (intervalMs === undefined) return this.capacity.estimateWaitMs(ahead, nowMs);
+    const resources = [
+      { free: this.capacity.countOfferedSlots(nowMs), intervalMs },
+      { free: this.capacity.countFreePrefills(), intervalMs: this.capacity.prefillIntervalMs },
+    ];
+    const expectedMs = this.#urgency?.estimateWaitMs(ticket, ahead, resources, nowMs);
+    return expectedMs ?? this.capacity.estimateWaitMs(ahead, nowMs);
+  }
+
   /**
    * Requests admission again after an attempt failed. The request is queued even while its pool is
    * stalled.
@@ -223,7 +292,8 @@
   noteFirstOutput(tookMs: number, nowMs: number): void {
     this.capacity.noteFirstOutput(tookMs);
     this.#noteOutput(nowMs);
-    this.#admitWaiting();
+    this.#urgency?.notePrefilled();
+    this.#admitQueued(true);
   }
 
   /** Records a pause between two events of a stream. */
@@ -236,7 +306,7 @@
   /** Records that an attempt has ended and its slot is free. */
   noteEnd(): void {
     this.#activity.noteEnd();
-    this.#admitWaiting();
+    this.#admitQueued(true);
   }
 
   /** Records that an upstream declined a request, or that its response broke off. */
@@ -245,22 +315,57 @@
   }
 
   /** Admits queued requests as far as there is capacity. */
-  readonly #admitWaiting = (): void => {
+  readonly #admitWaiting = (): void => this.#admitQueued(false);
+
+  /** @param isOwnRelease whether this entry has just released a slot */
+  #admitQueued(isOwnRelease: boolean): void {
     clearTimeout(this.#admitTimer);
     this.#admitTimer = undefined;
     const nowMs = performance.now();
+    let admittedCount = 0;
     for (let next = this.#queue.first; next; next = this.#queue.first) {
-      const upstream = this.#placeQueued(next, nowMs);
+      const upstream = this.#placeQueued(next, isOwnRelease && admittedCount === 0, nowMs);
       if (!upstream) break;
       this.#queue.remove(next.id);
       next.onAdmitted(upstream);
+      admittedCount += 1;
     }
+    this.#tellWaiting();
     if (this.#queue.size > 0) this.#admitTimer ??= setTimeout(this.#admitWaiting, RECHECK_MS);
-  };
+  }
 
-  #placeQueued(ticket: AdmissionTicket, nowMs: number): DirectUpstream | undefined {
+  #placeQueued(
+    ticket: AdmissionTicket,
+    isOwnRelease: boolean,
+    nowMs: number,
+  ): DirectUpstream | undefined {
     if (this.#isSilent(nowMs) || !this.#breaker.tryPass(nowMs, QUEUED_PROBE_MS)) return undefined;
-    return this.#place(new Set(), nowMs, ticket.isLate).upstream;
+    return this.#placeTicket(ticket, true, isOwnRelease, nowMs).upstream;
+  }
+
+  /** Places a request where its turn has come among the requests of all entries. */
+  #placeTicket(
+    ticket: AdmissionTicket,
+    isQueued: boolean,
+    isOwnRelease: boolean,
+    nowMs: number,
+  ): PlacementResult {
+    const result = this.#place(new Set(), nowMs, ticket.isLate);
+    if (!this.#urgency || !result.upstream) return result;
+    const rank = readUrgencyRank(ticket);
+    const equal = this.#queue.list().filter((each) => readUrgencyRank(each) === rank);
+    const offer = {
+      freeSlots: Math.min(
+        this.capacity.countOfferedSlots(nowMs),
+        this.capacity.countFreePrefills(),
+      ),
+      ownEqual: equal.length,
+      isQueued,
+      isOwnRelease,
+    };
+    return this.#urgency.mayTake(ticket, offer, nowMs)
+      ? result
+      : { ...result, upstream: undefined };
   }
 
   #place(excluded: ReadonlySet<string>, nowMs: number, isLate = false): PlacementResult {
--- a/packages/core/src/direct/poolCapacity.ts
+++ b/packages/core/src/direct/poolCapacity.ts
@@ -45,6 +45,10 @@
    * where there is none.
    */
   readonly getStartLimitPerS: (pool: DirectPool) => number | undefined;
+  /**
+   * Returns the prefills that the other entries run; undefined where they have not told it.
+   */
+  readonly countPeersPrefilling?: () => number | undefined;
   /** Called when the in-flight limit has changed, with the ratio that caused the change. */
   readonly onAdjust: (ratio: number) => void;
 }
@@ -108,9 +112,26 @@
    */
   get isPrefillFull(): boolean {
     if (!this.#pool.engine) return false;
-    return (
-      this.#upstreams.reduce((sum, each) => sum + each.awaitingFirstOutput, 0) >= this.#prefillShare
-    );
+    return this.countFreePrefills() < 1;
+  }
+
+  /** Prefills that this entry runs. */
+  countPrefilling(): number {
+    return this.#upstreams.reduce((sum, each) => sum + each.awaitingFirstOutput, 0);
+  }
+
+  /** Prefills that can be started now: by all entries where their prefills are known. */
+  countFreePrefills(): number {
+    const peers = this.#options.countPeersPrefilling?.();
+    if (peers === undefined) return this.#prefillShare - this.countPrefilling();
+    return this.#prefillLimit - peers - this.countPrefilling();
+  }
+
+  /** Prefills that all entries may run at the same time. */
+  get #prefillLimit(): number {
+    const perEngine = this.#limit?.concurrentPrefills ?? 0;
+    const minimum = PREFILLS_MIN * this.#options.board.entryCount;
+    return Math.max(minimum, Math.ceil(this.#upstreams.length * perEngine));
   }
 
   /** Prefills that this entry may run at the same time. */
@@ -133,6 +154,41 @@
     return this.#upstreams.length * this.limitPerUpstream;
   }
 
+  /**
+   * Slots of the upstreams in service that no entry uses; negative where more are used than the
+   * limit allows, as after a sudden loss of capacity.
+   */
+  countOfferedSlots(nowMs: number): number {
+    const { board } = this.#options;
+    const limit = this.#limit?.isPoolAverage
+      ? this.limitPerUpstream
+      : Math.ceil(this.limitPerUpstream);
+    return this.#upstreams.reduce((sum, each) => {
+      const isOffered = isInService(board, each) && !each.isBackingOff(nowMs);
+      return isOffered ? sum + limit - board.countLoad(each, nowMs) : sum;
+    }, 0);
+  }
+
+  /**
+   * Mean time between two releases of slots by any entry, by Little's law; undefined before the
+   * first complete response, and where request limits determine when a request is sent.
+   */
+  readReleaseIntervalMs(nowMs: number): number | undefined {
+    const heldMs = this.#serviceTimes.meanMs;
+    if (heldMs === 0 || this.#requestLimitPerS !== undefined) return undefined;
+    return heldMs / Math.max(1, this.#countLoad(nowMs));
+  }
+
+  /** Mean time between two prefills that complete at any entry while all that may run do so. */
+  get prefillIntervalMs(): number {
+    return this.#firstOutputMs / this.#prefillLimit;
+  }
+
+  /** Estimates the time until as many prefills have completed that a request can be sent. */
+  estimatePrefillWaitMs(ahead: number): number {
+    return ((ahead + 1) * this.#firstOutputMs) / this.#prefillShare;
+  }
+
   /** Slots that no entry uses. */
   #countFreeSlots(nowMs: number): number {
     return this.#slotCount - this.#countLoad(nowMs);
@@ -221,11 +277,11 @@
   estimateWaitMs(ahead: number, nowMs: number): number {
     const freeSlotShare = this.#countUsableSlots(nowMs) / this.#options.board.entryCount;
     const isPrefillBound = this.#pool.engine !== undefined && ahead < freeSlotShare;
-    const intervalMs = isPrefillBound
-      ? this.#firstOutputMs / this.#prefillShare
-      : this.admissionIntervalMs;
     const perS = this.#requestLimitPerS;
-    if (perS === undefined) return (ahead + 1) * intervalMs;
+    if (perS === undefined) {
+      if (isPrefillBound) return this.estimatePrefillWaitMs(ahead);
+      return (ahead + 1) * this.admissionIntervalMs;
+    }
     return this.#options.board.permits.estimateWaitMs(this.#pool.name, perS, ahead, nowMs);
   }
 
--- a/packages/core/src/direct/routeTable.ts
+++ b/packages/core/src/direct/routeTable.ts
@@ -132,6 +132,8 @@
 
   readonly #pools: ReadonlyMap<string, DirectPool>;
 
+  readonly #prioritiesByPool = new Map<string, Set<number>>();
+
   readonly #workspacesByKey = new Map<string, DirectWorkspace>();
 
   readonly #hasWorkspaces: boolean;
@@ -173,6 +175,11 @@
     return this.#workspacesByKey.get(key);
   }
 
+  /** Whether the requests of a pool differ in priority by their routes. */
+  hasPriorities(pool: string): boolean {
+    return (this.#prioritiesByPool.get(pool)?.size ?? 0) > 1;
+  }
+
   /** Whether a request of the route needs the API key of a workspace. */
   isKeyRequired(route: Route): boolean {
     return this.#hasWorkspaces && !route.isPublic;
@@ -182,6 +189,10 @@
     const host = removePort(route.host);
     const routes = this.#routes.get(host) ?? new Map<string, Route>();
     routes.set(route.pathPrefix, route);
+    route.shares.forEach(({ pool }) => {
+      const priorities = this.#prioritiesByPool.get(pool) ?? new Set();
+      this.#prioritiesByPool.set(pool, priorities.add(route.priority));
+    });
     this.#routes.set(host, routes);
   }
 }
--- a/packages/core/src/direct/waitPlan.ts
+++ b/packages/core/src/direct/waitPlan.ts
@@ -7,10 +7,18 @@
 /** Factor on the expected time to first output, which about nine in ten requests stay below. */
 const FIRST_OUTPUT_MARGIN = 1.3;
 
+/**
+ * Part of its target that a request may wait at least where requests differ in priority. One whose
+ * first output is expected just late would be refused for a less urgent one with a longer target.
+ */
+const MINIMUM_WAIT_FRACTION = 0.125;
+
 export interface WaitPlanInput {
   readonly request: ForwardedRequest;
   readonly route: Route;
   readonly returnAssessment: ReturnAssessment;
+  /** Whether the pool's requests are admitted by priority over all entries. */
+  readonly isByPriority: boolean;
 }
 
 /** Estimated times on which a wait budget is based. */
@@ -51,7 +59,7 @@
  * long as it can be answered at all.
  */
 export function planWait(input: WaitPlanInput, expected: ExpectedTimes, nowMs: number): WaitPlan {
-  const { request, route, returnAssessment } = input;
+  const { request, route, returnAssessment, isByPriority } = input;
   const waitedMs = nowMs - request.arrivedAtMs;
   if (returnAssessment.isReturned) {
     const deadlineMs = request.deadlineMs ?? returnAssessment.firstDeadlineMs;
@@ -59,5 +67,6 @@
     return { isLate: true, waitBudgetMs: planLateWait(route, expected, leftMs, waitedMs) };
   }
   const onTimeMs = route.targetMs - waitedMs - expected.firstOutputMs * FIRST_OUTPUT_MARGIN;
-  return { isLate: false, waitBudgetMs: Math.max(0, onTimeMs) };
+  const minimumMs = isByPriority ? route.targetMs * MINIMUM_WAIT_FRACTION : 0;
+  return { isLate: false, waitBudgetMs: Math.max(minimumMs, onTimeMs) };
 }
--- a/packages/core/src/messages/message.ts
+++ b/packages/core/src/messages/message.ts
@@ -12,6 +12,7 @@
 import { Outcome, RefusalReason } from '../model/reason.js';
 import { Err, Ok, type Result } from '../outcome.js';
 
+import { DEMANDS } from './demandMessage.js';
 import { LIMIT_NEWS, PERMIT_ASK, PERMIT_GRANT } from './permitMessage.js';
 
 /** Incremented whenever a message changes in a way that older processes cannot read. */
@@ -345,6 +346,8 @@
   limits: z.array(LIMIT_NEWS).readonly().optional(),
   permitAsk: PERMIT_ASK.optional(),
   permitGrant: PERMIT_GRANT.optional(),
+  /** What waits and arrives at the entry, by pool. */
+  demands: DEMANDS.optional(),
 });
 
 const MESSAGE = z.discriminatedUnion('type', [
--- a/packages/core/test/direct/directFixture.ts
+++ b/packages/core/test/direct/directFixture.ts
@@ -27,7 +27,7 @@
 /** Deadline that callers state with a first attempt, in milliseconds. */
 export const DEADLINE_MS = 8_000;
 
-const BASE_ROUTE: Route = {
+export const BASE_ROUTE: Route = {
   name: 'stream',
   host: 'choir.example',
   pathPrefix: '/stream/',
@@ -100,8 +100,9 @@
   /**
    * @param costs configured costs of the engines of pool `models`
    * @param name name of the entry
+   * @param content routes, pools and workspaces
    */
-  constructor(seed = 1, costs?: EngineCosts, name = 'entry-1') {
+  constructor(seed = 1, costs?: EngineCosts, name = 'entry-1', content = CONTENT) {
     this.board = new FleetBoard(name, 'zone-a', BOUNDS);
     this.registry = new UpstreamRegistry(this.board, new SilentLog());
     this.controller = new DirectController({
@@ -112,10 +113,10 @@
       metrics: this.metrics,
     });
     this.board.entryCount = 1;
-    const pools = CONTENT.pools.map((pool) =>
+    const pools = content.pools.map((pool) =>
       pool.engine && costs ? { ...pool, engine: { ...pool.engine, costs } } : pool,
     );
-    this.board.replaceTable(new RouteTable({ ...CONTENT, pools }));
+    this.board.replaceTable(new RouteTable({ ...content, pools }));
   }
 
   get calls(): readonly FakeCall[] {
