Merge admission by urgency over all entries

Where priorities differ, the order over all entries replaces the yielding by class of the shares; a workspace above its share still yields to others of its priority.

--- a/packages/core/src/direct/admissionQueue.ts
+++ b/packages/core/src/direct/admissionQueue.ts
@@ -91,6 +91,11 @@
       .ticket;
   }
 
+  /** All queued requests, in order of admission. */
+  list(): readonly AdmissionTicket[] {
+    return this.#waiters.map(({ ticket }) => ticket);
+  }
+
   /** Number of queued requests that are admitted before this one. */
   countAhead(ticket: AdmissionTicket): number {
     const { claim } = ticket;
--- a/packages/core/src/direct/fleetBoard.ts
+++ b/packages/core/src/direct/fleetBoard.ts
@@ -14,6 +14,7 @@
 import { RequestPermits } from './requestLimits/requestPermits.js';
 import type { RouteTable } from './routeTable.js';
 import { WorkspaceFairness } from './sharing/workspaceFairness.js';
+import { FleetDemand } from './sharing/fleetDemand.js';
 
 /** Number of entries that is assumed until the registry has been read. */
 const ASSUMED_ENTRY_COUNT = 4;
@@ -63,8 +64,11 @@
     session: Date.now(),
   });
 
+  /** What waits and arrives at all entries in pools whose requests differ in urgency. */
+  readonly demand = new FleetDemand();
+
   /** State that is exchanged with the other entries beside in-flight counts. */
-  readonly peerStates: readonly PeerState[] = [this.work, this.fairness];
+  readonly peerStates: readonly PeerState[] = [this.work, this.fairness, this.demand];
 
   /** Connected entries that can grant permits. */
   permitPeers: ReadonlySet<string> = new Set();
--- a/packages/core/src/direct/poolAdmission.ts
+++ b/packages/core/src/direct/poolAdmission.ts
@@ -29,6 +29,8 @@
 import { ShareTelemetry } from './sharing/shareTelemetry.js';
 import { weighRequest, type WorkspaceClaim } from './sharing/workspaceClaim.js';
 import { AdmissionDenial, AdmissionQueue, type AdmissionTicket } from './admissionQueue.js';
+import { PoolUrgency } from './sharing/poolUrgency.js';
+import { readUrgencyRank } from './sharing/urgencyRank.js';
 
 const LOG_PART = 'admission';
 
@@ -102,6 +104,9 @@
   /** Less urgent requests that have yielded since the last one that did not. */
   #yieldCount = 0;
 
+  /** Set where the pool's requests differ in priority by their routes. */
+  #urgency: PoolUrgency | undefined;
+
   readonly #unsubscribeBreaker: () => void;
 
   #admitTimer: NodeJS.Timeout | undefined;
@@ -111,17 +116,22 @@
     this.#pool = pool;
     this.#refusals = new PoolRefusals(pool.name, options.random);
     const onAdjust = (ratio: number): void => this.#logLimit(ratio);
+    const countPeersPrefilling = () => this.#urgency?.countPeersPrefilling(performance.now());
     this.cost = createCost(pool);
-    this.capacity = new PoolCapacity({ ...options, onAdjust }, pool);
+    this.capacity = new PoolCapacity({ ...options, countPeersPrefilling, onAdjust }, pool);
     this.#demand = options.board.permits.getDemand(pool.name);
     const { fairness } = options.board;
     this.#queue = new AdmissionQueue({
-      onSizeChange: (size) => this.#demand.setWaiting(size),
+      onSizeChange: (size) => {
+        this.#demand.setWaiting(size);
+        this.#tellWaiting();
+      },
       onWaiting: (ticket, change) => fairness.addWaiting(pool.name, ticket, change),
       isAboveShare: ({ claim }) =>
         fairness.findExcess(pool.name, claim, performance.now()) !== undefined,
     });
     this.#shareTelemetry = new ShareTelemetry({ ...options, pool: pool.name });
+    this.#updateUrgency();
     options.board.permits.onGranted(pool.name, () => this.#admitWaiting());
     this.#breaker = options.board.getBreaker(pool.name);
     this.#unsubscribeBreaker = this.#breaker.onChange((source) =>
@@ -133,6 +143,7 @@
   close(): void {
     this.#unsubscribeBreaker();
     this.#options.board.permits.removePool(this.#pool.name);
+    this.#urgency?.close();
   }
 
   /** Applies the pool's settings from a newer configuration. */
@@ -142,6 +153,32 @@
     if (!isSame) this.cost = createCost(pool);
     this.#pool = pool;
     this.capacity.update(pool);
+    this.#updateUrgency();
+  }
+
+  #updateUrgency(): void {
+    const { board, random } = this.#options;
+    const pool = this.#pool.name;
+    const isNeeded = board.table?.hasPriorities(pool) ?? false;
+    if (isNeeded === (this.#urgency !== undefined)) return;
+    this.#urgency?.close();
+    if (!isNeeded) {
+      this.#urgency = undefined;
+      return;
+    }
+    const countPrefilling = () => this.capacity.countPrefilling();
+    this.#urgency = new PoolUrgency({ board, pool, countPrefilling, draw: () => random.next() });
+  }
+
+  /** Tells the peers what waits here for a slot; nothing while the pool is stalled. */
+  #tellWaiting(): void {
+    if (!this.#urgency) return;
+    const isUsable =
+      this.#queue.size > 0 &&
+      !this.#breaker.isOpen &&
+      (this.#urgency.isKnown || !this.capacity.isPrefillFull) &&
+      !this.#isSilent(performance.now());
+    this.#urgency.setWaiting(isUsable ? this.#queue.list() : []);
   }
 
   /** @param ratio pauses relative to their target, or to the pass time that the model predicts */
@@ -179,6 +216,11 @@
     return { workspace: workspace ?? '', share, ...weighRequest(size, this.#pool.engine) };
   }
 
+  /** Whether the pool's requests are admitted by priority over all entries. */
+  get isByPriority(): boolean {
+    return this.#urgency !== undefined;
+  }
+
   get waitingCount(): number {
     return this.#queue.size;
   }
@@ -199,7 +241,8 @@
   }
 
   /** Requests admission. Calls `onAdmitted` or `onDenied` of the ticket, possibly synchronously. */
-  admit(ticket: AdmissionTicket, nowMs: number): void {
+  admit(arrived: AdmissionTicket, nowMs: number): void {
+    const ticket = this.#applyUrgency(arrived, nowMs);
     const ahead = this.#queue.countAhead(ticket);
     this.#demand.noteArrival(nowMs);
     if (this.#isSilent(nowMs) || !this.#breaker.tryPass(nowMs)) {
@@ -207,7 +250,7 @@
       else ticket.onDenied(AdmissionDenial.Stalled);
       return;
     }
-    const { upstream, availableCount } = this.#place(new Set(), nowMs, ticket.cost, ticket.isLate);
+    const { upstream, availableCount } = this.#placeTicket(ticket, false, false, nowMs);
     const isYielding = this.#isNewYielding(ticket, nowMs);
     if (ahead === 0 && upstream && !isYielding) {
       ticket.onAdmitted(upstream);
@@ -220,6 +263,20 @@
     else this.#enqueue(ticket, ahead, expectedMs);
   }
 
+  /** Records a request's arrival, and puts it first where its priority is starved. */
+  #applyUrgency(ticket: AdmissionTicket, nowMs: number): AdmissionTicket {
+    const urgency = this.#urgency;
+    if (!urgency || ticket.isLate) return ticket;
+    return {
+      ...ticket,
+      priority: urgency.noteArrival(ticket, nowMs),
+      onAdmitted: (upstream) => {
+        urgency.noteAdmitted(ticket.priority);
+        ticket.onAdmitted(upstream);
+      },
+    };
+  }
+
   /**
    * Requests admission again after an attempt failed. The request is queued even while its pool is
    * stalled.
@@ -286,6 +343,7 @@
     const { name } = this.#pool;
     if (!claim || !fairness.isContended(name, nowMs)) return false;
     const isAbove = fairness.findExcess(name, claim, nowMs) !== undefined;
+    if (this.#urgency && !isAbove) return false;
     const pending = fairness.countPending(name, isAbove ? priority : priority - 1, nowMs);
     return this.capacity.isReservedFor(pending, nowMs);
   }
@@ -301,17 +359,32 @@
     return this.#yieldCount > 0;
   }
 
-  /** A workspace below its share gets the next slot that any entry frees. */
-  #estimateWaitMs({ claim, priority }: AdmissionTicket, ahead: number, nowMs: number): number {
+  /**
+   * Estimates the time until a request is admitted, from what waits at all entries where that is
+   * known. A workspace below its share gets the next slot that any entry frees.
+   */
+  #estimateWaitMs(ticket: AdmissionTicket, ahead: number, nowMs: number): number {
     const { fairness } = this.#options.board;
     const { name } = this.#pool;
-    const ownMs = this.capacity.estimateWaitMs(ahead, nowMs);
+    const { claim, priority } = ticket;
+    const ownMs =
+      this.#estimateByUrgencyMs(ticket, ahead, nowMs) ?? this.capacity.estimateWaitMs(ahead, nowMs);
     if (!claim || !fairness.isContended(name, nowMs)) return ownMs;
     if (fairness.findExcess(name, claim, nowMs)) return ownMs;
     const fleetAhead = fairness.countPending(name, priority, nowMs);
     return Math.min(ownMs, this.capacity.estimateFleetWaitMs(fleetAhead, nowMs) ?? ownMs);
   }
 
+  #estimateByUrgencyMs(ticket: AdmissionTicket, ahead: number, nowMs: number): number | undefined {
+    const intervalMs = this.#urgency && this.capacity.readReleaseIntervalMs(nowMs);
+    if (intervalMs === undefined) return undefined;
+    const resources = [
+      { free: this.capacity.countOfferedSlots(nowMs), intervalMs },
+      { free: this.capacity.countFreePrefills(), intervalMs: this.capacity.prefillIntervalMs },
+    ];
+    return this.#urgency?.estimateWaitMs(ticket, ahead, resources, nowMs);
+  }
+
   /** Records that a request was refused. */
   noteDenied(ticket: AdmissionTicket, denial: AdmissionDenial, nowMs: number): void {
     if (denial !== AdmissionDenial.Full || !ticket.claim) return;
@@ -332,7 +405,8 @@
   noteFirstOutput(tookMs: number, nowMs: number): void {
     this.capacity.noteFirstOutput(tookMs);
     this.#noteOutput(nowMs);
-    this.#admitWaiting();
+    this.#urgency?.notePrefilled();
+    this.#admitQueued(true);
   }
 
   /**
@@ -363,7 +437,7 @@
   noteEnd(claim?: WorkspaceClaim): void {
     this.#options.board.fairness.addInFlight(this.#pool.name, claim, -1);
     this.#activity.noteEnd();
-    this.#admitWaiting();
+    this.#admitQueued(true);
   }
 
   /** Records that an upstream declined a request, or that its response broke off. */
@@ -372,23 +446,58 @@
   }
 
   /** Admits queued requests as far as there is capacity. */
-  readonly #admitWaiting = (): void => {
+  readonly #admitWaiting = (): void => this.#admitQueued(false);
+
+  /** @param isOwnRelease whether this entry has just released a slot */
+  #admitQueued(isOwnRelease: boolean): void {
     clearTimeout(this.#admitTimer);
     this.#admitTimer = undefined;
     const nowMs = performance.now();
+    let admittedCount = 0;
     for (let next = this.#queue.first; next; next = this.#queue.first) {
-      const upstream = this.#placeQueued(next, nowMs);
+      const upstream = this.#placeQueued(next, isOwnRelease && admittedCount === 0, nowMs);
       if (!upstream) break;
       this.#queue.dequeue(next.id);
       next.onAdmitted(upstream);
+      admittedCount += 1;
     }
+    this.#tellWaiting();
     if (this.#queue.size > 0) this.#admitTimer ??= setTimeout(this.#admitWaiting, RECHECK_MS);
-  };
+  }
 
-  #placeQueued(ticket: AdmissionTicket, nowMs: number): DirectUpstream | undefined {
+  #placeQueued(
+    ticket: AdmissionTicket,
+    isOwnRelease: boolean,
+    nowMs: number,
+  ): DirectUpstream | undefined {
     if (this.#isSilent(nowMs) || !this.#breaker.tryPass(nowMs, QUEUED_PROBE_MS)) return undefined;
     if (this.#isYielding(ticket, nowMs)) return undefined;
-    return this.#place(new Set(), nowMs, ticket.cost, ticket.isLate).upstream;
+    return this.#placeTicket(ticket, true, isOwnRelease, nowMs).upstream;
+  }
+
+  /** Places a request where its turn has come among the requests of all entries. */
+  #placeTicket(
+    ticket: AdmissionTicket,
+    isQueued: boolean,
+    isOwnRelease: boolean,
+    nowMs: number,
+  ): PlacementResult {
+    const result = this.#place(new Set(), nowMs, ticket.cost, ticket.isLate);
+    if (!this.#urgency || !result.upstream) return result;
+    const rank = readUrgencyRank(ticket);
+    const equal = this.#queue.list().filter((each) => readUrgencyRank(each) === rank);
+    const offer = {
+      freeSlots: Math.min(
+        this.capacity.countOfferedSlots(nowMs),
+        this.capacity.countFreePrefills(),
+      ),
+      ownEqual: equal.length,
+      isQueued,
+      isOwnRelease,
+    };
+    return this.#urgency.mayTake(ticket, offer, nowMs)
+      ? result
+      : { ...result, upstream: undefined };
   }
 
   #place(
--- a/packages/core/src/messages/message.ts
+++ b/packages/core/src/messages/message.ts
@@ -12,6 +12,7 @@
 import { Outcome, RefusalReason } from '../model/reason.js';
 import { Err, Ok, type Result } from '../outcome.js';
 
+import { DEMANDS } from './demandMessage.js';
 import { LIMIT_NEWS, PERMIT_ASK, PERMIT_GRANT } from './permitMessage.js';
 import { WORK_NEWS } from './workMessage.js';
 import { WORKSPACE_USAGE } from './workspaceUsageMessage.js';
@@ -350,6 +351,8 @@
   /** Work left by upstream id; sent, even if empty, with full counts. */
   work: z.record(z.string(), WORK_NEWS).optional(),
   workspaceUsage: WORKSPACE_USAGE.optional(),
+  /** What waits and arrives at the entry, by pool. */
+  demands: DEMANDS.optional(),
 });
 
 const MESSAGE = z.discriminatedUnion('type', [
