Keep trying for longer when gates refuse a request

Cause: a request was given up after eight gate refusals, less than three rounds over three upstreams, although its deadline was 30 s away. While side processes and engines start on a busy machine, all gates refuse for that long. The two tests of planned stops under load begin their load right then; the stop was not the cause.

Change: after eight refusals each further try waits for a backoff of 0.5 to 1.5 s, up to sixteen, never past the deadline. The first eight are as before.

--- a/packages/core/src/entry/requestRun.ts
+++ b/packages/core/src/entry/requestRun.ts
@@ -271,7 +271,8 @@
       return;
     }
     this.#context.metrics.count('request.retried', { reason: retryReason });
-    this.#startAttempt(end);
+    if (isGateRefusal && this.#history.isBackoffDue) this.#retryLater(end);
+    else this.#startAttempt(end);
   }
 
   #giveUp(end: FailedEnd, cause: RefusalReason): void {
--- a/packages/core/src/retry/retryHistory.ts
+++ b/packages/core/src/retry/retryHistory.ts
@@ -4,6 +4,12 @@
 
 import type { RetryPolicy } from './retryPolicy.js';
 
+/**
+ * Gate refusals after which each further attempt waits for a backoff, whether another upstream is
+ * left or not.
+ */
+const QUICK_GATE_REFUSALS = 8;
+
 /** An attempt that ended without an answer. */
 export interface FailedAttempt {
   readonly upstream: string;
@@ -49,6 +55,11 @@
     return this.#mayHaveRun;
   }
 
+  /** Whether the next attempt has to wait, as gates have refused the request many times. */
+  get isBackoffDue(): boolean {
+    return this.#gateRefusals >= QUICK_GATE_REFUSALS;
+  }
+
   /**
    * Records a failed attempt and decides whether another one may follow.
    *
--- a/packages/core/src/retry/retryPolicy.ts
+++ b/packages/core/src/retry/retryPolicy.ts
@@ -11,8 +11,11 @@
 
 import { RetryBudget } from './retryBudget.js';
 
-/** Gate refusals after which a request is given up. */
-const GATE_REFUSAL_LIMIT = 8;
+/**
+ * Gate refusals after which a request is given up. With the backoffs that is after some 10 s, in
+ * which a starting side process reads its engine's first report even on a busy machine.
+ */
+const GATE_REFUSAL_LIMIT = 16;
 
 const BACKOFF_MIN_MS = 20;
 
