Keep descriptors free for upstream connections

Callers could hold all but 600 descriptors whatever upstream calls needed. The limit on caller connections now falls with the number of upstream connections; those idle beyond four fifths of the keep-alive timeout and those that have stopped close first. Shown by daemon/test/connectionTable.

--- a/packages/daemon/src/callers/callerServer.ts
+++ b/packages/daemon/src/callers/callerServer.ts
@@ -61,6 +61,8 @@
   readonly connectionLimit: number;
   /** Further limits of connections and what they hold; none by default. */
   readonly connectionLimits?: Omit<ConnectionLimits, 'connections'>;
+  /** Connections that descriptors allow at present; only `connectionLimit` by default. */
+  readonly getAvailableConnections?: () => number;
   /** Called after each check of the connections. */
   readonly onChecked?: (connections: ConnectionTable) => void;
   readonly metrics: Metrics;
@@ -121,6 +123,7 @@
       },
       getNowMs: () => performance.now(),
       getIdleTimeoutMs: () => options.getLimits().idleTimeoutMs,
+      getAvailable: options.getAvailableConnections,
       onClose: (reason) => options.metrics.count('connection.closed', { reason }),
     });
     this.#server = http.createServer(
--- a/packages/daemon/src/callers/connectionTable.ts
+++ b/packages/daemon/src/callers/connectionTable.ts
@@ -15,6 +15,9 @@
 import { Awaited, type MemoryAccount } from '@radishbay/core/memory/memoryAccount.js';
 import { RefusalReason } from '@radishbay/core/model/reason.js';
 
+/** Connections closed in one check to make room; each takes a pass over all of them. */
+const CLOSED_PER_CHECK = 32;
+
 /** Why a connection is closed. */
 export enum CloseReason {
   ConnectionLimit = 'connection-limit',
@@ -80,6 +83,8 @@
   readonly limits: ConnectionLimits;
   readonly getNowMs: () => number;
   readonly getIdleTimeoutMs: () => number;
+  /** Connections that descriptors allow at present, beside those to upstreams. */
+  readonly getAvailable?: (() => number) | undefined;
   readonly onClose: (reason: CloseReason) => void;
 }
 
@@ -114,6 +119,11 @@
     return this.#requestCount;
   }
 
+  get #limit(): number {
+    const { limits, getAvailable } = this.#options;
+    return Math.min(limits.connections, getAvailable?.() ?? Infinity);
+  }
+
   /** Adds a connection; closes it, or another one, if there are too many. */
   add(socket: Socket): void {
     const { limits, getNowMs, onClose } = this.#options;
@@ -124,7 +134,7 @@
       socket.destroy();
       return;
     }
-    if (this.#connections.size >= limits.connections) {
+    if (this.#connections.size >= this.#limit) {
       onClose(CloseReason.ConnectionLimit);
       if (!this.#closeOne()) {
         socket.destroy();
@@ -184,8 +194,16 @@
     return (this.#connections.get(socket)?.requestCount ?? 0) > 0;
   }
 
-  /** Measures heads in progress, and ends what has stood still for too long. */
+  /** Measures heads in progress, and ends what has stood still for too long or is too much. */
   check(): void {
+    this.#checkConnections();
+    for (let at = 0; at < CLOSED_PER_CHECK && this.#connections.size > this.#limit; at += 1) {
+      if (!this.#closeOne()) return;
+      this.#options.onClose(CloseReason.ConnectionLimit);
+    }
+  }
+
+  #checkConnections(): void {
     const { limits, getNowMs, onClose } = this.#options;
     const nowMs = getNowMs();
     this.#headBytes = 0;
--- a/packages/daemon/src/direct/directEntryDaemon.ts
+++ b/packages/daemon/src/direct/directEntryDaemon.ts
@@ -64,6 +64,8 @@
   /** Address and path of the metrics endpoint; undefined if metrics are not served. */
   readonly metrics: (Listener & { readonly path: string }) | undefined;
   readonly connectionLimit: number;
+  /** Descriptors for connections of callers and to upstreams together. */
+  readonly descriptorLimit: number;
   /** Memory of the VM for this process. */
   readonly memoryBytes: number;
   readonly callerBounds: CallerBounds;
@@ -134,6 +136,7 @@
     const telemetry = new MemoryTelemetry({ ...instruments, budget });
     this.#callers = new CallerServer({
       ...options.callers,
+      getAvailableConnections: () => options.descriptorLimit - this.#upstreams.connectionCount,
       connectionLimits: { ...options.callerBounds, headBytes: sizes.headBytes },
       onChecked: ({ connectionCount, headBytes }) => telemetry.report(connectionCount, headBytes),
       connectionLimit: options.connectionLimit,
--- a/packages/daemon/src/direct/httpUpstreamCall.ts
+++ b/packages/daemon/src/direct/httpUpstreamCall.ts
@@ -132,6 +132,7 @@
       this.#isConnected = true;
       return;
     }
+    this.#agent.noteConnection(socket);
     this.#connectTimer = setTimeout(() => {
       this.#fail(`the connection was not established within ${CONNECT_TIMEOUT_MS} ms`);
       this.#request.destroy();
--- a/packages/daemon/src/direct/httpUpstreamCaller.ts
+++ b/packages/daemon/src/direct/httpUpstreamCaller.ts
@@ -49,6 +49,11 @@
     this.#codec = codec;
   }
 
+  /** Number of connections to upstreams. */
+  get connectionCount(): number {
+    return this.#agent.connectionCount + this.#nonRepeatableAgent.connectionCount;
+  }
+
   override call(call: UpstreamCall, events: CallEvents): CallInProgress {
     const agent = call.isFreshConnectionNeeded ? this.#nonRepeatableAgent : this.#agent;
     try {
--- a/packages/daemon/src/direct/upstreamAgent.ts
+++ b/packages/daemon/src/direct/upstreamAgent.ts
@@ -35,12 +35,27 @@
 export class UpstreamAgent extends http.Agent {
   readonly #idleLimitMs: number;
 
+  #connectionCount = 0;
+
   /** @param idleLimitMs maximum idle time of a connection */
   constructor(idleLimitMs: number) {
     super({ keepAlive: true, scheduling: 'lifo', maxFreeSockets: 64 });
     this.#idleLimitMs = idleLimitMs;
   }
 
+  /** Number of connections that are open or being opened. */
+  get connectionCount(): number {
+    return this.#connectionCount;
+  }
+
+  /** Counts a new connection until it closes. */
+  noteConnection(socket: Socket): void {
+    this.#connectionCount += 1;
+    socket.once('close', () => {
+      this.#connectionCount -= 1;
+    });
+  }
+
   override keepSocketAlive(socket: Duplex): boolean {
     const client = socket as ClientSocket;
     const keepAliveTimeoutMs = readKeepAliveTimeoutMs(client);
--- a/packages/daemon/test/connectionTable.test.ts
+++ b/packages/daemon/test/connectionTable.test.ts
@@ -46,7 +46,7 @@
 interface Context {
   nowMs: number;
   closed: CloseReason[];
-  create: (limits?: Partial<ConnectionLimits>) => ConnectionTable;
+  create: (limits?: Partial<ConnectionLimits>, getAvailable?: () => number) => ConnectionTable;
 }
 
 const test = suite<Context>('connection table');
@@ -54,11 +54,12 @@
 test.before.each((context) => {
   context.nowMs = 0;
   context.closed = [];
-  context.create = (limits = {}) =>
+  context.create = (limits = {}, getAvailable = () => Infinity) =>
     new ConnectionTable({
       limits: { ...LIMITS, ...limits },
       getNowMs: () => context.nowMs,
       getIdleTimeoutMs: () => IDLE_TIMEOUT_MS,
+      getAvailable,
       onClose: (reason) => context.closed.push(reason),
     });
 });
@@ -104,6 +105,20 @@
   assert.not(first.isOpen);
 });
 
+test('connections make room for those to upstreams, idle ones first', (context) => {
+  let available = 3;
+  const table = context.create({}, () => available);
+  const [first, second] = [open(table), open(table)];
+  begin(table, second);
+  available = 1;
+  context.nowMs = 1_000;
+  table.check();
+  table.check();
+  assert.not(first.isOpen);
+  assert.ok(second.isOpen);
+  assert.not(open(table).isOpen);
+});
+
 test('heads that hold too much close, the one that stands still longest first', (context) => {
   const table = context.create();
   const [first, second] = [open(table), open(table)];
