--- a/packages/soak/src/faults/faultRunner.ts
+++ b/packages/soak/src/faults/faultRunner.ts
@@ -8,6 +8,7 @@
 import type { FaultTimeline } from '../record/faultTimeline.js';
 import type { SoakRecord } from '../record/soakRecord.js';
 
+import { floodEntry } from './callerFaults.js';
 import { EntryFaults } from './entryFaults.js';
 import { StoreFaults } from './storeFaults.js';
 import { UpstreamFaults } from './upstreamFaults.js';
@@ -81,6 +82,7 @@
     }
     const entry = pick(fleet.entries, fault.target);
     this.#reportFault(fault, entry.name);
+    if (fault.kind === FaultKind.CallerFlood) return floodEntry(fault, entry);
     return this.#entries.inject(fault, entry);
   }
 
--- a/packages/soak/src/plan/fault.ts
+++ b/packages/soak/src/plan/fault.ts
@@ -42,6 +42,8 @@
   ConfigChange = 'config-change',
   /** The store returns from an older copy, and all writers but the entries write again. */
   StoreReturns = 'store-returns',
+  /** Callers of an entry send bodies or heads that do not end, and keep their connections. */
+  CallerFlood = 'caller-flood',
 }
 
 /** One fault of a plan, as written to plan.json. */
--- a/packages/soak/src/plan/faultPlan.ts
+++ b/packages/soak/src/plan/faultPlan.ts
@@ -27,8 +27,19 @@
 /** Added to the seed for the returns, which have random numbers of their own. */
 const RETURN_SEED_OFFSET = 1_000_003;
 
-/** Returns are drawn apart from all others, so that plans of earlier seeds keep their faults. */
-const KINDS = Object.values(FaultKind).filter((kind) => kind !== FaultKind.StoreReturns);
+/** Mean time between two floods of callers. */
+const FLOOD_MEAN_GAP_MS = 8_000;
+
+/** Added to the seed for the floods. */
+const FLOOD_SEED_OFFSET = 2_000_003;
+
+/** Kinds drawn apart from all others, so that plans of earlier seeds keep their faults. */
+const SEPARATE_KINDS: ReadonlySet<FaultKind> = new Set([
+  FaultKind.StoreReturns,
+  FaultKind.CallerFlood,
+]);
+
+const KINDS = Object.values(FaultKind).filter((kind) => !SEPARATE_KINDS.has(kind));
 
 /** Kinds that are drawn more often than others, as operators act frequently. */
 const EXTRA_KINDS: readonly FaultKind[] = [
@@ -54,23 +65,35 @@
   }));
 }
 
-function drawReturns(seed: number, durationMs: number): readonly Fault[] {
-  const random = new Random(seed + RETURN_SEED_OFFSET);
-  const returns: Fault[] = [];
-  for (
-    let atMs = random.next() * RETURN_MEAN_GAP_MS;
-    atMs < durationMs;
-    atMs += random.next() * 2 * RETURN_MEAN_GAP_MS
-  ) {
-    returns.push({
-      kind: FaultKind.StoreReturns,
+/** Draws the faults of one kind that is drawn apart. */
+function drawSeparate(
+  kind: FaultKind,
+  random: Random,
+  meanGapMs: number,
+  durationMs: number,
+): readonly Fault[] {
+  const faults: Fault[] = [];
+  const drawGapMs = () => random.next() * 2 * meanGapMs;
+  for (let atMs = drawGapMs() / 2; atMs < durationMs; atMs += drawGapMs()) {
+    faults.push({
+      kind,
       atMs: Math.round(atMs),
       forMs: Math.round(DURATION_MIN_MS + random.next() * (DURATION_MAX_MS - DURATION_MIN_MS)),
-      target: 0,
+      target: kind === FaultKind.StoreReturns ? 0 : random.nextInt(TARGET_RANGE),
       draw: random.next(),
     });
   }
-  return returns;
+  return faults;
+}
+
+function drawReturns(seed: number, durationMs: number): readonly Fault[] {
+  const random = new Random(seed + RETURN_SEED_OFFSET);
+  return drawSeparate(FaultKind.StoreReturns, random, RETURN_MEAN_GAP_MS, durationMs);
+}
+
+function drawFloods(seed: number, durationMs: number): readonly Fault[] {
+  const random = new Random(seed + FLOOD_SEED_OFFSET);
+  return drawSeparate(FaultKind.CallerFlood, random, FLOOD_MEAN_GAP_MS, durationMs);
 }
 
 /** Draws the plan of a run, sorted by time; equal seeds and durations give equal plans. */
@@ -84,6 +107,6 @@
   ) {
     plan.push(...drawSeries(random, atMs));
   }
-  plan.push(...drawReturns(seed, durationMs));
+  plan.push(...drawReturns(seed, durationMs), ...drawFloods(seed, durationMs));
   return plan.filter((fault) => fault.atMs < durationMs).sort((a, b) => a.atMs - b.atMs);
 }
