--- a/packages/core/src/memory/memoryBudget.ts
+++ b/packages/core/src/memory/memoryBudget.ts
@@ -26,7 +26,14 @@
 
   readonly #accounts = new Set<MemoryAccount>();
 
-  readonly #heldByKind = new Map<MemoryKind, number>();
+  readonly #heldByKind: Record<MemoryKind, number> = {
+    [MemoryKind.Head]: 0,
+    [MemoryKind.Body]: 0,
+    [MemoryKind.Unread]: 0,
+    [MemoryKind.UpstreamBody]: 0,
+    [MemoryKind.Response]: 0,
+    [MemoryKind.Answer]: 0,
+  };
 
   readonly #held: Record<MemoryRegion, number> = {
     [MemoryRegion.Heap]: 0,
@@ -51,7 +58,7 @@
   }
 
   readHeldBytes(kind: MemoryKind): number {
-    return this.#heldByKind.get(kind) ?? 0;
+    return this.#heldByKind[kind];
   }
 
   readLimitBytes(region: MemoryRegion): number {
@@ -92,7 +99,7 @@
   }
 
   subtract(kind: MemoryKind, bytes: number): void {
-    this.#heldByKind.set(kind, this.readHeldBytes(kind) - bytes);
+    this.#heldByKind[kind] -= bytes;
     this.#held[getRegion(kind)] -= bytes;
   }
 
--- a/packages/daemon/src/callers/callerServer.ts
+++ b/packages/daemon/src/callers/callerServer.ts
@@ -11,7 +11,6 @@
 import { Err, Ok, type Result } from '@radishbay/core/outcome.js';
 import type { Metrics } from '@radishbay/core/ports/metrics.js';
 
-import { CallerMessage } from './callerMessage.js';
 import { ConnectionTable, type ConnectionLimits } from './connectionTable.js';
 import { describeTooLarge, discardBody } from './discardBody.js';
 import type { RequestHandler } from './requestHandler.js';
@@ -106,12 +105,14 @@
 export class CallerServer {
   readonly #options: CallerServerOptions;
 
-  readonly #server: http.Server<typeof CallerMessage>;
+  readonly #server: http.Server;
 
   readonly #connections: ConnectionTable;
 
   #checkTimer: NodeJS.Timeout | undefined;
 
+  #appliedLimits: ServerLimits | undefined;
+
   #isClosing = false;
 
   constructor(options: CallerServerOptions) {
@@ -128,7 +129,6 @@
     });
     this.#server = http.createServer(
       {
-        IncomingMessage: CallerMessage,
         requestTimeout: REQUEST_TIMEOUT_MS,
         connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
         noDelay: true,
@@ -179,7 +179,7 @@
     this.#options.onChecked?.(this.#connections);
   }
 
-  #serve(message: CallerMessage, response: http.ServerResponse): void {
+  #serve(message: http.IncomingMessage, response: http.ServerResponse): void {
     const { requestHandler, getNowMs: readNowMs, getLimits: readLimits } = this.#options;
     const arrivedAtMs = readNowMs();
     const limits = readLimits();
@@ -217,6 +217,8 @@
 
   /** Applies the current timeouts, as the configuration may change while the server runs. */
   #applyLimits(limits: ServerLimits): void {
+    if (limits === this.#appliedLimits) return;
+    this.#appliedLimits = limits;
     this.#server.headersTimeout = limits.headerTimeoutMs;
     this.#server.keepAliveTimeout = limits.idleTimeoutMs;
     // Node reads this option for each connection.
--- a/packages/daemon/src/callers/connectionTable.ts
+++ b/packages/daemon/src/callers/connectionTable.ts
@@ -182,7 +182,8 @@
   endRequest(socket: Socket): void {
     const connection = this.#connections.get(socket);
     if (!connection) return;
-    this.#countRequests(connection, -1);
+    connection.requestCount -= 1;
+    this.#forgetRequests(connection.address, 1);
     connection.account = undefined;
     connection.markBytes = socket.bytesRead;
     connection.receivedBytes = socket.bytesRead;
@@ -259,15 +260,14 @@
     const left = (this.#countByAddress.get(connection.address) ?? 1) - 1;
     if (left > 0) this.#countByAddress.set(connection.address, left);
     else this.#countByAddress.delete(connection.address);
-    this.#countRequests(connection, -connection.requestCount);
+    this.#forgetRequests(connection.address, connection.requestCount);
   }
 
-  #countRequests(connection: Connection, change: number): void {
-    if (change === 0) return;
-    Object.assign(connection, { requestCount: connection.requestCount + change });
-    this.#requestCount += change;
-    const left = (this.#requestsByAddress.get(connection.address) ?? 0) + change;
-    if (left > 0) this.#requestsByAddress.set(connection.address, left);
-    else this.#requestsByAddress.delete(connection.address);
+  #forgetRequests(address: string, count: number): void {
+    if (count === 0) return;
+    this.#requestCount -= count;
+    const left = (this.#requestsByAddress.get(address) ?? 0) - count;
+    if (left > 0) this.#requestsByAddress.set(address, left);
+    else this.#requestsByAddress.delete(address);
   }
 }
--- a/packages/daemon/src/callers/requestHandler.ts
+++ b/packages/daemon/src/callers/requestHandler.ts
@@ -3,12 +3,11 @@
 
 import type { MemoryAccount } from '@radishbay/core/memory/memoryAccount.js';
 
-import type { CallerMessage } from './callerMessage.js';
 import type { ParseFault } from './requestParser.js';
 
 /** A caller's request whose headers have been parsed and are within their limits. */
 export interface IncomingRequest {
-  readonly message: CallerMessage;
+  readonly message: http.IncomingMessage;
   readonly response: http.ServerResponse;
   /** Time of arrival by the clock of the server for callers, in milliseconds. */
   readonly arrivedAtMs: number;
--- a/packages/daemon/src/direct/incomingBody.ts
+++ b/packages/daemon/src/direct/incomingBody.ts
@@ -20,8 +20,8 @@
   type BodyTransfer,
 } from '@radishbay/core/ports/requestBody.js';
 
-import type { CallerMessage } from '../callers/callerMessage.js';
 import { discardBody } from '../callers/discardBody.js';
+import { holdBody, releaseBody } from '../callers/heldBody.js';
 
 /** Bytes of a body that are buffered for retries: about ten thousand words. */
 const BUFFER_BYTES = 64 * 1024;
@@ -46,7 +46,7 @@
 
 /** Buffers the beginning of a request body and streams the rest to one sink. */
 export class IncomingBody extends RequestBody {
-  readonly #message: CallerMessage;
+  readonly #message: http.IncomingMessage;
 
   readonly #limitBytes: number;
 
@@ -78,7 +78,7 @@
 
   #onRejected: ((reason: RefusalReason) => void) | undefined;
 
-  constructor(message: CallerMessage, limitBytes: number, account: MemoryAccount) {
+  constructor(message: http.IncomingMessage, limitBytes: number, account: MemoryAccount) {
     super();
     this.#message = message;
     this.#limitBytes = limitBytes;
@@ -151,7 +151,7 @@
     this.#isDiscarded = true;
     this.#message.off('data', this.#handleData);
     this.#message.off('end', this.#handleEnd);
-    this.#message.releaseBody();
+    releaseBody(this.#message);
     discardBody(this.#message, limitBytes);
   }
 
@@ -227,13 +227,13 @@
 
   #holdBack(): void {
     if (this.#isComplete || this.#isDiscarded) return;
-    this.#message.holdBody();
+    holdBody(this.#message);
     this.#account.hold(MemoryKind.Unread, UNREAD_BYTES);
   }
 
   #release(): void {
     this.#account.hold(MemoryKind.Unread, 0);
-    this.#message.releaseBody();
+    releaseBody(this.#message);
   }
 
   #notifyReady(): void {
--- a/packages/daemon/src/direct/streamingRequestHandler.ts
+++ b/packages/daemon/src/direct/streamingRequestHandler.ts
@@ -24,7 +24,8 @@
 const HEAD_FACTOR = 2;
 
 function estimateHeadBytes({ rawHeaders, url = '' }: http.IncomingMessage): number {
-  const chars = rawHeaders.reduce((sum, { length }) => sum + length, url.length);
+  let chars = url.length;
+  for (let at = 0; at < rawHeaders.length; at += 1) chars += rawHeaders[at]?.length ?? 0;
   return REQUEST_BYTES + chars * HEAD_FACTOR;
 }
 
