--- a/packages/daemon/src/callers/requestHandler.ts
+++ b/packages/daemon/src/callers/requestHandler.ts
@@ -1,6 +1,8 @@
 /** Interface between the HTTP server for callers and the entry. */
 import type http from 'node:http';
 
+import type { MemoryAccount } from '@radishbay/core/memory/memoryAccount.js';
+
 import type { ParseFault } from './requestParser.js';
 
 /** A caller's request whose headers have been parsed and are within their limits. */
@@ -16,5 +18,6 @@
 
 /** Handles requests from the server for callers, and reads their bodies. */
 export abstract class RequestHandler {
-  abstract handle(request: IncomingRequest): void;
+  /** @returns the account of the memory held for the request, if it is counted */
+  abstract handle(request: IncomingRequest): MemoryAccount | undefined;
 }
--- a/packages/daemon/src/direct/upstreamAgent.ts
+++ b/packages/daemon/src/direct/upstreamAgent.ts
@@ -35,6 +35,8 @@
 export class UpstreamAgent extends http.Agent {
   readonly #idleLimitMs: number;
 
+  #connectionCount = 0;
+
   /**
    * @param idleLimitMs maximum idle time of a connection
    * @param maxSockets maximum number of connections to one address
@@ -44,6 +46,19 @@
     this.#idleLimitMs = idleLimitMs;
   }
 
+  /** Number of connections that are open or being opened. */
+  get connectionCount(): number {
+    return this.#connectionCount;
+  }
+
+  /** Counts a new connection until it closes. */
+  noteConnection(socket: Socket): void {
+    this.#connectionCount += 1;
+    socket.once('close', () => {
+      this.#connectionCount -= 1;
+    });
+  }
+
   override keepSocketAlive(socket: Duplex): boolean {
     const client = socket as ClientSocket;
     const keepAliveTimeoutMs = readKeepAliveTimeoutMs(client);
