--- a/packages/core/src/direct/directRequest.ts
+++ b/packages/core/src/direct/directRequest.ts
@@ -27,6 +27,7 @@
 import { chooseSilenceLimitMs } from './silenceLimit.js';
 import { planLateWait, planWait, type ExpectedTimes } from './waitPlan.js';
 import { AdmissionDenial, type AdmissionTicket } from './admissionQueue.js';
+import { AttemptOutcome } from './sharing/urgencyTelemetry.js';
 import type { WorkspaceClaim } from './sharing/workspaceClaim.js';
 
 const STATUS_SERVER_ERROR = 500;
@@ -85,6 +86,8 @@
 
   #isOver = false;
 
+  #hasOutcome = false;
+
   #timer: NodeJS.Timeout | undefined;
 
   readonly #patience: CallerPatience;
@@ -328,11 +331,30 @@
     const pauseMs = this.#times.noteEvents(nowMs);
     const upstream = this.#wasPaused ? undefined : this.#attempt?.upstream;
     this.#wasPaused = false;
-    if (pauseMs === undefined) return;
+    if (pauseMs === undefined) {
+      this.#noteServed(nowMs);
+      return;
+    }
     admission.notePause(pauseMs, route.pauseTargetMs, nowMs, upstream);
     this.#telemetry.notePause(pauseMs);
   }
 
+  /** Records the first event of a stream, or a complete response. */
+  #noteServed(nowMs: number): void {
+    const { route, request } = this.#options;
+    if (!this.#response.isSuccess) return;
+    const isOnTime = nowMs - request.arrivedAtMs <= route.targetMs;
+    this.#noteOutcome(isOnTime ? AttemptOutcome.OnTime : AttemptOutcome.Late);
+  }
+
+  /** Records the outcome of a caller's first attempt, once. */
+  #noteOutcome(outcome: AttemptOutcome): void {
+    const { admission, returnAssessment } = this.#options;
+    if (this.#hasOutcome || returnAssessment.isReturned) return;
+    this.#hasOutcome = true;
+    admission.noteOutcome(this.#ticketBase.priority, outcome);
+  }
+
   #pause(): void {
     this.#patience.noteCallerSlow();
     this.#attempt?.pause();
@@ -356,6 +378,7 @@
       admission.capacity.noteCompleted(route.name, this.#attempt.ageMs);
       if (!admission.cost) admission.holdingTimes.note(route.name, this.#attempt.ageMs);
     }
+    this.#noteServed(performance.now());
     this.#telemetry.noteAnswered(this.#attempt?.upstream.id, this.#responseStatus);
     this.#finish();
   }
@@ -459,6 +482,7 @@
     if (this.#isOver) return;
     const { caller } = this.#options;
     this.#cancelAttempt();
+    this.#noteOutcome(AttemptOutcome.Refused);
     this.#telemetry.noteRefused(refusal, this.#response.isCommitted);
     if (this.#response.isCommitted) caller.abort(refusal);
     else caller.refuse(refusal);
--- a/packages/core/src/direct/poolAdmission.ts
+++ b/packages/core/src/direct/poolAdmission.ts
@@ -30,6 +30,7 @@
 import { weighRequest, type WorkspaceClaim } from './sharing/workspaceClaim.js';
 import { AdmissionDenial, AdmissionQueue, type AdmissionTicket } from './admissionQueue.js';
 import { PoolUrgency } from './sharing/poolUrgency.js';
+import { UrgencyTelemetry, type AttemptOutcome } from './sharing/urgencyTelemetry.js';
 import { readUrgencyRank } from './sharing/urgencyRank.js';
 
 const LOG_PART = 'admission';
@@ -107,6 +108,8 @@
   /** Set where the pool's requests differ in priority by their routes. */
   #urgency: PoolUrgency | undefined;
 
+  readonly #urgencyTelemetry: UrgencyTelemetry;
+
   readonly #unsubscribeBreaker: () => void;
 
   #admitTimer: NodeJS.Timeout | undefined;
@@ -131,6 +134,7 @@
         fairness.findExcess(pool.name, claim, performance.now()) !== undefined,
     });
     this.#shareTelemetry = new ShareTelemetry({ ...options, pool: pool.name });
+    this.#urgencyTelemetry = new UrgencyTelemetry({ ...options, pool: pool.name });
     this.#updateUrgency();
     options.board.permits.onGranted(pool.name, () => this.#admitWaiting());
     this.#breaker = options.board.getBreaker(pool.name);
@@ -272,6 +276,8 @@
       priority: urgency.noteArrival(ticket, nowMs),
       onAdmitted: (upstream) => {
         urgency.noteAdmitted(ticket.priority);
+        const waitedMs = performance.now() - ticket.arrivedAtMs;
+        this.#urgencyTelemetry.noteWait(ticket.priority, waitedMs);
         ticket.onAdmitted(upstream);
       },
     };
@@ -337,6 +343,8 @@
   /**
    * Whether a request leaves the free slots to requests of workspaces below their share: to those
    * of the same priority if its own workspace holds its share, and to more urgent ones in any case.
+   * Where requests are admitted by priority over all entries, only those of workspaces that hold
+   * their share yield here; {@link PoolUrgency.mayTake} leaves slots to more urgent ones.
    */
   #isYielding({ claim, priority }: AdmissionTicket, nowMs: number): boolean {
     const { fairness } = this.#options.board;
@@ -445,6 +453,12 @@
     if (this.#pool.engine) this.#breaker.noteFailure();
   }
 
+  /** Records the outcome of a caller's first attempt, where priorities differ. */
+  noteOutcome(priority: number, outcome: AttemptOutcome): void {
+    if (!this.#urgency) return;
+    this.#urgencyTelemetry.noteOutcome(priority, outcome, performance.now());
+  }
+
   /** Admits queued requests as far as there is capacity. */
   readonly #admitWaiting = (): void => this.#admitQueued(false);
 
--- a/packages/core/src/direct/sharing/fleetDemand.ts
+++ b/packages/core/src/direct/sharing/fleetDemand.ts
@@ -114,6 +114,7 @@
   }
 
   override readFull(nowMs: number): CountsFields {
+    if (this.#own.size === 0) return {};
     return { demands: readDemands([...this.#own], nowMs) };
   }
 
--- a/packages/core/test/direct/sharing/fleetRun.ts
+++ b/packages/core/test/direct/sharing/fleetRun.ts
@@ -14,8 +14,7 @@
 import { DEFAULT_COSTS, GroupModel } from '../groupModel.js';
 import { createPairedDialer, type PairedLink } from '../pairedLinks.js';
 
-export const RANKS = 36;
-export const SLOTS = 7;
+const SLOTS = 7;
 
 const STEP_MS = 5;
 const PAUSE_TARGET_MS = 150;
@@ -118,7 +117,7 @@
 
   readonly links: PairedLink[] = [];
 
-  readonly group = new GroupModel(RANKS, SLOTS, LOADED_SKEW, DEFAULT_COSTS);
+  readonly group: GroupModel;
 
   readonly #clock: TestClock;
 
@@ -134,7 +133,9 @@
 
   #passEndMs = 0;
 
-  constructor(clock: TestClock, entryCount: number, seed = 11) {
+  /** @param ranks engines of the group; the users' data sheet has 72 */
+  constructor(clock: TestClock, entryCount: number, ranks = 36, seed = 11) {
+    this.group = new GroupModel(ranks, SLOTS, LOADED_SKEW, DEFAULT_COSTS);
     this.#clock = clock;
     this.#random = new Random(seed);
     const names = Array.from({ length: entryCount }, (_, at) => `entry-${at}`);
@@ -146,7 +147,7 @@
     this.#exchanges = this.entries.map((entry) => {
       const { board } = entry;
       board.entryCount = entryCount;
-      entry.addUpstreams('models', RANKS, SLOTS);
+      entry.addUpstreams('models', ranks, SLOTS);
       const metrics = new CountingMetrics();
       const exchange = new LoadExchange({ board, dialer, log: new SilentLog(), metrics });
       byName.set(board.name, exchange);
