--- a/packages/core/src/direct/responseBuilder.ts
+++ b/packages/core/src/direct/responseBuilder.ts
@@ -130,8 +130,9 @@
 
   #pushEvents(data: Buffer): PieceResult {
     const complete = this.#splitter.push(data);
-    this.#holdMemory(this.#splitter.pendingBytes, true);
-    if (!complete) return { events: 0, isProgress: false, isCallerReady: true };
+    // Without room the request has been ended, and its caller answered.
+    const hasRoom = this.#holdMemory(this.#splitter.pendingBytes, true);
+    if (!complete || !hasRoom) return { events: 0, isProgress: false, isCallerReady: true };
     this.#hasEvents = true;
     this.#commit({});
     this.#lastEventId = complete.lastId ?? this.#lastEventId;
