Evict no request that has room, and none twice

The request that needed room was ended between the eviction target and the limit, although there was room. An eviction that admitted other requests could evict the same request again.

--- a/packages/core/src/memory/memoryAccount.ts
+++ b/packages/core/src/memory/memoryAccount.ts
@@ -71,6 +71,11 @@
     this.#movedAtMs = nowMs;
   }
 
+  /** Starts the idle time anew, as the caller could not do anything until now. */
+  resetIdle(nowMs: number): void {
+    this.#movedAtMs = nowMs;
+  }
+
   /** Time for which the caller has neither sent nor read what the request waits for. */
   readIdleMs(nowMs: number): number {
     const isHeldBack = this.#awaited === Awaited.Body && this.#held[MemoryKind.Unread] > 0;
@@ -107,8 +112,9 @@
     const { budget, onEvict } = this.#options;
     if (this.#isReleased) return;
     budget.noteEvicted(reason);
-    onEvict(reason);
+    // Ending a request can admit others, whose need for memory must not evict this one again.
     this.release();
+    onEvict(reason);
   }
 
   /** Gives back everything; nothing more is held from now on. */
--- a/packages/core/src/memory/memoryBudget.ts
+++ b/packages/core/src/memory/memoryBudget.ts
@@ -103,7 +103,10 @@
     this.#held[getRegion(kind)] -= bytes;
   }
 
-  /** Evicts until there is room; the account that needs it goes last if nobody else can. */
+  /**
+   * Evicts until the target is met, or until the turn of the account that needs room, if there is
+   * room for it then. That account goes last if nobody else can.
+   */
   #evict(region: MemoryRegion, needing: MemoryAccount): void {
     if (this.#isEvicting) return;
     this.#isEvicting = true;
@@ -114,11 +117,15 @@
       .map((account) => ({ account, progress: account.readProgress(nowMs) }))
       .sort((a, b) => compareForEviction(a.progress, b.progress))
       .map(({ account }) => account);
-    [...ordered, needing].every((account) => {
-      if (this.#held[region] <= targetBytes) return false;
-      if (this.#accounts.has(account)) account.evict(RefusalReason.MemoryShort);
-      return true;
-    });
-    this.#isEvicting = false;
+    try {
+      [...ordered, needing].every((account) => {
+        const sufficientBytes = account === needing ? this.readLimitBytes(region) : targetBytes;
+        if (this.#held[region] <= sufficientBytes) return false;
+        if (this.#accounts.has(account)) account.evict(RefusalReason.MemoryShort);
+        return true;
+      });
+    } finally {
+      this.#isEvicting = false;
+    }
   }
 }
--- a/packages/core/test/memory/memoryBudget.test.ts
+++ b/packages/core/test/memory/memoryBudget.test.ts
@@ -123,6 +123,35 @@
   assert.equal(context.evicted, []);
 });
 
+test('a request is not ended while there is room for it, after others have been', (context) => {
+  const [complete, stopped] = [context.open('complete'), context.open('stopped')];
+  receive(complete, 850, 0);
+  complete.await(Awaited.Nothing, 0);
+  receive(stopped, 100, 0);
+  context.nowMs = 1_000;
+  assert.ok(receive(context.open('next'), 100, 1_000));
+  assert.equal(context.evicted, ['stopped']);
+});
+
+test('a request that is being evicted is not evicted again by what follows', ({ budget, open }) => {
+  let evictions = 0;
+  const other = open('other');
+  other.hold(MemoryKind.Body, 800);
+  other.await(Awaited.Nothing, 0);
+  const evicted = new MemoryAccount({
+    budget,
+    expectedBytes: LIMIT_BYTES,
+    onEvict: () => {
+      evictions += 1;
+      if (evictions === 1) other.hold(MemoryKind.Body, 950);
+    },
+  });
+  evicted.await(Awaited.Body, 0);
+  evicted.hold(MemoryKind.Body, 100);
+  evicted.evict(RefusalReason.RequestTooSlow);
+  assert.is(evictions, 1);
+});
+
 test('evictions are counted by reason', ({ budget, open }) => {
   open('one').evict(RefusalReason.RequestTooSlow);
   assert.equal([...budget.takeEvicted()], [[RefusalReason.RequestTooSlow, 1]]);
