Read on after a body that was held back

The time for which the entry held a body back counted as idle of its caller once it was read on. A body whose end was emitted while it was held back left its connection paused.

--- a/packages/daemon/src/direct/incomingBody.ts
+++ b/packages/daemon/src/direct/incomingBody.ts
@@ -170,7 +170,8 @@
   readonly #handleEnd = (): void => {
     this.#isComplete = true;
     this.#account.await(Awaited.Nothing, performance.now());
-    this.#account.hold(MemoryKind.Unread, 0);
+    // The end can be emitted after the body was held back; the next request needs the connection.
+    this.#release();
     if (this.#sink) {
       if (this.#isStreaming) this.#write(this.#sink);
       this.#sink?.end();
@@ -233,6 +234,7 @@
 
   #release(): void {
     this.#account.hold(MemoryKind.Unread, 0);
+    this.#account.resetIdle(performance.now());
     releaseBody(this.#message);
   }
 
--- a/packages/daemon/test/incomingBody.test.ts
+++ b/packages/daemon/test/incomingBody.test.ts
@@ -6,6 +6,7 @@
 
 import { MemoryAccount } from '@radishbay/core/memory/memoryAccount.js';
 import { MemoryBudget } from '@radishbay/core/memory/memoryBudget.js';
+import { wait } from '@radishbay/core/wait.js';
 
 import { IncomingBody } from '../src/direct/incomingBody.js';
 
@@ -13,6 +14,9 @@
 const LIMIT_BYTES = 10 * 1024 * 1024;
 const CHUNK = Buffer.alloc(16 * 1024, 'x');
 
+/** Time for which a body is held back. */
+const HELD_MS = 100;
+
 const budget = new MemoryBudget({
   limitBytes: { heap: Infinity, buffers: Infinity },
   getNowMs: () => 0,
@@ -26,7 +30,7 @@
     socket: { pause: () => stream.pause(), resume: () => stream.resume() },
   }) as unknown as http.IncomingMessage;
   const account = new MemoryAccount({ budget, expectedBytes: LIMIT_BYTES, onEvict: () => {} });
-  return { stream, body: new IncomingBody(message, LIMIT_BYTES, account) };
+  return { stream, account, body: new IncomingBody(message, LIMIT_BYTES, account) };
 }
 
 /** Waits until pending stream events have been emitted. */
@@ -96,6 +100,28 @@
   assert.not(body.isRepeatable);
 });
 
+test('time for which a body was held back does not count as idle once it is read on', async () => {
+  const { account, body, stream } = createMessage({ 'content-length': String(20 * CHUNK.length) });
+  await writeChunks(stream, 4);
+  await wait(HELD_MS);
+  body.sendTo(new Sink());
+  assert.ok(account.readIdleMs(performance.now()) < HELD_MS / 2);
+});
+
+test('a connection is read on after a body that ended while it was held back', async () => {
+  const { stream, body } = createMessage({ 'content-length': String(4 * CHUNK.length) });
+  let isPaused = false;
+  const setPaused = (isSet: boolean) => () => {
+    isPaused = isSet;
+  };
+  // The message ends with what has been parsed already, although its connection is not read.
+  Object.assign(stream, { socket: { pause: setPaused(true), resume: setPaused(false) } });
+  stream.end(Buffer.alloc(4 * CHUNK.length));
+  await flushEvents();
+  assert.is(body.lengthBytes, 4 * CHUNK.length);
+  assert.not(isPaused);
+});
+
 test('backpressure from the sink pauses the caller until the transfer is resumed', async () => {
   const { stream, body } = createMessage({ 'content-length': String(20 * CHUNK.length) });
   await writeChunks(stream, 20);
