--- a/packages/daemon/src/callers/connectionTable.ts
+++ b/packages/daemon/src/callers/connectionTable.ts
@@ -184,7 +184,8 @@
     if (!connection) return;
     connection.requestCount -= 1;
     this.#forgetRequests(connection.address, 1);
-    connection.account = undefined;
+    // A pipelined request has replaced the account by its own.
+    if (connection.requestCount === 0) connection.account = undefined;
     connection.markBytes = socket.bytesRead;
     connection.receivedBytes = socket.bytesRead;
     connection.movedAtMs = this.#options.getNowMs();
--- a/packages/daemon/test/connectionTable.test.ts
+++ b/packages/daemon/test/connectionTable.test.ts
@@ -6,6 +6,9 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
+import { Awaited, type MemoryAccount } from '@radishbay/core/memory/memoryAccount.js';
+import { RefusalReason } from '@radishbay/core/model/reason.js';
+
 import {
   CloseReason,
   ConnectionTable,
@@ -144,6 +147,23 @@
   assert.is(table.headBytes, 0);
 });
 
+test('a pipelined request is watched after the one before it has ended', (context) => {
+  const evicted: RefusalReason[] = [];
+  const account = { awaited: Awaited.Body, readIdleMs: () => context.nowMs };
+  const table = context.create();
+  const socket = open(table);
+  begin(table, socket);
+  begin(table, socket, false);
+  table.setAccount(socket as unknown as Socket, {
+    ...account,
+    evict: (reason: RefusalReason) => evicted.push(reason),
+  } as unknown as MemoryAccount);
+  end(table, socket);
+  context.nowMs = LIMITS.bodyIdleMs + 1;
+  table.check();
+  assert.equal(evicted, [RefusalReason.RequestTooSlow]);
+});
+
 test('requests and connections are limited by address, and given back', ({ create }) => {
   const table = create({ connectionsPerAddress: 2, requests: 10, requestsPerAddress: 1 });
   const [first, second] = [open(table), open(table)];
