--- a/packages/daemon/test/connectionTable.test.ts
+++ b/packages/daemon/test/connectionTable.test.ts
@@ -154,10 +154,13 @@
   const socket = open(table);
   begin(table, socket);
   begin(table, socket, false);
-  table.setAccount(socket as unknown as Socket, {
-    ...account,
-    evict: (reason: RefusalReason) => evicted.push(reason),
-  } as unknown as MemoryAccount);
+  table.setAccount(
+    socket as unknown as Socket,
+    {
+      ...account,
+      evict: (reason: RefusalReason) => evicted.push(reason),
+    } as unknown as MemoryAccount,
+  );
   end(table, socket);
   context.nowMs = LIMITS.bodyIdleMs + 1;
   table.check();
