--- a/packages/core/src/direct/directUpstream.ts
+++ b/packages/core/src/direct/directUpstream.ts
@@ -36,6 +36,12 @@
 /** Age from which a reported slowdown is outdated, in milliseconds: a few surveys of the ranks. */
 const SLOWDOWN_VALID_MS = 6_000;
 
+/**
+ * Largest slowdown that is believed. A slowdown fades by its size, so an excessive value in a
+ * message would last for minutes, and could exceed the range of numbers in the costs.
+ */
+const SLOWDOWN_MAX = 100;
+
 /** State of one upstream in this entry. */
 export class DirectUpstream {
   readonly startRate = new StartRate();
@@ -150,8 +156,8 @@
 
   /** Records by which factor the upstream is slower than a healthy one. */
   noteSlowdown(slowdown: number, nowMs: number): void {
-    this.#slowdown = slowdown;
-    this.pace.noteRecent(slowdown, nowMs);
+    this.#slowdown = Math.min(slowdown, SLOWDOWN_MAX);
+    this.pace.noteRecent(this.#slowdown, nowMs);
     this.#slowdownAtMs = nowMs;
   }
 
--- a/packages/core/test/direct/placement.test.ts
+++ b/packages/core/test/direct/placement.test.ts
@@ -13,6 +13,9 @@
 
 const POOL = 'models';
 
+/** Time after which a slowdown that is over no longer counts. */
+const FORGOTTEN_MS = 20_000;
+
 function createBoard(count: number, name = 'entry-1'): FleetBoard {
   const board = new FleetBoard(name, 'zone-a', BOUNDS);
   board.entryCount = 1;
@@ -144,4 +147,16 @@
     });
   }));
 
+test('an excessive slowdown from a peer leaves placement working, and is forgotten', () =>
+  withClock(async (clock) => {
+    const board = createBoard(3);
+    const cost = new PoolCost(DEFAULT_COSTS, false);
+    const request = predict(cost, 800, 100);
+    const upstream = board.findUpstream('m-0');
+    board.listPool(POOL).forEach((each) => each.noteSlowdown(Number.MAX_VALUE, performance.now()));
+    assert.ok(choose(board, createWeights(board, cost, request, 1)));
+    await clock.tickAsync(FORGOTTEN_MS);
+    assert.ok((upstream?.readRecentSlowdown(performance.now()) ?? 0) < 1.01);
+  }));
+
 test.run();
