Keep what a request awaits when its other side moves on

The end of a body cancelled the wait for the reader of an early answer, and a reader that caught up cancelled the wait for the body, so neither was ended by its idle time or when memory ran out.

--- a/packages/daemon/src/callers/httpCaller.ts
+++ b/packages/daemon/src/callers/httpCaller.ts
@@ -72,7 +72,8 @@
 
   override onDrain(listener: () => void): void {
     this.#response.on('drain', () => {
-      this.#account?.await(Awaited.Nothing, performance.now());
+      const isBodyDue = !this.#response.req.complete;
+      this.#account?.await(isBodyDue ? Awaited.Body : Awaited.Nothing, performance.now());
       this.#account?.hold(MemoryKind.Answer, 0);
       listener();
     });
--- a/packages/daemon/src/direct/incomingBody.ts
+++ b/packages/daemon/src/direct/incomingBody.ts
@@ -169,7 +169,8 @@
 
   readonly #handleEnd = (): void => {
     this.#isComplete = true;
-    this.#account.await(Awaited.Nothing, performance.now());
+    const isBodyAwaited = this.#account.awaited === Awaited.Body;
+    if (isBodyAwaited) this.#account.await(Awaited.Nothing, performance.now());
     // The end can be emitted after the body was held back; the next request needs the connection.
     this.#release();
     if (this.#sink) {
--- a/packages/daemon/test/incomingBody.test.ts
+++ b/packages/daemon/test/incomingBody.test.ts
@@ -1,13 +1,15 @@
+import { EventEmitter } from 'node:events';
 import type http from 'node:http';
 import { PassThrough } from 'node:stream';
 
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
-import { MemoryAccount } from '@radishbay/core/memory/memoryAccount.js';
+import { Awaited, MemoryAccount } from '@radishbay/core/memory/memoryAccount.js';
 import { MemoryBudget } from '@radishbay/core/memory/memoryBudget.js';
 import { wait } from '@radishbay/core/wait.js';
 
+import { HttpCaller } from '../src/callers/httpCaller.js';
 import { IncomingBody } from '../src/direct/incomingBody.js';
 
 const BUFFER_BYTES = 64 * 1024;
@@ -122,6 +124,29 @@
   assert.not(isPaused);
 });
 
+test('an answer that is not read stays so when the rest of the body arrives', async () => {
+  const { account, stream } = createMessage({ 'content-length': String(CHUNK.length) });
+  account.await(Awaited.Reader, performance.now());
+  stream.end(CHUNK);
+  await flushEvents();
+  assert.is(account.awaited, Awaited.Reader);
+});
+
+test('the rest of a body is awaited again once the answer so far has been read', () => {
+  const { account } = createMessage({ 'content-length': String(CHUNK.length) });
+  const response = Object.assign(new EventEmitter(), {
+    req: { complete: false },
+    writableLength: 1,
+    write: () => false,
+  });
+  const caller = new HttpCaller(response as unknown as http.ServerResponse, undefined, account);
+  caller.onDrain(() => {});
+  caller.writeData(CHUNK);
+  assert.is(account.awaited, Awaited.Reader);
+  response.emit('drain');
+  assert.is(account.awaited, Awaited.Body);
+});
+
 test('backpressure from the sink pauses the caller until the transfer is resumed', async () => {
   const { stream, body } = createMessage({ 'content-length': String(20 * CHUNK.length) });
   await writeChunks(stream, 20);
