--- a/packages/core/src/direct/directRequest.ts
+++ b/packages/core/src/direct/directRequest.ts
@@ -313,6 +313,7 @@
   /** @returns whether the response made progress */
   #handleData(data: Buffer): boolean {
     const { events, isProgress, isCallerReady } = this.#response.push(data);
+    if (this.#isOver) return false;
     if (!isCallerReady) this.#pause();
     if (events > 0) this.#noteEvents(events);
     if (isProgress && this.#response.isSuccess) this.#guard.notePiece();
@@ -346,7 +347,9 @@
   }
 
   #handleEnd(): void {
-    this.#response.end();
+    this.#response.end(() => this.#isOver);
+    // The rest of a response can exceed the memory, which refuses the request.
+    if (this.#isOver) return;
     const { admission, route } = this.#options;
     if (this.#response.isSuccess) this.#guard.noteServed();
     if (this.#cost && this.#response.isSuccess) {
--- a/packages/core/src/direct/responseBuilder.ts
+++ b/packages/core/src/direct/responseBuilder.ts
@@ -116,8 +116,8 @@
     return this.#isStream && this.isSuccess ? this.#pushEvents(data) : this.#pushBody(data);
   }
 
-  /** Ends a complete response. */
-  end(): void {
+  /** Ends a complete response, unless sending the rest of it ends the request. */
+  end(isOver: () => boolean): void {
     if (!this.#isCommitted) {
       const body = this.#buffered.take();
       const isLengthDeclared = this.#head?.framing === AnswerFraming.Delimited;
@@ -125,7 +125,7 @@
       if (body.length > 0) this.#caller.writeData(body);
       this.#holdMemory(0, false);
     }
-    this.#caller.end();
+    if (!isOver()) this.#caller.end();
   }
 
   #pushEvents(data: Buffer): PieceResult {
--- a/packages/core/test/direct/directRequest.test.ts
+++ b/packages/core/test/direct/directRequest.test.ts
@@ -6,6 +6,7 @@
 
 import { DirectFixture, withClock } from './directFixture.js';
 import { HEAD, NOT_RUN_HEAD } from './fakeCall.js';
+import { InMemoryBody } from './inMemoryBody.js';
 
 test('a plain response reaches the caller complete, with its content length', () =>
   withClock(() => {
@@ -18,6 +19,26 @@
     assert.equal(caller.ends, ['end']);
   }));
 
+test('a request whose response ends it for lack of memory ends once', () =>
+  withClock(() => {
+    const entry = new DirectFixture();
+    entry.addUpstreams('exchange', 2);
+    let reject: (reason: RefusalReason) => void = () => {};
+    const body = Object.assign(new InMemoryBody(Buffer.from('{}')), {
+      onRejected: (listener: typeof reject) => {
+        reject = listener;
+      },
+    });
+    const caller = entry.sendRequest('swap', { body });
+    caller.writeData = () => {
+      reject(RefusalReason.MemoryShort);
+      return false;
+    };
+    entry.lastCall.head().send('confirmed').end();
+    assert.equal(caller.ends, ['abort']);
+    assert.is(caller.refusal?.outcome, Outcome.Unknown);
+  }));
+
 test('a run-once request is not sent again after its connection broke', () =>
   withClock(() => {
     const entry = new DirectFixture();
