Send no refusal while the body of an answered request arrives

A parse error in the rest of such a body sent a second answer on the connection, possibly a 408, which promises that the request has not run.

--- a/packages/daemon/src/callers/connectionTable.ts
+++ b/packages/daemon/src/callers/connectionTable.ts
@@ -191,9 +191,10 @@
     connection.movedAtMs = this.#options.getNowMs();
   }
 
-  /** Whether a request is unfinished on a connection. */
+  /** Whether a request is unfinished on a connection, or its body still arrives. */
   isBusy(socket: Socket): boolean {
-    return (this.#connections.get(socket)?.requestCount ?? 0) > 0;
+    const connection = this.#connections.get(socket);
+    return connection !== undefined && (connection.requestCount > 0 || isBodyDue(connection));
   }
 
   /** Measures heads in progress, and ends what has stood still for too long or is too much. */
--- a/packages/daemon/test/connectionTable.test.ts
+++ b/packages/daemon/test/connectionTable.test.ts
@@ -167,6 +167,17 @@
   assert.equal(evicted, [RefusalReason.RequestTooSlow]);
 });
 
+test('a connection is busy until the body has arrived, so that no second answer is sent', (context) => {
+  const table = context.create();
+  const [answered, done] = [open(table), open(table)];
+  begin(table, answered, false);
+  end(table, answered);
+  begin(table, done);
+  end(table, done);
+  assert.ok(table.isBusy(answered as unknown as Socket));
+  assert.not(table.isBusy(done as unknown as Socket));
+});
+
 test('requests and connections are limited by address, and given back', ({ create }) => {
   const table = create({ connectionsPerAddress: 2, requests: 10, requestsPerAddress: 1 });
   const [first, second] = [open(table), open(table)];
