--- a/packages/daemon/src/callers/connectionTable.ts
+++ b/packages/daemon/src/callers/connectionTable.ts
@@ -184,15 +184,17 @@
     if (!connection) return;
     connection.requestCount -= 1;
     this.#forgetRequests(connection.address, 1);
-    connection.account = undefined;
+    // A pipelined request has replaced the account by its own.
+    if (connection.requestCount === 0) connection.account = undefined;
     connection.markBytes = socket.bytesRead;
     connection.receivedBytes = socket.bytesRead;
     connection.movedAtMs = this.#options.getNowMs();
   }
 
-  /** Whether a request is unfinished on a connection. */
+  /** Whether a request is unfinished on a connection, or its body still arrives. */
   isBusy(socket: Socket): boolean {
-    return (this.#connections.get(socket)?.requestCount ?? 0) > 0;
+    const connection = this.#connections.get(socket);
+    return connection !== undefined && (connection.requestCount > 0 || isBodyDue(connection));
   }
 
   /** Measures heads in progress, and ends what has stood still for too long or is too much. */
--- a/packages/daemon/src/direct/incomingBody.ts
+++ b/packages/daemon/src/direct/incomingBody.ts
@@ -169,8 +169,10 @@
 
   readonly #handleEnd = (): void => {
     this.#isComplete = true;
-    this.#account.await(Awaited.Nothing, performance.now());
-    this.#account.hold(MemoryKind.Unread, 0);
+    const isBodyAwaited = this.#account.awaited === Awaited.Body;
+    if (isBodyAwaited) this.#account.await(Awaited.Nothing, performance.now());
+    // The end can be emitted after the body was held back; the next request needs the connection.
+    this.#release();
     if (this.#sink) {
       if (this.#isStreaming) this.#write(this.#sink);
       this.#sink?.end();
@@ -233,6 +235,7 @@
 
   #release(): void {
     this.#account.hold(MemoryKind.Unread, 0);
+    this.#account.resetIdle(performance.now());
     releaseBody(this.#message);
   }
 
