Do not bound plain services by prefills

Cause: with routes of different priority, a pool of plain services was held to two requests without output for each entry, the bound on prefills of engines. Change: a pool without engines has no bound on prefills.

--- a/packages/core/src/direct/poolCapacity.ts
+++ b/packages/core/src/direct/poolCapacity.ts
@@ -111,7 +111,6 @@
    * twice as long.
    */
   get isPrefillFull(): boolean {
-    if (!this.#pool.engine) return false;
     return this.countFreePrefills() < 1;
   }
 
@@ -120,8 +119,12 @@
     return this.#upstreams.reduce((sum, each) => sum + each.awaitingFirstOutput, 0);
   }
 
-  /** Prefills that can be started now: by all entries where their prefills are known. */
+  /**
+   * Prefills that can be started now: by all entries where their prefills are known. Plain services
+   * have none, so they do not limit their pools.
+   */
   countFreePrefills(): number {
+    if (!this.#pool.engine) return Number.POSITIVE_INFINITY;
     const peers = this.#options.countPeersPrefilling?.();
     if (peers === undefined) return this.#prefillShare - this.countPrefilling();
     return this.#prefillLimit - peers - this.countPrefilling();
--- a/packages/core/test/direct/sharing/poolUrgency.test.ts
+++ b/packages/core/test/direct/sharing/poolUrgency.test.ts
@@ -7,6 +7,7 @@
 import { PoolUrgency, type SlotOffer } from '../../../src/direct/sharing/poolUrgency.js';
 import type { RankedRequest } from '../../../src/direct/sharing/urgencyRank.js';
 import { MessageType } from '../../../src/messages/message.js';
+import { CONTENT, DirectFixture, withClock } from '../directFixture.js';
 import { BOUNDS } from '../sampleBounds.js';
 
 const POOL = 'models';
@@ -77,4 +78,14 @@
   assert.ok(first > 300 * 0.15 && first < 300 * 0.3, `${first} of 300`);
 });
 
+// Guards against the limit of prefills, which plain services do not have, holding requests back.
+test('requests of plain services that differ in priority do not wait beside free slots', () =>
+  withClock(() => {
+    const routes = CONTENT.routes.map((route, at) => ({ ...route, priority: at }));
+    const entry = new DirectFixture(1, undefined, 'entry-1', { ...CONTENT, routes });
+    entry.addUpstreams('exchange', 3, 6);
+    Array.from({ length: 10 }, () => entry.sendRequest('catalogue'));
+    assert.is(entry.calls.length, 10);
+  }));
+
 test.run();
