Send no batch that has nothing new

Cause: a state that notes a change schedules a batch, and a batch was sent to all peers even if no state had anything to tell; with the shares of workspaces, every wait and refusal did so while a pool was full. Change: an empty batch is not sent; full counts are sent as before. Result: loadExchange.test fails without it.

--- a/packages/core/src/direct/loadExchange.ts
+++ b/packages/core/src/direct/loadExchange.ts
@@ -255,12 +255,13 @@
     this.#changed.clear();
     this.#changedLimits.clear();
     const nowMs = performance.now();
-    const stateFields = this.#options.board.peerStates.map((state) => state.takeChanges(nowMs));
-    const extras = {
-      isFull: false,
-      ...(limits.length > 0 && { limits }),
-      ...Object.assign({}, ...stateFields),
-    };
+    const fields: Omit<CountsExtras, 'isFull'> = Object.assign(
+      {},
+      ...this.#options.board.peerStates.map((state) => state.takeChanges(nowMs)),
+    );
+    // A state may have noted a change that is too small to be told.
+    if (![counts, limits, fields].some((part) => Object.keys(part).length > 0)) return;
+    const extras = { isFull: false, ...(limits.length > 0 && { limits }), ...fields };
     this.#peers.forEach(({ link }) => this.#send(link, counts, extras));
   }
 
--- a/packages/core/test/direct/loadExchange.test.ts
+++ b/packages/core/test/direct/loadExchange.test.ts
@@ -160,4 +160,17 @@
     entries.forEach(({ exchange }) => exchange.stop());
   }));
 
+// Guards against empty messages to every peer, which cost processor time while a pool is full.
+test('a batch without anything new is not sent', () =>
+  withClock(async (clock) => {
+    const links: PairedLink[] = [];
+    const [entry] = createEntries(['a', 'b'], links);
+    await clock.tickAsync(600);
+    const countSent = (): number => links.reduce((sum, { sent }) => sum + sent.length, 0);
+    const before = countSent();
+    entry?.board.demand.notePrefilled();
+    await clock.tickAsync(100);
+    assert.is(countSent(), before);
+  }));
+
 test.run();
