Leave stalls of a group out of the limit in flight

Cause: a pause counted as the time of a pass, however long. Change: pauses over four times their target are stalls and do not enter the slowdown. The test fails with the guard out.

--- a/packages/core/src/direct/passModelLimit.ts
+++ b/packages/core/src/direct/passModelLimit.ts
@@ -24,6 +24,12 @@
 /** Part of the target that is left for prefills. */
 const PREFILL_FRACTION = 0.1;
 
+/**
+ * Length of a pause, relative to its target, from which it shows a stall of the group and not the
+ * time of a pass. As a slowdown, one stall of 1.5 s would determine the limit for 13 s.
+ */
+const STALL_TARGETS = 4;
+
 /** Assumed slowdown factor before any pause was observed. */
 const INITIAL_SLOWDOWN = 1.5;
 
@@ -98,6 +104,7 @@
 
   override notePause({ pauseMs, targetMs, decodingRequests }: StreamPause, nowMs: number): void {
     this.#targetMs = targetMs;
+    if (pauseMs > STALL_TARGETS * targetMs) return;
     this.#ratios.push(pauseMs / this.#model.predictMs(decodingRequests, this.#prefillTokens));
     if (nowMs - this.#adjustedAtMs >= ADJUST_INTERVAL_MS) this.#adjust(nowMs);
   }
--- a/packages/core/test/direct/passModelLimit.test.ts
+++ b/packages/core/test/direct/passModelLimit.test.ts
@@ -79,4 +79,14 @@
   assert.ok(slow.concurrentPrefills < fast.concurrentPrefills * 0.7);
 });
 
+// Guards against late streams and refusals for seconds after a map switch has held all passes.
+test('a stall of the group does not change the limit', () => {
+  const limit = new PassModelLimit(model, SLOTS);
+  const nowMs = notePasses(limit, 2.2, 20, 0);
+  const before = limit.slowdown;
+  const stallSlowdown = 1_500 / model.predictMs(4, PREFILL_TOKENS);
+  notePasses(limit, stallSlowdown, 1, nowMs);
+  assert.is(limit.slowdown, before);
+});
+
 test.run();
