Read responses to side processes within the bounds of direct calls

Callers behind a side process waited until their deadline, and a request that must not be repeated forever, when an upstream answered with 101: Node then reports neither a response nor an error, and HttpRun listened for nothing else. Informational heads and chunk extensions without end were read for as long as they came, and so was the body of a declined request.

The bounds existed in HttpUpstreamCall, and in part in sendCall. ResponseReader now reads the response of all three: requests of entries, requests of side processes, control calls. A declined request closes its connection, which no other request uses.

Test: httpRun.test.ts failed in 5 of 6 cases on (no failure reported within 3 s, connection left open), and passes now; a head without end was bounded before. httpCall.test.ts, controlCalls, upstreamFaults, repeatedAnswers, requestBody pass.

--- a/packages/daemon/src/direct/httpUpstreamCall.ts
+++ b/packages/daemon/src/direct/httpUpstreamCall.ts
@@ -9,6 +9,11 @@
   type UpstreamCall,
 } from '@radishbay/core/ports/upstreamCaller.js';
 import type { BodyTransfer } from '@radishbay/core/ports/requestBody.js';
+import {
+  HEAD_BYTES_MAX,
+  ResponseReader,
+  type ResponseFailure,
+} from '@radishbay/objects/responseReader.js';
 
 import type { UpstreamAgent } from './upstreamAgent.js';
 import type { WireCodec } from './wireCodec.js';
@@ -16,18 +21,6 @@
 /** Connect timeout: many round trips between failure domains. */
 const CONNECT_TIMEOUT_MS = 600;
 
-/** Maximum size of a response's headers, and of its trailers. */
-const HEAD_BYTES_MAX = 16 * 1024;
-
-/** Maximum number of informational (1xx) responses before the final response. */
-const INFORMATIONAL_MAX = 16;
-
-/** Maximum bytes of a response outside its body: headers, chunk framing and trailers. */
-const FRAMING_BYTES_MAX = 256 * 1024;
-
-/** Errors of Node's HTTP parser for headers or chunk extensions that exceed their limit. */
-const OVERFLOW_CODES = new Set(['HPE_HEADER_OVERFLOW', 'HPE_CHUNK_EXTENSIONS_OVERFLOW']);
-
 const METHODS_WITHOUT_BODY = new Set(['GET', 'HEAD', 'DELETE']);
 
 export function splitAddress(address: string): { readonly host: string; readonly port: number } {
@@ -47,8 +40,6 @@
 export class HttpUpstreamCall implements CallInProgress {
   readonly #call: UpstreamCall;
 
-  readonly #codec: WireCodec;
-
   readonly #agent: UpstreamAgent;
 
   readonly #events: CallEvents;
@@ -57,29 +48,19 @@
 
   readonly #body: BodyTransfer;
 
-  #response: http.IncomingMessage | undefined;
+  readonly #reader: ResponseReader;
 
   #connectTimer: NodeJS.Timeout | undefined;
 
   readonly #startedAtMs = performance.now();
 
-  #informationalCount = 0;
-
-  /** Bytes that the connection had received before this call. */
-  #bytesReadAtStart = 0;
-
-  #bodyBytes = 0;
-
   #isConnected = false;
 
-  #isDone = false;
-
   /** Whether the end of the response is being handled; the agent reuses the connection later. */
   #isReportingEnd = false;
 
   constructor(call: UpstreamCall, codec: WireCodec, agent: UpstreamAgent, events: CallEvents) {
     this.#call = call;
-    this.#codec = codec;
     this.#agent = agent;
     this.#events = events;
     const { method, path, body } = call.request;
@@ -95,13 +76,14 @@
       },
     });
     this.#request.once('socket', (socket) => this.#handleSocket(socket));
-    this.#request.on('error', (error) => this.#handleError(error));
-    this.#request.on('information', () => this.#handleInformational());
-    this.#request.on('upgrade', (_response, socket) => {
-      this.#fail('the upstream switched protocols');
-      socket.destroy();
+    this.#reader = new ResponseReader(this.#request, {
+      onHead: (response) => {
+        events.onHead(codec.readHead(response, call, this.#request.reusedSocket));
+      },
+      onData: events.onData,
+      onEnd: () => this.#handleEnd(),
+      onFailure: (failure) => this.#fail(failure),
     });
-    this.#request.on('response', (response) => this.#handleResponse(response));
     this.#request.on('drain', () => this.#body.resume());
     this.#body = body.sendTo({
       write: (data) => this.#request.write(data),
@@ -111,80 +93,39 @@
 
   readonly cancel = (): void => {
     if (this.#isReportingEnd) this.#closeConnection();
-    this.#isDone = true;
+    this.#reader.stop();
     clearTimeout(this.#connectTimer);
     this.#body.stop();
     this.#request.destroy();
   };
 
   readonly pause = (): void => {
-    this.#response?.pause();
+    this.#reader.pause();
   };
 
   readonly resume = (): void => {
-    this.#response?.resume();
+    this.#reader.resume();
   };
 
   #handleSocket(socket: Socket): void {
     socket.setNoDelay(true);
-    this.#bytesReadAtStart = socket.bytesRead;
     if (!socket.connecting) {
       this.#isConnected = true;
       return;
     }
     this.#agent.noteConnection(socket);
     this.#connectTimer = setTimeout(() => {
-      this.#fail(`the connection was not established within ${CONNECT_TIMEOUT_MS} ms`);
-      this.#request.destroy();
+      this.#reader.fail(`the connection was not established within ${CONNECT_TIMEOUT_MS} ms`);
     }, CONNECT_TIMEOUT_MS);
     socket.once('connect', () => {
       clearTimeout(this.#connectTimer);
       // After a pause of this process, 'connect' may be emitted before an overdue timer runs.
       if (performance.now() - this.#startedAtMs <= CONNECT_TIMEOUT_MS) this.#isConnected = true;
-      else {
-        this.#fail('the connection was established after the connect timeout');
-        this.#request.destroy();
-      }
+      else this.#reader.fail('the connection was established after the connect timeout');
     });
   }
 
-  #handleResponse(response: http.IncomingMessage): void {
-    if (this.#isDone) {
-      response.resume();
-      return;
-    }
-    this.#response = response;
-    response.on('error', (error) => this.#handleError(error));
-    response.on('close', () => {
-      if (!response.complete) this.#fail('the response was truncated');
-    });
-    const { reusedSocket } = this.#request;
-    this.#events.onHead(this.#codec.readHead(response, this.#call, reusedSocket));
-    if (this.#isDone) return;
-    response.on('data', (data: Buffer) => this.#handleData(data));
-    response.on('end', () => this.#handleEnd(response.complete));
-  }
-
-  #handleData(data: Buffer): void {
-    if (this.#isDone) return;
-    this.#bodyBytes += data.length;
-    if (this.#framingBytes > FRAMING_BYTES_MAX) {
-      this.#fail(`received more than ${FRAMING_BYTES_MAX} bytes outside the response body`, true);
-      this.#request.destroy();
-      return;
-    }
-    this.#events.onData(data);
-  }
-
-  /** Bytes received during this call that are not part of the response body. */
-  get #framingBytes(): number {
-    const { socket } = this.#request;
-    return socket ? socket.bytesRead - this.#bytesReadAtStart - this.#bodyBytes : 0;
-  }
-
-  #handleEnd(isWhole: boolean): void {
-    if (this.#isDone || !isWhole) return;
-    this.#isDone = true;
+  #handleEnd(): void {
     this.#abortUnsentBody();
     this.#isReportingEnd = true;
     this.#events.onEnd();
@@ -209,22 +150,7 @@
     this.#request.destroy();
   }
 
-  #handleError(error: NodeJS.ErrnoException): void {
-    const isEndless = error.code !== undefined && OVERFLOW_CODES.has(error.code);
-    this.#fail(error.message || 'the connection failed', isEndless);
-  }
-
-  #handleInformational(): void {
-    this.#informationalCount += 1;
-    if (this.#informationalCount !== INFORMATIONAL_MAX + 1) return;
-    this.#fail(`received more than ${INFORMATIONAL_MAX} informational responses`, true);
-    this.#request.removeAllListeners('information');
-    this.#request.destroy();
-  }
-
-  #fail(detail: string, isEndless = false): void {
-    if (this.#isDone) return;
-    this.#isDone = true;
+  #fail({ isEndless, detail }: ResponseFailure): void {
     clearTimeout(this.#connectTimer);
     this.#body.stop();
     this.#agent.destroyIdleSockets(this.#call.upstream.address);
--- a/packages/daemon/src/upstream/httpRun.ts
+++ b/packages/daemon/src/upstream/httpRun.ts
@@ -15,6 +15,7 @@
 } from '@radishbay/core/ports/engine.js';
 import { parseRequestLimit } from '@radishbay/core/model/namedLimit.js';
 import type { HeaderMap } from '@radishbay/core/model/request.js';
+import { HEAD_BYTES_MAX, ResponseReader } from '@radishbay/objects/responseReader.js';
 
 import { readHeader } from '../callers/headers.js';
 
@@ -56,12 +57,10 @@
 
   readonly #request: http.ClientRequest;
 
-  #response: http.IncomingMessage | undefined;
+  readonly #reader: ResponseReader;
 
   #isConnected = false;
 
-  #isDone = false;
-
   /**
    * Starts the call.
    *
@@ -73,6 +72,7 @@
     this.#request = http.request(url, {
       method: call.method,
       agent: false,
+      maxHeaderSize: HEAD_BYTES_MAX,
       headers: {
         ...call.headers,
         'content-length': String(call.body.byteLength),
@@ -86,64 +86,43 @@
         this.#isConnected = true;
       });
     });
-    this.#request.on('error', (error) => this.#fail(this.#connectionFailureKind, error.message));
-    this.#request.on('response', (response) => this.#handleResponse(response));
+    this.#reader = new ResponseReader(this.#request, {
+      onHead: (response) => this.#handleHead(response),
+      onData: events.onData,
+      onEnd: events.onEnd,
+      onFailure: ({ detail }) => events.onFailure({ kind: this.#connectionFailureKind, detail }),
+    });
     this.#request.end(call.body);
   }
 
   cancel(): void {
-    this.#isDone = true;
+    this.#reader.stop();
     this.#request.destroy();
   }
 
   pause(): void {
-    this.#response?.pause();
+    this.#reader.pause();
   }
 
   resume(): void {
-    this.#response?.resume();
+    this.#reader.resume();
   }
 
   get #connectionFailureKind(): EngineFailureKind {
     return this.#isConnected ? EngineFailureKind.Lost : EngineFailureKind.NotSent;
   }
 
-  #handleResponse(response: http.IncomingMessage): void {
-    if (this.#isDone) return;
-    this.#response = response;
+  #handleHead(response: http.IncomingMessage): void {
     const status = response.statusCode ?? 0;
     this.#events.onRequestLimit?.(
       parseRequestLimit(REQUEST_LIMIT_HEADER, readHeader(response, REQUEST_LIMIT_HEADER)),
     );
     if (this.#isModel && DECLINED_STATUSES.has(status)) {
-      response.resume();
-      this.#fail(
-        EngineFailureKind.Declined,
-        `the upstream declined the request with status ${status}`,
-      );
-      return;
-    }
-    this.#events.onHead(status, pickEndToEndHeaders(response.headers));
-    response.on('data', (data: Buffer) => {
-      if (!this.#isDone) this.#events.onData(data);
-    });
-    response.on('error', (error) => this.#fail(EngineFailureKind.Lost, error.message));
-    response.on('end', () => this.#handleEnd(response.complete));
-  }
-
-  #handleEnd(isWhole: boolean): void {
-    if (!isWhole) {
-      this.#fail(EngineFailureKind.Lost, 'the response was truncated');
-      return;
-    }
-    if (this.#isDone) return;
-    this.#isDone = true;
-    this.#events.onEnd();
-  }
-
-  #fail(kind: EngineFailureKind, detail: string): void {
-    if (this.#isDone) return;
-    this.#isDone = true;
-    this.#events.onFailure({ kind, detail });
+      this.cancel();
+      this.#events.onFailure({
+        kind: EngineFailureKind.Declined,
+        detail: `the upstream declined the request with status ${status}`,
+      });
+    } else this.#events.onHead(status, pickEndToEndHeaders(response.headers));
   }
 }
--- /dev/null
+++ b/packages/daemon/test/httpRun.test.ts
@@ -0,0 +1,126 @@
+/** Responses of an upstream in trouble, as the side process on its VM reads them. */
+import type net from 'node:net';
+
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { EngineFailureKind, type EngineFailure } from '@radishbay/core/ports/engine.js';
+import { wait } from '@radishbay/core/wait.js';
+import { RawServer } from '@radishbay/standin/http/rawServer.js';
+
+import { HttpRun } from '../src/upstream/httpRun.js';
+
+/** Time within which a call ends that does not wait for the upstream, on a busy machine. */
+const CALL_LIMIT_MS = 3_000;
+
+/** Interval between two pieces of a response without end. */
+const PIECE_INTERVAL_MS = 1;
+
+/** Bytes that are sent once, and a piece that is then sent again and again. */
+interface Script {
+  readonly start: string;
+  readonly piece: string;
+}
+
+const CHUNKED_HEAD = 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n';
+
+/** An upstream that answers each request with a script. */
+class ScriptedUpstream extends RawServer {
+  script: Script = { start: '', piece: '' };
+
+  protected override accept(socket: net.Socket): void {
+    socket.once('data', () => {
+      const { start, piece } = this.script;
+      socket.write(start);
+      if (piece === '') return;
+      const timer = setInterval(() => {
+        if (!socket.writableNeedDrain) socket.write(piece);
+      }, PIECE_INTERVAL_MS);
+      socket.on('close', () => clearInterval(timer));
+    });
+  }
+}
+
+interface Context {
+  upstream: ScriptedUpstream;
+}
+
+/** Calls an upstream; @returns the failure, undefined for a whole response or none in time. */
+async function call({ port }: RawServer): Promise<EngineFailure | undefined> {
+  const request = {
+    attemptId: 'a-1',
+    method: 'POST',
+    path: '/',
+    headers: {},
+    body: new Uint8Array(),
+    priority: 1,
+  };
+  let run: HttpRun | undefined;
+  const ended = new Promise<EngineFailure | undefined>((resolve) => {
+    run = new HttpRun(new URL(`http://127.0.0.1:${port}/`), request, true, {
+      onHead: () => {},
+      onData: () => {},
+      onEnd: () => resolve(undefined),
+      onFailure: resolve,
+    });
+  });
+  const failure = await Promise.race([ended, wait(CALL_LIMIT_MS)]);
+  if (!failure) run?.cancel();
+  return failure ?? undefined;
+}
+
+/** Resolves when the upstream's connections have closed; false if one stays open. */
+async function isClosed(upstream: RawServer): Promise<boolean> {
+  const endAtMs = performance.now() + CALL_LIMIT_MS;
+  while (upstream.connectionCount > 0 && performance.now() < endAtMs) {
+    // eslint-disable-next-line no-await-in-loop -- polls until the connections have closed
+    await wait(PIECE_INTERVAL_MS);
+  }
+  return upstream.connectionCount === 0;
+}
+
+const test = suite<Context>('responses to a side process');
+
+test.before.each(async (context) => {
+  context.upstream = new ScriptedUpstream();
+  await context.upstream.start();
+});
+
+test.after.each(({ upstream }) => upstream.stop());
+
+const FORMS: readonly (readonly [string, Script])[] = [
+  [
+    'a 101 that names a protocol',
+    { start: 'HTTP/1.1 101 Switching\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n', piece: '' },
+  ],
+  ['a 101 that names no protocol', { start: 'HTTP/1.1 101 Switching\r\n\r\n', piece: '' }],
+  [
+    'informational heads without end',
+    { start: '', piece: 'HTTP/1.1 102 Processing\r\n\r\n'.repeat(64) },
+  ],
+  [
+    'padded chunks without end',
+    { start: CHUNKED_HEAD, piece: `1;x=${'x'.repeat(8_000)}\r\nx\r\n`.repeat(4) },
+  ],
+  ['a head without end', { start: 'HTTP/1.1 200 OK\r\nx-long: ', piece: 'x'.repeat(8_000) }],
+];
+
+/** Guards against an attempt, which may have no deadline, that waits for such a response. */
+FORMS.forEach(([name, script]) => {
+  test(`${name} fails its call at once, and closes the connection`, async ({ upstream }) => {
+    Object.assign(upstream, { script });
+    const failure = await call(upstream);
+    assert.is(failure?.kind, EngineFailureKind.Lost, failure?.detail);
+    assert.ok(await isClosed(upstream));
+  });
+});
+
+/** Guards against reading the body of a declined request for as long as the upstream sends. */
+test('a declined request closes its connection', async ({ upstream }) => {
+  const start = 'HTTP/1.1 503 Full\r\ntransfer-encoding: chunked\r\n\r\n';
+  Object.assign(upstream, { script: { start, piece: '4\r\nfull\r\n' } });
+  assert.is((await call(upstream))?.kind, EngineFailureKind.Declined);
+  assert.ok(await isClosed(upstream));
+});
+
+test.run();
--- a/packages/objects/src/httpCall.ts
+++ b/packages/objects/src/httpCall.ts
@@ -11,16 +11,13 @@
   type IncomingHttpHeaders,
   type IncomingMessage,
 } from 'node:http';
+import type { Socket } from 'node:net';
 
 import { Err, Ok, type Result } from '@radishbay/core/outcome.js';
 
-const DEFAULT_RESPONSE_LIMIT_BYTES = 64 * 1024 * 1024;
-
-/** Maximum number of informational (1xx) responses before the final response. */
-const INFORMATIONAL_MAX = 16;
+import { HEAD_BYTES_MAX, ResponseReader } from './responseReader.js';
 
-/** Lowest status of a final response. */
-const STATUS_FINAL_MIN = 200;
+const DEFAULT_RESPONSE_LIMIT_BYTES = 64 * 1024 * 1024;
 
 /** A request and how to send it. */
 export interface HttpCall {
@@ -53,131 +50,108 @@
   readonly detail: string;
 }
 
-enum Limit {
-  Time,
-  Size,
-}
-
-class LimitError extends Error {
-  readonly limit: Limit;
-
-  constructor(limit: Limit, message: string) {
-    super(message);
-    this.limit = limit;
-  }
-}
-
-function readResponse(
-  response: IncomingMessage,
-  limitBytes: number,
-  onComplete: (response: HttpResponse) => void,
-  onError: (error: Error) => void,
-): void {
-  const chunks: Buffer[] = [];
-  let sizeBytes = 0;
-  const failTooLarge = (): void => {
-    chunks.length = 0;
-    response.destroy(new LimitError(Limit.Size, `the answer exceeds ${limitBytes} bytes`));
-  };
-  response.on('data', (chunk: Buffer) => {
-    sizeBytes += chunk.length;
-    if (sizeBytes <= limitBytes) chunks.push(chunk);
-    else failTooLarge();
-  });
-  response.on('end', () => {
-    if (!response.complete) return;
-    const text = Buffer.concat(chunks).toString('utf8');
-    onComplete({ status: response.statusCode ?? 0, headers: response.headers, text });
-  });
-  response.on('error', onError);
-  response.on('close', () => {
-    if (!response.complete) onError(new Error('answer broke off'));
-  });
-  if (Number(response.headers['content-length']) > limitBytes) failTooLarge();
-}
+type CallResult = Result<HttpResponse, HttpFailure>;
 
 /** @returns the request, or why Node does not accept its method, address or headers */
 function openRequest({ url, method, headers, agent }: HttpCall): Result<ClientRequest, string> {
   try {
-    return Ok(request(url, { method, headers, agent }));
+    return Ok(request(url, { method, headers, agent, maxHeaderSize: HEAD_BYTES_MAX }));
   } catch (error) {
     return Err(error instanceof Error ? error.message : String(error));
   }
 }
 
+/** A call in progress; reports its result exactly once. */
+class CallRun {
+  readonly #limitBytes: number;
+
+  readonly #reader: ResponseReader;
+
+  readonly #timer: NodeJS.Timeout;
+
+  readonly #onDone: (result: CallResult) => void;
+
+  readonly #chunks: Buffer[] = [];
+
+  #sizeBytes = 0;
+
+  #head: IncomingMessage | undefined;
+
+  #isSent = false;
+
+  #isTimeout = false;
+
+  #isTooLarge = false;
+
+  constructor(call: HttpCall, clientRequest: ClientRequest, onDone: (result: CallResult) => void) {
+    this.#limitBytes = call.responseLimitBytes ?? DEFAULT_RESPONSE_LIMIT_BYTES;
+    this.#onDone = onDone;
+    clientRequest.once('socket', (socket) => this.#handleSocket(socket));
+    this.#reader = new ResponseReader(clientRequest, {
+      onHead: (response) => this.#handleHead(response),
+      onData: (data) => this.#handleData(data),
+      onEnd: () => this.#handleEnd(),
+      onFailure: ({ detail }) => this.#handleFailure(detail),
+    });
+    this.#timer = setTimeout(() => this.#handleTimeout(call.timeoutMs), call.timeoutMs);
+    clientRequest.end(call.body);
+  }
+
+  #handleSocket(socket: Socket): void {
+    this.#isSent = !socket.connecting;
+    socket.once('connect', () => {
+      this.#isSent = true;
+    });
+  }
+
+  #handleHead(response: IncomingMessage): void {
+    this.#head = response;
+    if (Number(response.headers['content-length']) > this.#limitBytes) this.#failTooLarge();
+  }
+
+  #handleData(data: Buffer): void {
+    this.#sizeBytes += data.length;
+    if (this.#sizeBytes > this.#limitBytes) this.#failTooLarge();
+    else this.#chunks.push(data);
+  }
+
+  #handleEnd(): void {
+    clearTimeout(this.#timer);
+    const { statusCode: status = 0, headers = {} } = this.#head ?? {};
+    this.#onDone(Ok({ status, headers, text: Buffer.concat(this.#chunks).toString('utf8') }));
+  }
+
+  #handleTimeout(timeoutMs: number): void {
+    this.#isTimeout = true;
+    this.#reader.fail(`no answer within ${timeoutMs} ms`);
+  }
+
+  #failTooLarge(): void {
+    this.#chunks.length = 0;
+    this.#isTooLarge = true;
+    this.#reader.fail(`the answer exceeds ${this.#limitBytes} bytes`);
+  }
+
+  #handleFailure(detail: string): void {
+    clearTimeout(this.#timer);
+    const isSent = this.#isSent;
+    this.#onDone(Err({ isSent, isTimeout: this.#isTimeout, isTooLarge: this.#isTooLarge, detail }));
+  }
+}
+
 /**
  * Sends one request.
  *
  * @returns the complete response with any status, or why there is none
  */
-export function sendCall(call: HttpCall): Promise<Result<HttpResponse, HttpFailure>> {
+export function sendCall(call: HttpCall): Promise<CallResult> {
   return new Promise((resolve) => {
-    let isSent = false;
     const opened = openRequest(call);
-    if (opened.err) {
-      resolve(Err({ isSent, isTimeout: false, isTooLarge: false, detail: opened.val }));
-      return;
+    if (opened.ok) {
+      // eslint-disable-next-line no-new -- the call starts by its construction
+      new CallRun(call, opened.val, resolve);
+    } else {
+      resolve(Err({ isSent: false, isTimeout: false, isTooLarge: false, detail: opened.val }));
     }
-    const clientRequest = opened.val;
-    let hasResponse = false;
-    let timer: NodeJS.Timeout | undefined;
-    const fail = (error: Error): void => {
-      clearTimeout(timer);
-      const limit = error instanceof LimitError ? error.limit : undefined;
-      resolve(
-        Err({
-          isSent,
-          isTimeout: limit === Limit.Time,
-          isTooLarge: limit === Limit.Size,
-          detail: error.message || 'connection failed',
-        }),
-      );
-    };
-    timer = setTimeout(() => {
-      const error = new LimitError(Limit.Time, `no answer within ${call.timeoutMs} ms`);
-      fail(error);
-      clientRequest.destroy(error);
-    }, call.timeoutMs);
-    const succeed = (response: HttpResponse): void => {
-      clearTimeout(timer);
-      resolve(Ok(response));
-    };
-
-    clientRequest.on('socket', (socket) => {
-      if (!socket.connecting) {
-        isSent = true;
-        return;
-      }
-      socket.once('connect', () => {
-        isSent = true;
-      });
-    });
-    clientRequest.on('error', fail);
-    // A request that Node destroys after a 101 response emits neither a response nor an error.
-    clientRequest.on('close', () => {
-      if (!hasResponse) fail(new Error('the connection closed without a response'));
-    });
-    let informationalCount = 0;
-    clientRequest.on('information', () => {
-      informationalCount += 1;
-      if (informationalCount <= INFORMATIONAL_MAX) return;
-      clientRequest.removeAllListeners('information');
-      clientRequest.destroy(new Error(`more than ${INFORMATIONAL_MAX} informational responses`));
-    });
-    clientRequest.on('response', (response) => {
-      hasResponse = true;
-      // Node takes a 101 without an Upgrade header for a complete response.
-      if ((response.statusCode ?? 0) < STATUS_FINAL_MIN) {
-        clientRequest.destroy(new Error('the server switched protocols'));
-        return;
-      }
-      readResponse(
-        response,
-        call.responseLimitBytes ?? DEFAULT_RESPONSE_LIMIT_BYTES,
-        succeed,
-        fail,
-      );
-    });
-    clientRequest.end(call.body);
   });
 }
--- /dev/null
+++ b/packages/objects/src/responseReader.ts
@@ -0,0 +1,154 @@
+/**
+ * Reads the response to one HTTP request, and reports how it ended.
+ *
+ * A server in trouble may send bytes that are no response, part of one, or bytes without end. None
+ * of these counts as a response, and the connection is closed.
+ */
+import type { ClientRequest, IncomingMessage } from 'node:http';
+
+/** Maximum size of a response's headers, and of its trailers. */
+export const HEAD_BYTES_MAX = 16 * 1024;
+
+/** Maximum number of informational (1xx) responses before the final response. */
+const INFORMATIONAL_MAX = 16;
+
+/** Maximum bytes of a response outside its body: headers, chunk framing and trailers. */
+const FRAMING_BYTES_MAX = 256 * 1024;
+
+/** Errors of Node's HTTP parser for headers or chunk extensions that exceed their limit. */
+const OVERFLOW_CODES = new Set(['HPE_HEADER_OVERFLOW', 'HPE_CHUNK_EXTENSIONS_OVERFLOW']);
+
+const STATUS_SWITCHING_PROTOCOLS = 101;
+
+const SWITCHED_PROTOCOLS = 'the server switched protocols';
+
+/** Why there is no complete response. */
+export interface ResponseFailure {
+  /** Whether the response exceeded a limit, as one without end does. */
+  readonly isEndless: boolean;
+  readonly detail: string;
+}
+
+/** Events of one response, in order; the last event is either `onEnd` or `onFailure`. */
+export interface ResponseEvents {
+  readonly onHead: (response: IncomingMessage) => void;
+  readonly onData: (data: Buffer) => void;
+  /** The response is complete. */
+  readonly onEnd: () => void;
+  readonly onFailure: (failure: ResponseFailure) => void;
+}
+
+/** Reads one response; reports its end or failure exactly once, unless it is stopped. */
+export class ResponseReader {
+  readonly #request: ClientRequest;
+
+  readonly #events: ResponseEvents;
+
+  #response: IncomingMessage | undefined;
+
+  #informationalCount = 0;
+
+  /** Bytes that the connection had received before this response. */
+  #bytesReadAtStart = 0;
+
+  #bodyBytes = 0;
+
+  #isDone = false;
+
+  /** @param request created with {@link HEAD_BYTES_MAX} as `maxHeaderSize` */
+  constructor(request: ClientRequest, events: ResponseEvents) {
+    this.#request = request;
+    this.#events = events;
+    request.once('socket', ({ bytesRead }) => {
+      this.#bytesReadAtStart = bytesRead;
+    });
+    request.on('error', (error) => this.#handleError(error));
+    request.on('information', () => this.#handleInformational());
+    request.on('upgrade', (_response, socket) => {
+      this.#fail(SWITCHED_PROTOCOLS);
+      socket.destroy();
+    });
+    request.on('response', (response) => this.#handleResponse(response));
+    request.on('close', () => {
+      if (!this.#response) this.#fail('the connection closed without a response');
+    });
+  }
+
+  /** Stops reading: no further events follow. The caller closes the connection. */
+  stop(): void {
+    this.#isDone = true;
+  }
+
+  /** Closes the connection and reports a failure that shows outside the response. */
+  fail(detail: string): void {
+    this.#fail(detail);
+  }
+
+  pause(): void {
+    this.#response?.pause();
+  }
+
+  resume(): void {
+    this.#response?.resume();
+  }
+
+  #handleResponse(response: IncomingMessage): void {
+    if (this.#isDone) {
+      response.resume();
+      return;
+    }
+    this.#response = response;
+    if (response.statusCode === STATUS_SWITCHING_PROTOCOLS) {
+      // Node emits no 'upgrade' event for a 101 without an Upgrade header.
+      this.#fail(SWITCHED_PROTOCOLS);
+      return;
+    }
+    response.on('error', (error) => this.#handleError(error));
+    response.on('close', () => {
+      if (!response.complete) this.#fail('the response was truncated');
+    });
+    this.#events.onHead(response);
+    if (this.#isDone) return;
+    response.on('data', (data: Buffer) => this.#handleData(data));
+    response.on('end', () => this.#handleEnd(response.complete));
+  }
+
+  #handleData(data: Buffer): void {
+    if (this.#isDone) return;
+    this.#bodyBytes += data.length;
+    if (this.#framingBytes > FRAMING_BYTES_MAX) {
+      this.#fail(`received more than ${FRAMING_BYTES_MAX} bytes outside the response body`, true);
+    } else this.#events.onData(data);
+  }
+
+  /** Bytes received during this response that are not part of its body. */
+  get #framingBytes(): number {
+    const { socket } = this.#request;
+    return socket ? socket.bytesRead - this.#bytesReadAtStart - this.#bodyBytes : 0;
+  }
+
+  #handleEnd(isWhole: boolean): void {
+    if (this.#isDone || !isWhole) return;
+    this.#isDone = true;
+    this.#events.onEnd();
+  }
+
+  #handleError(error: NodeJS.ErrnoException): void {
+    const isEndless = error.code !== undefined && OVERFLOW_CODES.has(error.code);
+    this.#fail(error.message || 'the connection failed', isEndless);
+  }
+
+  #handleInformational(): void {
+    this.#informationalCount += 1;
+    if (this.#informationalCount <= INFORMATIONAL_MAX) return;
+    this.#request.removeAllListeners('information');
+    this.#fail(`received more than ${INFORMATIONAL_MAX} informational responses`, true);
+  }
+
+  #fail(detail: string, isEndless = false): void {
+    if (this.#isDone) return;
+    this.#isDone = true;
+    this.#request.destroy();
+    this.#events.onFailure({ isEndless, detail });
+  }
+}
