Take no response with a status that is not final

An upstream answered with status 000 behind a side process: the entry ended, and the requests that it was serving were cut. With 600 the caller got it as an answer. Requests that entries send themselves ended with 502, but an answer with such a status and the not-run header came out as 503, a promise that nothing was run which no valid response had made.

Cause: no reader of responses checked the status. HttpRun forwarded it, Node's server throws for a status below 100 in writeHead, and an uncaught exception ends the process. The codec of entries read the not-run header before it looked at the status. An order to an engine counted as done with any status below 400.

ResponseReader fails a response whose status is outside 200 to 599, so that this holds on both ways to an upstream and for control calls. An entry also relays no such head that a side process of an earlier version sends, and no such kept answer.

Ruled out: a Keep-Alive hint too large for a timer (trial with Node's agent, 20 to 400 digits: no exception), field names and values (Node's parser rejects them).

What held before and keeps its test, on both ways: blanks, tabs and control bytes in field names, folded lines, control bytes in values, two framings, and heads that stop in the middle.

--- a/packages/core/src/claims/claimRecord.ts
+++ b/packages/core/src/claims/claimRecord.ts
@@ -7,6 +7,7 @@
 
 import { z } from 'zod';
 
+import { FINAL_STATUS } from '../model/finalStatus.js';
 import type { CallerRequest } from '../model/request.js';
 
 export const CLAIM_PREFIX = 'claim/';
@@ -25,7 +26,7 @@
 }
 
 const KEPT_ANSWER = z.strictObject({
-  status: z.number().int(),
+  status: FINAL_STATUS,
   headers: z.record(z.string(), z.string()),
   bodyBase64: z.base64(),
 });
--- a/packages/core/src/entry/answerRelay.ts
+++ b/packages/core/src/entry/answerRelay.ts
@@ -5,6 +5,7 @@
  * rejected, and the answer is completed only if its length equals the total that the side process
  * reported. Flow control: the side process gets credit only as the caller accepts bytes.
  */
+import { isFinalStatus } from '../model/finalStatus.js';
 import type { HeaderMap } from '../model/request.js';
 import type { Caller } from '../ports/caller.js';
 import type { Refusal } from '../model/reason.js';
@@ -20,7 +21,7 @@
   Known = 'known',
   /** An earlier part is missing. */
   Gap = 'gap',
-  /** Contradicts a part that was already relayed. */
+  /** Contradicts a part that was already relayed, or cannot be relayed at all. */
   Broken = 'broken',
 }
 
@@ -73,6 +74,7 @@
 
   /** Relays the head of the answer. A repeated head must have the same status. */
   relayHead(status: number, headers: HeaderMap): RelayResult {
+    if (!isFinalStatus(status)) return RelayResult.Broken;
     if (this.#status !== undefined) {
       return this.#status === status ? RelayResult.Known : RelayResult.Broken;
     }
--- /dev/null
+++ b/packages/core/src/model/finalStatus.ts
@@ -0,0 +1,14 @@
+/** Statuses of final HTTP responses (RFC 9110, 15). */
+import { z } from 'zod';
+
+const STATUS_MIN = 200;
+
+const STATUS_MAX = 599;
+
+/** Schema of a stored status. */
+export const FINAL_STATUS = z.number().int().min(STATUS_MIN).max(STATUS_MAX);
+
+/** Whether a status is that of a final response; Node's server throws for some others. */
+export function isFinalStatus(status: number): boolean {
+  return status >= STATUS_MIN && status <= STATUS_MAX;
+}
--- a/packages/core/test/entry/requestController.test.ts
+++ b/packages/core/test/entry/requestController.test.ts
@@ -1,7 +1,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
-import type { Message } from '../../src/messages/message.js';
+import { MessageType, type Message } from '../../src/messages/message.js';
 import { Outcome, RefusalReason } from '../../src/model/reason.js';
 
 import { FakeSide } from './fakeSide.js';
@@ -58,6 +58,20 @@
   callers.forEach((caller) => assert.equal(caller.ends, ['end']));
 });
 
+/** Guards against a status that Node's server throws for, from an older side process. */
+[0, 99, 101, 600].forEach((status) => {
+  scenario(`an answer with status ${status} is not relayed`, async (entry, clock) => {
+    const caller = entry.request(SWAP);
+    await clock.tickAsync(0);
+    entry.deliver();
+    const [name = ''] = [...entry.sides.keys()].filter((each) => entry.countRunning(each) > 0);
+    const attemptId = 'entry-1.i1.1.1';
+    entry.receive(name, [{ type: MessageType.Head, attemptId, status, headers: {} }]);
+    assert.equal(caller.ends, ['refuse']);
+    assert.is(caller.refusal?.outcome, Outcome.Unknown);
+  });
+});
+
 scenario('an answer may arrive while its request is being sent', async (entry, clock) => {
   entry.links.forEach((link, name) => {
     const side = entry.sides.get(name);
--- a/packages/objects/src/responseReader.ts
+++ b/packages/objects/src/responseReader.ts
@@ -6,6 +6,8 @@
  */
 import type { ClientRequest, IncomingMessage } from 'node:http';
 
+import { isFinalStatus } from '@radishbay/core/model/finalStatus.js';
+
 import { onResetAtEnd } from './connectionReset.js';
 
 /** Maximum size of a response's headers, and of its trailers. */
@@ -20,10 +22,6 @@
 /** Errors of Node's HTTP parser for headers or chunk extensions that exceed their limit. */
 const OVERFLOW_CODES = new Set(['HPE_HEADER_OVERFLOW', 'HPE_CHUNK_EXTENSIONS_OVERFLOW']);
 
-const STATUS_SWITCHING_PROTOCOLS = 101;
-
-const SWITCHED_PROTOCOLS = 'the server switched protocols';
-
 /** Why there is no complete response. */
 export interface ResponseFailure {
   /** Whether the response exceeded a limit, as one without end does. */
@@ -72,7 +70,7 @@
     request.on('error', (error) => this.#handleError(error));
     request.on('information', () => this.#handleInformational());
     request.on('upgrade', (_response, socket) => {
-      this.#fail(SWITCHED_PROTOCOLS);
+      this.#fail('the server switched protocols');
       socket.destroy();
     });
     request.on('response', (response) => this.#handleResponse(response));
@@ -105,9 +103,9 @@
       return;
     }
     this.#response = response;
-    if (response.statusCode === STATUS_SWITCHING_PROTOCOLS) {
-      // Node emits no 'upgrade' event for a 101 without an Upgrade header.
-      this.#fail(SWITCHED_PROTOCOLS);
+    const { statusCode = 0 } = response;
+    if (!isFinalStatus(statusCode)) {
+      this.#fail(`the response has status ${statusCode}`);
       return;
     }
     response.on('error', (error) => this.#handleError(error));
--- a/packages/standin/src/fleet/fleet.ts
+++ b/packages/standin/src/fleet/fleet.ts
@@ -36,6 +36,8 @@
   readonly noticeMs?: number;
   /** Options of the stand-in engines, such as their step time. */
   readonly engineOptions?: Readonly<Record<string, unknown>>;
+  /** Servers of the harness that take the place of stand-ins, by the name of their upstream. */
+  readonly engineUrls?: ReadonlyMap<string, string>;
 }
 
 /** Where one entry is reached. */
@@ -183,7 +185,9 @@
     const options = upstream.isPlain
       ? {}
       : { models: [SAMPLE_MODEL], coldLimit: upstream.coldLimit, ...this.#options.engineOptions };
-    const url = await this.#startStandin(`engine-${upstream.name}`, kind, options);
+    const url =
+      this.#options.engineUrls?.get(upstream.name) ??
+      (await this.#startStandin(`engine-${upstream.name}`, kind, options));
     this.#engineUrls.set(upstream.name, url);
     const [port] = await findFreePorts(1);
     this.#sideAddresses.set(upstream.name, await this.#chooseAddress(upstream.name, port ?? 0));
--- /dev/null
+++ b/packages/standin/test/fleet/brokenAnswers.test.ts
@@ -0,0 +1,95 @@
+/** Upstreams behind side processes that send bytes which are no HTTP response. */
+import type net from 'node:net';
+
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { wait } from '@radishbay/core/wait.js';
+
+import { Fleet } from '../../src/fleet/fleet.js';
+import { planSampleFleet, SAMPLE_MODEL } from '../../src/fleet/fleetPlan.js';
+import { callHttp } from '../../src/fleet/httpCall.js';
+import { BrokenAnswer, writeBrokenAnswer } from '../../src/http/brokenAnswer.js';
+import { RawServer } from '../../src/http/rawServer.js';
+
+/** Tokens of a completion that lasts longer than a broken answer takes. */
+const COMPLETION_TOKENS = 20;
+
+/** The only upstream of its pool. */
+const BROKEN_PLAIN = 'exchange-a1';
+
+/** Time in which the end of a process is seen. */
+const SETTLE_MS = 50;
+
+/** Processes that read its answers. */
+const DAEMONS = ['entry-1', `side-${BROKEN_PLAIN}`];
+
+const HEADERS = { authorization: 'Bearer choir-key-0001' };
+
+/** A service that answers each request with the same bytes, then closes. */
+class BrokenService extends RawServer {
+  answer: Buffer = Buffer.alloc(0);
+
+  protected override accept(socket: net.Socket): void {
+    socket.once('data', () => socket.end(this.answer));
+  }
+}
+
+interface Context {
+  service: BrokenService;
+  fleet: Fleet;
+}
+
+const test = suite<Context>('broken answers behind side processes');
+
+test.before(async (context) => {
+  const service = new BrokenService();
+  await service.start();
+  context.service = service;
+  const plan = planSampleFleet(1, 1);
+  const upstreams = plan.upstreams.filter(({ name, isPlain }) => !isPlain || name === BROKEN_PLAIN);
+  context.fleet = await Fleet.start({
+    plan: { ...plan, upstreams },
+    engineUrls: new Map([[BROKEN_PLAIN, `http://127.0.0.1:${service.port}`]]),
+  });
+});
+
+test.after(async ({ service, fleet }) => {
+  await fleet.stop();
+  await service.stop();
+});
+
+/** Lists the daemons that have ended. */
+async function listEnded(fleet: Fleet): Promise<readonly string[]> {
+  const ends = await Promise.all(
+    DAEMONS.map((name) => Promise.race([fleet.getProgram(name).waitForEnd(), wait(SETTLE_MS)])),
+  );
+  return DAEMONS.filter((_, at) => ends[at] !== undefined);
+}
+
+test.after.each(async ({ fleet }) => {
+  await Promise.all((await listEnded(fleet)).map((name) => fleet.startDaemon(name)));
+  await fleet.waitUntilReady();
+});
+
+/** Guards against a process that ends by an answer, and against a caller who takes it for one. */
+Object.values(BrokenAnswer).forEach((kind) => {
+  test(`an answer with ${kind} fails its own request only`, async ({ service, fleet }) => {
+    const url = fleet.entries[0]?.callersUrl;
+    Object.assign(service, { answer: writeBrokenAnswer(kind, 'x-own: 1\r\n') });
+    const completion = callHttp({
+      method: 'POST',
+      url: `${url}/v1/completions`,
+      headers: HEADERS,
+      body: { model: SAMPLE_MODEL, prompt: 'sing', max_tokens: COMPLETION_TOKENS },
+    });
+    const swap = { method: 'POST', url: `${url}/swaps`, headers: HEADERS, body: {} };
+    const answer = await callHttp(swap);
+    assert.is(answer.ok && answer.val.status, 502);
+    assert.match(answer.unwrap().text, /"outcome":"unknown"/u);
+    assert.is((await completion).unwrap().status, 200);
+    assert.equal(await listEnded(fleet), []);
+  });
+});
+
+test.run();
