Take no response with an unknown transfer coding

An upstream answered with a transfer coding other than chunked, and the caller got a 200 whose body was not the upstream's: the framing of the chunks stood in it. As the head named a coding, the entry also took the response for delimited and framed it as whole, although it ended with its connection.

Cause: Node's parser reads such a body up to the end of the connection and does not say so, and no reader looked at the value of the header. ResponseReader now fails the response, on both ways to an upstream and for control calls. No request asks for a coding, so none but chunked is allowed.

Tests: brokenAnswers on failed for this form behind a side process (200 for 502) and at an entry (200, and 503 with the not-run header); they pass now.

--- a/packages/objects/src/responseReader.ts
+++ b/packages/objects/src/responseReader.ts
@@ -22,6 +22,9 @@
 /** Errors of Node's HTTP parser for headers or chunk extensions that exceed their limit. */
 const OVERFLOW_CODES = new Set(['HPE_HEADER_OVERFLOW', 'HPE_CHUNK_EXTENSIONS_OVERFLOW']);
 
+/** The only transfer coding that a server may use without being asked (RFC 9112, 7). */
+const CHUNKED = 'chunked';
+
 /** Why there is no complete response. */
 export interface ResponseFailure {
   /** Whether the response exceeded a limit, as one without end does. */
@@ -38,6 +41,14 @@
   readonly onFailure: (failure: ResponseFailure) => void;
 }
 
+/** @returns why a head is not that of a response; undefined for a valid one */
+function findHeadFault({ statusCode = 0, headers }: IncomingMessage): string | undefined {
+  if (!isFinalStatus(statusCode)) return `the response has status ${statusCode}`;
+  const coding = headers['transfer-encoding'] ?? CHUNKED;
+  if (coding.toLowerCase() !== CHUNKED) return `the response has transfer coding "${coding}"`;
+  return undefined;
+}
+
 /** Whether a response shows its own end; otherwise it ends with its connection. */
 export function isDelimited({ headers }: IncomingMessage): boolean {
   return 'content-length' in headers || 'transfer-encoding' in headers;
@@ -103,9 +114,9 @@
       return;
     }
     this.#response = response;
-    const { statusCode = 0 } = response;
-    if (!isFinalStatus(statusCode)) {
-      this.#fail(`the response has status ${statusCode}`);
+    const fault = findHeadFault(response);
+    if (fault !== undefined) {
+      this.#fail(fault);
       return;
     }
     response.on('error', (error) => this.#handleError(error));
--- a/packages/standin/src/http/brokenAnswer.ts
+++ b/packages/standin/src/http/brokenAnswer.ts
@@ -17,6 +17,7 @@
   LengthWithBlank = 'a blank in the name of the length',
   CodingWithBlank = 'a blank in the name of the transfer coding',
   CodingWithControl = 'a control byte in the name of the transfer coding',
+  UnknownCoding = 'an unknown transfer coding',
   TwoLengths = 'two lengths',
   LengthAndCoding = 'a length and a transfer coding',
   HalfStatusLine = 'half a status line',
@@ -54,6 +55,8 @@
   [BrokenAnswer.CodingWithBlank]: (lines) => `${OK}${lines}transfer encoding: chunked\r\n${CHUNKS}`,
   [BrokenAnswer.CodingWithControl]: (lines) =>
     `${OK}${lines}transfer-\u0007encoding: chunked\r\n${CHUNKS}`,
+  [BrokenAnswer.UnknownCoding]: (lines) =>
+    `${OK}${lines}transfer-encoding: chunked, x\r\n${CHUNKS}`,
   [BrokenAnswer.TwoLengths]: (lines) => `${OK}${lines}${LENGTH}content-length: 2\r\n${BODY}`,
   [BrokenAnswer.LengthAndCoding]: (lines) =>
     `${OK}${lines}${LENGTH}transfer-encoding: chunked\r\n${CHUNKS}`,
