Take no response of an unknown protocol version

A caller got a 200 from bytes that name HTTP/2.0, which no upstream speaks on these connections. Node's parser takes any known version number. ResponseReader fails a response that is not HTTP/1.x.

Tests: brokenAnswers on failed for this form behind a side process (200 for 502) and at an entry (200, and 503 with the not-run header); they pass now.

--- a/packages/objects/src/responseReader.ts
+++ b/packages/objects/src/responseReader.ts
@@ -42,7 +42,9 @@
 }
 
 /** @returns why a head is not that of a response; undefined for a valid one */
-function findHeadFault({ statusCode = 0, headers }: IncomingMessage): string | undefined {
+function findHeadFault(response: IncomingMessage): string | undefined {
+  const { httpVersion, httpVersionMajor, statusCode = 0, headers } = response;
+  if (httpVersionMajor !== 1) return `the response has protocol version ${httpVersion}`;
   if (!isFinalStatus(statusCode)) return `the response has status ${statusCode}`;
   const coding = headers['transfer-encoding'] ?? CHUNKED;
   if (coding.toLowerCase() !== CHUNKED) return `the response has transfer coding "${coding}"`;
