Send a request to the same upstream again on a new connection

A worker wrote an earlier refusal once more on a kept connection, and a request that must run at most once ran three times: it was the copy that ended each attempt.

Cause: responses are told apart by the id of the caller's attempt. A request that an upstream has declined and that waits for capacity can go to the same upstream again, on another kept connection, with the same id; a copy of the refusal then counts as proof that the running attempt did not run.

An upstream that has failed a request now gets it again on a connection that no request has used, where nothing can be left over. Held before, with tests that stay: copies with the id of another request, and copies without an id on a reused connection, fail their request as 'may have run' (operatorFailures, three forms). Ruled out: not believing second refusals, as they are usual where an upstream stays full.

Test: repeatedRefusal.test.ts on: a 200 for an unsafe request that had run 3 times, 1 expected.

--- a/packages/core/src/direct/directRequest.ts
+++ b/packages/core/src/direct/directRequest.ts
@@ -6,7 +6,11 @@
  */
 import { Outcome, RefusalReason, RetryReason, type Refusal } from '../model/reason.js';
 import type { Caller } from '../ports/caller.js';
-import type { AnswerHead, ForwardedRequest } from '../ports/upstreamCaller.js';
+import {
+  ConnectionChoice,
+  type AnswerHead,
+  type ForwardedRequest,
+} from '../ports/upstreamCaller.js';
 
 import { createBodyRefusal } from '../memory/bodyRefusal.js';
 
@@ -248,7 +252,7 @@
         workspace: workspace?.name,
         remainingMs: request.deadlineMs === undefined ? undefined : Math.floor(leftMs),
         resumeAfterId: isResumed ? this.#response.lastEventId : undefined,
-        isFreshConnectionNeeded: route.kind === RouteKind.Once,
+        connection: this.#chooseConnection(upstream),
       },
       events: {
         onHead: (head) => this.#handleHead(head),
@@ -262,6 +266,16 @@
     this.#attempt.start();
   }
 
+  /**
+   * An upstream that gets the request again may repeat its earlier response to it, which has the
+   * same id.
+   */
+  #chooseConnection({ id }: DirectUpstream): ConnectionChoice {
+    if (this.#history.failedUpstreams.has(id)) return ConnectionChoice.New;
+    const isOnce = this.#options.route.kind === RouteKind.Once;
+    return isOnce ? ConnectionChoice.Recent : ConnectionChoice.Any;
+  }
+
   /** Whether another attempt is to replace one that makes no progress. */
   #canReplace(silent: DirectUpstream, silentMs: number): boolean {
     const { admission, route } = this.#options;
--- a/packages/core/src/ports/upstreamCaller.ts
+++ b/packages/core/src/ports/upstreamCaller.ts
@@ -33,6 +33,15 @@
   readonly arrivedAtMs: number;
 }
 
+/** Which connections to its upstream a request may use. */
+export enum ConnectionChoice {
+  Any = 'any',
+  /** One that was used lately or is new, as an idle one may have been closed by the upstream. */
+  Recent = 'recent',
+  /** One on which no response can be left over from an earlier request. */
+  New = 'new',
+}
+
 /** One request to one upstream. */
 export interface UpstreamCall {
   readonly request: ForwardedRequest;
@@ -42,8 +51,7 @@
   readonly remainingMs: number | undefined;
   /** Id of the last event that the caller received, if a stream is resumed. */
   readonly resumeAfterId: string | undefined;
-  /** Whether the request needs a new connection, since a reused one may have been closed. */
-  readonly isFreshConnectionNeeded: boolean;
+  readonly connection: ConnectionChoice;
 }
 
 /** Status and headers of an answer, with what the upstream states in them. */
--- a/packages/daemon/src/direct/httpUpstreamCaller.ts
+++ b/packages/daemon/src/direct/httpUpstreamCaller.ts
@@ -4,6 +4,7 @@
 import type { UpstreamEntry } from '@radishbay/core/direct/directUpstream.js';
 import {
   CallFailureKind,
+  ConnectionChoice,
   UpstreamCaller,
   type CallEvents,
   type CallInProgress,
@@ -21,7 +22,7 @@
  * Maximum idle time of a connection used for requests that must run at most once: a reset of a
  * stale connection would leave their outcome unknown.
  */
-const NON_REPEATABLE_IDLE_LIMIT_MS = 1_000;
+const RECENT_IDLE_LIMIT_MS = 1_000;
 
 /** Timeout of a check whether an upstream refuses connections: many round trips. */
 const CHECK_TIMEOUT_MS = 200;
@@ -40,9 +41,11 @@
 export class HttpUpstreamCaller extends UpstreamCaller {
   readonly #codec: WireCodec;
 
-  readonly #agent = new UpstreamAgent(IDLE_LIMIT_MS);
-
-  readonly #nonRepeatableAgent = new UpstreamAgent(NON_REPEATABLE_IDLE_LIMIT_MS);
+  readonly #agents: Readonly<Record<ConnectionChoice, UpstreamAgent>> = {
+    [ConnectionChoice.Any]: new UpstreamAgent(IDLE_LIMIT_MS),
+    [ConnectionChoice.Recent]: new UpstreamAgent(RECENT_IDLE_LIMIT_MS),
+    [ConnectionChoice.New]: new UpstreamAgent(0),
+  };
 
   constructor(codec: WireCodec) {
     super();
@@ -51,11 +54,11 @@
 
   /** Number of connections to upstreams. */
   get connectionCount(): number {
-    return this.#agent.connectionCount + this.#nonRepeatableAgent.connectionCount;
+    return Object.values(this.#agents).reduce((sum, agent) => sum + agent.connectionCount, 0);
   }
 
   override call(call: UpstreamCall, events: CallEvents): CallInProgress {
-    const agent = call.isFreshConnectionNeeded ? this.#nonRepeatableAgent : this.#agent;
+    const agent = this.#agents[call.connection];
     try {
       return new HttpUpstreamCall(call, this.#codec, agent, events);
     } catch (error) {
@@ -83,7 +86,6 @@
 
   /** Closes all connections, including those in use. */
   close(): void {
-    this.#agent.destroy();
-    this.#nonRepeatableAgent.destroy();
+    Object.values(this.#agents).forEach((agent) => agent.destroy());
   }
 }
--- a/packages/daemon/src/direct/upstreamAgent.ts
+++ b/packages/daemon/src/direct/upstreamAgent.ts
@@ -38,7 +38,7 @@
   #connectionCount = 0;
 
   /**
-   * @param idleLimitMs maximum idle time of a connection
+   * @param idleLimitMs maximum idle time of a connection; 0 to use each for one request
    * @param maxSockets maximum number of connections to one address
    */
   constructor(idleLimitMs: number, maxSockets = Infinity) {
