Take no earlier refusal of the store for the response to a call

A store that writes an earlier refusal once more on a kept connection made a write count as not done although it was, and every later response on that connection was taken for the next call's. Ranks could do the same to reads of reports. Not seen with the users' store; found by checking the other places that read responses.

Cause: responses of the store and of ranks carry no id, so that one on a kept connection may be left over. Orders to ranks have had connections of their own for that reason; writes to the store now do too, and a refused call closes its connection, so that a copy costs one read at most.

--- a/packages/daemon/src/direct/httpUpstreamCall.ts
+++ b/packages/daemon/src/direct/httpUpstreamCall.ts
@@ -92,7 +92,8 @@
   }
 
   readonly cancel = (): void => {
-    if (this.#isReportingEnd) this.#closeConnection();
+    // The request may be sent again, and a late copy of this response has the same id.
+    if (this.#isReportingEnd) this.#reader.close();
     this.#reader.stop();
     clearTimeout(this.#connectTimer);
     this.#body.stop();
@@ -132,14 +133,6 @@
     this.#isReportingEnd = false;
   }
 
-  /**
-   * Closes the connection of a whole response that was rejected. The request may be sent again, and
-   * a late copy of this response would be taken for the next one, as both have the same id.
-   */
-  #closeConnection(): void {
-    this.#request.socket?.destroy();
-  }
-
   /**
    * Closes the connection if the upstream answered before it received the whole body: on a reused
    * connection, the next request would be read as the rest of this body.
--- a/packages/objects/src/responseReader.ts
+++ b/packages/objects/src/responseReader.ts
@@ -102,6 +102,11 @@
     this.#fail(detail);
   }
 
+  /** Closes the connection, which a keep-alive agent would use again. */
+  close(): void {
+    this.#request.socket?.destroy();
+  }
+
   pause(): void {
     this.#response?.pause();
   }
--- a/packages/objects/src/storeCaller.ts
+++ b/packages/objects/src/storeCaller.ts
@@ -1,7 +1,8 @@
 /**
  * Calls to an object store over HTTP, and the errors of failed calls.
  *
- * Calls share a pool of keep-alive connections. Each watch has its own connection and times out
+ * Reads share a pool of keep-alive connections. Each write has its own, on which no copy of an
+ * earlier response can stand for its own. Each watch has its own connection as well, and times out
  * shortly after the time for which the store may hold it, as a connection can stop responding
  * permanently without closing.
  */
@@ -72,7 +73,7 @@
       body: call.body === undefined ? undefined : JSON.stringify(call.body),
       timeoutMs: isWatch ? call.waitMs + watchMarginMs : callTimeoutMs,
       ...(responseLimitBytes !== undefined && { responseLimitBytes }),
-      agent: isWatch ? false : this.#agent,
+      agent: isWatch || call.method !== 'GET' ? false : this.#agent,
     });
     if (response.ok) return response;
     const { isSent, detail } = response.val;
