Resume a stream only with a response of its own kind

A stream broke off after it had begun, and the next worker answered with a 200 of another media type, a 204 or a 206: its callers found the text of the error in the middle of their stream, or the stream ended as if it were complete.

Cause: a resumed stream took any 2xx for its continuation. Now the status has to be that of the response that the caller is receiving, and a media type that the head names has to be its own or that of an event stream; anything else ends the stream visibly.

Errors of the next worker held before and keep their tests: 4xx and 5xx, with and without the not-run header, in chunks, delimited by their connection; status 000, half a head, a blank in a field name. Behind side processes no answer is resumed once it has begun, and one that breaks off is visibly cut.

--- a/packages/core/src/direct/directRequest.ts
+++ b/packages/core/src/direct/directRequest.ts
@@ -284,11 +284,11 @@
   }
 
   #handleHead(head: AnswerHead): boolean {
-    const isSuccess = head.status >= 200 && head.status < 300;
-    if (this.#response.isCommitted && !isSuccess) {
+    if (!this.#response.canContinueWith(head)) {
+      const mediaType = head.headers['content-type'] ?? 'none';
       this.#end(
         RefusalReason.UpstreamFailed,
-        `resuming the stream failed with status ${head.status}`,
+        `resuming the stream failed with status ${head.status}, media type ${mediaType}`,
       );
       return false;
     }
--- a/packages/core/src/direct/responseBuilder.ts
+++ b/packages/core/src/direct/responseBuilder.ts
@@ -34,6 +34,13 @@
   readonly isCallerReady: boolean;
 }
 
+const EVENT_STREAM_TYPE = 'text/event-stream';
+
+/** Reads the media type of a response, without its parameters; undefined if it names none. */
+function readMediaType({ headers }: AnswerHead): string | undefined {
+  return headers['content-type']?.split(';', 1)[0]?.trim().toLowerCase();
+}
+
 /** Builds the response to one request. */
 export class ResponseBuilder {
   readonly #caller: Caller;
@@ -101,6 +108,17 @@
     return !this.#isStream || !this.isSuccess || isDelimited || this.#hasEvents;
   }
 
+  /** Whether the response of an attempt can continue what has been sent to the caller. */
+  canContinueWith(head: AnswerHead): boolean {
+    if (!this.#isCommitted || !this.#head) return true;
+    const mediaType = readMediaType(head);
+    const isSameKind =
+      mediaType === undefined ||
+      mediaType === EVENT_STREAM_TYPE ||
+      mediaType === readMediaType(this.#head);
+    return head.status === this.#head.status && isSameKind;
+  }
+
   /** Starts the response of an attempt; the buffered data of an earlier one is discarded. */
   begin(head: AnswerHead): void {
     this.#splitter = new EventSplitter();
--- a/packages/standin/test/fleet/brokenAnswers.test.ts
+++ b/packages/standin/test/fleet/brokenAnswers.test.ts
@@ -92,4 +92,19 @@
   });
 });
 
+/** Guards against half an answer, or one with another's error in it, that looks complete. */
+[
+  ['POST', '/swaps'],
+  ['GET', '/sets'],
+].forEach(([method = '', path = '']) => {
+  test(`an answer to ${method} that breaks off is not complete`, async ({ service, fleet }) => {
+    const head = 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n';
+    Object.assign(service, { answer: Buffer.from(`${head}4\r\npart\r\n`) });
+    const url = `${fleet.entries[0]?.callersUrl}${path}`;
+    const answer = await callHttp({ method, url, headers: HEADERS });
+    assert.ok(answer.err);
+    assert.equal(await listEnded(fleet), []);
+  });
+});
+
 test.run();
