Leave no listeners on connections that are kept

Each control call on a kept connection added a listener for 'connect', which an open connection never emits again, and each response without a body one for its end.

Test: httpCall.test.ts counted 40 listeners after 20 calls on one connection, 2 after the first, with a warning of Node; the count stays at that of the first call now.

--- a/packages/objects/src/connectionReset.ts
+++ b/packages/objects/src/connectionReset.ts
@@ -6,9 +6,13 @@
  * reset. Node does so where a reset arrives right behind data: it polls a hang-up, takes that for
  * the end of the data and does not read the error. A connection that was reset has no peer, whereas
  * one that was ended keeps its peer until this side closes it as well.
+ *
+ * @returns removes the listener
  */
-export function onResetAtEnd(socket: Socket, listener: () => void): void {
-  socket.prependOnceListener('end', () => {
+export function onResetAtEnd(socket: Socket, listener: () => void): () => void {
+  const handleEnd = (): void => {
     if (socket.remoteAddress === undefined) listener();
-  });
+  };
+  socket.prependListener('end', handleEnd);
+  return () => socket.off('end', handleEnd);
 }
--- a/packages/objects/src/httpCall.ts
+++ b/packages/objects/src/httpCall.ts
@@ -101,6 +101,7 @@
 
   #handleSocket(socket: Socket): void {
     this.#isSent = !socket.connecting;
+    if (this.#isSent) return;
     socket.once('connect', () => {
       this.#isSent = true;
     });
--- a/packages/objects/src/responseReader.ts
+++ b/packages/objects/src/responseReader.ts
@@ -73,6 +73,9 @@
 
   #isDone = false;
 
+  /** A response without a body, such as a 204, leaves its connection open for the next request. */
+  #unwatchReset: (() => void) | undefined;
+
   /** @param request created with {@link HEAD_BYTES_MAX} as `maxHeaderSize` */
   constructor(request: ClientRequest, events: ResponseEvents) {
     this.#request = request;
@@ -83,12 +86,12 @@
     request.on('error', (error) => this.#handleError(error));
     request.on('information', () => this.#handleInformational());
     request.on('upgrade', (_response, socket) => {
-      this.#fail('the server switched protocols');
+      this.fail('the server switched protocols');
       socket.destroy();
     });
     request.on('response', (response) => this.#handleResponse(response));
     request.on('close', () => {
-      if (!this.#response) this.#fail('the connection closed without a response');
+      if (!this.#response) this.fail('the connection closed without a response');
     });
   }
 
@@ -97,9 +100,16 @@
     this.#isDone = true;
   }
 
-  /** Closes the connection and reports a failure that shows outside the response. */
-  fail(detail: string): void {
-    this.#fail(detail);
+  /**
+   * Closes the connection and reports a failure, unless the response has ended.
+   *
+   * @param isEndless whether the response exceeded a limit, as one without end does
+   */
+  fail(detail: string, isEndless = false): void {
+    if (this.#isDone) return;
+    this.#isDone = true;
+    this.#request.destroy();
+    this.#events.onFailure({ isEndless, detail });
   }
 
   /** Closes the connection, which a keep-alive agent would use again. */
@@ -123,15 +133,17 @@
     this.#response = response;
     const fault = findHeadFault(response);
     if (fault !== undefined) {
-      this.#fail(fault);
+      this.fail(fault);
       return;
     }
     response.on('error', (error) => this.#handleError(error));
     response.on('close', () => {
-      if (!response.complete) this.#fail('the response was truncated');
+      if (!response.complete) this.fail('the response was truncated');
     });
     if (!isDelimited(response)) {
-      onResetAtEnd(response.socket, () => this.#fail('the connection was reset'));
+      this.#unwatchReset = onResetAtEnd(response.socket, () => {
+        this.fail('the connection was reset');
+      });
     }
     this.#events.onHead(response);
     if (this.#isDone) return;
@@ -143,7 +155,7 @@
     if (this.#isDone) return;
     this.#bodyBytes += data.length;
     if (this.#framingBytes > FRAMING_BYTES_MAX) {
-      this.#fail(`received more than ${FRAMING_BYTES_MAX} bytes outside the response body`, true);
+      this.fail(`received more than ${FRAMING_BYTES_MAX} bytes outside the response body`, true);
     } else this.#events.onData(data);
   }
 
@@ -156,25 +168,19 @@
   #handleEnd(isWhole: boolean): void {
     if (this.#isDone || !isWhole) return;
     this.#isDone = true;
+    this.#unwatchReset?.();
     this.#events.onEnd();
   }
 
   #handleError(error: NodeJS.ErrnoException): void {
     const isEndless = error.code !== undefined && OVERFLOW_CODES.has(error.code);
-    this.#fail(error.message || 'the connection failed', isEndless);
+    this.fail(error.message || 'the connection failed', isEndless);
   }
 
   #handleInformational(): void {
     this.#informationalCount += 1;
     if (this.#informationalCount <= INFORMATIONAL_MAX) return;
     this.#request.removeAllListeners('information');
-    this.#fail(`received more than ${INFORMATIONAL_MAX} informational responses`, true);
-  }
-
-  #fail(detail: string, isEndless = false): void {
-    if (this.#isDone) return;
-    this.#isDone = true;
-    this.#request.destroy();
-    this.#events.onFailure({ isEndless, detail });
+    this.fail(`received more than ${INFORMATIONAL_MAX} informational responses`, true);
   }
 }
--- a/packages/objects/test/httpCall.test.ts
+++ b/packages/objects/test/httpCall.test.ts
@@ -1,9 +1,12 @@
 /** Answers that never become a complete response. */
+import { Agent } from 'node:http';
 import net, { type AddressInfo } from 'node:net';
 
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
+import { wait } from '@radishbay/core/wait.js';
+
 import { sendCall } from '../src/httpCall.js';
 
 const TIMEOUT_MS = 80;
@@ -81,6 +84,8 @@
   'a body without end': { start: 'HTTP/1.1 200 OK\r\n\r\n', piece: FILLER, isEndedAtOnce: true },
 };
 
+const KEPT_CALLS = 20;
+
 /** More than the buffers of both ends of a connection hold. */
 const UPLOAD = 'u'.repeat(2_000_000);
 
@@ -166,6 +171,36 @@
   });
 });
 
+/** Guards against listeners that add up for as long as a connection is kept. */
+test('calls on a kept connection leave no listeners behind', async (context) => {
+  const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+  const counts: number[] = [];
+  context.handle = (socket) => {
+    const respond = () => socket.write('HTTP/1.1 204 None\r\n\r\n');
+    socket.on('data', respond);
+    respond();
+  };
+  for (let at = 0; at < KEPT_CALLS; at += 1) {
+    // eslint-disable-next-line no-await-in-loop -- calls run in sequence
+    const response = await sendCall({
+      method: 'GET',
+      url: new URL(`http://127.0.0.1:${context.port}/report`),
+      headers: {},
+      body: undefined,
+      timeoutMs: LONG_TIMEOUT_MS,
+      agent,
+    });
+    assert.is(response.unwrap().status, 204);
+    // eslint-disable-next-line no-await-in-loop -- the agent takes the connection back first
+    await wait(0);
+    const socket = Object.values(agent.freeSockets).flat()[0];
+    counts.push((socket?.listenerCount('end') ?? 0) + (socket?.listenerCount('connect') ?? 0));
+  }
+  agent.destroy();
+  assert.is(context.sockets.size, 1);
+  assert.is(counts.at(-1), counts[0]);
+});
+
 /** Guards against an order or a write that counts as done by part of an answer. */
 test('a response that ends with its connection is whole unless the connection is reset', async (context) => {
   let isReset = false;
