Tell a whole response from none in the tests of side processes

A call that had not ended in time counted as whole in httpRun.test.ts, so that a hang would have passed for one; both are told apart now, and the 7 tests pass.

--- a/packages/daemon/test/httpRun.test.ts
+++ b/packages/daemon/test/httpRun.test.ts
@@ -56,11 +56,13 @@
   upstream: ScriptedUpstream;
 }
 
-/** Calls an upstream; @returns the failure, undefined for a whole response or none in time. */
-async function call(
-  { port }: RawServer,
-  body = new Uint8Array(),
-): Promise<EngineFailure | undefined> {
+/** How a call ended; neither holds if it did not end in time. */
+interface CallEnd {
+  readonly isWhole: boolean;
+  readonly failure: EngineFailure | undefined;
+}
+
+async function call({ port }: RawServer, body = new Uint8Array()): Promise<CallEnd> {
   const request = {
     attemptId: 'a-1',
     method: 'POST',
@@ -70,17 +72,17 @@
     priority: 1,
   };
   let run: HttpRun | undefined;
-  const ended = new Promise<EngineFailure | undefined>((resolve) => {
+  const ended = new Promise<CallEnd>((resolve) => {
     run = new HttpRun(new URL(`http://127.0.0.1:${port}/`), request, true, {
       onHead: () => {},
       onData: () => {},
-      onEnd: () => resolve(undefined),
-      onFailure: resolve,
+      onEnd: () => resolve({ isWhole: true, failure: undefined }),
+      onFailure: (failure) => resolve({ isWhole: false, failure }),
     });
   });
-  const failure = await Promise.race([ended, wait(CALL_LIMIT_MS)]);
-  if (!failure) run?.cancel();
-  return failure ?? undefined;
+  const end = await Promise.race([ended, wait(CALL_LIMIT_MS)]);
+  if (!end) run?.cancel();
+  return end ?? { isWhole: false, failure: undefined };
 }
 
 /** Resolves when the upstream's connections have closed; false if one stays open. */
@@ -123,7 +125,7 @@
 FORMS.forEach(([name, script]) => {
   test(`${name} fails its call at once, and closes the connection`, async ({ upstream }) => {
     Object.assign(upstream, { handle: (socket: net.Socket) => answerByScript(socket, script) });
-    const failure = await call(upstream);
+    const { failure } = await call(upstream);
     assert.is(failure?.kind, EngineFailureKind.Lost, failure?.detail);
     assert.ok(await isClosed(upstream));
   });
@@ -134,7 +136,7 @@
   const start = 'HTTP/1.1 503 Full\r\ntransfer-encoding: chunked\r\n\r\n';
   const script = { start, piece: '4\r\nfull\r\n' };
   Object.assign(upstream, { handle: (socket: net.Socket) => answerByScript(socket, script) });
-  assert.is((await call(upstream))?.kind, EngineFailureKind.Declined);
+  assert.is((await call(upstream)).failure?.kind, EngineFailureKind.Declined);
   assert.ok(await isClosed(upstream));
 });
 
@@ -151,10 +153,10 @@
   for (let at = 0; at < EARLY_TRIES; at += 1) {
     close = EarlyClose.End;
     // eslint-disable-next-line no-await-in-loop -- calls run in sequence
-    assert.is(await call(upstream, body), undefined);
+    assert.ok((await call(upstream, body)).isWhole);
     close = EarlyClose.Reset;
     // eslint-disable-next-line no-await-in-loop -- see above
-    assert.is((await call(upstream, body))?.kind, EngineFailureKind.Lost);
+    assert.is((await call(upstream, body)).failure?.kind, EngineFailureKind.Lost);
   }
 });
 
