Reset an aborted response without framing behind its data

A caller on Node took part of a large answer for all of it: an answer without framing of over 256 KiB had begun, the upstream reset its connection, and the entry aborted the response by a reset right behind the bytes. The caller's runtime reports that as an end, as the entry's own did.

Cause: the reset is the only sign of a response that has no framing, and it reached the caller together with data. It now follows 20 ms later, when the caller has read them; the exit of the process waits 50 ms after the last abort. Delimited responses are reset at once, as their end is visible.

--- a/packages/daemon/src/callers/httpCaller.ts
+++ b/packages/daemon/src/callers/httpCaller.ts
@@ -12,6 +12,9 @@
 /** Bytes held for an upstream's connection while it is not read, by Node and by the kernel. */
 const PAUSED_BYTES = 192 * 1024;
 
+/** Shorter than the time between the last aborted response and the exit of the process. */
+const RESET_DELAY_MS = 20;
+
 /** Responds to one HTTP request of a caller. */
 export class HttpCaller extends Caller {
   readonly #response: http.ServerResponse;
@@ -20,6 +23,8 @@
 
   readonly #account: MemoryAccount | undefined;
 
+  #framing = AnswerFraming.Delimited;
+
   /** @param account where the memory of the answer is counted; not counted without one */
   constructor(
     response: http.ServerResponse,
@@ -33,6 +38,7 @@
   }
 
   override writeHead(status: number, headers: HeaderMap, framing = AnswerFraming.Delimited): void {
+    this.#framing = framing;
     if (framing === AnswerFraming.UntilClose) {
       // With both off, Node marks the end of the body by closing the connection.
       this.#response.useChunkedEncodingByDefault = false;
@@ -60,10 +66,14 @@
     if (this.#response.writableLength > 0) this.#awaitReader(0);
   }
 
-  /** Resets the connection, so that no client mistakes a partial response for a complete one. */
+  /**
+   * Resets the connection, so that no client mistakes a partial response for a complete one. Some
+   * runtimes report a reset right behind data as an end, which would complete a response without
+   * framing; its reader gets time to take the data first.
+   */
   override abort(): void {
-    this.#response.socket?.resetAndDestroy();
-    this.#response.destroy();
+    if (this.#framing === AnswerFraming.UntilClose) setTimeout(this.#reset, RESET_DELAY_MS);
+    else this.#reset();
   }
 
   override refuse(refusal: Refusal): void {
@@ -85,6 +95,11 @@
     });
   }
 
+  readonly #reset = (): void => {
+    this.#response.socket?.resetAndDestroy();
+    this.#response.destroy();
+  };
+
   /** Counts what the caller has not taken yet. */
   #awaitReader(extraBytes: number): void {
     this.#account?.await(Awaited.Reader, performance.now());
--- a/packages/standin/src/http/earlyAnswer.ts
+++ b/packages/standin/src/http/earlyAnswer.ts
@@ -17,6 +17,8 @@
   readonly headLines: string;
   readonly body: string;
   readonly close: EarlyClose;
+  /** Time from the answer to the close; 0 by default, in the same turn. */
+  readonly closeDelayMs?: number;
 }
 
 /**
@@ -34,10 +36,11 @@
     if (!received.includes('\r\n\r\n')) return;
     socket.off('data', handleData);
     socket.pause();
-    const { headLines, body, close } = createAnswer(received);
+    const { headLines, body, close, closeDelayMs = 0 } = createAnswer(received);
     socket.write(`HTTP/1.1 200 OK\r\n${headLines}\r\n${body}`);
-    if (close === EarlyClose.Reset) socket.resetAndDestroy();
-    else socket.end();
+    const closeSocket = () => (close === EarlyClose.End ? socket.end() : socket.resetAndDestroy());
+    if (closeDelayMs === 0) closeSocket();
+    else setTimeout(closeSocket, closeDelayMs);
   };
   socket.on('data', handleData);
 }
