Let nothing close a connection whose reset is pending

A response without framing that was aborted could still look whole: in the 20 ms before its reset, discarding the rest of an upload closed the connection in the usual way, and where a connection had to make room for another it was closed right after its eviction. Both came with the delay of the reset; found on the last read of the diff.

Only an abort for an upstream's failure waits now, and meanwhile the request is not read and holds no memory to be evicted for. Aborts for reasons of the caller or of the shutdown reset at once, as they did before. A comment that relied on the order of timers at the exit is gone.

The connection that makes room was found by reading; its test checks that such an abort resets at once.

--- a/packages/daemon/src/callers/httpCaller.ts
+++ b/packages/daemon/src/callers/httpCaller.ts
@@ -4,7 +4,7 @@
 import { Awaited, type MemoryAccount } from '@radishbay/core/memory/memoryAccount.js';
 import { MemoryKind } from '@radishbay/core/memory/memoryKind.js';
 import { AnswerFraming, Caller } from '@radishbay/core/ports/caller.js';
-import type { Refusal } from '@radishbay/core/model/reason.js';
+import { RefusalReason, type Refusal } from '@radishbay/core/model/reason.js';
 import type { HeaderMap } from '@radishbay/core/model/request.js';
 
 import { writeProblem, type RetryAfterFormat } from './problem.js';
@@ -12,9 +12,17 @@
 /** Bytes held for an upstream's connection while it is not read, by Node and by the kernel. */
 const PAUSED_BYTES = 192 * 1024;
 
-/** Shorter than the time between the last aborted response and the exit of the process. */
 const RESET_DELAY_MS = 20;
 
+/** Reasons for which the connection or the process ends at once, without waiting for a reset. */
+const CLOSING_REASONS: ReadonlySet<RefusalReason> = new Set([
+  RefusalReason.AnswerUnread,
+  RefusalReason.BodyTooLarge,
+  RefusalReason.MemoryShort,
+  RefusalReason.RequestTooSlow,
+  RefusalReason.ShuttingDown,
+]);
+
 /** Responds to one HTTP request of a caller. */
 export class HttpCaller extends Caller {
   readonly #response: http.ServerResponse;
@@ -71,9 +79,15 @@
    * runtimes report a reset right behind data as an end, which would complete a response without
    * framing; its reader gets time to take the data first.
    */
-  override abort(): void {
-    if (this.#framing === AnswerFraming.UntilClose) setTimeout(this.#reset, RESET_DELAY_MS);
-    else this.#reset();
+  override abort({ reason }: Refusal): void {
+    if (this.#framing === AnswerFraming.Delimited || CLOSING_REASONS.has(reason)) {
+      this.#reset();
+      return;
+    }
+    // Until then nothing else may close the connection, which would look like the end.
+    this.#response.req.pause();
+    this.#account?.release();
+    setTimeout(this.#reset, RESET_DELAY_MS);
   }
 
   override refuse(refusal: Refusal): void {
--- a/packages/daemon/test/httpCaller.test.ts
+++ b/packages/daemon/test/httpCaller.test.ts
@@ -5,12 +5,26 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
+import { Outcome, RefusalReason, type Refusal } from '@radishbay/core/model/reason.js';
 import { AnswerFraming } from '@radishbay/core/ports/caller.js';
 
+import { discardBody } from '../src/callers/discardBody.js';
 import { HttpCaller } from '../src/callers/httpCaller.js';
 
 const TRIES = 20;
 
+const UPSTREAM_FAILED: Refusal = {
+  reason: RefusalReason.UpstreamFailed,
+  outcome: Outcome.Unknown,
+  retryAfterMs: 0,
+  detail: 'the connection was reset',
+};
+
+/** An upload exceeds the limit while the reset is pending. */
+const DISCARD_LIMIT_BYTES = 1_000;
+const PIECE_BYTES = 800;
+const PIECE_INTERVAL_MS = 3;
+
 interface Context {
   server: http.Server;
   port: number;
@@ -27,7 +41,7 @@
     caller.writeHead(200, {}, context.framing);
     caller.writeData(Buffer.from('part'));
     if (context.isWhole) caller.end();
-    else setImmediate(() => caller.abort());
+    else setImmediate(() => caller.abort(UPSTREAM_FAILED));
   });
   await new Promise<void>((resolve) => {
     context.server.listen(0, '127.0.0.1', resolve);
@@ -52,6 +66,22 @@
   });
 }
 
+/** Uploads piece by piece; @returns whether the client takes the response for complete. */
+function isUploadComplete(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const options = { host: '127.0.0.1', port, agent: false, method: 'POST' };
+    const request = http.request(options, (response) => {
+      response.resume();
+      response.on('error', () => {});
+      response.on('close', () => resolve(response.complete));
+    });
+    const timer = setInterval(() => request.write('u'.repeat(PIECE_BYTES)), PIECE_INTERVAL_MS);
+    request.on('close', () => clearInterval(timer));
+    request.on('error', () => resolve(false));
+    request.flushHeaders();
+  });
+}
+
 async function countComplete({ port }: Context): Promise<number> {
   let count = 0;
   for (let at = 0; at < TRIES; at += 1) {
@@ -74,4 +104,40 @@
   });
 });
 
+/** Guards against a close in the usual way while the reset of an aborted response is pending. */
+test('a response that is aborted during an upload is not complete', async (context) => {
+  context.server.removeAllListeners('request');
+  context.server.on('request', (message: http.IncomingMessage, response: http.ServerResponse) => {
+    const caller = new HttpCaller(response);
+    caller.writeHead(200, {}, AnswerFraming.UntilClose);
+    caller.writeData(Buffer.from('part'));
+    setImmediate(() => {
+      discardBody(message, DISCARD_LIMIT_BYTES);
+      caller.abort(UPSTREAM_FAILED);
+    });
+  });
+  let count = 0;
+  for (let at = 0; at < TRIES; at += 1) {
+    // eslint-disable-next-line no-await-in-loop -- responses are read in sequence
+    if (await isUploadComplete(context.port)) count += 1;
+  }
+  assert.is(count, 0);
+});
+
+/** Guards against an end that overtakes the reset where the connection is needed for another. */
+test('a response that is aborted for lack of memory is reset at once', async (context) => {
+  context.server.removeAllListeners('request');
+  const isReset = new Promise<boolean>((resolve) => {
+    context.server.on('request', (_message: http.IncomingMessage, response) => {
+      const caller = new HttpCaller(response);
+      caller.writeHead(200, {}, AnswerFraming.UntilClose);
+      caller.writeData(Buffer.from('part'));
+      caller.abort({ ...UPSTREAM_FAILED, reason: RefusalReason.MemoryShort });
+      resolve(response.destroyed);
+    });
+  });
+  await isComplete(context.port);
+  assert.ok(await isReset);
+});
+
 test.run();
