Log how each response ended

'Request answered.' now names framing, the events of the last attempt and the last id, and is written at level info where the response ended with its connection; 'Attempt failed.' and 'Caller disconnected.' name the same, 'Request sent.' the id after which a stream is resumed. The counter request.answered.until.close counts responses that ended with their connection. No decision is changed.

--- a/packages/core/src/direct/directAttempt.ts
+++ b/packages/core/src/direct/directAttempt.ts
@@ -12,6 +12,7 @@
   type CallInProgress,
   type UpstreamCall,
 } from '../ports/upstreamCaller.js';
+import type { AnswerFraming } from '../ports/caller.js';
 
 import type { RequestCost } from './cost/requestCost.js';
 import type { AttemptWork } from './cost/attemptWork.js';
@@ -121,7 +122,9 @@
 
   #progressAtMs = this.#sentAtMs;
 
-  #hasHead = false;
+  #framing: AnswerFraming | undefined;
+
+  #eventCount = 0;
 
   #hasOutput = false;
 
@@ -141,7 +144,17 @@
 
   /** Whether the upstream has begun to respond. */
   get hasHead(): boolean {
-    return this.#hasHead;
+    return this.#framing !== undefined;
+  }
+
+  /** How the end of the response is delimited; undefined before its head. */
+  get framing(): AnswerFraming | undefined {
+    return this.#framing;
+  }
+
+  /** Complete events of the response. */
+  get eventCount(): number {
+    return this.#eventCount;
   }
 
   /** Whether any part of the response body has arrived. */
@@ -202,6 +215,7 @@
 
   /** Records complete events of the response. */
   noteEvents(count: number): void {
+    this.#eventCount += count;
     this.#work?.noteEvents(count);
   }
 
@@ -209,7 +223,7 @@
     if (this.#isOver) return;
     const nowMs = performance.now();
     this.#progressAtMs = nowMs;
-    this.#hasHead = true;
+    this.#framing = head.framing;
     this.#applyUpstreamState(head, nowMs);
     if (!head.isForThisRequest) {
       this.#fail(
--- a/packages/core/src/direct/directRequest.ts
+++ b/packages/core/src/direct/directRequest.ts
@@ -235,7 +235,8 @@
     }
     this.#guard.noteSent();
     this.#history.noteSent();
-    this.#telemetry.noteSent(upstream, isResumed, this.#cost);
+    const resumeAfterId = isResumed ? this.#response.lastEventId : undefined;
+    this.#telemetry.noteSent(upstream, resumeAfterId, this.#cost);
     this.#attempt = new DirectAttempt({
       context,
       admission,
@@ -249,7 +250,7 @@
         upstream: upstream.entry,
         workspace: workspace?.name,
         remainingMs: request.deadlineMs === undefined ? undefined : Math.floor(leftMs),
-        resumeAfterId: isResumed ? this.#response.lastEventId : undefined,
+        resumeAfterId,
         connection: this.#chooseConnection(upstream),
       },
       events: {
@@ -394,7 +395,7 @@
       if (!admission.cost) admission.holdingTimes.note(route.name, this.#attempt.ageMs);
     }
     this.#noteServed(performance.now());
-    this.#telemetry.noteAnswered(this.#attempt?.upstream.id, this.#responseStatus);
+    this.#telemetry.noteAnswered(this.#attempt, this.#responseStatus, this.#response.lastEventId);
     this.#finish();
   }
 
@@ -404,7 +405,7 @@
     this.#attempt = undefined;
     this.#history.noteFailed(failed.upstream.id);
     if (failure.isNotRun) this.#history.noteNotRun();
-    this.#telemetry.noteFailed(failed, failure);
+    this.#telemetry.noteFailed(failed, failure, this.#response.lastEventId);
     const cause = failure.isConnectionLost ? this.#guard.noteLost(failed) : undefined;
     if (cause) cause.then(() => this.#continueAfter(failure));
     else this.#continueAfter(failure);
--- a/packages/core/src/direct/requestTelemetry.ts
+++ b/packages/core/src/direct/requestTelemetry.ts
@@ -1,5 +1,6 @@
 /** Logs and metrics of one request: each decision with the values on which it was based. */
 import { RefusalReason, type Refusal, type RetryReason } from '../model/reason.js';
+import { AnswerFraming } from '../ports/caller.js';
 import { LogLevel, type LogFields } from '../ports/log.js';
 import type { ForwardedRequest } from '../ports/upstreamCaller.js';
 
@@ -45,8 +46,15 @@
     this.#options = options;
   }
 
-  /** @param cost predicted work, where it is known */
-  noteSent(upstream: DirectUpstream, isResumed: boolean, cost?: RequestCost): void {
+  /**
+   * @param resumeAfterId id of the last event that the caller received, if a stream is resumed
+   * @param cost predicted work, where it is known
+   */
+  noteSent(
+    upstream: DirectUpstream,
+    resumeAfterId: string | undefined,
+    cost: RequestCost | undefined,
+  ): void {
     const { board, metrics } = this.#options.context;
     const nowMs = performance.now();
     metrics.count('placement.choice', {
@@ -61,7 +69,8 @@
       peersHeard: board.livePeers.size,
       configVersion: board.table?.version,
       answerTokens: cost && Math.round(cost.answerTokens),
-      isResumed,
+      isResumed: resumeAfterId !== undefined,
+      resumeAfterId,
     });
   }
 
@@ -72,9 +81,14 @@
     });
   }
 
-  noteFailed(failed: DirectAttempt, { reason, detail, isNotRun }: AttemptFailure): void {
+  noteFailed(
+    failed: DirectAttempt,
+    { reason, detail, isNotRun }: AttemptFailure,
+    lastEventId: string | undefined,
+  ): void {
     this.#write(LogLevel.Info, 'Attempt failed.', {
       ...this.#describeAttempt(failed),
+      lastEventId,
       reason,
       detail,
       isNotRun,
@@ -94,7 +108,15 @@
     this.#options.context.metrics.timing('stream.pause', pauseMs);
   }
 
-  noteAnswered(upstream: string | undefined, status: number): void {
+  /**
+   * Records a complete response. One that ended with its connection is logged at a level that is
+   * not sampled, as nothing on the wire shows that it is whole.
+   */
+  noteAnswered(
+    attempt: DirectAttempt | undefined,
+    status: number,
+    lastEventId: string | undefined,
+  ): void {
     const { admission, context, pool, request } = this.#options;
     const { cost, holdingTimes } = admission;
     const nowMs = performance.now();
@@ -102,7 +124,15 @@
     else reportHoldingTimes(context.metrics, pool, holdingTimes, nowMs);
     context.metrics.count('request.answered', { status: String(status) });
     context.metrics.timing('request.time', performance.now() - request.arrivedAtMs);
-    this.#write(LogLevel.Routine, 'Request answered.', { upstream, status });
+    const isUntilClose = attempt?.framing === AnswerFraming.UntilClose;
+    if (isUntilClose) context.metrics.count('request.answered.until.close');
+    this.#write(isUntilClose ? LogLevel.Info : LogLevel.Routine, 'Request answered.', {
+      upstream: attempt?.upstream.id,
+      status,
+      framing: attempt?.framing,
+      attemptEvents: attempt?.eventCount,
+      lastEventId,
+    });
   }
 
   noteRefused(refusal: Refusal, isBegun: boolean): void {
@@ -141,6 +171,8 @@
       attemptMs: Math.round(attempt.ageMs),
       hasHead: attempt.hasHead,
       hasOutput: attempt.hasOutput,
+      framing: attempt.framing,
+      attemptEvents: attempt.eventCount,
       promptParts: this.#options.request.sharedPromptParts.join(','),
     };
   }
--- a/packages/core/test/direct/directFixture.ts
+++ b/packages/core/test/direct/directFixture.ts
@@ -20,6 +20,7 @@
 import type { FakeCall } from './fakeCall.js';
 import { FakeUpstreams } from './fakeUpstreams.js';
 import { InMemoryBody } from './inMemoryBody.js';
+import { RecordingLog } from './recordingLog.js';
 import { BOUNDS } from './sampleBounds.js';
 
 export type TestClock = ReturnType<typeof install>;
@@ -89,6 +90,9 @@
 
   readonly metrics = new CountingMetrics();
 
+  /** Lines of the requests. */
+  readonly log = new RecordingLog();
+
   readonly upstreams = new FakeUpstreams();
 
   readonly registry: UpstreamRegistry;
@@ -109,7 +113,7 @@
       board: this.board,
       upstreams: this.upstreams,
       random: new Random(seed),
-      log: new SilentLog(),
+      log: this.log,
       metrics: this.metrics,
     });
     this.board.entryCount = 1;
