Abort a broken stream whose events have no ids

A stream without ids that broke off after its first events was sent again without Last-Event-Id, so the caller got the beginning of a second run behind the part of the first one (ORDER: pieces of two runs are joined).

Cause: a route's streams counted as resumable without a position from which to resume. A committed response is now resumed only after an event with an id; otherwise it is aborted, with the give-up reason not-resumable.

Test: directRequest.test.ts, failed before (2 calls, the event came twice), passes now.

--- a/packages/core/src/direct/requestTelemetry.ts
+++ b/packages/core/src/direct/requestTelemetry.ts
@@ -25,6 +25,7 @@
   NoUpstream = 'no-upstream',
   BudgetSpent = 'budget-spent',
   MayHaveRun = 'may-have-run',
+  NotResumable = 'not-resumable',
 }
 
 export interface RequestTelemetryOptions {
--- a/packages/core/src/direct/retryDecision.ts
+++ b/packages/core/src/direct/retryDecision.ts
@@ -41,8 +41,9 @@
   canRetryAfter({ isNotRun }: AttemptFailure): boolean {
     const { response, telemetry, route } = this.#options;
     const isSafe = isNotRun || canRunAgain(route);
-    if (isSafe && (!response.isCommitted || route.isResumable)) return true;
-    telemetry.noteGiveUp(GiveUpReason.MayHaveRun);
+    const canGoOn = route.isResumable && response.lastEventId !== undefined;
+    if (isSafe && (!response.isCommitted || canGoOn)) return true;
+    telemetry.noteGiveUp(isSafe ? GiveUpReason.NotResumable : GiveUpReason.MayHaveRun);
     return false;
   }
 
--- a/packages/core/test/direct/directRequest.test.ts
+++ b/packages/core/test/direct/directRequest.test.ts
@@ -206,6 +206,17 @@
     assert.equal(caller.ends, ['abort']);
   }));
 
+test('a stream whose events have no ids is aborted where it breaks off, not started again', () =>
+  withClock(() => {
+    const entry = new DirectFixture();
+    entry.addUpstreams('models', 3);
+    const caller = entry.sendRequest('stream');
+    entry.lastCall.head().send('data: note\n\n').fail();
+    assert.is(entry.calls.length, 1);
+    assert.is(caller.text, 'data: note\n\n');
+    assert.equal(caller.ends, ['abort']);
+  }));
+
 test('the attempt of a caller that disconnects is cancelled at once', () =>
   withClock(() => {
     const entry = new DirectFixture();
