Confirm the end of a stream that ends with its connection

Cause: ResponseBuilder took the end of the connection for the end of the stream unless it fell into an event, and the entry wrote the last chunk, a stronger statement than the upstream had made. Nothing on the wire tells a whole stream from one that was cut there; the group of a lost rank ends many at once.

Such an end is now unconfirmed: the stream is resumed after its last event, and is complete once an attempt whose response shows its own end has no more events. Events that come are forwarded, and the first upstream is charged with a truncated response. Where it cannot be found out (the route's streams cannot be resumed, no attempt or retry is left, the second response has no framing either) the answer is aborted; callers of resumable streams can ask for the rest themselves. The second attempt counts as a retry, and ends before an upstream has anything to write.

--- a/packages/core/src/direct/directAttempt.ts
+++ b/packages/core/src/direct/directAttempt.ts
@@ -20,6 +20,7 @@
 import type { DirectUpstream } from './directUpstream.js';
 import { LeavingSource } from './fleetBoard.js';
 import type { PoolAdmission } from './poolAdmission.js';
+import { ResponseEnd } from './responseEnd.js';
 import type { WorkspaceClaim } from './sharing/workspaceClaim.js';
 
 const LOG_PART = 'membership';
@@ -62,9 +63,12 @@
    * @returns whether another upstream is to replace the silent one now
    */
   readonly onSilence: (silentMs: number) => boolean;
-  /** Whether the response, whose connection has delivered all of it, is complete. */
-  readonly isComplete: () => boolean;
+  /** Assesses the end of the response, all of which has been received. */
+  readonly assessEnd: () => ResponseEnd;
+  /** The response is complete. */
   readonly onEnd: () => void;
+  /** The response has ended, but may be incomplete; see {@link DirectAttempt.settle}. */
+  readonly onUnconfirmedEnd: () => void;
   readonly onFailure: (failure: AttemptFailure) => void;
 }
 
@@ -103,7 +107,7 @@
   isConnectionLost: true,
   reason: RefusalReason.UpstreamFailed,
   retryReason: RetryReason.StreamResumed,
-  detail: 'the stream ended before its first event or in the middle of an event',
+  detail: 'the stream ended before its last event',
 };
 
 /** An attempt in progress. */
@@ -285,17 +289,29 @@
 
   #handleEnd(): void {
     if (this.#isOver) return;
-    if (!this.#options.events.isComplete()) {
-      this.#options.admission.noteFailure();
+    const { admission, context, events } = this.#options;
+    const end = events.assessEnd();
+    if (end === ResponseEnd.Truncated) {
+      admission.noteFailure();
       this.#fail(BROKEN_OFF);
       return;
     }
     const nowMs = performance.now();
     this.#noteFirstOutput(nowMs);
-    this.upstream.ejection.noteSuccess();
-    this.#options.context.metrics.timing('upstream.time', nowMs - this.#sentAtMs);
+    context.metrics.timing('upstream.time', nowMs - this.#sentAtMs);
     this.#finish();
-    this.#options.events.onEnd();
+    if (end === ResponseEnd.Unconfirmed) {
+      events.onUnconfirmedEnd();
+      return;
+    }
+    this.settle(true);
+    events.onEnd();
+  }
+
+  /** Records with the upstream whether the response, which has ended, was complete. */
+  settle(isComplete: boolean): void {
+    if (isComplete) this.upstream.ejection.noteSuccess();
+    else this.#noteFailure(BROKEN_OFF, false);
   }
 
   #handleFailure(kind: CallFailureKind, detail: string): void {
@@ -347,18 +363,22 @@
   }
 
   #fail(failure: AttemptFailure, isSevere = false): void {
+    this.#noteFailure(failure, isSevere);
+    this.#end(failure);
+  }
+
+  /** Ejects the upstream if it has failed too often. */
+  #noteFailure({ reason, detail }: AttemptFailure, isSevere: boolean): void {
     const nowMs = performance.now();
     const { context } = this.#options;
-    if (this.upstream.ejection.noteFailure(nowMs, isSevere)) {
-      context.metrics.count('upstream.distrusted');
-      context.log.write(LogLevel.Warn, LOG_PART, 'Upstream ejected.', {
-        id: this.upstream.id,
-        forMs: Math.round(this.upstream.ejection.readEjectedMs(nowMs)),
-        reason: failure.reason,
-        detail: failure.detail,
-      });
-    }
-    this.#end(failure);
+    if (!this.upstream.ejection.noteFailure(nowMs, isSevere)) return;
+    context.metrics.count('upstream.distrusted');
+    context.log.write(LogLevel.Warn, LOG_PART, 'Upstream ejected.', {
+      id: this.upstream.id,
+      forMs: Math.round(this.upstream.ejection.readEjectedMs(nowMs)),
+      reason,
+      detail,
+    });
   }
 
   #end(failure: AttemptFailure): void {
--- a/packages/core/src/direct/directRequest.ts
+++ b/packages/core/src/direct/directRequest.ts
@@ -37,6 +37,14 @@
 
 const STATUS_SERVER_ERROR = 500;
 
+const END_UNCONFIRMED: AttemptFailure = {
+  isNotRun: false,
+  isConnectionLost: false,
+  reason: RefusalReason.UpstreamFailed,
+  retryReason: RetryReason.EndUnconfirmed,
+  detail: 'the stream ended with its connection and could not be confirmed to be complete',
+};
+
 /** Largest part of the caller's remaining time that a Retry-After delay may use. */
 const RETRY_AFTER_FRACTION = 0.3;
 
@@ -75,6 +83,9 @@
 
   #attempt: DirectAttempt | undefined;
 
+  /** Earlier attempt at a stream after whose last event there may be more events. */
+  #unconfirmed: DirectAttempt | undefined;
+
   #responseStatus = 0;
 
   /** Predicted work; undefined where the pool's engines have no configured costs. */
@@ -257,8 +268,9 @@
         onHead: (head) => this.#handleHead(head),
         onData: (data) => this.#handleData(data),
         onSilence: (silentMs) => this.#canReplace(upstream, silentMs),
-        isComplete: () => this.#response.isComplete,
+        assessEnd: () => this.#response.assessEnd(),
         onEnd: () => this.#handleEnd(),
+        onUnconfirmedEnd: () => this.#handleUnconfirmedEnd(),
         onFailure: (failure) => this.#handleFailure(failure),
       },
     });
@@ -270,7 +282,7 @@
    * same id.
    */
   #chooseConnection({ id }: DirectUpstream): ConnectionChoice {
-    if (this.#history.failedUpstreams.has(id)) return ConnectionChoice.New;
+    if (this.#history.triedUpstreams.has(id)) return ConnectionChoice.New;
     const isOnce = this.#options.route.kind === RouteKind.Once;
     return isOnce ? ConnectionChoice.Recent : ConnectionChoice.Any;
   }
@@ -316,7 +328,7 @@
   #retryElsewhere(head: AnswerHead): boolean {
     const failed = this.#attempt;
     if (!failed || !canRunAgain(this.#options.route)) return false;
-    this.#history.noteFailed(failed.upstream.id);
+    this.#history.noteTried(failed.upstream.id);
     const chosen = this.#retry.chooseUpstream(performance.now());
     if (chosen.err) this.#telemetry.noteGiveUp(chosen.val);
     if (chosen.err || !this.#retry.takeBudget(RetryReason.UpstreamFailed)) return false;
@@ -339,6 +351,7 @@
 
   #noteEvents(count: number): void {
     const { route, admission } = this.#options;
+    this.#settleUnconfirmed(false);
     this.#eventCount += count;
     this.#attempt?.noteEvents(count);
     const nowMs = performance.now();
@@ -385,25 +398,53 @@
     this.#response.end(() => this.#isOver);
     // The rest of a response can exceed the memory, which refuses the request.
     if (this.#isOver) return;
-    const { admission, route } = this.#options;
+    const { admission } = this.#options;
     if (this.#response.isSuccess) this.#guard.noteServed();
     if (this.#cost && this.#response.isSuccess) {
       admission.cost?.noteAnswered(this.#cost, this.#eventCount);
     }
-    if (this.#attempt) {
-      admission.capacity.noteCompleted(route.name, this.#attempt.ageMs);
-      if (!admission.cost) admission.holdingTimes.note(route.name, this.#attempt.ageMs);
-    }
+    // The attempt that only confirms the end of a stream has not run it.
+    if (this.#attempt && !this.#unconfirmed) this.#noteRun(this.#attempt);
+    this.#settleUnconfirmed(true);
     this.#noteServed(performance.now());
     this.#telemetry.noteAnswered(this.#attempt, this.#responseStatus, this.#response.lastEventId);
     this.#finish();
   }
 
+  /** Records the time for which an attempt whose response has ended held its slot. */
+  #noteRun({ ageMs }: DirectAttempt): void {
+    const { admission, route } = this.#options;
+    admission.capacity.noteCompleted(route.name, ageMs);
+    if (!admission.cost) admission.holdingTimes.note(route.name, ageMs);
+  }
+
+  /**
+   * Resumes a stream that has ended with its connection. If the next attempt has no more events,
+   * the stream is complete; without a next attempt it is aborted.
+   */
+  #handleUnconfirmedEnd(): void {
+    const ended = this.#attempt;
+    if (!ended || this.#isOver) return;
+    this.#attempt = undefined;
+    this.#unconfirmed = ended;
+    this.#history.noteTried(ended.upstream.id);
+    this.#noteRun(ended);
+    this.#telemetry.noteUnconfirmedEnd(ended, this.#response.lastEventId);
+    this.#continueAfter(END_UNCONFIRMED);
+  }
+
+  #settleUnconfirmed(isComplete: boolean): void {
+    if (!this.#unconfirmed) return;
+    this.#unconfirmed.settle(isComplete);
+    this.#telemetry.noteSettledEnd(this.#unconfirmed, isComplete);
+    this.#unconfirmed = undefined;
+  }
+
   #handleFailure(failure: AttemptFailure): void {
     const failed = this.#attempt;
     if (!failed || this.#isOver) return;
     this.#attempt = undefined;
-    this.#history.noteFailed(failed.upstream.id);
+    this.#history.noteTried(failed.upstream.id);
     if (failure.isNotRun) this.#history.noteNotRun();
     this.#telemetry.noteFailed(failed, failure, this.#response.lastEventId);
     const cause = failure.isConnectionLost ? this.#guard.noteLost(failed) : undefined;
--- a/packages/core/src/direct/requestTelemetry.ts
+++ b/packages/core/src/direct/requestTelemetry.ts
@@ -96,6 +96,25 @@
     });
   }
 
+  /** Records that a stream has ended with its connection, and may be incomplete. */
+  noteUnconfirmedEnd(attempt: DirectAttempt, lastEventId: string | undefined): void {
+    this.#options.context.metrics.count('stream.end.unconfirmed');
+    this.#write(LogLevel.Info, 'The end of a stream is not confirmed.', {
+      ...this.#describeAttempt(attempt),
+      lastEventId,
+    });
+  }
+
+  /** Records whether a stream was complete when an earlier attempt had ended. */
+  noteSettledEnd(attempt: DirectAttempt, isComplete: boolean): void {
+    const outcome = isComplete ? 'complete' : 'truncated';
+    this.#options.context.metrics.count('stream.end.settled', { outcome });
+    this.#write(LogLevel.Info, 'The end of a stream is settled.', {
+      upstream: attempt.upstream.id,
+      outcome,
+    });
+  }
+
   noteRetry(reason: RetryReason): void {
     this.#options.context.metrics.count('request.retried', { reason });
   }
--- a/packages/core/src/direct/responseBuilder.ts
+++ b/packages/core/src/direct/responseBuilder.ts
@@ -6,14 +6,17 @@
  * complete events are forwarded as they arrive, under the head of the first upstream that sent one.
  *
  * A stream is delimited for the caller even if the upstream does not do so: otherwise the events
- * forwarded before the end of this process would look like all of them. A plain response without
- * framing is forwarded without one, since it may have been truncated at the upstream.
+ * forwarded before the end of this process would look like all of them. It is ended only once its
+ * end is confirmed: by the framing of the upstream's response, or by a further attempt that has no
+ * more events. A plain response without framing is forwarded without one, since it may have been
+ * truncated at the upstream.
  */
 import { AnswerFraming, type Caller } from '../ports/caller.js';
 import type { AnswerHead } from '../ports/upstreamCaller.js';
 
 import { EventSplitter } from './eventSplitter.js';
 import { GrowingBuffer } from './growingBuffer.js';
+import { ResponseEnd } from './responseEnd.js';
 
 /** Bytes of a plain response that are buffered at most. */
 const BUFFERED_BYTES_MAX = 256 * 1024;
@@ -98,14 +101,12 @@
     return this.#splitter.isOversized;
   }
 
-  /**
-   * Whether the response of the attempt is complete if nothing follows. A stream that is delimited
-   * by the close of its connection shows only by its events that it was not cut off.
-   */
-  get isComplete(): boolean {
-    if (this.#splitter.isMidEvent) return false;
+  /** Assesses the end of an attempt's response, all of which has been received. */
+  assessEnd(): ResponseEnd {
+    if (this.#splitter.isMidEvent) return ResponseEnd.Truncated;
     const isDelimited = this.#framing === AnswerFraming.Delimited;
-    return !this.#isStream || !this.isSuccess || isDelimited || this.#hasEvents;
+    if (!this.#isStream || !this.isSuccess || isDelimited) return ResponseEnd.Complete;
+    return this.#hasEvents ? ResponseEnd.Unconfirmed : ResponseEnd.Truncated;
   }
 
   /** Whether the response of an attempt can continue what has been sent to the caller. */
--- a/packages/core/src/direct/retryDecision.ts
+++ b/packages/core/src/direct/retryDecision.ts
@@ -55,7 +55,7 @@
     if (nowMs >= endAtMs) return Err(GiveUpReason.TimeOver);
     if (!request.body.isRepeatable) return Err(GiveUpReason.BodyPassedOn);
     if (!history.canSendAgain(route)) return Err(GiveUpReason.AttemptsSpent);
-    const upstream = admission.chooseUpstream(history.failedUpstreams, nowMs, cost);
+    const upstream = admission.chooseUpstream(history.triedUpstreams, nowMs, cost);
     return upstream ? Ok(upstream) : Err(GiveUpReason.NoUpstream);
   }
 
@@ -68,7 +68,7 @@
     if (!canRunAgain(route) || !request.body.isComplete || nowMs >= endAtMs) return false;
     if (!request.body.isRepeatable || !history.canSendAgain(route)) return false;
     if (!context.mayRetry(pool, nowMs)) return false;
-    const excluded = new Set([...history.failedUpstreams, upstream]);
+    const excluded = new Set([...history.triedUpstreams, upstream]);
     return admission.chooseUpstream(excluded, nowMs, cost) !== undefined;
   }
 
--- a/packages/core/src/direct/sendHistory.ts
+++ b/packages/core/src/direct/sendHistory.ts
@@ -13,7 +13,7 @@
 
 /** Sends of one request. */
 export class SendHistory {
-  readonly #failedUpstreams = new Set<string>();
+  readonly #triedUpstreams = new Set<string>();
 
   #sends = 0;
 
@@ -25,8 +25,8 @@
   }
 
   /** Upstreams that are excluded from retries. */
-  get failedUpstreams(): ReadonlySet<string> {
-    return this.#failedUpstreams;
+  get triedUpstreams(): ReadonlySet<string> {
+    return this.#triedUpstreams;
   }
 
   /** Whether an upstream may have run the request. */
@@ -39,8 +39,9 @@
     this.#possibleRuns += 1;
   }
 
-  noteFailed(upstream: string): void {
-    this.#failedUpstreams.add(upstream);
+  /** Records an upstream whose response is not, or may not be, a complete one. */
+  noteTried(upstream: string): void {
+    this.#triedUpstreams.add(upstream);
   }
 
   /** Records the proof that the last send has not run. */
--- a/packages/core/src/model/reason.ts
+++ b/packages/core/src/model/reason.ts
@@ -68,6 +68,7 @@
   UpstreamFailed = 'upstream-failed',
   ProgressTimeout = 'progress-timeout',
   StreamResumed = 'stream-resumed',
+  EndUnconfirmed = 'end-unconfirmed',
   DomainDrained = 'domain-drained',
   UpstreamRefused = 'upstream-refused',
   UpstreamUnreachable = 'upstream-unreachable',
--- a/packages/core/test/direct/unframedStream.test.ts
+++ b/packages/core/test/direct/unframedStream.test.ts
@@ -1,16 +1,21 @@
 /**
  * Streams that have neither a length nor chunks and end with their connection. One that ended
  * before its first event reached its caller as a complete, empty one; one that ended within an
- * event counted as a success of its upstream.
+ * event counted as a success of its upstream; one that ended between two events counted as whole.
  */
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
 import { AnswerFraming } from '../../src/ports/caller.js';
-import { DirectFixture, withClock } from './directFixture.js';
+import { BASE_ROUTE, CONTENT, DirectFixture, withClock } from './directFixture.js';
 
 const UNFRAMED = { framing: AnswerFraming.UntilClose };
 
+/** More requests than the retry budget has retries without any request. */
+const REQUESTS = 200;
+
+const REQUEST_INTERVAL_MS = 20;
+
 /** Failures of one upstream after which it is ejected. */
 const EJECTING_FAILURES = 2;
 
@@ -41,15 +46,87 @@
     assert.is.not(caller.ends[0], 'end');
   }));
 
-test('an unframed stream that ends between events is complete', () =>
+test('an unframed stream that ends between events goes on elsewhere where it was cut', () =>
+  withClock(() => {
+    const entry = createEntry();
+    const caller = entry.sendRequest('stream');
+    entry.lastCall.head(UNFRAMED).sendEvents(1, 2).end();
+    assert.equal(caller.ends, []);
+    assert.is(entry.lastCall.call.resumeAfterId, '2');
+    assert.is.not(entry.calls[0]?.call.upstream.id, entry.calls[1]?.call.upstream.id);
+    entry.lastCall.head().sendEvents(3).end();
+    assert.is(caller.text, [1, 2, 3].map((id) => `id: ${id}\ndata: note\n\n`).join(''));
+    assert.equal(caller.ends, ['end']);
+    assert.is(entry.metrics.readCount('stream.end.settled{outcome=truncated}'), 1);
+  }));
+
+test('an unframed stream is complete once another upstream has no more events', () =>
   withClock(() => {
     const entry = createEntry();
     const caller = entry.sendRequest('stream');
     entry.lastCall.head(UNFRAMED).sendEvents(1, 2).end();
+    entry.lastCall.head().end();
     assert.equal(caller.ends, ['end']);
+    assert.is(entry.calls.length, 2);
+    assert.is(entry.metrics.readCount('stream.end.settled{outcome=complete}'), 1);
+  }));
+
+test('an unframed stream that cannot be resumed is aborted at its end', () =>
+  withClock(() => {
+    const routes = [{ ...BASE_ROUTE, isResumable: false }];
+    const entry = new DirectFixture(1, undefined, 'entry-1', { ...CONTENT, routes });
+    entry.addUpstreams('models', 2);
+    const caller = entry.sendRequest('stream');
+    entry.lastCall.head(UNFRAMED).sendEvents(1, 2).end();
+    assert.equal(caller.ends, ['abort']);
     assert.is(entry.calls.length, 1);
   }));
 
+test('an unframed stream is aborted at its end if the retry budget is spent', () =>
+  withClock((clock) => {
+    const entry = createEntry(8);
+    entry.board.entryCount = 4;
+    const callers = Array.from({ length: REQUESTS }, () => {
+      clock.tick(REQUEST_INTERVAL_MS);
+      const caller = entry.sendRequest('stream');
+      const [first] = entry.calls.slice(-1);
+      first?.head(UNFRAMED).sendEvents(1).end();
+      if (entry.lastCall !== first) entry.lastCall.head().end();
+      return caller;
+    });
+    const aborted = callers.filter(({ ends }) => ends.join() === 'abort').length;
+    assert.ok(callers.every(({ ends }) => ends.length === 1));
+    assert.ok(aborted > 0);
+    assert.is(aborted, entry.metrics.readCount('request.not.retried{reason=budget-spent}'));
+  }));
+
+test('an unframed stream is aborted if the attempts for its rest fail', () =>
+  withClock(() => {
+    const entry = createEntry();
+    const caller = entry.sendRequest('stream');
+    entry.lastCall.head(UNFRAMED).sendEvents(1).end();
+    entry.lastCall.head(UNFRAMED).end();
+    assert.equal(caller.ends, ['abort']);
+  }));
+
+test('an upstream whose unframed streams prove to be cut is ejected', () =>
+  withClock(() => {
+    const entry = createEntry(2);
+    const cut = Array.from({ length: EJECTING_FAILURES }, () => {
+      entry.sendRequest('stream');
+      const call = entry.lastCall;
+      call.head(UNFRAMED).sendEvents(1).end();
+      entry.lastCall.head().sendEvents(2).end();
+      return call.call.upstream.id;
+    });
+    const nowMs = performance.now();
+    const ejected = entry.board.upstreams.filter(({ ejection }) => ejection.isEjected(nowMs));
+    assert.equal(
+      ejected.map(({ id }) => id),
+      cut.filter((id, at) => cut.indexOf(id) !== at),
+    );
+  }));
+
 test('a framed stream without any event is complete', () =>
   withClock(() => {
     const entry = createEntry();
