Resume a stream only with the event that follows the last one

Cause: a response to a request for the rest was joined to the beginning without a look at its first event, although the entry had named the last one; and an empty response with framing counted as the rest, although the stream had visibly been cut.

A response that does not go on there fails its attempt, and another upstream is asked. A stream that was cut is complete without further events only if two attempts say so; one that ended regularly needs one, as it is the first of the two. Comments are passed on.

FakeCall gave the head of a response again with every event in three tests, which began a new response each time; it gives it once now.

--- a/packages/core/src/direct/directAttempt.ts
+++ b/packages/core/src/direct/directAttempt.ts
@@ -210,6 +210,15 @@
     this.#fail(createLostFailure(RefusalReason.UpstreamFailed, detail), true);
   }
 
+  /** Fails the attempt, as it did not resume the stream after the last event. */
+  failMisplaced(lastEventId: string): void {
+    if (this.#isOver) return;
+    const detail = `the stream was not resumed after event "${lastEventId}"`;
+    this.#options.admission.noteFailure();
+    this.#options.context.metrics.count('stream.resume.misplaced');
+    this.#fail(createLostFailure(RefusalReason.UpstreamFailed, detail));
+  }
+
   resume(): void {
     if (this.#isOver || !this.#isPaused) return;
     this.#isPaused = false;
--- a/packages/core/src/direct/directRequest.ts
+++ b/packages/core/src/direct/directRequest.ts
@@ -346,6 +346,7 @@
     if (events > 0) this.#noteEvents(events);
     if (isProgress && this.#response.isSuccess) this.#guard.notePiece();
     if (this.#response.isOversized) this.#attempt?.failEndless('an event exceeds its size limit');
+    if (this.#response.isMisplaced) this.#attempt?.failMisplaced(this.#response.lastEventId ?? '');
     return isProgress;
   }
 
--- a/packages/core/src/direct/eventSplitter.ts
+++ b/packages/core/src/direct/eventSplitter.ts
@@ -13,6 +13,8 @@
 
 const ID_FIELD = /(?:^|\n)id:[ ]?([^\r\n]*)/gu;
 
+const DATA_FIELD = /(?:^|\n)data[:\r\n]/u;
+
 /** Maximum size of one event, far above that of the tokens of any pass. */
 export const EVENT_BYTES_MAX = 256 * 1024;
 
@@ -20,8 +22,10 @@
 export interface CompleteEvents {
   readonly data: Buffer;
   readonly count: number;
-  /** Id of the last event that has one. */
-  readonly lastId: string | undefined;
+  /** Ids of the events that have one, in order. */
+  readonly ids: readonly string[];
+  /** Whether they are comments only. */
+  readonly isComment: boolean;
 }
 
 /** Splits the events of one upstream response. */
@@ -62,8 +66,9 @@
       end > 0 ? Buffer.concat([this.#pending.take(), chunk.subarray(0, end)]) : undefined;
     this.#keepPending(chunk.subarray(end));
     if (!complete) return undefined;
-    const ids = [...complete.toString('latin1').matchAll(ID_FIELD)];
-    return { data: complete, count, lastId: ids[ids.length - 1]?.[1] };
+    const text = complete.toString('latin1');
+    const ids = [...text.matchAll(ID_FIELD)].map(([, id = '']) => id);
+    return { data: complete, count, ids, isComment: ids.length === 0 && !DATA_FIELD.test(text) };
   }
 
   /**
--- a/packages/core/src/direct/responseBuilder.ts
+++ b/packages/core/src/direct/responseBuilder.ts
@@ -14,6 +14,7 @@
 import { AnswerFraming, type Caller } from '../ports/caller.js';
 import type { AnswerHead } from '../ports/upstreamCaller.js';
 
+import { EventSequence } from './eventSequence.js';
 import { EventSplitter } from './eventSplitter.js';
 import { GrowingBuffer } from './growingBuffer.js';
 import { ResponseEnd } from './responseEnd.js';
@@ -73,7 +74,13 @@
   /** Memory in use, as the caller has been told. */
   #heldBytes = 0;
 
-  #lastEventId: string | undefined;
+  /** Events that the caller has received. */
+  readonly #sequence = new EventSequence();
+
+  /** Whether an earlier attempt's response has ended where the events so far end. */
+  #isEndReached = false;
+
+  #isMisplaced = false;
 
   constructor(caller: Caller, isStream: boolean) {
     this.#caller = caller;
@@ -93,7 +100,7 @@
 
   /** Id of the last event that was sent to the caller. */
   get lastEventId(): string | undefined {
-    return this.#lastEventId;
+    return this.#sequence.lastId;
   }
 
   /** Whether an event exceeded the size limit, which no engine's events reach. */
@@ -101,12 +108,25 @@
     return this.#splitter.isOversized;
   }
 
-  /** Assesses the end of an attempt's response, all of which has been received. */
+  /** Whether the attempt resumed the stream elsewhere than after the last event. */
+  get isMisplaced(): boolean {
+    return this.#isMisplaced;
+  }
+
+  /**
+   * Assesses the end of an attempt's response, all of which has been received. A resumed response
+   * without events shows that the stream is complete only if another one has ended there as well:
+   * an upstream that does not resume as it should can answer so.
+   */
   assessEnd(): ResponseEnd {
     if (this.#splitter.isMidEvent) return ResponseEnd.Truncated;
+    if (!this.#isStream || !this.isSuccess) return ResponseEnd.Complete;
     const isDelimited = this.#framing === AnswerFraming.Delimited;
-    if (!this.#isStream || !this.isSuccess || isDelimited) return ResponseEnd.Complete;
-    return this.#hasEvents ? ResponseEnd.Unconfirmed : ResponseEnd.Truncated;
+    if (!isDelimited && !this.#hasEvents) return ResponseEnd.Truncated;
+    const isConfirmed = this.#hasEvents || this.#isEndReached || !this.#isCommitted;
+    if (isDelimited && isConfirmed) return ResponseEnd.Complete;
+    this.#isEndReached = true;
+    return ResponseEnd.Unconfirmed;
   }
 
   /** Whether the response of an attempt can continue what has been sent to the caller. */
@@ -127,6 +147,7 @@
     this.#bytesSinceProgress = PROGRESS_BYTES;
     this.#framing = head.framing;
     this.#hasEvents = false;
+    this.#isMisplaced = false;
     this.#holdMemory(0, false);
     if (!this.#isCommitted) this.#head = head;
   }
@@ -152,9 +173,14 @@
     // Without room the request has been ended, and its caller answered.
     const hasRoom = this.#holdMemory(this.#splitter.pendingBytes, true);
     if (!complete || !hasRoom) return { events: 0, isProgress: false, isCallerReady: true };
-    this.#hasEvents = true;
+    if (!this.#hasEvents && !complete.isComment && !this.#sequence.canFollow(complete.ids[0])) {
+      this.#isMisplaced = true;
+      return { events: 0, isProgress: false, isCallerReady: true };
+    }
+    this.#hasEvents ||= !complete.isComment;
+    this.#isEndReached = false;
+    this.#sequence.append(complete.ids);
     this.#commit({});
-    this.#lastEventId = complete.lastId ?? this.#lastEventId;
     const isCallerReady = this.#caller.writeData(complete.data);
     return { events: complete.count, isProgress: true, isCallerReady };
   }
--- a/packages/core/test/direct/eventSplitter.test.ts
+++ b/packages/core/test/direct/eventSplitter.test.ts
@@ -25,7 +25,7 @@
         texts.length,
       );
       const last = out.filter((each) => each).pop();
-      assert.is(last?.lastId, String(events[events.length - 1]?.[0]));
+      assert.is(last?.ids.at(-1), String(events[events.length - 1]?.[0]));
       assert.not.ok(splitter.isMidEvent);
     }),
   );
@@ -35,7 +35,7 @@
   const splitter = new EventSplitter();
   const first = splitter.push(Buffer.from('id: 1\ndata: a\n\nid: 2\nda'));
   assert.is(first?.data.toString(), 'id: 1\ndata: a\n\n');
-  assert.is(first?.lastId, '1');
+  assert.is(first?.ids.at(-1), '1');
   assert.ok(splitter.isMidEvent);
 });
 
--- a/packages/core/test/direct/fakeCall.ts
+++ b/packages/core/test/direct/fakeCall.ts
@@ -35,6 +35,8 @@
 
   isCancelled = false;
 
+  #hasHead = false;
+
   #hasEnded = false;
 
   constructor(call: UpstreamCall, events: CallEvents) {
@@ -61,8 +63,11 @@
     this.isPaused = false;
   };
 
+  /** Gives the head of the response, unless it has been given. */
   head(head: Partial<AnswerHead> = {}): this {
-    if (!this.isCancelled) this.#events.onHead({ ...HEAD, ...head });
+    if (this.isCancelled || this.#hasHead) return this;
+    this.#hasHead = true;
+    this.#events.onHead({ ...HEAD, ...head });
     return this;
   }
 
