--- a/packages/core/src/config/configFollower.ts
+++ b/packages/core/src/config/configFollower.ts
@@ -37,7 +37,7 @@
 
   /** Applies changes up to their highest version: a watch revision also counts other writes. */
   protected handleChanges(changes: readonly ObjectChange[]): void {
-    const revision = Math.max(...changes.map((change) => change.version));
+    const revision = changes.reduce((highest, { version }) => Math.max(highest, version), 0);
     this.#options.feed.apply(ConfigSource.Platform, changes, revision, false);
   }
 
--- a/packages/standin/test/config/configFollower.test.ts
+++ b/packages/standin/test/config/configFollower.test.ts
@@ -9,7 +9,9 @@
 import { Deadline } from '@radishbay/core/lease/deadline.js';
 import { ConfigLease } from '@radishbay/core/membership/configLease.js';
 import { DEFAULT_TIMING } from '@radishbay/core/model/timing.js';
+import { Ok } from '@radishbay/core/outcome.js';
 import { CountingMetrics } from '@radishbay/core/ports/countingMetrics.js';
+import type { WatchBatch } from '@radishbay/core/ports/objectStore.js';
 import { Random } from '@radishbay/core/ports/random.js';
 import { SilentLog } from '@radishbay/core/ports/silentLog.js';
 import { EntryBoard } from '@radishbay/core/state/entryBoard.js';
@@ -17,10 +19,24 @@
 import { MemoryObjectStore } from '../../src/platform/memoryStore.js';
 import { StoreFault } from '../../src/platform/storeFault.js';
 
+/** More than JavaScript passes as arguments of one call. */
+const MANY_CHANGES = 200_000;
+
 const KEY = formatConfigKey(ConfigKind.Domain, 'zone-a');
 
-function createFollower() {
-  const store = new MemoryObjectStore();
+/** A store whose next watch returns a given batch. */
+class BatchStore extends MemoryObjectStore {
+  nextBatch: WatchBatch | undefined;
+
+  override async watch(...call: Parameters<MemoryObjectStore['watch']>) {
+    const watched = await super.watch(...call);
+    const batch = this.nextBatch;
+    this.nextBatch = undefined;
+    return batch ? Ok(batch) : watched;
+  }
+}
+
+function createFollower(store = new MemoryObjectStore()) {
   const board = new EntryBoard('entry-a', 'one', 'zone-a', 'main');
   const log = new SilentLog();
   const metrics = new CountingMetrics();
@@ -72,6 +88,22 @@
   assert.equal(revisions, [version]);
 });
 
+test('more changes at a time than a call has arguments are applied', async () => {
+  const store = new BatchStore();
+  const { board } = createFollower(store);
+  await clock.tickAsync(50);
+  const changes = Array.from({ length: MANY_CHANGES }, (_, at) => ({
+    key: formatConfigKey(ConfigKind.Domain, `zone-${at}`),
+    version: at + 1,
+    value: { name: `zone-${at}`, state: DomainState.Active },
+  }));
+  store.nextBatch = { revision: MANY_CHANGES, changes };
+  writeDomain(store, DomainState.Drained);
+  await clock.tickAsync(50);
+  const last = board.config.get(ConfigKind.Domain, `zone-${MANY_CHANGES - 1}`);
+  assert.is(last?.state, DomainState.Active);
+});
+
 test('objects are listed again after compaction, which also shows removals', async () => {
   const { store, board } = createFollower();
   writeDomain(store, DomainState.Active);
