Limit the reason of a closed link in bytes

Callers would see: an entry or side process that gets a malformed message over a link ends, and all requests that it serves are cut. Cause: an undecodable frame closes its link with the error text as the reason. That was cut to 120 characters, but the limit of 123 holds for bytes, and ws throws above it. The text names the invalid field, which the other end chooses, so any character of more than one byte can be in it. Change: the reason is encoded into 120 bytes, in whole characters, as a reason has to be valid UTF-8.

--- a/packages/link/src/ws/wsLink.ts
+++ b/packages/link/src/ws/wsLink.ts
@@ -24,6 +24,13 @@
 /** Time allowed for the closing handshake before the socket is destroyed. */
 const CLOSE_TIMEOUT_MS = 1_000;
 
+/** Encodes as many whole characters of a close reason as may be sent. */
+function encodeCloseReason(detail: string): Buffer {
+  const bytes = Buffer.alloc(CLOSE_REASON_LIMIT_BYTES);
+  const { written } = new TextEncoder().encodeInto(detail, bytes);
+  return bytes.subarray(0, written);
+}
+
 function toBytes(data: RawData): Uint8Array {
   if (Array.isArray(data)) return Buffer.concat(data);
   return data instanceof ArrayBuffer ? new Uint8Array(data) : data;
@@ -121,7 +128,7 @@
   #closeSocket(code: number, detail: string): void {
     this.#closeDetail = detail;
     if (this.#socket.readyState === WebSocket.CONNECTING) this.#socket.terminate();
-    else this.#socket.close(code, detail.slice(0, CLOSE_REASON_LIMIT_BYTES));
+    else this.#socket.close(code, encodeCloseReason(detail));
     const timer = setTimeout(() => this.#socket.terminate(), CLOSE_TIMEOUT_MS);
     timer.unref();
     this.#socket.once('close', () => clearTimeout(timer));
--- a/packages/link/test/ws/wsLink.test.ts
+++ b/packages/link/test/ws/wsLink.test.ts
@@ -1,6 +1,9 @@
+import type { AddressInfo } from 'node:net';
+
+import { Packr } from 'msgpackr';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { WebSocket } from 'ws';
+import { WebSocket, WebSocketServer } from 'ws';
 
 import { MessageType, type Message } from '@radishbay/core/messages/message.js';
 import type { Link } from '@radishbay/core/ports/link.js';
@@ -12,6 +15,9 @@
 
 const MESSAGE_LIMIT_BYTES = 4_096;
 
+/** RFC 6455 close code for a policy violation. */
+const CLOSE_POLICY_VIOLATION = 1008;
+
 function createCancel(attemptId: string): Message {
   return { type: MessageType.Cancel, attemptId };
 }
@@ -89,6 +95,53 @@
   await listener.stop();
 });
 
+/** An invalid message whose error text is longer than the reason of a close may be. */
+function createInvalidFrame(name: string): Buffer {
+  const message = { type: MessageType.UpstreamCounts, entry: 'e', isFull: true };
+  return new Packr({ useRecords: false }).pack([{ ...message, counts: { [name]: -1 } }]);
+}
+
+['n'.repeat(300), 'é'.repeat(300), '\u{1f3b5}'.repeat(300), '\ud800'.repeat(300)].forEach(
+  (name) => {
+    const start = JSON.stringify(name.slice(0, 2));
+
+    test(`an invalid field ${start}... closes an accepted link`, async () => {
+      const metrics = new CountingMetrics();
+      const closes: Promise<string>[] = [];
+      const { listener, port } = await startListener(metrics, (link) =>
+        closes.push(waitForClose(link)),
+      );
+      const socket = new WebSocket(`ws://127.0.0.1:${port}${LINK_PATH}`);
+      socket.once('open', () => socket.send(createInvalidFrame(name)));
+      const code = await new Promise((resolve) => {
+        socket.once('close', resolve);
+      });
+      assert.is(code, CLOSE_POLICY_VIOLATION);
+      assert.match(await closes[0]!, /invalid message field counts/u);
+      await listener.stop();
+    });
+
+    test(`an invalid field ${start}... closes a dialed link`, async () => {
+      const metrics = new CountingMetrics();
+      const server = new WebSocketServer({ host: '127.0.0.1', port: 0 });
+      await new Promise((resolve) => {
+        server.once('listening', resolve);
+      });
+      const code = new Promise((resolve) => {
+        server.once('connection', (socket) => {
+          socket.once('close', resolve);
+          socket.send(createInvalidFrame(name));
+        });
+      });
+      const { port } = server.address() as AddressInfo;
+      const link = new WsDialer(metrics, MESSAGE_LIMIT_BYTES).dial(`127.0.0.1:${port}`);
+      assert.match(await waitForClose(link), /invalid message field counts/u);
+      assert.is(await code, CLOSE_POLICY_VIOLATION);
+      server.close();
+    });
+  },
+);
+
 test('a frame over the size limit closes the link', async () => {
   const metrics = new CountingMetrics();
   const { listener, port } = await startListener(metrics, (link) => waitForClose(link));
