Refuse bytes in place of a list in a message

Callers would see: an entry or side process that gets such a message over a link ends, and all requests that it serves are cut. Cause: the schemas of messages used readonly() of zod, which freezes the parsed value even where the schema has refused it. Object.freeze throws for bytes, which msgpack can carry, so the decoder threw in place of returning the fault. Change: these lists and the tuple are read-only by type only; nothing is frozen.

--- a/packages/core/src/messages/message.ts
+++ b/packages/core/src/messages/message.ts
@@ -14,6 +14,7 @@
 
 import { DEMANDS } from './demandMessage.js';
 import { LIMIT_NEWS, PERMIT_ASK, PERMIT_GRANT } from './permitMessage.js';
+import { createListSchema } from './readonlySchema.js';
 import { WORK_NEWS } from './workMessage.js';
 import { WORKSPACE_USAGE } from './workspaceUsageMessage.js';
 
@@ -301,22 +302,19 @@
 /** What an entry knows of the prompt parts that were involved in crashes of a pool's upstreams. */
 const PROMPT_NEWS = z.object({
   pool: z.string(),
-  crashes: z
-    .array(
-      z.object({
-        /** Incarnation of the crashed upstream. */
-        upstream: z.string(),
-        ageMs: z.number().nonnegative(),
-        /** Likelihood of each part as the cause, relative to the others. */
-        weights: z.record(z.string(), z.number().positive()),
-      }),
-    )
-    .readonly()
-    .optional(),
+  crashes: createListSchema(
+    z.object({
+      /** Incarnation of the crashed upstream. */
+      upstream: z.string(),
+      ageMs: z.number().nonnegative(),
+      /** Likelihood of each part as the cause, relative to the others. */
+      weights: z.record(z.string(), z.number().positive()),
+    }),
+  ).optional(),
   /** Time since an answer on a part was last served. */
   servedAgesMs: z.record(z.string(), z.number().nonnegative()).optional(),
   /** Parts of which the entry lets a request through as a trial. */
-  trials: z.array(z.string()).readonly().optional(),
+  trials: createListSchema(z.string()).optional(),
   /** Remaining time for which parts are held back, in milliseconds. */
   holdsMs: z.record(z.string(), z.number().nonnegative()).optional(),
 });
@@ -341,11 +339,11 @@
   /** Pool that had stopped accepting work and that the entry has just seen accept it again. */
   recoveredPool: z.string().optional(),
   /** Incarnations of upstreams that are about to stop, as known to the entry. */
-  leaving: z.array(z.string()).readonly().optional(),
+  leaving: createListSchema(z.string()).optional(),
   /** Prompt parts that were involved in crashes of upstreams, by pool. */
-  prompts: z.array(PROMPT_NEWS).readonly().optional(),
+  prompts: createListSchema(PROMPT_NEWS).optional(),
   /** Request limits of upstreams; sent, even if empty, by entries that can grant permits. */
-  limits: z.array(LIMIT_NEWS).readonly().optional(),
+  limits: createListSchema(LIMIT_NEWS).optional(),
   permitAsk: PERMIT_ASK.optional(),
   permitGrant: PERMIT_GRANT.optional(),
   /** Work left by upstream id; sent, even if empty, with full counts. */
--- a/packages/core/src/messages/workMessage.ts
+++ b/packages/core/src/messages/workMessage.ts
@@ -8,6 +8,10 @@
  * output, milliseconds of decoding that are left, and the microseconds that the requests add to a
  * step.
  */
-export const WORK_NEWS = z.tuple([COUNT, COUNT, COUNT]).readonly();
+export const WORK_NEWS: z.ZodType<readonly [number, number, number]> = z.tuple([
+  COUNT,
+  COUNT,
+  COUNT,
+]);
 
 export type WorkNews = z.infer<typeof WORK_NEWS>;
--- a/packages/link/test/ws/wsLink.test.ts
+++ b/packages/link/test/ws/wsLink.test.ts
@@ -22,6 +22,8 @@
   return { type: MessageType.Cancel, attemptId };
 }
 
+const BYTES = new Uint8Array([1, 2, 3]);
+
 async function startListener(metrics: CountingMetrics, onLink: (link: Link) => void) {
   const listener = new WsListener({
     host: '127.0.0.1',
@@ -166,6 +168,23 @@
   assert.ok(await waitForClose(link));
 });
 
+Object.entries({
+  leaving: { leaving: BYTES },
+  limits: { limits: BYTES },
+  prompts: { prompts: BYTES },
+  'prompts.0.trials': { prompts: [{ pool: 'models', trials: BYTES }] },
+  'prompts.0.crashes': { prompts: [{ pool: 'models', crashes: BYTES }] },
+  'work.m-1': { work: { 'm-1': BYTES } },
+}).forEach(([path, fields]) => {
+  test(`bytes in place of the list ${path} are refused with the name of the field`, () => {
+    const message = { type: MessageType.UpstreamCounts, entry: 'e', isFull: true, counts: {} };
+    const frame = new Packr({ useRecords: false }).pack([{ ...message, ...fields }]);
+    const decoded = decodeFrame(frame);
+    assert.ok(decoded.err);
+    assert.match(String(decoded.val), `invalid message field ${path}`);
+  });
+});
+
 test('bytes round-trip through a frame, and the error names an invalid field', () => {
   const data = new Uint8Array([0, 255, 7]);
   const message: Message = { type: MessageType.Data, attemptId: 'a', offset: 3, data };
