Test broken answers to the command line

Status 000 and 600, a blank and a control byte in a field's name, and half a head, in place of an entry's answer to an operator. No fault was found: queries end as unreachable and orders as of unknown outcome, by the reader that all calls share. The tests stay.

--- a/packages/client/test/commandLine.test.ts
+++ b/packages/client/test/commandLine.test.ts
@@ -175,6 +175,28 @@
   );
 });
 
+Object.entries({
+  'status 000': 'HTTP/1.1 000 Odd\r\ncontent-length: 2\r\n\r\n{}',
+  'status 600': 'HTTP/1.1 600 Odd\r\ncontent-length: 2\r\n\r\n{}',
+  'a blank in a field name': 'HTTP/1.1 200 OK\r\nx odd: 1\r\ncontent-length: 2\r\n\r\n{}',
+  'a control byte in a field name': 'HTTP/1.1 200 OK\r\nx\u0001: 1\r\ncontent-length: 2\r\n\r\n{}',
+  'half a head': 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n',
+}).forEach(([description, rawText]) => {
+  const response: CannedResponse = { status: 0, body: undefined, rawText };
+
+  test(`an answer with ${description} is none to a query`, async () => {
+    const { exitCode, errors } = await run(['ask', 'upstreams'], [response]);
+    assert.is(exitCode, ExitCode.Unreachable);
+    assert.match(errors, /unreachable: http/u);
+  });
+
+  test(`an answer with ${description} leaves the outcome of an order unknown`, async () => {
+    const { exitCode, errors, entry } = await run(DRAIN_ARGS, [response]);
+    assert.is(exitCode, ExitCode.Unknown);
+    assert.match(errors, `radishbay order show ${entry.calls[0]?.orderId}`);
+  });
+});
+
 test('an order fails as unreachable when no entry can be reached', async () => {
   const args = [...DRAIN_ARGS, '--entry', UNREACHABLE_ENTRY];
   assert.is((await run(args, [RECEIPT_RESPONSE])).exitCode, ExitCode.Unreachable);
--- a/packages/client/test/fakeEntry.ts
+++ b/packages/client/test/fakeEntry.ts
@@ -5,6 +5,8 @@
 export interface CannedResponse {
   readonly status: number;
   readonly body: unknown;
+  /** Bytes that are sent in place of an HTTP response, after which the connection ends. */
+  readonly rawText?: string;
 }
 
 /** Closes the connection instead of sending a response. */
@@ -56,6 +58,7 @@
       this.calls.push({ method, url, orderId: orderId as string | undefined, token, body });
       const canned = this.#responses.length > 1 ? this.#responses.shift() : this.#responses[0];
       if (!canned || canned === CONNECTION_LOST) response.destroy();
+      else if (canned.rawText !== undefined) request.socket.end(canned.rawText);
       else response.writeHead(canned.status).end(JSON.stringify(canned.body));
     });
   }
