Check the contents of answers to the command line

Operators would see: an order whose receipt lacked its fields was reported as a usage error ("Cannot read properties of undefined", exit code 2), although it may have taken effect. Cause: the command line took any JSON object for a receipt, a status or rows. Change: answers are decoded by schemas, which keep unknown fields. One that cannot be decoded counts like one that is not JSON: a read goes to the next entry, and an order is read back by its id.

--- a/packages/client/src/operatorApi.ts
+++ b/packages/client/src/operatorApi.ts
@@ -12,8 +12,10 @@
 import type { QueryKind, QueryRow } from '@radishbay/core/model/query.js';
 import { Err, Ok, type Result } from '@radishbay/core/outcome.js';
 import { sendCall, type HttpResponse } from '@radishbay/objects/httpCall.js';
+import type { z } from 'zod';
 
 import { FailureKind, classifyReason, type Failure } from './failure.js';
+import { ORDER_RECEIPT, ORDER_STATUS, QUERY_RESULT } from './operatorAnswer.js';
 
 const API_PATH = '/operator/v1';
 
@@ -80,8 +82,8 @@
   ): Promise<Result<readonly QueryRow[], Failure>> {
     const search = new URLSearchParams(filters).toString();
     const path = `${API_PATH}/query/${kind}${search === '' ? '' : `?${search}`}`;
-    const body = await this.#send({ method: 'GET', path });
-    return body.map((value) => (Array.isArray(value.rows) ? (value.rows as QueryRow[]) : []));
+    const result = await this.#send({ method: 'GET', path }, QUERY_RESULT);
+    return result.map(({ rows }) => rows);
   }
 
   /**
@@ -90,40 +92,36 @@
    *
    * @param orderId unique for each order
    */
-  async submit(order: OrderBody, orderId: string): Promise<Result<OrderReceipt, Failure>> {
-    const body = await this.#send({
+  submit(order: OrderBody, orderId: string): Promise<Result<OrderReceipt, Failure>> {
+    const call: Call = {
       method: 'POST',
       path: `${API_PATH}/orders`,
       headers: { 'x-order-id': orderId },
       body: JSON.stringify(order),
-    });
-    return body.map((value) => value as unknown as OrderReceipt);
+    };
+    return this.#send(call, ORDER_RECEIPT);
   }
 
   /** Reads the status of an order. */
-  async read(orderId: string): Promise<Result<OrderStatus, Failure>> {
+  read(orderId: string): Promise<Result<OrderStatus, Failure>> {
     const path = `${API_PATH}/orders/${encodeURIComponent(orderId)}`;
-    const body = await this.#send({ method: 'GET', path });
-    return body.map((value) => value as unknown as OrderStatus);
+    return this.#send({ method: 'GET', path }, ORDER_STATUS);
   }
 
-  async #send(call: Call): Promise<Result<JsonObject, Failure>> {
-    const noEntryFailure: Result<JsonObject, Failure> = Err({
+  async #send<T>(call: Call, schema: z.ZodType<T>): Promise<Result<T, Failure>> {
+    const noEntryFailure: Result<T, Failure> = Err({
       kind: FailureKind.Unreachable,
       reason: undefined,
       detail: 'no entry is named',
     });
-    return this.#options.entries.reduce<Promise<Result<JsonObject, Failure>>>(
-      async (previous, entry) => {
-        const result = await previous;
-        if (result.ok || result.val.kind !== FailureKind.Unreachable) return result;
-        return this.#sendTo(entry, call);
-      },
-      Promise.resolve(noEntryFailure),
-    );
+    return this.#options.entries.reduce<Promise<Result<T, Failure>>>(async (previous, entry) => {
+      const result = await previous;
+      if (result.ok || result.val.kind !== FailureKind.Unreachable) return result;
+      return this.#sendTo(entry, call, schema);
+    }, Promise.resolve(noEntryFailure));
   }
 
-  async #sendTo(entry: string, call: Call): Promise<Result<JsonObject, Failure>> {
+  async #sendTo<T>(entry: string, call: Call, schema: z.ZodType<T>): Promise<Result<T, Failure>> {
     const response = await sendCall({
       method: call.method,
       url: new URL(`${entry.replace(/\/+$/u, '')}${call.path}`),
@@ -142,9 +140,11 @@
       return Err({ kind, reason: undefined, detail: `${entry}: ${response.val.detail}` });
     }
     if (response.val.status >= 300) return Err(createFailureFromResponse(call, response.val));
-    const value = parseJson(response.val.text);
-    if (value) return Ok(value);
+    const parsed = schema.safeParse(parseJson(response.val.text));
+    if (parsed.success) return Ok(parsed.data);
     const kind = call.method === 'POST' ? FailureKind.Unknown : FailureKind.Unreachable;
-    return Err({ kind, reason: undefined, detail: `${entry}: the answer is not JSON` });
+    const field = parsed.error.issues[0]?.path.join('.') || 'the whole answer';
+    const detail = `${entry}: the answer cannot be decoded, invalid: ${field}`;
+    return Err({ kind, reason: undefined, detail });
   }
 }
--- a/packages/client/test/commandLine.test.ts
+++ b/packages/client/test/commandLine.test.ts
@@ -197,6 +197,49 @@
   });
 });
 
+const ODD_BODIES: readonly unknown[] = [
+  [],
+  {},
+  { rows: [null], orderId: 5 },
+  { rows: [{ name: { toString: 1 } }], orderId: 'o1', version: 7, forecast: null },
+  { rows: {}, orderId: 'o1', version: 7, forecast: [null], state: 'odd', missing: [] },
+  { rows: 'all', orderId: 'o1', state: OrderState.InForce, missing: [null] },
+];
+
+ODD_BODIES.forEach((body) => {
+  test(`the answer ${JSON.stringify(body)} is none to a query`, async () => {
+    const { exitCode, errors } = await run(['ask', 'upstreams'], [{ status: 200, body }]);
+    assert.is(exitCode, ExitCode.Unreachable);
+    assert.match(errors, /the answer cannot be decoded/u);
+  });
+
+  test(`the answer ${JSON.stringify(body)} is no status of an order`, async () => {
+    const { exitCode, errors } = await run(['order', 'show', 'o1'], [{ status: 200, body }]);
+    assert.is(exitCode, ExitCode.Unreachable);
+    assert.match(errors, /the answer cannot be decoded/u);
+  });
+
+  test(`an order whose receipt is ${JSON.stringify(body)} is read back by its id`, async () => {
+    const { exitCode, entry } = await run(DRAIN_ARGS, [
+      { status: 202, body },
+      createStatusResponse(OrderState.InForce),
+    ]);
+    assert.is(exitCode, ExitCode.Done);
+    assert.is(entry.calls[1]?.url, `/operator/v1/orders/${entry.calls[0]?.orderId}`);
+  });
+});
+
+test('fields that the command line does not know are kept in JSON', async () => {
+  const rows = [{ name: 'a', added: true }];
+  const body = { rows, revision: 4 };
+  const { text } = await run(['ask', 'load', '--json'], [{ status: 200, body }]);
+  assert.equal(JSON.parse(text), rows);
+  const { body: status } = createStatusResponse(OrderState.InForce);
+  const more = { ...(status as object), added: 1 };
+  const shown = await run(['order', 'show', 'o1', '--json'], [{ status: 200, body: more }]);
+  assert.equal(JSON.parse(shown.text), more);
+});
+
 test('an order fails as unreachable when no entry can be reached', async () => {
   const args = [...DRAIN_ARGS, '--entry', UNREACHABLE_ENTRY];
   assert.is((await run(args, [RECEIPT_RESPONSE])).exitCode, ExitCode.Unreachable);
