Write the frames of the link tests with the codec

No check changes. 19 of 19 pass; with the old code of the link the file ends by the RangeError, and with the old schemas the five lists of a message fail, as before.

--- a/packages/link/test/ws/wsLink.test.ts
+++ b/packages/link/test/ws/wsLink.test.ts
@@ -1,11 +1,10 @@
 import type { AddressInfo } from 'node:net';
 
-import { Packr } from 'msgpackr';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { WebSocket, WebSocketServer } from 'ws';
 
-import { MessageType, type Message } from '@radishbay/core/messages/message.js';
+import { MessageType, type Message, type MessageOf } from '@radishbay/core/messages/message.js';
 import type { Link } from '@radishbay/core/ports/link.js';
 import { CountingMetrics } from '@radishbay/core/ports/countingMetrics.js';
 
@@ -18,12 +17,19 @@
 /** RFC 6455 close code for a policy violation. */
 const CLOSE_POLICY_VIOLATION = 1008;
 
+const BYTES = new Uint8Array([1, 2, 3]);
+
+const COUNTS: MessageOf<MessageType.UpstreamCounts> = {
+  type: MessageType.UpstreamCounts,
+  entry: 'e',
+  isFull: true,
+  counts: {},
+};
+
 function createCancel(attemptId: string): Message {
   return { type: MessageType.Cancel, attemptId };
 }
 
-const BYTES = new Uint8Array([1, 2, 3]);
-
 async function startListener(metrics: CountingMetrics, onLink: (link: Link) => void) {
   const listener = new WsListener({
     host: '127.0.0.1',
@@ -99,8 +105,7 @@
 
 /** An invalid message whose error text is longer than the reason of a close may be. */
 function createInvalidFrame(name: string): Buffer {
-  const message = { type: MessageType.UpstreamCounts, entry: 'e', isFull: true };
-  return new Packr({ useRecords: false }).pack([{ ...message, counts: { [name]: -1 } }]);
+  return encodeFrame([{ ...COUNTS, counts: { [name]: -1 } }]);
 }
 
 ['n'.repeat(300), 'é'.repeat(300), '\u{1f3b5}'.repeat(300), '\ud800'.repeat(300)].forEach(
@@ -177,9 +182,7 @@
   'work.m-1': { work: { 'm-1': BYTES } },
 }).forEach(([path, fields]) => {
   test(`bytes in place of the list ${path} are refused with the name of the field`, () => {
-    const message = { type: MessageType.UpstreamCounts, entry: 'e', isFull: true, counts: {} };
-    const frame = new Packr({ useRecords: false }).pack([{ ...message, ...fields }]);
-    const decoded = decodeFrame(frame);
+    const decoded = decodeFrame(encodeFrame([{ ...COUNTS, ...fields } as unknown as Message]));
     assert.ok(decoded.err);
     assert.match(String(decoded.val), `invalid message field ${path}`);
   });
