Close a connection that cannot be reset

Cause: libuv refuses to reset a socket while its shutdown is pending (EINVAL). Node has by then marked the handle as closing and does not close it, and at its end waits for it without end. A shutdown is pending from the read of the peer's end until the next turn.

Evidence: end() and resetAndDestroy() in one turn: 'reset EINVAL', no 'close', and a process that spins in CleanupHandles at exit (backtrace). The new test of HttpCaller failed before: no 'close' within 2 s, and its process had to be killed.

Change: resetConnection() closes a connection whose end is being sent and resets any other one; with data still to be sent no shutdown is pending, and the reset stays. Both places that reset the connections of callers use it.

--- a/packages/daemon/src/callers/httpCaller.ts
+++ b/packages/daemon/src/callers/httpCaller.ts
@@ -6,6 +6,7 @@
 import { AnswerFraming, Caller } from '@radishbay/core/ports/caller.js';
 import { RefusalReason, type Refusal } from '@radishbay/core/model/reason.js';
 import type { HeaderMap } from '@radishbay/core/model/request.js';
+import { resetConnection } from '@radishbay/objects/connectionReset.js';
 
 import { writeProblem, type RetryAfterFormat } from './problem.js';
 
@@ -110,7 +111,7 @@
   }
 
   readonly #reset = (): void => {
-    this.#response.socket?.resetAndDestroy();
+    if (this.#response.socket) resetConnection(this.#response.socket);
     this.#response.destroy();
   };
 
--- a/packages/daemon/src/direct/streamingRequestHandler.ts
+++ b/packages/daemon/src/direct/streamingRequestHandler.ts
@@ -8,6 +8,7 @@
 import { Outcome, RefusalReason } from '@radishbay/core/model/reason.js';
 import type { Caller } from '@radishbay/core/ports/caller.js';
 import type { ForwardedRequest } from '@radishbay/core/ports/upstreamCaller.js';
+import { resetConnection } from '@radishbay/objects/connectionReset.js';
 
 import { RequestHandler, type IncomingRequest } from '../callers/requestHandler.js';
 import { HttpCaller } from '../callers/httpCaller.js';
@@ -57,8 +58,8 @@
       budget,
       expectedBytes: readDeclaredLength(message) ?? bodyLimitBytes,
       onEvict: (reason) => {
-        if (response.writableEnded) response.socket?.resetAndDestroy();
-        else body?.reject(reason);
+        if (!response.writableEnded) body?.reject(reason);
+        else if (response.socket) resetConnection(response.socket);
       },
     });
     body = new IncomingBody(message, bodyLimitBytes, account);
--- a/packages/daemon/test/httpCaller.test.ts
+++ b/packages/daemon/test/httpCaller.test.ts
@@ -1,12 +1,13 @@
 /** Responses that are aborted after they have begun, as a client reads them. */
 import http from 'node:http';
-import type { AddressInfo } from 'node:net';
+import net, { type AddressInfo } from 'node:net';
 
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
 import { Outcome, RefusalReason, type Refusal } from '@radishbay/core/model/reason.js';
 import { AnswerFraming } from '@radishbay/core/ports/caller.js';
+import { wait } from '@radishbay/core/wait.js';
 
 import { discardBody } from '../src/callers/discardBody.js';
 import { HttpCaller } from '../src/callers/httpCaller.js';
@@ -25,6 +26,8 @@
 const PIECE_BYTES = 800;
 const PIECE_INTERVAL_MS = 3;
 
+const CLOSE_TIMEOUT_MS = 2_000;
+
 interface Context {
   server: http.Server;
   port: number;
@@ -140,4 +143,23 @@
   assert.ok(await isReset);
 });
 
+/** Guards against a connection that stays open, and with it the process at its end. */
+test('an aborted response closes the connection that its caller has just ended', async (context) => {
+  context.server.removeAllListeners('request');
+  const isClosed = new Promise<boolean>((resolve) => {
+    context.server.on('request', ({ socket }: http.IncomingMessage, response) => {
+      const caller = new HttpCaller(response);
+      caller.writeHead(200, {});
+      caller.writeData(Buffer.from('part'));
+      socket.once('end', () => caller.abort(UPSTREAM_FAILED));
+      socket.once('close', () => resolve(true));
+    });
+  });
+  const client = net.connect({ port: context.port, host: '127.0.0.1' });
+  client.on('error', () => {});
+  client.once('data', () => client.end());
+  client.write('GET / HTTP/1.1\r\nhost: a\r\n\r\n');
+  assert.ok(await Promise.race([isClosed, wait(CLOSE_TIMEOUT_MS)]));
+});
+
 test.run();
--- a/packages/objects/src/connectionReset.ts
+++ b/packages/objects/src/connectionReset.ts
@@ -1,4 +1,4 @@
-/** Tells a connection that was reset from one that its peer has ended. */
+/** Resets connections, and tells one that was reset from one that its peer has ended. */
 import type { Socket } from 'node:net';
 
 /**
@@ -16,3 +16,13 @@
   socket.prependListener('end', handleEnd);
   return () => socket.off('end', handleEnd);
 }
+
+/**
+ * Closes a connection with a reset. While its end is being sent, the connection is closed without
+ * one: libuv refuses to reset it then, and Node would neither close it nor let the process end.
+ */
+export function resetConnection(socket: Socket): void {
+  const isEnding = socket.writableEnded && !socket.writableFinished && socket.writableLength === 0;
+  if (isEnding) socket.destroy();
+  else socket.resetAndDestroy();
+}
