Close relayed connections whose end is being passed on

Cause: the relay passes the end of one side on and, in the same turn, gets an error from the other side, for instance by a write to a process that was killed; it then resets a socket whose shutdown is pending. That takes a turn long enough to hold both, as on a busy machine.

Change: the relay uses resetConnection(), and so do the stand-ins that reset connections.

--- a/packages/standin/src/fleet/tcpRelay.ts
+++ b/packages/standin/src/fleet/tcpRelay.ts
@@ -4,6 +4,8 @@
  */
 import net, { type AddressInfo, type Socket } from 'node:net';
 
+import { resetConnection } from '@radishbay/objects/connectionReset.js';
+
 import { RelayWay } from './relayWay.js';
 
 /** Which way bytes go. */
@@ -18,10 +20,10 @@
   readonly ways: Readonly<Record<RelayDirection, RelayWay>>;
 }
 
-/** Node leaves a socket open whose reset fails because its other side has ended. */
+/** Closes without a reset before a connection is established and after its other side has ended. */
 function reset(socket: Socket): void {
   if (socket.readableEnded || socket.connecting) socket.destroy();
-  else if (!socket.destroyed) socket.resetAndDestroy();
+  else if (!socket.destroyed) resetConnection(socket);
 }
 
 function resetPair({ near, far }: Pair): void {
--- a/packages/standin/src/http/earlyAnswer.ts
+++ b/packages/standin/src/http/earlyAnswer.ts
@@ -4,6 +4,8 @@
  */
 import type net from 'node:net';
 
+import { resetConnection } from '@radishbay/objects/connectionReset.js';
+
 /** How the connection of an early answer closes. */
 export enum EarlyClose {
   /** The answer is complete. */
@@ -38,7 +40,7 @@
     socket.pause();
     const { headLines, body, close, closeDelayMs = 0 } = createAnswer(received);
     socket.write(`HTTP/1.1 200 OK\r\n${headLines}\r\n${body}`);
-    const closeSocket = () => (close === EarlyClose.End ? socket.end() : socket.resetAndDestroy());
+    const closeSocket = () => (close === EarlyClose.End ? socket.end() : resetConnection(socket));
     if (closeDelayMs === 0) closeSocket();
     else setTimeout(closeSocket, closeDelayMs);
   };
