Keep the connections of a raw server in one place

Seen, on reading the change again: PartialWorker kept a set of its connections beside the one of its base class, to reset them.

Change: RawServer resets its connections.

--- a/packages/standin/src/http/rawServer.ts
+++ b/packages/standin/src/http/rawServer.ts
@@ -1,6 +1,8 @@
 /** Base of servers that write raw bytes, for answers that an HTTP server cannot produce. */
 import net, { type AddressInfo } from 'node:net';
 
+import { resetConnection } from '@radishbay/objects/connectionReset.js';
+
 const HOST = '127.0.0.1';
 
 export abstract class RawServer {
@@ -26,6 +28,11 @@
     });
   }
 
+  /** Resets all connections that are open. */
+  resetConnections(): void {
+    this.#sockets.forEach(resetConnection);
+  }
+
   stop(): Promise<void> {
     this.#sockets.forEach((socket) => socket.destroy());
     return new Promise((resolve) => {
