Reset relayed connections whose other side has ended

Seen, on reading the change again: the relay closed such connections without a reset, because "Node leaves a socket open whose reset fails".

Change: the special case goes. Connections that are not established are still destroyed, as Node puts off their reset until they are.

--- a/packages/standin/src/fleet/tcpRelay.ts
+++ b/packages/standin/src/fleet/tcpRelay.ts
@@ -20,10 +20,10 @@
   readonly ways: Readonly<Record<RelayDirection, RelayWay>>;
 }
 
-/** Closes without a reset before a connection is established and after its other side has ended. */
+/** Node resets a connection only once it is established, which may never happen. */
 function reset(socket: Socket): void {
-  if (socket.readableEnded || socket.connecting) socket.destroy();
-  else if (!socket.destroyed) resetConnection(socket);
+  if (socket.connecting) socket.destroy();
+  else resetConnection(socket);
 }
 
 function resetPair({ near, far }: Pair): void {
