Contain exceptions in the handling of one response

Cause: any exception that nothing catches ends a process. Listeners of Node's HTTP client ran the code that reads and handles a response without a boundary, so one fault there was a fault of all requests.

Evidence: a preloaded module makes the headers of marked responses unreadable in a real entry and a real side process.

Change: ResponseReader runs its listeners within a boundary. An exception closes the connection and is reported as `onFault`, which may follow the end of the response. A direct attempt gives its places back and counts the failure of its upstream; its request is retried or failed as after a lost connection, unless it has been answered in full. A request that waits is sent within a boundary of its own, as the end of another one's response admits it. An attempt of a side process is reported as lost and leaves its place; a control call fails; a load report counts as failed. Faults are logged with the id of the request and counted (`fault.contained`). An exception of `onFault` itself still ends the process.

Ruled out: going on with the response after an exception, as its state is not known then; a listener for uncaught exceptions that keeps the process, as it cannot tell which requests are concerned.

--- a/packages/core/src/direct/directAttempt.ts
+++ b/packages/core/src/direct/directAttempt.ts
@@ -70,6 +70,11 @@
   /** The response has ended, but may be incomplete; see {@link DirectAttempt.settle}. */
   readonly onUnconfirmedEnd: () => void;
   readonly onFailure: (failure: AttemptFailure) => void;
+  /**
+   * An exception was thrown while the response was handled. The attempt is over; its end may have
+   * been reported.
+   */
+  readonly onFault: (error: Error) => void;
 }
 
 export interface DirectAttemptOptions {
@@ -184,6 +189,7 @@
       onData: (data) => this.#handleData(data),
       onEnd: () => this.#handleEnd(),
       onFailure: (kind, detail) => this.#handleFailure(kind, detail),
+      onFault: (error) => this.#handleFault(error),
     });
     if (this.#isOver) this.#call.cancel();
   }
@@ -344,6 +350,15 @@
     });
   }
 
+  #handleFault(error: Error): void {
+    if (!this.#isOver) {
+      this.#finish();
+      const detail = `internal error: ${error.message}`;
+      this.#noteFailure(createLostFailure(RefusalReason.UpstreamFailed, detail), false);
+    }
+    this.#options.events.onFault(error);
+  }
+
   #watchSilence(limitMs: number): void {
     clearTimeout(this.#silenceTimer);
     this.#silenceTimer = setTimeout(() => this.#handleSilence(), limitMs);
--- a/packages/core/src/direct/directRequest.ts
+++ b/packages/core/src/direct/directRequest.ts
@@ -4,6 +4,7 @@
  * It ends exactly once: with an upstream's response, with a refusal, or with a response that is
  * visibly aborted; at the latest when the route timeout or the caller's deadline expires.
  */
+import { containFault, reportFault, toError } from '../fault.js';
 import { Outcome, RefusalReason, RetryReason, type Refusal } from '../model/reason.js';
 import { NOT_RUN_STATUSES } from '../model/responseStatus.js';
 import type { Caller } from '../ports/caller.js';
@@ -35,6 +36,8 @@
 import { AttemptOutcome } from './sharing/urgencyTelemetry.js';
 import type { WorkspaceClaim } from './sharing/workspaceClaim.js';
 
+const LOG_PART = 'request';
+
 const STATUS_SERVER_ERROR = 500;
 
 const END_UNCONFIRMED: AttemptFailure = {
@@ -45,6 +48,14 @@
   detail: 'the stream ended with its connection and could not be confirmed to be complete',
 };
 
+const INTERNAL_ERROR: AttemptFailure = {
+  isNotRun: false,
+  isConnectionLost: false,
+  reason: RefusalReason.UpstreamFailed,
+  retryReason: RetryReason.UpstreamFailed,
+  detail: 'an internal error occurred while the response was handled',
+};
+
 /** Largest part of the caller's remaining time that a Retry-After delay may use. */
 const RETRY_AFTER_FRACTION = 0.3;
 
@@ -198,10 +209,11 @@
         this.#estimateTimes(0),
         nowMs,
       ),
-      onAdmitted: (upstream) => {
-        this.#times.noteAdmitted(performance.now());
-        this.#send(upstream, false);
-      },
+      onAdmitted: (upstream) =>
+        this.#contain(() => {
+          this.#times.noteAdmitted(performance.now());
+          this.#send(upstream, false);
+        }),
       onDenied: (denial) => {
         const deniedAtMs = performance.now();
         admission.noteDenied(ticket, denial, deniedAtMs);
@@ -272,6 +284,7 @@
         onEnd: () => this.#handleEnd(),
         onUnconfirmedEnd: () => this.#handleUnconfirmedEnd(),
         onFailure: (failure) => this.#handleFailure(failure),
+        onFault: (error) => this.#handleFault(error),
       },
     });
     this.#attempt.start();
@@ -449,10 +462,37 @@
     if (failure.isNotRun) this.#history.noteNotRun();
     this.#telemetry.noteFailed(failed, failure, this.#response.lastEventId);
     const cause = failure.isConnectionLost ? this.#guard.noteLost(failed) : undefined;
-    if (cause) cause.then(() => this.#continueAfter(failure));
+    if (cause) this.#continueOnceKnown(cause, failure);
     else this.#continueAfter(failure);
   }
 
+  async #continueOnceKnown(cause: Promise<void>, failure: AttemptFailure): Promise<void> {
+    await containFault(this.#options.context, LOG_PART, () => cause);
+    this.#contain(() => this.#continueAfter(failure));
+  }
+
+  /** Runs a step of this request, also while another request's response is handled. */
+  #contain(step: () => void): void {
+    try {
+      step();
+    } catch (thrown) {
+      this.#handleFault(toError(thrown));
+    }
+  }
+
+  /** Fails the attempt after an exception; a response that has been sent in full needs no more. */
+  #handleFault(error: Error): void {
+    const { context, request } = this.#options;
+    const failed = this.#attempt;
+    const fields = { id: request.id, upstream: failed?.upstream.id };
+    reportFault(context, LOG_PART, error, fields);
+    if (this.#isOver) return;
+    failed?.cancel();
+    if (this.#response.isEnded) this.#finish();
+    else if (failed) this.#handleFailure(INTERNAL_ERROR);
+    else this.#end(INTERNAL_ERROR.reason, INTERNAL_ERROR.detail);
+  }
+
   #continueAfter(failure: AttemptFailure): void {
     if (this.#isOver) return;
     if (this.#retry.canRetryAfter(failure)) this.#retryAfter(failure);
@@ -484,7 +524,7 @@
       ...this.#ticketBase,
       isLate: true,
       waitBudgetMs: planLateWait(route, expected, this.#endAtMs - nowMs, silentMs),
-      onAdmitted: (upstream) => this.#sendAgain(upstream, failure),
+      onAdmitted: (upstream) => this.#contain(() => this.#sendAgain(upstream, failure)),
       onDenied: () => this.#giveUp(failure, GiveUpReason.NoUpstream),
     };
     admission.readmit(ticket);
--- a/packages/core/src/direct/responseBuilder.ts
+++ b/packages/core/src/direct/responseBuilder.ts
@@ -71,6 +71,8 @@
 
   #isCommitted = false;
 
+  #isEnded = false;
+
   /** Memory in use, as the caller has been told. */
   #heldBytes = 0;
 
@@ -92,6 +94,11 @@
     return this.#isCommitted;
   }
 
+  /** Whether the whole response has been sent to the caller. */
+  get isEnded(): boolean {
+    return this.#isEnded;
+  }
+
   /** Whether the upstream's response is a success. */
   get isSuccess(): boolean {
     const status = this.#head?.status ?? 0;
@@ -165,7 +172,9 @@
       if (body.length > 0) this.#caller.writeData(body);
       this.#holdMemory(0, false);
     }
-    if (!isOver()) this.#caller.end();
+    if (isOver()) return;
+    this.#isEnded = true;
+    this.#caller.end();
   }
 
   #pushEvents(data: Buffer): PieceResult {
--- a/packages/core/src/ports/engine.ts
+++ b/packages/core/src/ports/engine.ts
@@ -28,7 +28,7 @@
   readonly detail: string;
 }
 
-/** Events of one call; the last event is either `onEnd` or `onFailure`. */
+/** Events of one call; the last event is `onEnd`, `onFailure` or `onFault`. */
 export interface EngineEvents {
   /** What an answer says about the request limit of the upstream; called before all others. */
   readonly onRequestLimit?: (named: NamedLimit) => void;
@@ -36,6 +36,11 @@
   readonly onData: (data: Uint8Array) => void;
   readonly onEnd: () => void;
   readonly onFailure: (failure: EngineFailure) => void;
+  /**
+   * An exception was thrown while the answer was handled, also by one of the other listeners, whose
+   * event may have been the last one. The connection is closed.
+   */
+  readonly onFault: (error: Error) => void;
 }
 
 /** A call in progress. */
--- a/packages/core/src/ports/upstreamCaller.ts
+++ b/packages/core/src/ports/upstreamCaller.ts
@@ -85,13 +85,18 @@
   Endless = 'endless',
 }
 
-/** Events of one call, in order; the last event is either `onEnd` or `onFailure`. */
+/** Events of one call, in order; the last event is `onEnd`, `onFailure` or `onFault`. */
 export interface CallEvents {
   readonly onHead: (head: AnswerHead) => void;
   readonly onData: (data: Buffer) => void;
   /** The answer is complete. */
   readonly onEnd: () => void;
   readonly onFailure: (kind: CallFailureKind, detail: string) => void;
+  /**
+   * An exception was thrown while the answer was handled, also by one of the other listeners, whose
+   * event may have been the last one. The connection is closed.
+   */
+  readonly onFault: (error: Error) => void;
 }
 
 /** A call in progress. */
--- a/packages/core/src/side/attempt.ts
+++ b/packages/core/src/side/attempt.ts
@@ -78,6 +78,9 @@
 
   #isPaused = false;
 
+  /** Whether the end of the call has been reported to the owner. */
+  #hasExited = false;
+
   #hasFirstByte = false;
 
   #lastChunkAtMs: number | undefined;
@@ -146,6 +149,7 @@
         onData: (data) => this.#handleData(data),
         onEnd: () => this.#handleEnd(),
         onFailure: (failure) => this.#handleFailure(failure),
+        onFault: (error) => this.#handleFault(error),
       },
     );
     this.#updateBackpressure();
@@ -217,7 +221,7 @@
   #handleEnd(): void {
     if (!this.#end(AttemptPhase.Finished)) return;
     this.#delivery.complete();
-    this.#options.owner.onExit(this, AttemptExit.Completed);
+    this.#exit(AttemptExit.Completed);
   }
 
   #handleFailure(failure: EngineFailure): void {
@@ -227,14 +231,30 @@
     const reason = isDeclined ? RefusalReason.UpstreamFull : RefusalReason.UpstreamFailed;
     this.#sendFailed(reason, isLost ? Outcome.Unknown : Outcome.NotRun);
     this.#delivery.discard();
-    this.#options.owner.onExit(this, EXIT_BY_FAILURE[failure.kind]);
+    this.#exit(EXIT_BY_FAILURE[failure.kind]);
+  }
+
+  /** Ends the attempt after an exception, unless its end has been reported. */
+  #handleFault(error: Error): void {
+    this.#options.owner.onFault(this, error);
+    if (this.#hasExited) return;
+    this.#end(AttemptPhase.Lost);
+    this.#phase = AttemptPhase.Lost;
+    this.#sendFailed(RefusalReason.UpstreamFailed, Outcome.Unknown);
+    this.#delivery.discard();
+    this.#exit(AttemptExit.Broken);
   }
 
   #cancelRun(): void {
     if (!this.#end(AttemptPhase.Lost)) return;
     this.#run?.cancel();
     this.#delivery.discard();
-    this.#options.owner.onExit(this, AttemptExit.Cancelled);
+    this.#exit(AttemptExit.Cancelled);
+  }
+
+  #exit(exit: AttemptExit): void {
+    this.#hasExited = true;
+    this.#options.owner.onExit(this, exit);
   }
 
   /** @returns false if the attempt had already ended */
--- a/packages/core/src/side/attemptController.ts
+++ b/packages/core/src/side/attemptController.ts
@@ -1,4 +1,5 @@
 /** Handles submissions, inquiries, cancellations and credit, and owns the attempts. */
+import { reportFault } from '../fault.js';
 import { AttemptState, MessageType, type MessageOf } from '../messages/message.js';
 import type { NamedLimit } from '../model/namedLimit.js';
 import { RefusalReason } from '../model/reason.js';
@@ -12,6 +13,9 @@
 import type { SideOptions } from './sideOptions.js';
 import { checkSubmission } from './submissionCheck.js';
 
+/** Part named in log lines. */
+const LOG_PART = 'side';
+
 /** Retry delay sent with refusals that are not due to capacity. */
 const CLOSED_RETRY_AFTER_MS = 500;
 
@@ -111,6 +115,10 @@
     this.#limiter.recordStepTime(gapMs);
   }
 
+  onFault(attempt: Attempt, error: Error): void {
+    reportFault(this.#options, LOG_PART, error, { attempt: attempt.id });
+  }
+
   onExit(attempt: Attempt, exit: AttemptExit): void {
     const nowMs = readClockMs();
     this.#limiter.release(attempt.permit, exit, nowMs);
--- a/packages/core/src/side/attemptOwner.ts
+++ b/packages/core/src/side/attemptOwner.ts
@@ -18,6 +18,9 @@
   /** Delay, in milliseconds, after which the entry should retry a failed attempt. */
   abstract chooseRetryAfterMs(): number;
 
+  /** Called when an exception was thrown while the response of the engine was handled. */
+  abstract onFault(attempt: Attempt, error: Error): void;
+
   /** Called once, when the call to the engine has ended, failed or been cancelled. */
   abstract onExit(attempt: Attempt, exit: AttemptExit): void;
 }
--- a/packages/core/src/side/engineReportPoller.ts
+++ b/packages/core/src/side/engineReportPoller.ts
@@ -4,12 +4,15 @@
  * A read may hang forever: it is abandoned after `engineReportLimitMs`, and a late result is
  * dropped.
  */
+import { containFault } from '../fault.js';
 import { MessageType, type Message } from '../messages/message.js';
 
 import type { ConcurrencyLimiter } from './concurrencyLimiter.js';
 import { readClockMs } from './sideClock.js';
 import type { SideOptions } from './sideOptions.js';
 
+const LOG_PART = 'side';
+
 /** Sends a message to all entries. */
 export type Broadcast = (message: Message) => void;
 
@@ -54,7 +57,14 @@
     const isHung =
       sinceMs !== undefined && nowMs - sinceMs > this.#options.timing.engineReportLimitMs;
     if (isHung) this.#options.metrics.count('side.report_hung');
-    if (sinceMs === undefined || isHung) this.#readReport(nowMs);
+    if (sinceMs === undefined || isHung) this.#readContained(nowMs);
+  }
+
+  async #readContained(startedAtMs: number): Promise<void> {
+    const read = await containFault(this.#options, LOG_PART, () => this.#readReport(startedAtMs));
+    if (this.#readStartedAtMs !== startedAtMs) return;
+    this.#readStartedAtMs = undefined;
+    if (read.err) this.#limiter.recordReportFailure();
   }
 
   async #readReport(startedAtMs: number): Promise<void> {
@@ -68,7 +78,6 @@
       this.#options.metrics.count('side.report_failed');
       this.#limiter.recordReportFailure();
     }
-    if (this.#readStartedAtMs === startedAtMs) this.#readStartedAtMs = undefined;
   }
 
   async #readCacheEvents(engineIncarnation: string, startedAtMs: number): Promise<void> {
--- a/packages/core/test/direct/fakeCall.ts
+++ b/packages/core/test/direct/fakeCall.ts
@@ -92,4 +92,10 @@
     this.#hasEnded = true;
     this.#events.onFailure(kind, 'the connection was reset');
   }
+
+  /** Reports an exception, which can also follow the end of the response. */
+  fault(error: Error): void {
+    this.#hasEnded = true;
+    this.#events.onFault(error);
+  }
 }
--- a/packages/core/test/side/attempt.test.ts
+++ b/packages/core/test/side/attempt.test.ts
@@ -7,7 +7,7 @@
 import { EngineFailureKind } from '../../src/ports/engine.js';
 
 import { assertResponse } from './fakeEngine.js';
-import { withSide } from './sideFixture.js';
+import { SETTLE_MS, withSide } from './sideFixture.js';
 import { TestEntry } from './testEntry.js';
 
 const LARGE_BYTES = 1_500_000;
@@ -160,4 +160,53 @@
     assert.ok(entry.list(MessageType.Data).length <= 30);
   }));
 
+/** Guards against places that an attempt keeps, and a response that looks complete. */
+test('an attempt whose response has a fault is lost and gives its place back', () =>
+  withSide(async ({ clock, board, engine, metrics }, entry) => {
+    engine.set({ responseBytes: 60 });
+    entry.submit('a1');
+    entry.submit('a2');
+    await clock.tickAsync(75);
+    assert.is(board.inFlight, 2);
+    engine.failWithFault('a1');
+    assert.equal(
+      entry.list(MessageType.Failed).map(({ attemptId, outcome }) => [attemptId, outcome]),
+      [['a1', Outcome.Unknown]],
+    );
+    assert.is(metrics.readCount('fault.contained{part=side}'), 1);
+    await clock.tickAsync(SETTLE_MS);
+    assert.equal(
+      entry.list(MessageType.End).map(({ attemptId }) => attemptId),
+      ['a2'],
+    );
+    assert.is(board.inFlight, 0);
+  }));
+
+test('a fault after a response has been delivered does not report it as lost', () =>
+  withSide(async ({ clock, engine }, entry) => {
+    entry.submit('a1');
+    await clock.tickAsync(75);
+    const { events } = engine.readCall('a1');
+    await clock.tickAsync(500);
+    events.onFault(new Error('injected'));
+    assert.equal(entry.list(MessageType.Failed), []);
+  }));
+
+/** Guards against a process that ends by a report of its engine. */
+test('reports are read again after an exception', () =>
+  withSide(async ({ clock, board, engine, metrics }) => {
+    const readReport = engine.readReport.bind(engine);
+    Object.assign(engine, {
+      readReport: () => {
+        throw new Error('injected');
+      },
+    });
+    await clock.tickAsync(SETTLE_MS);
+    assert.ok(metrics.readCount('fault.contained{part=side}') > 1);
+    Object.assign(engine, { readReport });
+    const faultsEndedAtMs = performance.now();
+    await clock.tickAsync(SETTLE_MS);
+    assert.ok(board.reportAtMs > faultsEndedAtMs);
+  }));
+
 test.run();
--- a/packages/core/test/side/fakeEngine.ts
+++ b/packages/core/test/side/fakeEngine.ts
@@ -25,7 +25,7 @@
   readonly report: EngineReport;
 }
 
-interface ActiveCall {
+export interface ActiveCall {
   readonly call: EngineCall;
   events: EngineEvents;
   readonly response: Uint8Array;
@@ -47,6 +47,7 @@
   onData: ignore,
   onEnd: ignore,
   onFailure: ignore,
+  onFault: ignore,
 };
 
 function failCall(events: EngineEvents, kind: EngineFailureKind): EngineRun {
@@ -186,6 +187,24 @@
     );
   }
 
+  /** @returns a call that runs */
+  readCall(attemptId: string): ActiveCall {
+    const found = [...this.#active.values()].find(({ call }) => call.attemptId === attemptId);
+    if (!found) throw new Error(`no call ${attemptId} runs`);
+    return found;
+  }
+
+  /** Ends a call by an exception in the code that handles its response. */
+  failWithFault(attemptId: string): void {
+    const failed = this.readCall(attemptId);
+    clearTimeout(failed.timer);
+    this.#active.forEach((active, id) => {
+      if (active === failed) this.#active.delete(id);
+    });
+    this.#recordSnapshot();
+    failed.events.onFault(new Error('injected'));
+  }
+
   /** Breaks all connections while the engine continues the calls. */
   breakConnections(): void {
     [...this.#active.values()].forEach((active) => {
--- a/packages/daemon/src/direct/httpUpstreamCall.ts
+++ b/packages/daemon/src/direct/httpUpstreamCall.ts
@@ -36,7 +36,7 @@
   return hasBody ? { 'content-length': String(lengthBytes) } : {};
 }
 
-/** One call; reports its end or failure exactly once, unless it is cancelled. */
+/** One call; reports its end or failure exactly once, unless it is cancelled or has a fault. */
 export class HttpUpstreamCall implements CallInProgress {
   readonly #call: UpstreamCall;
 
@@ -83,6 +83,7 @@
       onData: events.onData,
       onEnd: () => this.#handleEnd(),
       onFailure: (failure) => this.#fail(failure),
+      onFault: (error) => this.#handleFault(error),
     });
     this.#request.on('drain', () => this.#body.resume());
     this.#body = body.sendTo({
@@ -143,6 +144,12 @@
     this.#request.destroy();
   }
 
+  #handleFault(error: Error): void {
+    clearTimeout(this.#connectTimer);
+    this.#body.stop();
+    this.#events.onFault(error);
+  }
+
   #fail({ isEndless, detail }: ResponseFailure): void {
     clearTimeout(this.#connectTimer);
     this.#body.stop();
--- a/packages/daemon/src/upstream/httpRun.ts
+++ b/packages/daemon/src/upstream/httpRun.ts
@@ -49,7 +49,7 @@
   return Object.fromEntries(endToEndHeaders);
 }
 
-/** A call in progress; reports its end or failure exactly once, unless it is cancelled. */
+/** A call in progress; reports its end, failure or fault, unless it is cancelled. */
 export class HttpRun implements EngineRun {
   readonly #events: EngineEvents;
 
@@ -91,6 +91,7 @@
       onData: events.onData,
       onEnd: events.onEnd,
       onFailure: ({ detail }) => events.onFailure({ kind: this.#connectionFailureKind, detail }),
+      onFault: events.onFault,
     });
     this.#request.end(call.body);
   }
--- a/packages/daemon/test/httpRun.test.ts
+++ b/packages/daemon/test/httpRun.test.ts
@@ -72,12 +72,13 @@
     priority: 1,
   };
   let run: HttpRun | undefined;
-  const ended = new Promise<CallEnd>((resolve) => {
+  const ended = new Promise<CallEnd>((resolve, reject) => {
     run = new HttpRun(new URL(`http://127.0.0.1:${port}/`), request, true, {
       onHead: () => {},
       onData: () => {},
       onEnd: () => resolve({ isWhole: true, failure: undefined }),
       onFailure: (failure) => resolve({ isWhole: false, failure }),
+      onFault: reject,
     });
   });
   const end = await Promise.race([ended, wait(CALL_LIMIT_MS)]);
--- a/packages/daemon/test/requestLimitHeader.test.ts
+++ b/packages/daemon/test/requestLimitHeader.test.ts
@@ -37,6 +37,7 @@
       onData: () => {},
       onEnd: resolve,
       onFailure: () => resolve(),
+      onFault: () => resolve(),
     });
   });
   server.close();
--- a/packages/objects/src/httpCall.ts
+++ b/packages/objects/src/httpCall.ts
@@ -93,6 +93,7 @@
       onData: (data) => this.#handleData(data),
       onEnd: () => this.#handleEnd(),
       onFailure: ({ detail }) => this.#handleFailure(detail),
+      onFault: (error) => this.#handleFailure(`internal error: ${error.stack ?? error.message}`),
     });
     this.#timer = setTimeout(() => this.#handleTimeout(call.timeoutMs), call.timeoutMs);
     clientRequest.end(call.body);
--- a/packages/objects/src/responseReader.ts
+++ b/packages/objects/src/responseReader.ts
@@ -6,6 +6,7 @@
  */
 import type { ClientRequest, IncomingMessage } from 'node:http';
 
+import { toError } from '@radishbay/core/fault.js';
 import { isFinalStatus } from '@radishbay/core/model/responseStatus.js';
 
 import { onResetAtEnd } from './connectionReset.js';
@@ -32,13 +33,21 @@
   readonly detail: string;
 }
 
-/** Events of one response, in order; the last event is either `onEnd` or `onFailure`. */
+/**
+ * Events of one response, in order; the last event is either `onEnd` or `onFailure`, unless an
+ * error of this process interrupts them.
+ */
 export interface ResponseEvents {
   readonly onHead: (response: IncomingMessage) => void;
   readonly onData: (data: Buffer) => void;
   /** The response is complete. */
   readonly onEnd: () => void;
   readonly onFailure: (failure: ResponseFailure) => void;
+  /**
+   * An exception was thrown while the response was handled, also by one of the other listeners. The
+   * connection is closed, and no events follow. An exception of this listener is not caught.
+   */
+  readonly onFault: (error: Error) => void;
 }
 
 /** @returns why a head is not that of a response; undefined for a valid one */
@@ -56,7 +65,12 @@
   return 'content-length' in headers || 'transfer-encoding' in headers;
 }
 
-/** Reads one response; reports its end or failure exactly once, unless it is stopped. */
+/**
+ * Reads one response; reports its end or failure exactly once, unless it is stopped.
+ *
+ * Exceptions concern this response only: they are reported and never reach Node, which would end
+ * the process.
+ */
 export class ResponseReader {
   readonly #request: ClientRequest;
 
@@ -83,13 +97,13 @@
     request.once('socket', ({ bytesRead }) => {
       this.#bytesReadAtStart = bytesRead;
     });
-    request.on('error', (error) => this.#handleError(error));
-    request.on('information', () => this.#handleInformational());
+    request.on('error', (error) => this.#run(() => this.#handleError(error)));
+    request.on('information', () => this.#run(() => this.#handleInformational()));
     request.on('upgrade', (_response, socket) => {
       this.fail('the server switched protocols');
       socket.destroy();
     });
-    request.on('response', (response) => this.#handleResponse(response));
+    request.on('response', (response) => this.#run(() => this.#handleResponse(response)));
     request.on('close', () => {
       if (!this.#response) this.fail('the connection closed without a response');
     });
@@ -109,7 +123,7 @@
     if (this.#isDone) return;
     this.#isDone = true;
     this.#request.destroy();
-    this.#events.onFailure({ isEndless, detail });
+    this.#run(() => this.#events.onFailure({ isEndless, detail }));
   }
 
   /** Closes the connection, which a keep-alive agent would use again. */
@@ -136,7 +150,7 @@
       this.fail(fault);
       return;
     }
-    response.on('error', (error) => this.#handleError(error));
+    response.on('error', (error) => this.#run(() => this.#handleError(error)));
     response.on('close', () => {
       if (!response.complete) this.fail('the response was truncated');
     });
@@ -147,8 +161,21 @@
     }
     this.#events.onHead(response);
     if (this.#isDone) return;
-    response.on('data', (data: Buffer) => this.#handleData(data));
-    response.on('end', () => this.#handleEnd(response.complete));
+    response.on('data', (data: Buffer) => this.#run(() => this.#handleData(data)));
+    response.on('end', () => this.#run(() => this.#handleEnd(response.complete)));
+  }
+
+  /** Runs a listener, so that an exception ends this response and not the process. */
+  #run(listener: () => void): void {
+    try {
+      listener();
+    } catch (thrown) {
+      this.#isDone = true;
+      this.#request.destroy();
+      // Once the response has ended, Node keeps the connection in spite of that.
+      this.close();
+      this.#events.onFault(toError(thrown));
+    }
   }
 
   #handleData(data: Buffer): void {
--- a/packages/standin/src/fleet/fleet.ts
+++ b/packages/standin/src/fleet/fleet.ts
@@ -38,6 +38,8 @@
   readonly engineOptions?: Readonly<Record<string, unknown>>;
   /** Servers of the harness that take the place of stand-ins, by the name of their upstream. */
   readonly engineUrls?: ReadonlyMap<string, string>;
+  /** Flags of the Node processes of all daemons. */
+  readonly daemonFlags?: readonly string[];
 }
 
 /** Where one entry is reached. */
@@ -139,7 +141,8 @@
   async startDaemon(name: string): Promise<void> {
     const file = this.#settingsFiles.get(name);
     if (!file) throw new Error(`no settings for ${name}`);
-    const program = new ChildProgram(name, [DAEMON, '--settings', file]);
+    const { daemonFlags = [] } = this.#options;
+    const program = new ChildProgram(name, [...daemonFlags, DAEMON, '--settings', file]);
     this.#programs.set(name, program);
     await program.waitForLine(/ is up\./);
   }
--- a/packages/standin/src/matrix/fake/engineConnection.ts
+++ b/packages/standin/src/matrix/fake/engineConnection.ts
@@ -40,6 +40,7 @@
         onData: (data) => owner.post(() => events.onData(data)),
         onEnd: () => owner.post(() => events.onEnd()),
         onFailure: (failure) => owner.post(() => events.onFailure(failure)),
+        onFault: (error) => owner.post(() => events.onFault(error)),
       }),
     );
     if (!this.#upstream.isPlain) owner.onDeath(() => run.cancel());
