Contain exceptions in the handling of one message

Change: an exception while a message about one attempt is handled ends that attempt's request, visibly incomplete if it has begun; an answer that has been sent in full stays as it is. An exception of any other message closes its link (1011), as later messages may build on it, and both ends go on as after a lost link. What a claim reads from the store is handled within the request's boundary, and background writes of claims within one of their own. Links get the log, so that faults are logged with their stack.

--- a/packages/core/src/claims/claimStore.ts
+++ b/packages/core/src/claims/claimStore.ts
@@ -4,11 +4,14 @@
  * If the response to a write is lost, the record is read back: the write took effect if the record
  * names the same attempt in the same state, and is retried if the version is unchanged.
  */
+import { containFault, type FaultSinks } from '../fault.js';
 import { Err, Ok, type Result } from '../outcome.js';
 import { StoreErrorKind, VERSION_ABSENT, type ObjectStore } from '../ports/objectStore.js';
 
 import { parseClaimRecord, type ClaimRecord } from './claimRecord.js';
 
+const LOG_PART = 'claims';
+
 /** Attempts to write one record before the platform is considered unavailable. */
 const WRITE_ATTEMPTS_MAX = 3;
 
@@ -31,10 +34,13 @@
 export class ClaimStore {
   readonly #store: ObjectStore;
 
-  readonly #backgroundWrites = new Set<Promise<void>>();
+  readonly #sinks: FaultSinks;
+
+  readonly #backgroundWrites = new Set<Promise<unknown>>();
 
-  constructor(store: ObjectStore) {
+  constructor(store: ObjectStore, sinks: FaultSinks) {
     this.#store = store;
+    this.#sinks = sinks;
   }
 
   /**
@@ -107,8 +113,9 @@
     await this.#save(key, record, expectedVersion, laterMs);
   }
 
-  #track(work: Promise<void>): void {
+  #track(write: Promise<void>): void {
+    const work = containFault(this.#sinks, LOG_PART, () => write);
     this.#backgroundWrites.add(work);
-    work.finally(() => this.#backgroundWrites.delete(work));
+    work.then(() => this.#backgroundWrites.delete(work));
   }
 }
--- a/packages/core/src/entry/answerRelay.ts
+++ b/packages/core/src/entry/answerRelay.ts
@@ -40,6 +40,8 @@
 
   #isBlocked = false;
 
+  #isEnded = false;
+
   #onCredit: CreditListener | undefined;
 
   constructor(caller: Caller) {
@@ -98,12 +100,14 @@
   relayEnd(totalBytes: number): RelayResult {
     if (totalBytes < this.#deliveredBytes) return RelayResult.Broken;
     if (this.#status === undefined || totalBytes > this.#deliveredBytes) return RelayResult.Gap;
+    this.#isEnded = true;
     this.#caller.end();
     return RelayResult.Taken;
   }
 
   /** Ends the request without a complete answer: aborts an answer that has begun. */
   refuse(refusal: Refusal): void {
+    if (this.#isEnded) return;
     if (this.isCommitted) this.#caller.abort(refusal);
     else this.#caller.refuse(refusal);
   }
--- a/packages/core/src/entry/attempt.ts
+++ b/packages/core/src/entry/attempt.ts
@@ -5,6 +5,7 @@
  * after a reconnect, or on the same link after a progress timeout or a gap in the answer; ended. An
  * attempt ends exactly once. It ends as not run only if the side process has confirmed that.
  */
+import { toError } from '../fault.js';
 import { AttemptState, MessageType, type Message, type MessageOf } from '../messages/message.js';
 import { Outcome, RefusalReason, RetryReason } from '../model/reason.js';
 
@@ -51,6 +52,8 @@
   readonly onResume: () => void;
   /** Called once when the attempt ends, unless `cancel` or `stopTracking` came first. */
   readonly onEnd: (end: AttemptEnd) => void;
+  /** Called when a message was not handled, as an exception was thrown, perhaps by `onEnd`. */
+  readonly onFault: (error: Error) => void;
 }
 
 /**
@@ -163,12 +166,11 @@
   /** Handles a message from the side process about this attempt. */
   handleMessage(message: Message): void {
     if (this.#phase === AttemptPhase.Ended) return;
-    if (message.type === MessageType.Refused) this.#handleRefused(message);
-    else if (message.type === MessageType.Failed) this.#handleFailed(message);
-    else if (message.type === MessageType.InquiryAnswer) this.#handleInquiryAnswer(message);
-    else if (message.type === MessageType.Head) this.#handleHead(message);
-    else if (message.type === MessageType.Data) this.#handleData(message);
-    else if (message.type === MessageType.End) this.#handleEnd(message);
+    try {
+      this.#dispatch(message);
+    } catch (thrown) {
+      this.#options.onFault(toError(thrown));
+    }
   }
 
   /** Cancels the attempt at the side process and stops tracking it. */
@@ -186,6 +188,15 @@
     this.#relay.setCreditListener(undefined);
   }
 
+  #dispatch(message: Message): void {
+    if (message.type === MessageType.Refused) this.#handleRefused(message);
+    else if (message.type === MessageType.Failed) this.#handleFailed(message);
+    else if (message.type === MessageType.InquiryAnswer) this.#handleInquiryAnswer(message);
+    else if (message.type === MessageType.Head) this.#handleHead(message);
+    else if (message.type === MessageType.Data) this.#handleData(message);
+    else if (message.type === MessageType.End) this.#handleEnd(message);
+  }
+
   #handleRefused(message: MessageOf<MessageType.Refused>): void {
     if (this.#hasAnswered) return;
     this.#end(Outcome.NotRun, message.reason, RetryReason.RefusedBySide, message.retryAfterMs);
--- a/packages/core/src/entry/attemptLauncher.ts
+++ b/packages/core/src/entry/attemptLauncher.ts
@@ -23,6 +23,7 @@
 export interface AttemptEvents {
   readonly onStart: (attempt: Attempt) => void;
   readonly onEnd: (end: AttemptEnd) => void;
+  readonly onFault: (error: Error) => void;
 }
 
 /** Starts and removes the attempts of one request. */
@@ -110,6 +111,7 @@
       isRemembered: () => this.#isRemembered(target),
       onResume: () => metrics.count('request.retried', { reason: RetryReason.StreamResumed }),
       onEnd: this.#events.onEnd,
+      onFault: this.#events.onFault,
     });
     attempts.set(attempt.id, attempt);
     countSent(board, target.upstream);
--- a/packages/core/src/entry/requestController.ts
+++ b/packages/core/src/entry/requestController.ts
@@ -84,7 +84,7 @@
 
   constructor(options: RequestControllerOptions) {
     super();
-    this.#claims = new ClaimStore(options.store);
+    this.#claims = new ClaimStore(options.store, options);
     this.#shares = options.shares ?? new WorkspaceShares(options);
     const { board, routing, admission, random, log, metrics, timing } = options;
     this.#classifier = new RequestClassifier(board.config);
--- a/packages/core/src/entry/requestRun.ts
+++ b/packages/core/src/entry/requestRun.ts
@@ -4,6 +4,7 @@
  * A request ends exactly once, with a complete answer, a refusal or the loss of its caller, and no
  * later than its deadline.
  */
+import { reportFault, toError } from '../fault.js';
 import type { KeptAnswer } from '../claims/claimRecord.js';
 import { ClaimStepKind, type ClaimStep } from '../claims/claimSession.js';
 import { isClaimRequired, RequestClaim } from '../claims/requestClaim.js';
@@ -18,11 +19,13 @@
 import { AnswerRelay } from './answerRelay.js';
 import { isGateReason, type Attempt, type AttemptEnd } from './attempt.js';
 import { AttemptLauncher } from './attemptLauncher.js';
-import { refuseNotRun, reportRefusal } from './refusal.js';
+import { refuseNotRun, refuseUnknown, reportRefusal } from './refusal.js';
 import type { ClassifiedRequest } from './requestClassifier.js';
 import type { RequestContext } from './requestContext.js';
 import { createQuery, createTarget, readRetryShare, type AttemptTarget } from './submission.js';
 
+const LOG_PART = 'requests';
+
 /** Shortest retry-after hint for requests that are given up after a failed attempt. */
 const GIVEN_UP_RETRY_AFTER_MS = 1_000;
 
@@ -102,6 +105,7 @@
         this.#attempt = attempt;
       },
       onEnd: (end) => this.#handleAttemptEnd(end),
+      onFault: (error) => this.#handleFault(error),
     });
     caller.onDisconnect(() => this.#handleCallerGone());
   }
@@ -194,9 +198,13 @@
   }
 
   async #submitClaimed(claim: RequestClaim, target: AttemptTarget): Promise<void> {
-    const step = await claim.acquire(target);
-    if (!this.#isEnded) this.#applyClaimStep(step, target);
-    else if (step.kind === ClaimStepKind.Held) claim.release();
+    try {
+      const step = await claim.acquire(target);
+      if (!this.#isEnded) this.#applyClaimStep(step, target);
+      else if (step.kind === ClaimStepKind.Held) claim.release();
+    } catch (thrown) {
+      this.#handleFault(toError(thrown));
+    }
   }
 
   #applyClaimStep(step: ClaimStep, target: AttemptTarget): void {
@@ -258,6 +266,13 @@
     this.#finish();
   }
 
+  /** Ends the request after an exception, unless it has ended. */
+  #handleFault(error: Error): void {
+    reportFault(this.#context, LOG_PART, error, { id: this.id });
+    const detail = 'an internal error occurred while the response was handled';
+    this.#refuse(refuseUnknown(RefusalReason.UpstreamFailed, 0, detail));
+  }
+
   #retryOrRefuse(upstream: string, domain: string, end: FailedEnd): void {
     const { outcome, retryReason } = end;
     const { isRepeatable } = this.#classified.requestClass;
--- a/packages/core/test/entry/requestController.test.ts
+++ b/packages/core/test/entry/requestController.test.ts
@@ -181,4 +181,33 @@
   },
 );
 
+/** Guards against a link that is lost, or a process that ends, by one request's message. */
+scenario('an exception while a message is handled ends its request only', async (entry, clock) => {
+  const faulty = entry.request();
+  const sound = entry.request();
+  await clock.tickAsync(0);
+  entry.deliver();
+  Object.assign(faulty, {
+    writeHead: () => {
+      throw new Error('injected');
+    },
+  });
+  const held = [...entry.sides.keys()].map((name) => entry.countRunning(name));
+  assert.equal(
+    held.reduce((sum, each) => sum + each, 0),
+    2,
+  );
+  entry.finishAll();
+  assert.equal(sound.ends, ['end']);
+  assert.equal(faulty.ends, ['abort']);
+  assert.is(faulty.refusal?.outcome, Outcome.Unknown);
+  assert.is(entry.controller.attemptCount, 0);
+  assert.equal(entry.controller.listInFlight(), []);
+  assert.equal(
+    [...entry.board.upstreams.values()].map(({ inFlight }) => inFlight),
+    [0, 0],
+  );
+  assert.is(entry.counts.get('fault.contained requests'), 1);
+});
+
 test.run();
--- a/packages/daemon/src/direct/directEntryDaemon.ts
+++ b/packages/daemon/src/direct/directEntryDaemon.ts
@@ -153,6 +153,7 @@
     this.#peers = new WsListener({
       ...options.peers,
       linkLimit: PEER_LINK_LIMIT,
+      log: instruments.log,
       metrics: instruments.metrics,
       onLink: (link) => options.exchange.attach(link),
     });
--- a/packages/daemon/src/roles/entryDaemon.ts
+++ b/packages/daemon/src/roles/entryDaemon.ts
@@ -58,7 +58,7 @@
     this.#node = new EntryNode({
       board: new EntryBoard(settings.name, createIncarnation(), settings.domain, settings.region),
       store: createStore(settings.platform),
-      dialer: new WsDialer(metrics, settings.links.messageLimitBytes),
+      dialer: new WsDialer(instruments, settings.links.messageLimitBytes),
       random: new Random(settings.seed ?? createSeed()),
       log,
       metrics,
@@ -85,6 +85,7 @@
       port: settings.links.port,
       messageLimitBytes: settings.links.messageLimitBytes,
       linkLimit: settings.links.linkLimit,
+      log,
       metrics,
       onLink: (link) => this.#node.attachPeer(link),
     });
--- a/packages/daemon/src/roles/sideDaemon.ts
+++ b/packages/daemon/src/roles/sideDaemon.ts
@@ -57,6 +57,7 @@
       port: links.port,
       messageLimitBytes: links.messageLimitBytes,
       linkLimit: links.linkLimit,
+      log: instruments.log,
       metrics: instruments.metrics,
       onLink: (link) => this.#node.attach(link),
     });
--- a/packages/link/src/ws/wsDialer.ts
+++ b/packages/link/src/ws/wsDialer.ts
@@ -1,9 +1,9 @@
 /** Dials other processes over WebSockets. */
 import { WebSocket } from 'ws';
 
+import type { FaultSinks } from '@radishbay/core/fault.js';
 import type { Link } from '@radishbay/core/ports/link.js';
 import { LinkDialer } from '@radishbay/core/ports/linkDialer.js';
-import type { Metrics } from '@radishbay/core/ports/metrics.js';
 
 import { WsLink } from './wsLink.js';
 
@@ -15,14 +15,14 @@
 
 /** Opens links over WebSockets. */
 export class WsDialer extends LinkDialer {
-  readonly #metrics: Metrics;
+  readonly #sinks: FaultSinks;
 
   readonly #messageLimitBytes: number;
 
   /** @param messageLimitBytes largest frame accepted; a larger one closes the link */
-  constructor(metrics: Metrics, messageLimitBytes: number) {
+  constructor(sinks: FaultSinks, messageLimitBytes: number) {
     super();
-    this.#metrics = metrics;
+    this.#sinks = sinks;
     this.#messageLimitBytes = messageLimitBytes;
   }
 
@@ -32,6 +32,6 @@
       maxPayload: this.#messageLimitBytes,
       perMessageDeflate: false,
     });
-    return new WsLink(socket, this.#metrics);
+    return new WsLink(socket, this.#sinks);
   }
 }
--- a/packages/link/src/ws/wsLink.ts
+++ b/packages/link/src/ws/wsLink.ts
@@ -2,22 +2,27 @@
  * One end of a link over a WebSocket.
  *
  * Messages sent within one turn of the event loop share a frame. An undecodable frame closes the
- * link and is counted; the process keeps running.
+ * link and is counted, and so does an exception of the handlers; the process keeps running.
  */
 import { WebSocket, type RawData } from 'ws';
 
+import { reportFault, toError, type FaultSinks } from '@radishbay/core/fault.js';
 import type { Message } from '@radishbay/core/messages/message.js';
 import { Link, type LinkHandlers } from '@radishbay/core/ports/link.js';
-import type { Metrics } from '@radishbay/core/ports/metrics.js';
 
 import { decodeFrame, encodeFrame } from '../codec/frameCodec.js';
 
 /** RFC 6455 close code for a policy violation. */
 const CLOSE_POLICY_VIOLATION = 1008;
 
+/** RFC 6455 close code for an unexpected condition at this end. */
+const CLOSE_INTERNAL_ERROR = 1011;
+
 /** RFC 6455 close code for a normal closure. */
 const CLOSE_NORMAL = 1000;
 
+const LOG_PART = 'link';
+
 /** Longest close reason sent; RFC 6455 allows 123 bytes. */
 const CLOSE_REASON_LIMIT_BYTES = 120;
 
@@ -40,7 +45,7 @@
 export class WsLink extends Link {
   readonly #socket: WebSocket;
 
-  readonly #metrics: Metrics;
+  readonly #sinks: FaultSinks;
 
   #handlers: LinkHandlers | undefined;
 
@@ -55,10 +60,10 @@
   #isCloseReported = false;
 
   /** @param socket an open or connecting WebSocket */
-  constructor(socket: WebSocket, metrics: Metrics) {
+  constructor(socket: WebSocket, sinks: FaultSinks) {
     super();
     this.#socket = socket;
-    this.#metrics = metrics;
+    this.#sinks = sinks;
     socket.on('open', () => this.#handlers?.onOpen());
     socket.on('message', (data) => this.#handleFrame(toBytes(data)));
     socket.on('error', (error) => this.#handleError(error));
@@ -111,11 +116,25 @@
     if (this.#closeDetail !== undefined) return;
     const decoded = decodeFrame(frame);
     if (!decoded.ok) {
-      this.#metrics.count('link.broken-frame');
+      this.#sinks.metrics.count('link.broken-frame');
       this.#closeSocket(CLOSE_POLICY_VIOLATION, decoded.val);
       return;
     }
-    decoded.val.forEach((message) => this.#deliver(message));
+    try {
+      decoded.val.forEach((message) => this.#deliver(message));
+    } catch (thrown) {
+      this.#handleFault(toError(thrown));
+    }
+  }
+
+  /** Closes the link, as the rest of its messages may build on the one that was not handled. */
+  #handleFault(error: Error): void {
+    reportFault(this.#sinks, LOG_PART, error);
+    if (this.#closeDetail !== undefined) return;
+    this.#closeSocket(
+      CLOSE_INTERNAL_ERROR,
+      'an internal error occurred while a message was handled',
+    );
   }
 
   #deliver(message: Message): void {
@@ -136,7 +155,7 @@
   }
 
   #handleError(error: Error): void {
-    this.#metrics.count('link.socket-error');
+    this.#sinks.metrics.count('link.socket-error');
     this.#reportClosed(error.message);
   }
 
--- a/packages/link/src/ws/wsListener.ts
+++ b/packages/link/src/ws/wsListener.ts
@@ -2,14 +2,14 @@
 import type { AddressInfo } from 'node:net';
 import { WebSocketServer } from 'ws';
 
+import type { FaultSinks } from '@radishbay/core/fault.js';
 import type { Link } from '@radishbay/core/ports/link.js';
-import type { Metrics } from '@radishbay/core/ports/metrics.js';
 import { Err, Ok, type Result } from '@radishbay/core/outcome.js';
 
 import { LINK_PATH } from './wsDialer.js';
 import { WsLink } from './wsLink.js';
 
-export interface WsListenerOptions {
+export interface WsListenerOptions extends FaultSinks {
   /** IP address to bind. */
   readonly host: string;
   /** Port to bind; 0 lets the system choose. */
@@ -18,7 +18,6 @@
   readonly messageLimitBytes: number;
   /** Maximum number of open links; further connections are terminated and counted. */
   readonly linkLimit: number;
-  readonly metrics: Metrics;
   readonly onLink: (link: Link) => void;
 }
 
@@ -49,7 +48,7 @@
         socket.terminate();
         return;
       }
-      this.#options.onLink(new WsLink(socket, this.#options.metrics));
+      this.#options.onLink(new WsLink(socket, this.#options));
     });
     return new Promise((resolve) => {
       server.once('error', (error) => resolve(Err(error.message)));
--- a/packages/link/test/ws/wsLink.test.ts
+++ b/packages/link/test/ws/wsLink.test.ts
@@ -7,6 +7,7 @@
 import { MessageType, type Message, type MessageOf } from '@radishbay/core/messages/message.js';
 import type { Link } from '@radishbay/core/ports/link.js';
 import { CountingMetrics } from '@radishbay/core/ports/countingMetrics.js';
+import { SilentLog } from '@radishbay/core/ports/silentLog.js';
 
 import { decodeFrame, encodeFrame } from '../../src/codec/frameCodec.js';
 import { LINK_PATH, WsDialer } from '../../src/ws/wsDialer.js';
@@ -17,6 +18,8 @@
 /** RFC 6455 close code for a policy violation. */
 const CLOSE_POLICY_VIOLATION = 1008;
 
+const LOG = new SilentLog();
+
 const BYTES = new Uint8Array([1, 2, 3]);
 
 const COUNTS: MessageOf<MessageType.UpstreamCounts> = {
@@ -36,6 +39,7 @@
     port: 0,
     messageLimitBytes: MESSAGE_LIMIT_BYTES,
     linkLimit: 10,
+    log: LOG,
     metrics,
     onLink,
   });
@@ -66,7 +70,7 @@
       onClose: () => {},
     }),
   );
-  const link = new WsDialer(metrics, MESSAGE_LIMIT_BYTES).dial(`127.0.0.1:${port}`);
+  const link = new WsDialer({ log: LOG, metrics }, MESSAGE_LIMIT_BYTES).dial(`127.0.0.1:${port}`);
   link.listen({
     onOpen: () => ['a', 'b', 'c'].forEach((id) => link.send(createCancel(id))),
     onMessage: () => {},
@@ -95,7 +99,7 @@
   assert.match(await closes[0]!, /frame/);
   assert.is(metrics.readCount('link.broken-frame'), 1);
 
-  const link = new WsDialer(metrics, MESSAGE_LIMIT_BYTES).dial(`127.0.0.1:${port}`);
+  const link = new WsDialer({ log: LOG, metrics }, MESSAGE_LIMIT_BYTES).dial(`127.0.0.1:${port}`);
   await new Promise<void>((resolve) => {
     link.listen({ onOpen: resolve, onMessage: () => {}, onClose: () => {} });
   });
@@ -141,7 +145,9 @@
         });
       });
       const { port } = server.address() as AddressInfo;
-      const link = new WsDialer(metrics, MESSAGE_LIMIT_BYTES).dial(`127.0.0.1:${port}`);
+      const link = new WsDialer({ log: LOG, metrics }, MESSAGE_LIMIT_BYTES).dial(
+        `127.0.0.1:${port}`,
+      );
       assert.match(await waitForClose(link), /invalid message field counts/u);
       assert.is(await code, CLOSE_POLICY_VIOLATION);
       server.close();
@@ -152,7 +158,7 @@
 test('a frame over the size limit closes the link', async () => {
   const metrics = new CountingMetrics();
   const { listener, port } = await startListener(metrics, (link) => waitForClose(link));
-  const link = new WsDialer(metrics, MESSAGE_LIMIT_BYTES).dial(`127.0.0.1:${port}`);
+  const link = new WsDialer({ log: LOG, metrics }, MESSAGE_LIMIT_BYTES).dial(`127.0.0.1:${port}`);
   const closed = new Promise<string>((resolve) => {
     link.listen({
       onOpen: () => link.send(createCancel('x'.repeat(MESSAGE_LIMIT_BYTES))),
@@ -169,7 +175,7 @@
   const metrics = new CountingMetrics();
   const { listener, port } = await startListener(metrics, () => {});
   await listener.stop();
-  const link = new WsDialer(metrics, MESSAGE_LIMIT_BYTES).dial(`127.0.0.1:${port}`);
+  const link = new WsDialer({ log: LOG, metrics }, MESSAGE_LIMIT_BYTES).dial(`127.0.0.1:${port}`);
   assert.ok(await waitForClose(link));
 });
 
@@ -199,4 +205,34 @@
   assert.match(String(broken.val), /offset/);
 });
 
+/** Guards against a process that ends by an exception while it handles one message. */
+test('an exception of a handler closes its link only', async () => {
+  const metrics = new CountingMetrics();
+  const { listener, port } = await startListener(metrics, (link) =>
+    link.listen({
+      onOpen: () => {},
+      onMessage: () => {
+        throw new Error('injected');
+      },
+      onClose: () => {},
+    }),
+  );
+  const other = new WsDialer({ log: LOG, metrics }, MESSAGE_LIMIT_BYTES).dial(`127.0.0.1:${port}`);
+  await new Promise<void>((resolve) => {
+    other.listen({ onOpen: resolve, onMessage: () => {}, onClose: () => {} });
+  });
+  const link = new WsDialer({ log: LOG, metrics }, MESSAGE_LIMIT_BYTES).dial(`127.0.0.1:${port}`);
+  const detail = await new Promise<string>((resolve) => {
+    link.listen({
+      onOpen: () => link.send(createCancel('a')),
+      onMessage: () => {},
+      onClose: resolve,
+    });
+  });
+  assert.match(detail, /1011 .*internal error/u);
+  assert.is(metrics.readCount('fault.contained{part=link}'), 1);
+  assert.ok(other.isOpen);
+  await listener.stop();
+});
+
 test.run();
