Contain exceptions in loops that read the store and ranks

Change: such a loop reports the exception and goes on with its next round. A follower lists its objects anew; a coordinator of expert maps surveys its group anew, and not before reports show the orders that an interrupted switch may have sent; a lease, the status, the registration, the housekeeping and the supervision of groups go on at their intervals; an order to an engine is answered as of unknown outcome.

The coordinator is interrupted at each order of a switch in turn: a map is in force, no pass has two maps.

--- a/packages/core/src/config/prefixFollower.ts
+++ b/packages/core/src/config/prefixFollower.ts
@@ -6,6 +6,7 @@
  * are listed again. Failed calls are retried with jittered backoff, multiplied by the pace that all
  * callers of this process share.
  */
+import { containFault } from '../fault.js';
 import { Backoff } from '../membership/backoff.js';
 import type { Result } from '../outcome.js';
 import { LogLevel, type Log } from '../ports/log.js';
@@ -170,12 +171,20 @@
   #schedule(delayMs: number): void {
     const generation = this.#generation;
     this.#timer = setTimeout(() => {
-      this.#poll(generation).then((nextDelayMs) => {
+      this.#pollContained(generation).then((nextDelayMs) => {
         if (generation === this.#generation) this.#schedule(nextDelayMs);
       });
     }, delayMs);
   }
 
+  /** Calls the platform; after an exception the objects are listed anew. */
+  async #pollContained(generation: number): Promise<number> {
+    const polled = await containFault(this.#context, PART, () => this.#poll(generation));
+    if (polled.ok) return polled.val;
+    if (generation === this.#generation) this.#watchRevision = undefined;
+    return this.#backoff.next() * this.#context.pace.factor;
+  }
+
   /** Lists the objects anew; a call in progress no longer counts. */
   #handleNewEra(): void {
     this.#generation += 1;
--- a/packages/core/src/direct/experts/groupMonitor.ts
+++ b/packages/core/src/direct/experts/groupMonitor.ts
@@ -90,6 +90,12 @@
     this.#options.board.measuredSlowdowns = new Map();
   }
 
+  /** Discards what is known after an exception, which may have interrupted a switch. */
+  startAnew(nowMs: number): void {
+    this.forget();
+    this.#lastOrderAtMs = nowMs;
+  }
+
   /**
    * Recovers a stalled group whose coordinator seems to be lost, before the loss is certain. That
    * is safe if the coordinator is still working: its own switch is completed by the same orders.
--- a/packages/core/src/direct/experts/mapCoordinator.ts
+++ b/packages/core/src/direct/experts/mapCoordinator.ts
@@ -4,6 +4,7 @@
  * One entry at a time coordinates the maps ({@link CoordinatorRole}). The other entries only
  * release a group that stalls on a held pass.
  */
+import { containFault } from '../../fault.js';
 import type { Log } from '../../ports/log.js';
 import type { Metrics } from '../../ports/metrics.js';
 import type { Random } from '../../ports/random.js';
@@ -17,6 +18,8 @@
 import { searchMap } from './mapSearch.js';
 import type { RankCaller } from './rankCaller.js';
 
+const LOG_PART = 'experts';
+
 /** Interval of the coordination loop. */
 const LOOP_INTERVAL_MS = 100;
 
@@ -97,10 +100,17 @@
   #scheduleRound(): void {
     if (!this.#isRunning) return;
     this.#timer = setTimeout(() => {
-      this.#runRound().then(() => this.#scheduleRound());
+      this.#runContained().then(() => this.#scheduleRound());
     }, LOOP_INTERVAL_MS);
   }
 
+  async #runContained(): Promise<void> {
+    const round = await containFault(this.#options, LOG_PART, () => this.#runRound());
+    const nowMs = performance.now();
+    if (round.err) this.#monitor.startAnew(nowMs);
+    this.#role.endRound(nowMs);
+  }
+
   async #runRound(): Promise<void> {
     const nowMs = performance.now();
     const role = this.#role.beginRound(nowMs);
@@ -108,7 +118,6 @@
     if (role === Role.Coordinator) await this.#coordinate(nowMs);
     else this.#monitor.forget();
     if (role === Role.Standby) await this.#monitor.recoverStalledGroup(nowMs);
-    this.#role.endRound(performance.now());
   }
 
   async #coordinate(nowMs: number): Promise<void> {
--- a/packages/core/src/groups/groupSupervisor.ts
+++ b/packages/core/src/groups/groupSupervisor.ts
@@ -7,6 +7,7 @@
  */
 import type { PlatformPace } from '../config/platformPace.js';
 import { ConfigKind, SettingName, type Group } from '../config/object.js';
+import { containFault } from '../fault.js';
 import { Lease } from '../lease/lease.js';
 import type { QueryRow } from '../model/query.js';
 import type { Timing } from '../model/timing.js';
@@ -36,6 +37,8 @@
 import { LoadReader } from './loadReader.js';
 import type { OrderClient } from './orderClient.js';
 
+const LOG_PART = 'groups';
+
 /** Dependencies shared by the supervisors of all groups. */
 export interface GroupSupervisorContext {
   readonly board: EntryBoard;
@@ -136,8 +139,9 @@
     await this.#lease.stop();
   }
 
-  #repeat(intervalMs: number, work: () => unknown): void {
-    this.#timers.push(setInterval(work, intervalMs));
+  #repeat(intervalMs: number, work: () => Promise<void>): void {
+    const run = () => containFault(this.#context, LOG_PART, work);
+    this.#timers.push(setInterval(run, intervalMs));
   }
 
   #createLease(): Lease {
@@ -178,17 +182,19 @@
     return new GroupCoordinator(options, { ...this.#context, control: this.#control, lease });
   }
 
-  #beginStep(): void {
+  async #beginStep(): Promise<void> {
     if (this.#isStepping) return;
     this.#isStepping = true;
-    this.#currentStep = this.#step();
+    const step = containFault(this.#context, LOG_PART, () => this.#step());
+    this.#currentStep = step.then(() => {
+      this.#isStepping = false;
+    });
   }
 
   async #step(): Promise<void> {
     this.#applyPause();
     await this.#releaseLeaseIfUnlinked();
     await this.#coordinator.step(Date.now());
-    this.#isStepping = false;
   }
 
   #applyPause(): void {
--- a/packages/core/src/lease/lease.ts
+++ b/packages/core/src/lease/lease.ts
@@ -12,6 +12,7 @@
  */
 import { withCallTimeout } from '../config/callTimeout.js';
 import type { PlatformPace } from '../config/platformPace.js';
+import { containFault } from '../fault.js';
 import type { Result } from '../outcome.js';
 import { LogLevel, type Log } from '../ports/log.js';
 import type { Metrics } from '../ports/metrics.js';
@@ -115,7 +116,7 @@
 
   #schedule(delayMs: number): void {
     this.#timer = setTimeout(() => {
-      this.#step().then(() => {
+      containFault(this.#options, PART, () => this.#step()).then(() => {
         if (this.#isRunning) this.#schedule(this.#computeDelayMs());
       });
     }, delayMs);
--- a/packages/core/src/membership/housekeeper.ts
+++ b/packages/core/src/membership/housekeeper.ts
@@ -9,6 +9,7 @@
  */
 import { withCallTimeout } from '../config/callTimeout.js';
 import type { PlatformPace } from '../config/platformPace.js';
+import { containFault } from '../fault.js';
 import { Deadline } from '../lease/deadline.js';
 import { Lease } from '../lease/lease.js';
 import type { Timing } from '../model/timing.js';
@@ -104,8 +105,8 @@
       this.#observations.clear();
       return;
     }
-    this.#sweepEntries();
-    this.#sweepOrders();
+    containFault(this.#options, PART, () => this.#sweepEntries());
+    containFault(this.#options, PART, () => this.#sweepOrders());
   }
 
   async #sweepEntries(): Promise<void> {
--- a/packages/core/src/membership/statusWriter.ts
+++ b/packages/core/src/membership/statusWriter.ts
@@ -6,6 +6,7 @@
  * write rate of the platform.
  */
 import type { PlatformPace } from '../config/platformPace.js';
+import { containFault } from '../fault.js';
 import { Deadline } from '../lease/deadline.js';
 import type { Timing } from '../model/timing.js';
 import { LogLevel, type Log } from '../ports/log.js';
@@ -118,7 +119,7 @@
 
   #schedule(delayMs: number): void {
     this.#timer = setTimeout(() => {
-      this.#write().then(() => {
+      containFault(this.#options, PART, () => this.#write()).then(() => {
         if (this.#isRunning) this.#schedule(this.#chooseDelay());
       });
     }, delayMs);
--- a/packages/core/src/side/groupOrderForwarder.ts
+++ b/packages/core/src/side/groupOrderForwarder.ts
@@ -9,6 +9,7 @@
  */
 import PQueue from 'p-queue';
 
+import { containFault } from '../fault.js';
 import { ENGINE_ORDER_LIMIT_MS, RankOrderHandler } from '../groups/rankOrderHandler.js';
 import { MessageType, type MessageOf } from '../messages/message.js';
 import { EngineOrderErrorKind, type EngineOrder } from '../ports/engine.js';
@@ -16,6 +17,8 @@
 import type { LinkSession } from './linkSession.js';
 import type { OrderTarget, SideOptions } from './sideOptions.js';
 
+const LOG_PART = 'side';
+
 /** Most replies remembered for repeated orders. */
 const MAX_KEPT_REPLIES = 1_000;
 
@@ -39,6 +42,10 @@
   EngineOrderErrorKind.Unknown,
   'engine did not reply in time',
 );
+const REPLY_UNKNOWN = makeErrorReply(
+  EngineOrderErrorKind.Unknown,
+  'an internal error occurred while the order was executed',
+);
 const REPLY_QUEUE_FULL = makeErrorReply(EngineOrderErrorKind.Refused, 'order queue is full');
 
 function isFinal(reply: Reply): boolean {
@@ -85,8 +92,12 @@
     return this.#highestFencingNumber;
   }
 
-  /** Executes an order and replies on the session that it came from. */
+  /** Executes an order and replies on the session that it came from; no reply after a fault. */
   async handle(session: LinkSession, message: MessageOf<MessageType.GroupOrder>): Promise<void> {
+    await containFault(this.#options, LOG_PART, () => this.#handle(session, message));
+  }
+
+  async #handle(session: LinkSession, message: MessageOf<MessageType.GroupOrder>): Promise<void> {
     if (RankOrderHandler.isRankAction(message.action)) {
       session.send(await this.#rankOrders.handle(message));
       return;
@@ -106,12 +117,17 @@
     if (order.fencingNumber < this.#highestFencingNumber) return Promise.resolve(REPLY_FENCED);
     if (this.#queue.size >= MAX_QUEUED_ORDERS) return Promise.resolve(REPLY_QUEUE_FULL);
     this.#highestFencingNumber = order.fencingNumber;
-    const reply = this.#queue.add(() => this.#execute(order));
+    const reply = this.#queue.add(() => this.#executeContained(order));
     this.#running.set(order.orderId, reply);
     reply.then((value) => this.#remember(order.orderId, value));
     return reply;
   }
 
+  async #executeContained(order: EngineOrder): Promise<Reply> {
+    const executed = await containFault(this.#options, LOG_PART, () => this.#execute(order));
+    return executed.ok ? executed.val : REPLY_UNKNOWN;
+  }
+
   /** Checks the fencing number again: a higher one may have arrived while the order waited. */
   async #execute(order: EngineOrder): Promise<Reply> {
     if (order.fencingNumber < this.#highestFencingNumber) return REPLY_FENCED;
--- a/packages/core/test/direct/experts/mapCoordinator.test.ts
+++ b/packages/core/test/direct/experts/mapCoordinator.test.ts
@@ -340,4 +340,39 @@
     group.stop();
   }));
 
+/** Guards against a process that ends, or coordinates no more, by an exception in one round. */
+test('a coordinator goes on after an exception at any order, and every pass has a single map', async () => {
+  const orders = SIZE + 1 + SIZE + 1;
+  for (let faulty = 1; faulty <= orders; faulty += 1) {
+    // eslint-disable-next-line no-await-in-loop -- one clock after the other
+    await withClock(async (clock) => {
+      const group = createGroup(faulty);
+      const { coordinator } = createCoordinator('entry-1', group);
+      const order = group.order.bind(group);
+      let orderCount = 0;
+      Object.assign(group, {
+        order: (...args: Parameters<typeof order>) => {
+          orderCount += 1;
+          if (orderCount === faulty) throw new Error('injected');
+          return order(...args);
+        },
+      });
+      const timer = setInterval(() => {
+        [5, 0, 0, 0, 5].forEach((count, expert) => {
+          group.counts[expert] = (group.counts[expert] ?? 0) + count * 100;
+        });
+      }, 100);
+      coordinator.start();
+      await clock.tickAsync(10_000);
+      assert.ok(orderCount > faulty, `orders go on after order ${faulty}`);
+      assert.ok((group.versions.at(-1) ?? 0) > 0, `a map is in force after order ${faulty}`);
+      assert.equal(group.mixedMapPasses, [], `order ${faulty}`);
+      assert.not.ok(group.isHeld, `held after order ${faulty}`);
+      clearInterval(timer);
+      coordinator.stop();
+      group.stop();
+    });
+  }
+});
+
 test.run();
