Reset unfinished answers before an exit by an exception

Cause: `process.exit()` closes connections as a regular end does, and such an end is the end of an answer without a length.

Evidence: the new test raises an error outside of all requests in a real entry with 32 such answers, 512 kB of each received.

Change: a daemon cuts its requests before that exit. Connections with unfinished requests are reset after the 20 ms that other resets allow for data, in which the process is blocked, as nothing may run after a broken invariant and no connection may end otherwise; all others are closed.

Ruled out: waiting by a timer, in which new answers could begin and end. A kill by SIGKILL remains as it is: no code of the process runs then.

--- a/packages/daemon/src/callers/callerServer.ts
+++ b/packages/daemon/src/callers/callerServer.ts
@@ -10,6 +10,7 @@
 import { Outcome, RefusalReason, type Refusal } from '@radishbay/core/model/reason.js';
 import { Err, Ok, type Result } from '@radishbay/core/outcome.js';
 import type { Metrics } from '@radishbay/core/ports/metrics.js';
+import { resetBeforeExit } from '@radishbay/objects/connectionReset.js';
 
 import { ConnectionTable, type ConnectionLimits } from './connectionTable.js';
 import { describeTooLarge, discardBody } from './discardBody.js';
@@ -174,6 +175,14 @@
     });
   }
 
+  /** Stops listening, resets unfinished requests and closes idle connections, before an exit. */
+  abort(): void {
+    clearInterval(this.#checkTimer);
+    this.#server.close();
+    resetBeforeExit(this.#connections.listBusy());
+    this.#server.closeAllConnections();
+  }
+
   #check(): void {
     this.#connections.check();
     this.#options.onChecked?.(this.#connections);
--- a/packages/daemon/src/callers/connectionTable.ts
+++ b/packages/daemon/src/callers/connectionTable.ts
@@ -191,6 +191,13 @@
     connection.movedAtMs = this.#options.getNowMs();
   }
 
+  /** Connections with unfinished requests. */
+  listBusy(): readonly Socket[] {
+    return [...this.#connections.values()]
+      .filter(({ requestCount }) => requestCount > 0)
+      .map(({ socket }) => socket);
+  }
+
   /** Whether a request is unfinished on a connection, or its body still arrives. */
   isBusy(socket: Socket): boolean {
     const connection = this.#connections.get(socket);
--- a/packages/daemon/src/callers/httpCaller.ts
+++ b/packages/daemon/src/callers/httpCaller.ts
@@ -6,15 +6,13 @@
 import { AnswerFraming, Caller } from '@radishbay/core/ports/caller.js';
 import { RefusalReason, type Refusal } from '@radishbay/core/model/reason.js';
 import type { HeaderMap } from '@radishbay/core/model/request.js';
-import { resetConnection } from '@radishbay/objects/connectionReset.js';
+import { RESET_DELAY_MS, resetConnection } from '@radishbay/objects/connectionReset.js';
 
 import { writeProblem, type RetryAfterFormat } from './problem.js';
 
 /** Bytes held for an upstream's connection while it is not read, by Node and by the kernel. */
 const PAUSED_BYTES = 192 * 1024;
 
-const RESET_DELAY_MS = 20;
-
 /** Reasons for which the connection or the process ends at once, without waiting for a reset. */
 const CLOSING_REASONS: ReadonlySet<RefusalReason> = new Set([
   RefusalReason.AnswerUnread,
@@ -76,9 +74,8 @@
   }
 
   /**
-   * Resets the connection, so that no client mistakes a partial response for a complete one. Some
-   * runtimes report a reset right behind data as an end, which would complete a response without
-   * framing; its reader gets time to take the data first.
+   * Resets the connection, so that no client mistakes a partial response for a complete one. The
+   * reader of a response without framing gets {@link RESET_DELAY_MS} to take the data first.
    */
   override abort({ reason }: Refusal): void {
     if (this.#framing === AnswerFraming.Delimited || CLOSING_REASONS.has(reason)) {
--- a/packages/daemon/src/direct/directEntryDaemon.ts
+++ b/packages/daemon/src/direct/directEntryDaemon.ts
@@ -218,6 +218,10 @@
     this.#metrics.close();
   }
 
+  override abort(): void {
+    this.#callers.abort();
+  }
+
   #serveHealth(message: http.IncomingMessage, response: http.ServerResponse): void {
     message.resume();
     const isOk = isReady(this.#options.board);
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -28,8 +28,8 @@
 
 async function run(settings: Settings): Promise<void> {
   const instruments = createInstruments(settings);
-  exitOnUncaughtException(instruments);
   const daemon = createDaemon(settings, instruments);
+  exitOnUncaughtException(daemon, instruments);
   stopOnSignal(daemon, instruments, settings.stop.warnAfterMs);
   await startOrExit(daemon, instruments);
 }
--- a/packages/daemon/src/roles/daemon.ts
+++ b/packages/daemon/src/roles/daemon.ts
@@ -8,4 +8,7 @@
 
   /** Shuts down gracefully, answering requests in flight, and resolves when all has stopped. */
   abstract stop(): Promise<void>;
+
+  /** Cuts all requests so that none looks answered, as the process exits after an exception. */
+  abstract abort(): void;
 }
--- a/packages/daemon/src/roles/entryDaemon.ts
+++ b/packages/daemon/src/roles/entryDaemon.ts
@@ -120,4 +120,8 @@
     await this.#node.leave();
     await this.#listener.stop();
   }
+
+  override abort(): void {
+    this.#callers.abort();
+  }
 }
--- a/packages/daemon/src/roles/processLife.ts
+++ b/packages/daemon/src/roles/processLife.ts
@@ -1,5 +1,7 @@
 /** Process lifecycle: start, graceful shutdown on a signal, and exit on an uncaught exception. */
+import { toError } from '@radishbay/core/fault.js';
 import { LogLevel } from '@radishbay/core/ports/log.js';
+import { wait } from '@radishbay/core/wait.js';
 
 import type { Instruments } from '../observe/instruments.js';
 
@@ -7,6 +9,9 @@
 
 const PART = 'daemon';
 
+/** Time for metrics to be flushed after an uncaught exception. */
+const FLUSH_TIMEOUT_MS = 100;
+
 /** Exit codes of the process. */
 export enum ExitCode {
   Done = 0,
@@ -43,15 +48,24 @@
 }
 
 /**
- * Logs an uncaught exception and ends the process: it means that an invariant was broken. No other
- * error ends a running process.
+ * Logs an uncaught exception, cuts all requests and ends the process: the exception means that an
+ * invariant was broken. No other error ends a running process.
  */
-export function exitOnUncaughtException(instruments: Instruments): void {
+export function exitOnUncaughtException(daemon: Daemon, instruments: Instruments): void {
+  const { log, metrics } = instruments;
+  const exit = () => process.exit(ExitCode.UncaughtException);
   process.on('uncaughtException', (error) => {
-    instruments.log.write(LogLevel.Error, PART, 'Uncaught exception, the process exits.', {
+    log.write(LogLevel.Error, PART, 'Uncaught exception, the process exits.', {
       error: error.stack ?? error.message,
     });
-    setImmediate(() => process.exit(ExitCode.UncaughtException));
+    metrics.count('fault.uncaught');
+    try {
+      daemon.abort();
+    } catch (thrown) {
+      const { message } = toError(thrown);
+      log.write(LogLevel.Error, PART, 'Requests could not be cut.', { error: message });
+    }
+    Promise.race([instruments.close(), wait(FLUSH_TIMEOUT_MS)]).finally(() => setImmediate(exit));
   });
 }
 
--- a/packages/daemon/src/roles/sideDaemon.ts
+++ b/packages/daemon/src/roles/sideDaemon.ts
@@ -81,6 +81,9 @@
     await this.#listener.stop();
   }
 
+  /** Links that end with the process are lost to the entries, whose requests do not end by that. */
+  override abort(): void {}
+
   /** Starts registering this process with the platform, if the settings name one. */
   #register(port: number): void {
     const { platform, links, name, domain, seed } = this.#settings;
--- a/packages/objects/src/connectionReset.ts
+++ b/packages/objects/src/connectionReset.ts
@@ -1,6 +1,12 @@
 /** Resets connections, and tells one that was reset from one that its peer has ended. */
 import type { Socket } from 'node:net';
 
+/**
+ * Time for a peer to take what was sent before a reset. Some runtimes report a reset right behind
+ * data as an end, which completes a response that ends with its connection.
+ */
+export const RESET_DELAY_MS = 20;
+
 /**
  * Calls a listener, before all others of the event, when a connection emits 'end' although it was
  * reset. Node does so where a reset arrives right behind data: it polls a hang-up, takes that for
@@ -26,3 +32,13 @@
   if (isEnding) socket.destroy();
   else socket.resetAndDestroy();
 }
+
+/**
+ * Resets connections before the process exits, after {@link RESET_DELAY_MS}. Blocks the process
+ * until then: nothing else may close a connection, which would look like the end of its response.
+ */
+export function resetBeforeExit(sockets: readonly Socket[]): void {
+  const endAtMs = performance.now() + RESET_DELAY_MS;
+  while (sockets.length > 0 && performance.now() < endAtMs);
+  sockets.forEach(resetConnection);
+}
