Contain exceptions of messages that waited for a link's handlers

Cause: messages that arrive before a link has its listener were delivered outside of the boundary of the other messages.

Change: both go the same way.

--- a/packages/link/src/ws/wsLink.ts
+++ b/packages/link/src/ws/wsLink.ts
@@ -100,7 +100,7 @@
     }
     const unhandledMessages = this.#unhandledMessages;
     this.#unhandledMessages = [];
-    unhandledMessages.forEach((message) => handlers.onMessage(message));
+    this.#deliverAll(unhandledMessages);
   }
 
   #flushSendQueue(): void {
@@ -120,8 +120,12 @@
       this.#closeSocket(CLOSE_POLICY_VIOLATION, decoded.val);
       return;
     }
+    this.#deliverAll(decoded.val);
+  }
+
+  #deliverAll(messages: readonly Message[]): void {
     try {
-      decoded.val.forEach((message) => this.#deliver(message));
+      messages.forEach((message) => this.#deliver(message));
     } catch (thrown) {
       this.#handleFault(toError(thrown));
     }
