--- a/packages/daemon/src/roles/sideDaemon.ts
+++ b/packages/daemon/src/roles/sideDaemon.ts
@@ -81,7 +81,7 @@
     await this.#listener.stop();
   }
 
-  /** Links that end with the process are lost to the entries, whose requests do not end by that. */
+  /** Entries see the links of an ended process as lost, not as the end of a response. */
   override abort(): void {}
 
   /** Starts registering this process with the platform, if the settings name one. */
