Read responses strictly whatever the flags of the process

What callers saw: an answer in whose head the name of a field held a blank or a control byte came as a 200 with its seal, with that line joined to the value before it, or with the rest of the head as its body.

Cause: nothing in the product refuses such a name. It was left to Node's parser, and how strict that is was left to the process: `http.request` without `insecureHTTPParser` follows `--insecure-http-parser`, which NODE_OPTIONS may set as well. Whether it is set on the users' machines is not known.

Ruled out: the default parser.

Why the earlier tests missed it: they run processes with the default parser only, and their names have the byte before, inside or behind one name, under one framing.

--- a/packages/daemon/src/direct/httpUpstreamCall.ts
+++ b/packages/daemon/src/direct/httpUpstreamCall.ts
@@ -70,6 +70,7 @@
       path,
       agent,
       maxHeaderSize: HEAD_BYTES_MAX,
+      insecureHTTPParser: false,
       headers: {
         ...codec.writeHeaders(call),
         ...createFramingHeaders(call),
--- a/packages/daemon/src/upstream/httpRun.ts
+++ b/packages/daemon/src/upstream/httpRun.ts
@@ -73,6 +73,7 @@
       method: call.method,
       agent: false,
       maxHeaderSize: HEAD_BYTES_MAX,
+      insecureHTTPParser: false,
       headers: {
         ...call.headers,
         'content-length': String(call.body.byteLength),
