Check the bytes of response heads before they are passed on

Cause: the product itself had no rule for the names of fields. It took what Node's parser reported, and that cannot be checked afterwards: a line that was joined to the value before it, or a head that ended at a stray line break, looks sound once it is parsed. Which heads the parser takes depends on its options and on the release of Node, neither of which the product sets: `engines` is not enforced.

Change: HeadInspector holds the bytes of a response until Node reports a head, and checks them line by line by RFC 9110 and 9112. ResponseReader uses it for informational and final heads, so that it covers entries, side processes and control calls. A failure names the field, not its value.

--- a/packages/objects/src/responseReader.ts
+++ b/packages/objects/src/responseReader.ts
@@ -10,6 +10,7 @@
 import { isFinalStatus } from '@radishbay/core/model/responseStatus.js';
 
 import { onResetAtEnd } from './connectionReset.js';
+import { HeadInspector } from './headInspector.js';
 
 /** Maximum size of a response's headers, and of its trailers. */
 export const HEAD_BYTES_MAX = 16 * 1024;
@@ -76,6 +77,8 @@
 
   readonly #events: ResponseEvents;
 
+  #inspector: HeadInspector | undefined;
+
   #response: IncomingMessage | undefined;
 
   #informationalCount = 0;
@@ -94,8 +97,9 @@
   constructor(request: ClientRequest, events: ResponseEvents) {
     this.#request = request;
     this.#events = events;
-    request.once('socket', ({ bytesRead }) => {
-      this.#bytesReadAtStart = bytesRead;
+    request.once('socket', (socket) => {
+      this.#bytesReadAtStart = socket.bytesRead;
+      this.#inspector = new HeadInspector(socket);
     });
     request.on('error', (error) => this.#run(() => this.#handleError(error)));
     request.on('information', () => this.#run(() => this.#handleInformational()));
@@ -141,11 +145,13 @@
 
   #handleResponse(response: IncomingMessage): void {
     if (this.#isDone) {
+      this.#inspector?.stop();
       response.resume();
       return;
     }
     this.#response = response;
-    const fault = findHeadFault(response);
+    const fault = this.#inspector?.inspectNext() ?? findHeadFault(response);
+    this.#inspector?.stop();
     if (fault !== undefined) {
       this.fail(fault);
       return;
@@ -205,6 +211,8 @@
   }
 
   #handleInformational(): void {
+    const fault = this.#inspector?.inspectNext();
+    if (fault !== undefined) this.fail(fault);
     this.#informationalCount += 1;
     if (this.#informationalCount <= INFORMATIONAL_MAX) return;
     this.#request.removeAllListeners('information');
