Name a malformed line of a response head by its number

The detail of a failed call reaches callers and logs, and the quoted beginning of a line that continues another one may be part of a secret value. headInspector: 21 passed.

--- a/packages/objects/src/headInspector.ts
+++ b/packages/objects/src/headInspector.ts
@@ -14,9 +14,6 @@
 /** Size from which nothing more is held; the parser refuses heads of a quarter of it. */
 const HELD_BYTES_MAX = 64 * 1024;
 
-/** Longest part of a malformed line that an error quotes. */
-const QUOTED_CHARS_MAX = 40;
-
 /** Line breaks before a status line, which Node's parser skips. */
 const LEADING_LINE_BREAKS = /^[\r\n]*/u;
 
@@ -29,13 +26,10 @@
 
 /** @returns why a head is malformed; undefined for a valid one */
 function findMalformedLine(head: string): string | undefined {
-  const [statusLine = '', ...fieldLines] = head.split(LINE_END);
-  if (!STATUS_LINE.test(statusLine)) return 'the response has a malformed status line';
-  const line = fieldLines.find((fieldLine) => !FIELD_LINE.test(fieldLine));
-  if (line === undefined) return undefined;
-  // The value is not quoted: it may be a secret.
-  const name = line.split(':', 1)[0]?.slice(0, QUOTED_CHARS_MAX);
-  return `the response has a malformed header line, ${JSON.stringify(name)}`;
+  const lines = head.split(LINE_END);
+  const at = lines.findIndex((line, index) => !(index === 0 ? STATUS_LINE : FIELD_LINE).test(line));
+  // The line is not quoted: it may hold a secret.
+  return at === -1 ? undefined : `line ${at + 1} of the response head is malformed`;
 }
 
 /** Holds the bytes of one response until its heads have been checked. */
