Parse HTTP strictly in every server and link of the product

Servers for callers, health checks, metrics, operators and links, and the handshake of a link, were created without `insecureHTTPParser`, so that a flag of the process decides.

Change: each server and link states the strict parser. WsListener passes its own HTTP server to ws, which would create one without the option. A lint rule refuses a request, server or link of the product that does not state it.

Not played: the ports for operators and metrics.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -9,6 +9,20 @@
   `${ROOT}/platform`,
 ];
 
+const SYNTAX_RULE = 'no-restricted-syntax';
+const RESTRICTED_SYNTAX = configs.base.recommended
+  .map(({ rules }) => rules?.[SYNTAX_RULE])
+  .find((rule) => rule !== undefined)
+  .slice(1);
+
+// Without this option, flags of the process decide how HTTP is parsed.
+const UNSTATED_PARSER = ':not(:has(Property[key.name="insecureHTTPParser"]))';
+const HTTP_CALLS = [
+  'CallExpression[callee.object.name="http"][callee.property.name=/^(createServer|get|request)$/]',
+  'CallExpression[callee.name=/^(createServer|request)$/]',
+  'NewExpression[callee.name="WebSocket"]',
+];
+
 export default [
   { ignores: ['**/dist/**', '**/node_modules/**', 'coverage/**', 'target/**', 'journal/**'] },
   plugins.stylistic,
@@ -59,6 +73,24 @@
       '@typescript-eslint/class-methods-use-this': ['error', { ignoreOverrideMethods: true }],
     },
   },
+  {
+    files: ['packages/{client,core,daemon,link,objects}/src/**/*.ts', 'platform/src/**/*.ts'],
+    rules: {
+      [SYNTAX_RULE]: [
+        'error',
+        ...RESTRICTED_SYNTAX,
+        {
+          selector: HTTP_CALLS.map((call) => `${call}${UNSTATED_PARSER}`).join(', '),
+          message: 'State insecureHTTPParser: flags of the process decide it otherwise.',
+        },
+        {
+          selector:
+            'NewExpression[callee.name="WebSocketServer"]:not(:has(Property[key.name="server"]))',
+          message: 'Pass an HTTP server that states insecureHTTPParser.',
+        },
+      ],
+    },
+  },
   {
     // Tools of tests and builds are declared once, at the root of the workspace.
     files: ['packages/*/test/**', 'platform/test/**', 'platform/standin/**', 'scripts/**'],
--- a/packages/client/test/commandLine.test.ts
+++ b/packages/client/test/commandLine.test.ts
@@ -180,6 +180,10 @@
   'status 600': 'HTTP/1.1 600 Odd\r\ncontent-length: 2\r\n\r\n{}',
   'a blank in a field name': 'HTTP/1.1 200 OK\r\nx odd: 1\r\ncontent-length: 2\r\n\r\n{}',
   'a control byte in a field name': 'HTTP/1.1 200 OK\r\nx\u0001: 1\r\ncontent-length: 2\r\n\r\n{}',
+  'a blank before a field name':
+    'HTTP/1.1 200 OK\r\nx: 1\r\n content-length: 11\r\n\r\n{"rows":[]}',
+  'a blank behind a field name': 'HTTP/1.1 200 OK\r\ncontent-length : 11\r\n\r\n{"rows":[]}',
+  'a tab before a field name': 'HTTP/1.1 200 OK\r\nx: 1\r\n\tx: 1\r\n\r\n{"rows":[]}',
   'half a head': 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n',
 }).forEach(([description, rawText]) => {
   const response: CannedResponse = { status: 0, body: undefined, rawText };
--- a/packages/daemon/src/callers/callerServer.ts
+++ b/packages/daemon/src/callers/callerServer.ts
@@ -133,6 +133,7 @@
         requestTimeout: REQUEST_TIMEOUT_MS,
         connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
         noDelay: true,
+        insecureHTTPParser: false,
       },
       (message, response) => this.#serve(message, response),
     );
--- a/packages/daemon/src/direct/directEntryDaemon.ts
+++ b/packages/daemon/src/direct/directEntryDaemon.ts
@@ -149,7 +149,9 @@
         accept: (request, caller) => this.#controller.accept(request, caller),
       }),
     });
-    this.#health = http.createServer((message, response) => this.#serveHealth(message, response));
+    this.#health = http.createServer({ insecureHTTPParser: false }, (message, response) => {
+      this.#serveHealth(message, response);
+    });
     this.#peers = new WsListener({
       ...options.peers,
       linkLimit: PEER_LINK_LIMIT,
@@ -157,7 +159,7 @@
       metrics: instruments.metrics,
       onLink: (link) => options.exchange.attach(link),
     });
-    this.#metrics = http.createServer((message, response) => {
+    this.#metrics = http.createServer({ insecureHTTPParser: false }, (message, response) => {
       this.#serveMetrics(message, response);
     });
   }
--- a/packages/daemon/src/operators/operatorServer.ts
+++ b/packages/daemon/src/operators/operatorServer.ts
@@ -127,7 +127,7 @@
 
   constructor(options: OperatorServerOptions) {
     this.#options = options;
-    this.#server = http.createServer((message, response) => {
+    this.#server = http.createServer({ insecureHTTPParser: false }, (message, response) => {
       this.#serve(message, response).catch((error: unknown) => {
         writeError(response, createInvalidError(String(error)));
       });
--- a/packages/link/src/ws/wsDialer.ts
+++ b/packages/link/src/ws/wsDialer.ts
@@ -31,6 +31,7 @@
       handshakeTimeout: HANDSHAKE_TIMEOUT_MS,
       maxPayload: this.#messageLimitBytes,
       perMessageDeflate: false,
+      insecureHTTPParser: false,
     });
     return new WsLink(socket, this.#sinks);
   }
--- a/packages/link/src/ws/wsListener.ts
+++ b/packages/link/src/ws/wsListener.ts
@@ -1,4 +1,5 @@
 /** Accepts links over WebSockets. */
+import http from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { WebSocketServer } from 'ws';
 
@@ -21,10 +22,19 @@
   readonly onLink: (link: Link) => void;
 }
 
+/** Status of a request for something else than a WebSocket. */
+const STATUS_UPGRADE_REQUIRED = 426;
+
+function refuseRequest(_message: http.IncomingMessage, response: http.ServerResponse): void {
+  response.writeHead(STATUS_UPGRADE_REQUIRED).end();
+}
+
 /** WebSocket server that accepts links. */
 export class WsListener {
   readonly #options: WsListenerOptions;
 
+  readonly #httpServer = http.createServer({ insecureHTTPParser: false }, refuseRequest);
+
   #server: WebSocketServer | undefined;
 
   constructor(options: WsListenerOptions) {
@@ -35,8 +45,7 @@
   start(): Promise<Result<number, string>> {
     const { host, port, messageLimitBytes } = this.#options;
     const server = new WebSocketServer({
-      host,
-      port,
+      server: this.#httpServer,
       path: LINK_PATH,
       maxPayload: messageLimitBytes,
       perMessageDeflate: false,
@@ -53,6 +62,7 @@
     return new Promise((resolve) => {
       server.once('error', (error) => resolve(Err(error.message)));
       server.once('listening', () => resolve(Ok((server.address() as AddressInfo).port)));
+      this.#httpServer.listen(port, host);
     });
   }
 
@@ -61,8 +71,9 @@
     const server = this.#server;
     if (!server) return Promise.resolve();
     server.clients.forEach((socket) => socket.terminate());
+    server.close();
     return new Promise((resolve) => {
-      server.close(() => resolve());
+      this.#httpServer.close(() => resolve());
     });
   }
 }
--- a/packages/standin/src/http/malformedName.ts
+++ b/packages/standin/src/http/malformedName.ts
@@ -1,4 +1,4 @@
-/** Answers in whose head the name of one field holds a byte that no name may hold. */
+/** Field names that hold a byte which no name may hold, and answers with such a name. */
 
 /** Bytes that are neither part of a token nor its end (RFC 9110, 5.6.2). */
 const MALFORMED_BYTES: Readonly<Record<string, string>> = {
@@ -30,12 +30,7 @@
 
 export interface MalformedName {
   readonly description: string;
-  /**
-   * Writes an answer with that name.
-   *
-   * @param lines further header lines, each with its line end
-   */
-  readonly writeAnswer: (lines: string) => Buffer;
+  readonly name: string;
 }
 
 const LENGTH_HEAD = 'Content-Type: text/plain\r\nX-Other: 1\r\nContent-Length: 2\r\n';
@@ -51,16 +46,22 @@
 
 /** Lists the forms of a malformed name of one field: each byte at each position. */
 export function listMalformedNames(field: MalformedField): readonly MalformedName[] {
-  const isChunked = field === MalformedField.Coding;
-  const head = isChunked ? CHUNKED_HEAD : LENGTH_HEAD;
-  const body = isChunked ? '2\r\nok\r\n0\r\n\r\n' : 'ok';
   return Object.entries(MALFORMED_BYTES).flatMap(([byteName, byte]) =>
     Object.values(NamePosition).map((position) => ({
       description: `${byteName} ${position}`,
-      writeAnswer: (lines) => {
-        const fields = head.replace(field, insertByte(field, byte, position));
-        return Buffer.from(`HTTP/1.1 200 OK\r\n${lines}${fields}\r\n${body}`, 'latin1');
-      },
+      name: insertByte(field, byte, position),
     })),
   );
 }
+
+/**
+ * Writes an answer in which one field has another name.
+ *
+ * @param lines further header lines, each with its line end
+ */
+export function writeAnswerWithName(field: MalformedField, name: string, lines: string): Buffer {
+  const isChunked = field === MalformedField.Coding;
+  const head = (isChunked ? CHUNKED_HEAD : LENGTH_HEAD).replace(field, name);
+  const body = isChunked ? '2\r\nok\r\n0\r\n\r\n' : 'ok';
+  return Buffer.from(`HTTP/1.1 200 OK\r\n${lines}${head}\r\n${body}`, 'latin1');
+}
