Log the runtime of a process and its flags at its start

What logs lack: how HTTP is read depends on the release of Node and on flags of the process, and no line names them. Whether the users' machines set the flag that this incident is about cannot be told from logs.

--- a/packages/daemon/src/roles/processLife.ts
+++ b/packages/daemon/src/roles/processLife.ts
@@ -69,8 +69,17 @@
   });
 }
 
-/** Starts a daemon; logs the reason and ends the process if it fails to start. */
+/**
+ * Starts a daemon; logs the runtime, on which the reading of HTTP depends. Logs the reason and ends
+ * the process if the daemon fails to start.
+ */
 export async function startOrExit(daemon: Daemon, { log }: Instruments): Promise<void> {
+  log.write(LogLevel.Info, PART, 'Process is starting.', {
+    node: process.version,
+    httpParser: process.versions.llhttp,
+    flags: process.execArgv.join(' '),
+    nodeOptions: process.env.NODE_OPTIONS,
+  });
   const started = await daemon.start();
   if (started.ok) return;
   log.write(LogLevel.Error, PART, 'The process failed to start.', { why: started.val });
