Test malformed status lines that the default parser accepts

Found by 37,253 heads with up to three blanks or control bytes at each place, read by the default parser alone: it takes a CR in place of the LF of the status line, ends the head at two CRs and CR LF behind it, and takes control bytes in the reason, in which a spoilt line end loses the first field. HeadInspector refuses all of these.

What callers saw on with the default parser: a 200 with its seal from such a head.

--- a/packages/objects/test/headInspector.test.ts
+++ b/packages/objects/test/headInspector.test.ts
@@ -24,6 +24,8 @@
   'a CR before a name': `${STATUS_LINE}X-Other: 1\r\n\rContent-Length: 2\r\n\r\n`,
   'a control byte in a value': `${STATUS_LINE}X-Other: a\u0001b\r\nContent-Length: 2\r\n\r\n`,
   'a control byte in the reason': `HTTP/1.1 200 O\u0001K\r\nContent-Length: 2\r\n\r\n`,
+  'a CR in place of the LF of the status line': `HTTP/1.1 200 OK\r\rContent-Length: 2\r\n\r\n`,
+  'two CRs behind the status line': `HTTP/1.1 200 OK\r\r\r\nContent-Length: 2\r\n\r\n`,
   'lines that end without a CR': 'HTTP/1.1 200 OK\nContent-Length: 2\n\n',
   'a line that ends without a CR': `${STATUS_LINE}X-Other: 1\nContent-Length: 2\r\n\r\n`,
   'a blank before a name of an informational head': `HTTP/1.1 103 Hints\r\nLink: x\r\n X: 1\r\n\r\n${SOUND_HEAD}`,
