--- a/packages/standin/test/fleet/brokenAnswers.test.ts
+++ b/packages/standin/test/fleet/brokenAnswers.test.ts
@@ -1,6 +1,4 @@
 /** Upstreams behind side processes that send bytes which are no HTTP response. */
-import type net from 'node:net';
-
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
@@ -10,7 +8,7 @@
 import { planSampleFleet, SAMPLE_MODEL } from '../../src/fleet/fleetPlan.js';
 import { callHttp } from '../../src/fleet/httpCall.js';
 import { BrokenAnswer, writeBrokenAnswer } from '../../src/http/brokenAnswer.js';
-import { RawServer } from '../../src/http/rawServer.js';
+import { FixedServer } from '../../src/http/fixedServer.js';
 
 /** Tokens of a completion that lasts longer than a broken answer takes. */
 const COMPLETION_TOKENS = 20;
@@ -26,24 +24,15 @@
 
 const HEADERS = { authorization: 'Bearer choir-key-0001' };
 
-/** A service that answers each request with the same bytes, then closes. */
-class BrokenService extends RawServer {
-  answer: Buffer = Buffer.alloc(0);
-
-  protected override accept(socket: net.Socket): void {
-    socket.once('data', () => socket.end(this.answer));
-  }
-}
-
 interface Context {
-  service: BrokenService;
+  service: FixedServer;
   fleet: Fleet;
 }
 
 const test = suite<Context>('broken answers behind side processes');
 
 test.before(async (context) => {
-  const service = new BrokenService();
+  const service = new FixedServer();
   await service.start();
   context.service = service;
   const plan = planSampleFleet(1, 1);
--- a/packages/standin/test/fleet/malformedNames.test.ts
+++ b/packages/standin/test/fleet/malformedNames.test.ts
@@ -1,18 +1,16 @@
 /** Upstreams behind side processes whose answers hold a malformed field name. */
-import type net from 'node:net';
-
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
 import { Fleet } from '../../src/fleet/fleet.js';
 import { planSampleFleet } from '../../src/fleet/fleetPlan.js';
 import { callHttp } from '../../src/fleet/httpCall.js';
+import { FixedServer } from '../../src/http/fixedServer.js';
 import {
   listMalformedNames,
   MalformedField,
   writeAnswerWithName,
 } from '../../src/http/malformedName.js';
-import { RawServer } from '../../src/http/rawServer.js';
 
 /** The only upstream of its pool. */
 const UPSTREAM = 'exchange-a1';
@@ -24,24 +22,15 @@
 
 const STATUS_BAD_GATEWAY = 502;
 
-/** A service that answers each request with the same bytes, then closes. */
-class Service extends RawServer {
-  answer: Buffer = Buffer.alloc(0);
-
-  protected override accept(socket: net.Socket): void {
-    socket.once('data', () => socket.end(this.answer));
-  }
-}
-
 interface Context {
-  service: Service;
+  service: FixedServer;
   fleet: Fleet;
 }
 
 const test = suite<Context>('malformed field names behind side processes');
 
 test.before(async (context) => {
-  context.service = new Service();
+  context.service = new FixedServer();
   await context.service.start();
   const plan = planSampleFleet(1, 1);
   context.fleet = await Fleet.start({
