--- a/eslint.config.js
+++ b/eslint.config.js
@@ -16,7 +16,7 @@
   .slice(1);
 
 // Without this option, flags of the process decide how HTTP is parsed.
-const UNSTATED_PARSER = ':not(:has(Property[key.name="insecureHTTPParser"]))';
+const STRICT_PARSER = 'Property[key.name="insecureHTTPParser"][value.value=false]';
 const HTTP_CALLS = [
   'CallExpression[callee.object.name="http"][callee.property.name=/^(createServer|get|request)$/]',
   'CallExpression[callee.name=/^(createServer|request)$/]',
@@ -80,13 +80,13 @@
         'error',
         ...RESTRICTED_SYNTAX,
         {
-          selector: HTTP_CALLS.map((call) => `${call}${UNSTATED_PARSER}`).join(', '),
-          message: 'State insecureHTTPParser: flags of the process decide it otherwise.',
+          selector: HTTP_CALLS.map((call) => `${call}:not(:has(${STRICT_PARSER}))`).join(', '),
+          message: 'State insecureHTTPParser: false, or flags of the process decide.',
         },
         {
           selector:
             'NewExpression[callee.name="WebSocketServer"]:not(:has(Property[key.name="server"]))',
-          message: 'Pass an HTTP server that states insecureHTTPParser.',
+          message: 'Pass an HTTP server that states insecureHTTPParser: false.',
         },
       ],
     },
--- a/packages/objects/src/httpCall.ts
+++ b/packages/objects/src/httpCall.ts
@@ -56,8 +56,15 @@
 /** @returns the request, or why Node does not accept its method, address or headers */
 function openRequest({ url, method, headers, agent }: HttpCall): Result<ClientRequest, string> {
   try {
-    const options = { method, headers, agent, maxHeaderSize: HEAD_BYTES_MAX };
-    return Ok(request(url, { ...options, insecureHTTPParser: false }));
+    return Ok(
+      request(url, {
+        method,
+        headers,
+        agent,
+        maxHeaderSize: HEAD_BYTES_MAX,
+        insecureHTTPParser: false,
+      }),
+    );
   } catch (error) {
     return Err(error instanceof Error ? error.message : String(error));
   }
--- a/packages/objects/src/responseReader.ts
+++ b/packages/objects/src/responseReader.ts
@@ -212,7 +212,10 @@
 
   #handleInformational(): void {
     const fault = this.#inspector?.inspectNext();
-    if (fault !== undefined) this.fail(fault);
+    if (fault !== undefined) {
+      this.fail(fault);
+      return;
+    }
     this.#informationalCount += 1;
     if (this.#informationalCount <= INFORMATIONAL_MAX) return;
     this.#request.removeAllListeners('information');
