Tell in one line how the attempts at a cut stream ended

'Request not answered.' now names each attempt with its ending and events, the last event id, and why no further attempt was made; it is a warning where the caller has part of the response, so it is dropped last. The reason is 'end-unconfirmed' where an attempt may have been complete. 'Upstream ejected.' names the request; an end within an event and one without any event differ. response.cut counts by reason. No decision is changed.

--- a/packages/core/src/direct/directAttempt.ts
+++ b/packages/core/src/direct/directAttempt.ts
@@ -14,6 +14,7 @@
 } from '../ports/upstreamCaller.js';
 import type { AnswerFraming } from '../ports/caller.js';
 
+import { AttemptEnding } from './attemptEnding.js';
 import type { RequestCost } from './cost/requestCost.js';
 import type { AttemptWork } from './cost/attemptWork.js';
 import type { DirectContext } from './directContext.js';
@@ -48,6 +49,7 @@
   readonly isConnectionLost: boolean;
   readonly reason: RefusalReason;
   readonly retryReason: RetryReason;
+  readonly ending: AttemptEnding;
   readonly detail: string;
 }
 
@@ -97,21 +99,41 @@
   isConnectionLost: false,
   reason: RefusalReason.UpstreamFull,
   retryReason: RetryReason.UpstreamRefused,
+  ending: AttemptEnding.Declined,
   detail: 'the upstream declined the request',
 };
 
 const MISDIRECTED_DETAIL = 'another upstream answered and did not state that nothing was run';
 
-function createLostFailure(reason: RefusalReason, detail: string): AttemptFailure {
+function createLostFailure(ending: AttemptEnding, detail: string): AttemptFailure {
+  const reason = RefusalReason.UpstreamFailed;
   const retryReason = RetryReason.UpstreamFailed;
-  return { isNotRun: false, isConnectionLost: false, reason, retryReason, detail };
+  return { isNotRun: false, isConnectionLost: false, reason, retryReason, ending, detail };
 }
 
-const BROKEN_OFF: AttemptFailure = {
+/** Failures of streams whose HTTP response ended regularly. */
+const TRUNCATED = {
   isNotRun: false,
   isConnectionLost: true,
   reason: RefusalReason.UpstreamFailed,
   retryReason: RetryReason.StreamResumed,
+};
+
+const ENDED_WITHIN_EVENT: AttemptFailure = {
+  ...TRUNCATED,
+  ending: AttemptEnding.WithinEvent,
+  detail: 'the stream ended within an event',
+};
+
+const ENDED_EMPTY: AttemptFailure = {
+  ...TRUNCATED,
+  ending: AttemptEnding.Empty,
+  detail: 'the stream ended with its connection and without any event',
+};
+
+const REFUTED_END: AttemptFailure = {
+  ...TRUNCATED,
+  ending: AttemptEnding.Unconfirmed,
   detail: 'the stream ended before its last event',
 };
 
@@ -213,7 +235,7 @@
     const { admission, context } = this.#options;
     admission.noteFailure();
     context.metrics.count('upstream.endless');
-    this.#fail(createLostFailure(RefusalReason.UpstreamFailed, detail), true);
+    this.#fail(createLostFailure(AttemptEnding.Endless, detail), true);
   }
 
   /** Fails the attempt, as it did not resume the stream after the last event. */
@@ -222,7 +244,7 @@
     const detail = `the stream was not resumed after event "${lastEventId}"`;
     this.#options.admission.noteFailure();
     this.#options.context.metrics.count('stream.resume.misplaced');
-    this.#fail(createLostFailure(RefusalReason.UpstreamFailed, detail));
+    this.#fail(createLostFailure(AttemptEnding.Misplaced, detail));
   }
 
   resume(): void {
@@ -246,14 +268,14 @@
     this.#applyUpstreamState(head, nowMs);
     if (!head.isForThisRequest) {
       this.#fail(
-        createLostFailure(RefusalReason.UpstreamFailed, 'the response belongs to another request'),
+        createLostFailure(AttemptEnding.Foreign, 'the response belongs to another request'),
       );
     } else if (head.isMisdirected) {
       this.upstream.backOff(nowMs + MISDIRECTED_BACKOFF_MS);
       this.#end(
         head.isNotRun
           ? DECLINED_BY_UPSTREAM
-          : createLostFailure(RefusalReason.UpstreamFailed, MISDIRECTED_DETAIL),
+          : createLostFailure(AttemptEnding.Foreign, MISDIRECTED_DETAIL),
       );
     } else if (head.isNotRun) {
       this.upstream.backOff(nowMs + (head.backoffMs ?? FULL_BACKOFF_MS));
@@ -261,10 +283,7 @@
       this.#end(DECLINED_BY_UPSTREAM);
     } else if (!head.isGenuine) {
       this.#fail(
-        createLostFailure(
-          RefusalReason.UpstreamFailed,
-          'the response is not from the upstream itself',
-        ),
+        createLostFailure(AttemptEnding.Foreign, 'the response is not from the upstream itself'),
       );
     } else if (!this.#options.events.onHead(head)) this.cancel();
   }
@@ -306,9 +325,9 @@
     if (this.#isOver) return;
     const { admission, context, events } = this.#options;
     const end = events.assessEnd();
-    if (end === ResponseEnd.Truncated) {
+    if (end === ResponseEnd.WithinEvent || end === ResponseEnd.Empty) {
       admission.noteFailure();
-      this.#fail(BROKEN_OFF);
+      this.#fail(end === ResponseEnd.Empty ? ENDED_EMPTY : ENDED_WITHIN_EVENT);
       return;
     }
     const nowMs = performance.now();
@@ -326,7 +345,7 @@
   /** Records with the upstream whether the response, which has ended, was complete. */
   settle(isComplete: boolean): void {
     if (isComplete) this.upstream.ejection.noteSuccess();
-    else this.#noteFailure(BROKEN_OFF, false);
+    else this.#noteFailure(REFUTED_END, false);
   }
 
   #handleFailure(kind: CallFailureKind, detail: string): void {
@@ -337,7 +356,7 @@
     }
     this.#options.admission.noteFailure();
     if (kind === CallFailureKind.Lost) {
-      const failure = createLostFailure(RefusalReason.UpstreamFailed, detail);
+      const failure = createLostFailure(AttemptEnding.ConnectionLost, detail);
       this.#fail({ ...failure, isConnectionLost: true });
       return;
     }
@@ -346,6 +365,7 @@
       isConnectionLost: false,
       reason: RefusalReason.NoUpstream,
       retryReason: RetryReason.UpstreamUnreachable,
+      ending: AttemptEnding.NotSent,
       detail,
     });
   }
@@ -354,7 +374,7 @@
     if (!this.#isOver) {
       this.#finish();
       const detail = `internal error: ${error.message}`;
-      this.#noteFailure(createLostFailure(RefusalReason.UpstreamFailed, detail), false);
+      this.#noteFailure(createLostFailure(AttemptEnding.InternalError, detail), false);
     }
     this.#options.events.onFault(error);
   }
@@ -382,6 +402,7 @@
       isConnectionLost: false,
       reason: RefusalReason.UpstreamSilent,
       retryReason: RetryReason.ProgressTimeout,
+      ending: AttemptEnding.Silent,
       detail: `the upstream made no progress for ${silentMs} ms`,
     });
   }
@@ -392,16 +413,18 @@
   }
 
   /** Ejects the upstream if it has failed too often. */
-  #noteFailure({ reason, detail }: AttemptFailure, isSevere: boolean): void {
+  #noteFailure({ reason, ending, detail }: AttemptFailure, isSevere: boolean): void {
     const nowMs = performance.now();
-    const { context } = this.#options;
+    const { context, call } = this.#options;
     if (!this.upstream.ejection.noteFailure(nowMs, isSevere)) return;
     context.metrics.count('upstream.distrusted');
     context.log.write(LogLevel.Warn, LOG_PART, 'Upstream ejected.', {
       id: this.upstream.id,
       forMs: Math.round(this.upstream.ejection.readEjectedMs(nowMs)),
       reason,
+      ending,
       detail,
+      request: call.request.id,
     });
   }
 
--- a/packages/core/src/direct/directRequest.ts
+++ b/packages/core/src/direct/directRequest.ts
@@ -20,6 +20,7 @@
 import { ResponseBuilder } from './responseBuilder.js';
 import { ResponseTimes } from './responseTimes.js';
 import type { RequestCost } from './cost/requestCost.js';
+import { AttemptEnding } from './attemptEnding.js';
 import { DirectAttempt, type AttemptFailure } from './directAttempt.js';
 import type { DirectContext } from './directContext.js';
 import type { DirectUpstream } from './directUpstream.js';
@@ -43,8 +44,9 @@
 const END_UNCONFIRMED: AttemptFailure = {
   isNotRun: false,
   isConnectionLost: false,
-  reason: RefusalReason.UpstreamFailed,
+  reason: RefusalReason.EndUnconfirmed,
   retryReason: RetryReason.EndUnconfirmed,
+  ending: AttemptEnding.Unconfirmed,
   detail: 'the stream ended with its connection and could not be confirmed to be complete',
 };
 
@@ -53,6 +55,7 @@
   isConnectionLost: false,
   reason: RefusalReason.UpstreamFailed,
   retryReason: RetryReason.UpstreamFailed,
+  ending: AttemptEnding.InternalError,
   detail: 'an internal error occurred while the response was handled',
 };
 
@@ -257,7 +260,7 @@
       return;
     }
     this.#guard.noteSent();
-    this.#history.noteSent();
+    this.#history.noteSent(upstream.id);
     const resumeAfterId = isResumed ? this.#response.lastEventId : undefined;
     this.#telemetry.noteSent(upstream, resumeAfterId, this.#cost);
     this.#attempt = new DirectAttempt({
@@ -310,6 +313,7 @@
   #handleHead(head: AnswerHead): boolean {
     if (!this.#response.canContinueWith(head)) {
       const mediaType = head.headers['content-type'] ?? 'none';
+      this.#history.noteEnding(AttemptEnding.ErrorStatus, 0);
       this.#end(
         RefusalReason.UpstreamFailed,
         `resuming the stream failed with status ${head.status}, media type ${mediaType}`,
@@ -342,6 +346,7 @@
     const failed = this.#attempt;
     if (!failed || !canRunAgain(this.#options.route)) return false;
     this.#history.noteTried(failed.upstream.id);
+    this.#history.noteEnding(AttemptEnding.ErrorStatus, 0);
     const chosen = this.#retry.chooseUpstream(performance.now());
     if (chosen.err) this.#telemetry.noteGiveUp(chosen.val);
     if (chosen.err || !this.#retry.takeBudget(RetryReason.UpstreamFailed)) return false;
@@ -442,6 +447,7 @@
     this.#attempt = undefined;
     this.#unconfirmed = ended;
     this.#history.noteTried(ended.upstream.id);
+    this.#history.noteEnding(AttemptEnding.Unconfirmed, ended.eventCount);
     this.#noteRun(ended);
     this.#telemetry.noteUnconfirmedEnd(ended, this.#response.lastEventId);
     this.#continueAfter(END_UNCONFIRMED);
@@ -459,6 +465,7 @@
     if (!failed || this.#isOver) return;
     this.#attempt = undefined;
     this.#history.noteTried(failed.upstream.id);
+    this.#history.noteEnding(failure.ending, failed.eventCount);
     if (failure.isNotRun) this.#history.noteNotRun();
     this.#telemetry.noteFailed(failed, failure, this.#response.lastEventId);
     const cause = failure.isConnectionLost ? this.#guard.noteLost(failed) : undefined;
@@ -555,7 +562,9 @@
     const { admission } = this.#options;
     const nowMs = performance.now();
     if (this.#history.mayHaveRun) {
-      this.#refuse({ reason, outcome: Outcome.Unknown, retryAfterMs: 0, detail });
+      // Whatever ended the last attempt, an earlier one may have been complete.
+      const lostReason = this.#unconfirmed ? RefusalReason.EndUnconfirmed : reason;
+      this.#refuse({ reason: lostReason, outcome: Outcome.Unknown, retryAfterMs: 0, detail });
       return;
     }
     const limitMs = this.#maxReturnDelayMs(nowMs);
@@ -581,7 +590,7 @@
     const { caller } = this.#options;
     this.#cancelAttempt();
     this.#noteOutcome(AttemptOutcome.Refused);
-    this.#telemetry.noteRefused(refusal, this.#response.isCommitted);
+    this.#telemetry.noteRefused(refusal, this.#response);
     if (this.#response.isCommitted) caller.abort(refusal);
     else caller.refuse(refusal);
     this.#finish(refusal);
--- a/packages/core/src/direct/requestTelemetry.ts
+++ b/packages/core/src/direct/requestTelemetry.ts
@@ -6,6 +6,7 @@
 
 import { reportCosts, reportHoldingTimes } from './cost/costTelemetry.js';
 import type { RequestCost } from './cost/requestCost.js';
+import type { ResponseBuilder } from './responseBuilder.js';
 import type { ResponseTimes } from './responseTimes.js';
 import type { AttemptFailure, DirectAttempt } from './directAttempt.js';
 import type { DirectContext } from './directContext.js';
@@ -43,6 +44,9 @@
 export class RequestTelemetry {
   readonly #options: RequestTelemetryOptions;
 
+  /** Why the last failed attempt was not retried. */
+  #giveUpReason: GiveUpReason | undefined;
+
   constructor(options: RequestTelemetryOptions) {
     this.#options = options;
   }
@@ -84,13 +88,14 @@
 
   noteFailed(
     failed: DirectAttempt,
-    { reason, detail, isNotRun }: AttemptFailure,
+    { reason, ending, detail, isNotRun }: AttemptFailure,
     lastEventId: string | undefined,
   ): void {
     this.#write(LogLevel.Info, 'Attempt failed.', {
       ...this.#describeAttempt(failed),
       lastEventId,
       reason,
+      ending,
       detail,
       isNotRun,
     });
@@ -120,6 +125,7 @@
   }
 
   noteGiveUp(reason: GiveUpReason): void {
+    this.#giveUpReason = reason;
     this.#options.context.metrics.count('request.not.retried', { reason });
     this.#write(LogLevel.Info, 'Request not retried.', { reason });
   }
@@ -155,16 +161,24 @@
     });
   }
 
-  noteRefused(refusal: Refusal, isBegun: boolean): void {
-    const { context, admission, pool } = this.#options;
+  /**
+   * Records a request without a complete response. A response that breaks off for its caller is
+   * logged at a level that is dropped last, with all that is known of its attempts.
+   */
+  noteRefused(refusal: Refusal, { isCommitted, lastEventId }: ResponseBuilder): void {
+    const { context, admission, history, pool } = this.#options;
     const { reason, outcome, detail, retryAfterMs } = refusal;
     context.metrics.count('request.refused', { reason });
-    this.#write(LogLevel.Info, 'Request not answered.', {
+    if (isCommitted) context.metrics.count('response.cut', { reason });
+    this.#write(isCommitted ? LogLevel.Warn : LogLevel.Info, 'Request not answered.', {
       reason,
+      notRetried: this.#giveUpReason,
+      attempts: history.describe(),
+      lastEventId,
       outcome,
       retryAfterMs: Math.round(retryAfterMs),
       detail,
-      isBegun,
+      isBegun: isCommitted,
       waiting: admission.waitingCount,
       pool,
     });
--- a/packages/core/src/direct/responseBuilder.ts
+++ b/packages/core/src/direct/responseBuilder.ts
@@ -126,10 +126,10 @@
    * an upstream that does not resume as it should can answer so.
    */
   assessEnd(): ResponseEnd {
-    if (this.#splitter.isMidEvent) return ResponseEnd.Truncated;
+    if (this.#splitter.isMidEvent) return ResponseEnd.WithinEvent;
     if (!this.#isStream || !this.isSuccess) return ResponseEnd.Complete;
     const isDelimited = this.#framing === AnswerFraming.Delimited;
-    if (!isDelimited && !this.#hasEvents) return ResponseEnd.Truncated;
+    if (!isDelimited && !this.#hasEvents) return ResponseEnd.Empty;
     const isConfirmed = this.#hasEvents || this.#isEndReached || !this.#isCommitted;
     if (isDelimited && isConfirmed) return ResponseEnd.Complete;
     this.#isEndReached = true;
--- a/packages/core/src/direct/responseEnd.ts
+++ b/packages/core/src/direct/responseEnd.ts
@@ -2,8 +2,10 @@
 export enum ResponseEnd {
   /** The response is complete. */
   Complete = 'complete',
-  /** Part of the response is missing. */
-  Truncated = 'truncated',
+  /** The response ended within an event. */
+  WithinEvent = 'within-event',
+  /** The response to a request for a stream ended with its connection and had no event. */
+  Empty = 'empty',
   /**
    * A stream ended with its connection, between two events. It looks the same whether it is
    * complete or the upstream broke off.
--- a/packages/core/src/direct/sendHistory.ts
+++ b/packages/core/src/direct/sendHistory.ts
@@ -1,4 +1,5 @@
 /** Tracks how often a request was sent, and which upstreams failed to answer it. */
+import type { AttemptEnding } from './attemptEnding.js';
 import type { Route } from './routeTable.js';
 
 /** Sends allowed in addition to the route's attempts where upstreams declined the request. */
@@ -11,17 +12,24 @@
  */
 const INTERRUPTED_SENDS_MAX = 10;
 
+/** One send, and how it ended; undefined while it is in progress. */
+interface Send {
+  readonly upstream: string;
+  ending?: AttemptEnding;
+  events?: number;
+}
+
 /** Sends of one request. */
 export class SendHistory {
   readonly #triedUpstreams = new Set<string>();
 
-  #sends = 0;
+  readonly #sends: Send[] = [];
 
   /** Sends that are not proved to have not run. */
   #possibleRuns = 0;
 
   get sends(): number {
-    return this.#sends;
+    return this.#sends.length;
   }
 
   /** Upstreams that are excluded from retries. */
@@ -34,8 +42,8 @@
     return this.#possibleRuns > 0;
   }
 
-  noteSent(): void {
-    this.#sends += 1;
+  noteSent(upstream: string): void {
+    this.#sends.push({ upstream });
     this.#possibleRuns += 1;
   }
 
@@ -44,6 +52,23 @@
     this.#triedUpstreams.add(upstream);
   }
 
+  /**
+   * Records how the last send ended.
+   *
+   * @param events complete events of its response
+   */
+  noteEnding(ending: AttemptEnding, events: number): void {
+    const last = this.#sends.at(-1);
+    if (last) Object.assign(last, { ending, events });
+  }
+
+  /** Formats all sends in order: upstream, ending and number of events. */
+  describe(): string {
+    return this.#sends
+      .map(({ upstream, ending, events }) => [upstream, ending ?? 'open', events ?? 0].join(' '))
+      .join(', ');
+  }
+
   /** Records the proof that the last send has not run. */
   noteNotRun(): void {
     this.#possibleRuns -= 1;
@@ -52,6 +77,6 @@
   /** Whether the route allows another send. */
   canSendAgain({ attempts }: Route): boolean {
     const extra = this.mayHaveRun ? INTERRUPTED_SENDS_MAX : NOT_RUN_SENDS_MAX;
-    return this.#possibleRuns < attempts && this.#sends < attempts + extra;
+    return this.#possibleRuns < attempts && this.#sends.length < attempts + extra;
   }
 }
--- a/packages/core/src/model/reason.ts
+++ b/packages/core/src/model/reason.ts
@@ -42,6 +42,8 @@
   UpstreamCold = 'upstream-cold',
   UpstreamFailed = 'upstream-failed',
   UpstreamSilent = 'upstream-silent',
+  /** A stream ended with its connection, and no other attempt showed whether it was complete. */
+  EndUnconfirmed = 'end-unconfirmed',
   PoolStalled = 'pool-stalled',
   /** A part of its prompt probably crashes upstreams. */
   PromptQuarantined = 'prompt-quarantined',
