Resume a stream elsewhere after an error status

Callers of a stream that an upstream broke off were reset as soon as the next upstream answered with an error, another status or another media type, although the route allowed a further attempt.

Cause: such a head ended the request at once; only a failed connection, silence and a refusal counted as a failed attempt. Class: one response decides the request without asking what is left to try.

The attempt fails now, and the request goes on as after any other failure: within the route's attempts, the retry budget and the time that is left. The response is still never joined.

--- a/packages/core/src/direct/directRequest.ts
+++ b/packages/core/src/direct/directRequest.ts
@@ -50,6 +50,14 @@
   detail: 'the stream ended with its connection and could not be confirmed to be complete',
 };
 
+const RESUMPTION_REJECTED: Omit<AttemptFailure, 'detail'> = {
+  isNotRun: false,
+  isConnectionLost: false,
+  reason: RefusalReason.UpstreamFailed,
+  retryReason: RetryReason.StreamResumed,
+  ending: AttemptEnding.ErrorStatus,
+};
+
 const INTERNAL_ERROR: AttemptFailure = {
   isNotRun: false,
   isConnectionLost: false,
@@ -312,12 +320,7 @@
 
   #handleHead(head: AnswerHead): boolean {
     if (!this.#response.canContinueWith(head)) {
-      const mediaType = head.headers['content-type'] ?? 'none';
-      this.#history.noteEnding(AttemptEnding.ErrorStatus, 0);
-      this.#end(
-        RefusalReason.UpstreamFailed,
-        `resuming the stream failed with status ${head.status}, media type ${mediaType}`,
-      );
+      this.#failResumption(head);
       return false;
     }
     if (head.status >= STATUS_SERVER_ERROR && this.#retryElsewhere(head)) return false;
@@ -333,6 +336,13 @@
     return true;
   }
 
+  #failResumption({ headers, status }: AnswerHead): void {
+    const mediaType = headers['content-type'] ?? 'none';
+    const detail = `resuming the stream failed with status ${status}, media type ${mediaType}`;
+    this.#attempt?.cancel();
+    this.#handleFailure({ ...RESUMPTION_REJECTED, detail });
+  }
+
   /**
    * Whether the status would promise the caller that a request has not run which may have run. A
    * caller sends such a request again only after that promise.
--- a/packages/core/test/direct/resumedStream.test.ts
+++ b/packages/core/test/direct/resumedStream.test.ts
@@ -45,6 +45,18 @@
     assert.is(new Set(upstreams).size, 3);
   }));
 
+test('a broken stream goes on after an upstream that answers with an error', () =>
+  withClock(() => {
+    const entry = createEntry(3);
+    const caller = entry.sendRequest('stream');
+    entry.lastCall.head().sendEvents(1, 2).fail();
+    entry.lastCall.head({ status: 500 });
+    assert.equal(caller.ends, []);
+    entry.lastCall.head().sendEvents(3).end();
+    assert.equal(caller.ends, ['end']);
+    assert.is(entry.log.find('Attempt failed.')?.fields.ending, 'error-status');
+  }));
+
 test('a broken stream goes on elsewhere if it is resumed at another event', () =>
   withClock(() => {
     const entry = createEntry(3);
