Prove the ends of streams without resetting whole ones

The upstream had given the stream whole, with neither a length nor chunks, and no further response showed that it was whole.

Cause: an end that only the connection shows has to be confirmed, but the request for the rest could not be answered conclusively by an upstream that frames nothing: 'no event' then looks like a response that was cut before its first event, and counted as a failure. It also drew on what is meant for retries: one more of the route's attempts, an upstream not yet tried, a free slot. A reset, an error or silence in its place used these up, and a whole stream was reset for lack of a proof. As a failure it ejected sound upstreams and opened the circuit breaker of their pool. Class: a check of completeness that counts as one more attempt, so that its failure is the request's.

Now EndProof judges the ends of all responses to a request. After an unframed rest without events the next request asks for the last event once more: a response with just this event ends where the stream ended before. Upstreams whose responses ended there may be asked again: the route's attempts limit upstreams, not requests. They may use the slot that the stream has released, replace a silent one and are looked for while the caller waits. A rest that shows nothing is no failure of its upstream. A pool whose rests are unframed is asked for the last event at once, so that a stream takes one retry. Each request still draws on the retry budget, and without a proof the stream is reset. Beside it: a comment no longer counts as an event that refutes an end, and a framed stream of comments alone is complete.

--- a/packages/core/src/direct/directAttempt.ts
+++ b/packages/core/src/direct/directAttempt.ts
@@ -62,9 +62,10 @@
   /**
    * Reports that the response has made no progress for a time.
    *
+   * @param isPoolLive whether other responses of the pool make progress
    * @returns whether another upstream is to replace the silent one now
    */
-  readonly onSilence: (silentMs: number) => boolean;
+  readonly onSilence: (silentMs: number, isPoolLive: boolean) => boolean;
   /** Assesses the end of the response, all of which has been received. */
   readonly assessEnd: () => ResponseEnd;
   /** The response is complete. */
@@ -131,6 +132,9 @@
   detail: 'the stream ended with its connection and without any event',
 };
 
+/** Not a failure of the upstream, which may have had no event to give. */
+const INCONCLUSIVE: AttemptFailure = { ...ENDED_EMPTY, isConnectionLost: false };
+
 const REFUTED_END: AttemptFailure = {
   ...TRUNCATED,
   ending: AttemptEnding.Unconfirmed,
@@ -325,6 +329,10 @@
     if (this.#isOver) return;
     const { admission, context, events } = this.#options;
     const end = events.assessEnd();
+    if (end === ResponseEnd.Inconclusive) {
+      this.#end(INCONCLUSIVE);
+      return;
+    }
     if (end === ResponseEnd.WithinEvent || end === ResponseEnd.Empty) {
       admission.noteFailure();
       this.#fail(end === ResponseEnd.Empty ? ENDED_EMPTY : ENDED_WITHIN_EVENT);
@@ -384,15 +392,12 @@
     this.#silenceTimer = setTimeout(() => this.#handleSilence(), limitMs);
   }
 
-  /**
-   * Keeps waiting where the whole pool is silent, as another upstream would be no better, and where
-   * no other upstream is available, as the silent one may only be slow.
-   */
+  /** Keeps waiting where no other upstream is available, as the silent one may only be slow. */
   #handleSilence(): void {
     const nowMs = performance.now();
     const { admission, events } = this.#options;
     const silentMs = Math.round(nowMs - this.#progressAtMs);
-    if (!admission.isLive(nowMs, POOL_LIVE_WINDOW_MS) || !events.onSilence(silentMs)) {
+    if (!events.onSilence(silentMs, admission.isLive(nowMs, POOL_LIVE_WINDOW_MS))) {
       this.#watchSilence(SILENCE_RECHECK_MS);
       return;
     }
--- a/packages/core/src/direct/directRequest.ts
+++ b/packages/core/src/direct/directRequest.ts
@@ -18,6 +18,7 @@
 
 import { CallerPatience } from './callerPatience.js';
 import { ResponseBuilder } from './responseBuilder.js';
+import type { ResponseEnd } from './responseEnd.js';
 import { ResponseTimes } from './responseTimes.js';
 import type { RequestCost } from './cost/requestCost.js';
 import { AttemptEnding } from './attemptEnding.js';
@@ -70,6 +71,9 @@
 /** Largest part of the caller's remaining time that a Retry-After delay may use. */
 const RETRY_AFTER_FRACTION = 0.3;
 
+/** Interval at which a stream looks for an upstream that can confirm its end, in milliseconds. */
+const CONFIRMATION_RECHECK_MS = 50;
+
 export interface DirectRequestOptions {
   readonly context: DirectContext;
   readonly request: ForwardedRequest;
@@ -105,8 +109,8 @@
 
   #attempt: DirectAttempt | undefined;
 
-  /** Earlier attempt at a stream after whose last event there may be more events. */
-  #unconfirmed: DirectAttempt | undefined;
+  /** Earlier attempts that have claimed that the stream ends after the caller's last event. */
+  #unconfirmed: DirectAttempt[] = [];
 
   #responseStatus = 0;
 
@@ -125,6 +129,8 @@
 
   #timer: NodeJS.Timeout | undefined;
 
+  #recheckTimer: NodeJS.Timeout | undefined;
+
   readonly #patience: CallerPatience;
 
   /** Constant, so that what is added to the workspace's use is what is taken off. */
@@ -268,8 +274,12 @@
       return;
     }
     this.#guard.noteSent();
-    this.#history.noteSent(upstream.id);
-    const resumeAfterId = isResumed ? this.#response.lastEventId : undefined;
+    if (this.#response.endedUpstreams.includes(upstream.id)) {
+      this.#history.noteConfirmingSend(upstream.id);
+    } else this.#history.noteSent(upstream.id);
+    const resumeAfterId = isResumed
+      ? this.#response.resumeAt(upstream.id, admission.hasUnframedRests)
+      : undefined;
     this.#telemetry.noteSent(upstream, resumeAfterId, this.#cost);
     this.#attempt = new DirectAttempt({
       context,
@@ -290,8 +300,8 @@
       events: {
         onHead: (head) => this.#handleHead(head),
         onData: (data) => this.#handleData(data),
-        onSilence: (silentMs) => this.#canReplace(upstream, silentMs),
-        assessEnd: () => this.#response.assessEnd(),
+        onSilence: (silentMs, isPoolLive) => this.#canReplace(upstream, silentMs, isPoolLive),
+        assessEnd: () => this.#assessEnd(upstream),
         onEnd: () => this.#handleEnd(),
         onUnconfirmedEnd: () => this.#handleUnconfirmedEnd(),
         onFailure: (failure) => this.#handleFailure(failure),
@@ -312,10 +322,12 @@
   }
 
   /** Whether another attempt is to replace one that makes no progress. */
-  #canReplace(silent: DirectUpstream, silentMs: number): boolean {
+  #canReplace(silent: DirectUpstream, silentMs: number, isPoolLive: boolean): boolean {
     const { admission, route } = this.#options;
-    if (silentMs < chooseSilenceLimitMs(route, admission.meanPauseMs)) return false;
-    return this.#retry.canReplace(silent.id, performance.now());
+    // The pauses of the pool's streams say nothing about a request that only confirms an end.
+    const meanPauseMs = this.#response.isEndClaimed ? 0 : admission.meanPauseMs;
+    if (silentMs < chooseSilenceLimitMs(route, meanPauseMs)) return false;
+    return this.#retry.canReplace(silent.id, isPoolLive, performance.now());
   }
 
   #handleHead(head: AnswerHead): boolean {
@@ -380,7 +392,7 @@
 
   #noteEvents(count: number): void {
     const { route, admission } = this.#options;
-    this.#settleUnconfirmed(false);
+    if (!this.#response.isEndClaimed) this.#settleUnconfirmed(false);
     this.#eventCount += count;
     this.#attempt?.noteEvents(count);
     const nowMs = performance.now();
@@ -423,6 +435,13 @@
     this.#attempt?.resume();
   }
 
+  #assessEnd({ id }: DirectUpstream): ResponseEnd {
+    const { admission } = this.#options;
+    const framing = this.#attempt?.framing;
+    if (this.#response.isResumed && framing) admission.noteRest(framing);
+    return this.#response.assessEnd(id);
+  }
+
   #handleEnd(): void {
     this.#response.end(() => this.#isOver);
     // The rest of a response can exceed the memory, which refuses the request.
@@ -433,7 +452,7 @@
       admission.cost?.noteAnswered(this.#cost, this.#eventCount);
     }
     // The attempt that only confirms the end of a stream has not run it.
-    if (this.#attempt && !this.#unconfirmed) this.#noteRun(this.#attempt);
+    if (this.#attempt && this.#unconfirmed.length === 0) this.#noteRun(this.#attempt);
     this.#settleUnconfirmed(true);
     this.#noteServed(performance.now());
     this.#telemetry.noteAnswered(this.#attempt, this.#responseStatus, this.#response.lastEventId);
@@ -448,26 +467,27 @@
   }
 
   /**
-   * Resumes a stream that has ended with its connection. If the next attempt has no more events,
-   * the stream is complete; without a next attempt it is aborted.
+   * Resumes a stream that may be complete, to find out. Without a response that shows it the stream
+   * is aborted.
    */
   #handleUnconfirmedEnd(): void {
     const ended = this.#attempt;
     if (!ended || this.#isOver) return;
     this.#attempt = undefined;
-    this.#unconfirmed = ended;
+    this.#unconfirmed.push(ended);
     this.#history.noteTried(ended.upstream.id);
     this.#history.noteEnding(AttemptEnding.Unconfirmed, ended.eventCount);
-    this.#noteRun(ended);
+    if (ended.eventCount > 0) this.#noteRun(ended);
     this.#telemetry.noteUnconfirmedEnd(ended, this.#response.lastEventId);
     this.#continueAfter(END_UNCONFIRMED);
   }
 
   #settleUnconfirmed(isComplete: boolean): void {
-    if (!this.#unconfirmed) return;
-    this.#unconfirmed.settle(isComplete);
-    this.#telemetry.noteSettledEnd(this.#unconfirmed, isComplete);
-    this.#unconfirmed = undefined;
+    this.#unconfirmed.forEach((attempt) => {
+      attempt.settle(isComplete);
+      this.#telemetry.noteSettledEnd(attempt, isComplete);
+    });
+    this.#unconfirmed = [];
   }
 
   #handleFailure(failure: AttemptFailure): void {
@@ -518,14 +538,36 @@
 
   /** Retries after a failed attempt: immediately, or once the pool accepts requests again. */
   #retryAfter(failure: AttemptFailure): void {
-    const chosen = this.#retry.chooseUpstream(performance.now());
-    if (chosen.ok) {
-      this.#sendAgain(chosen.val, failure);
-      return;
-    }
-    const isQueueable = chosen.val === GiveUpReason.NoUpstream && this.#retry.isWorthWaiting;
+    const nowMs = performance.now();
+    const chosen = this.#retry.chooseUpstream(nowMs);
+    const { endedUpstreams } = this.#response;
+    if (chosen.ok) this.#sendAgain(chosen.val, failure);
+    else if (endedUpstreams.length > 0) this.#confirmAfter(failure, chosen.val, nowMs);
+    else this.#queueOrGiveUp(failure, chosen.val);
+  }
+
+  /**
+   * Asks an upstream whose response has ended after the caller's last event once more, as no other
+   * one may be asked now.
+   */
+  #confirmAfter(failure: AttemptFailure, giveUpReason: GiveUpReason, nowMs: number): void {
+    const chosen = this.#retry.chooseConfirming(nowMs);
+    if (chosen.ok) this.#sendAgain(chosen.val, failure);
+    else if (chosen.val !== GiveUpReason.NoUpstream) this.#giveUp(failure, chosen.val);
+    else if (this.#retry.isConfirmationWorthWaiting) this.#recheckAfter(failure);
+    else this.#queueOrGiveUp(failure, giveUpReason);
+  }
+
+  #recheckAfter(failure: AttemptFailure): void {
+    this.#recheckTimer = setTimeout(() => {
+      this.#contain(() => this.#continueAfter(failure));
+    }, CONFIRMATION_RECHECK_MS);
+  }
+
+  #queueOrGiveUp(failure: AttemptFailure, giveUpReason: GiveUpReason): void {
+    const isQueueable = giveUpReason === GiveUpReason.NoUpstream && this.#retry.isWorthWaiting;
     if (isQueueable) this.#queueForRetry(failure);
-    else this.#giveUp(failure, chosen.val);
+    else this.#giveUp(failure, giveUpReason);
   }
 
   /**
@@ -573,7 +615,7 @@
     const nowMs = performance.now();
     if (this.#history.mayHaveRun) {
       // Whatever ended the last attempt, an earlier one may have been complete.
-      const lostReason = this.#unconfirmed ? RefusalReason.EndUnconfirmed : reason;
+      const lostReason = this.#response.isEndClaimed ? RefusalReason.EndUnconfirmed : reason;
       this.#refuse({ reason: lostReason, outcome: Outcome.Unknown, retryAfterMs: 0, detail });
       return;
     }
@@ -625,6 +667,7 @@
     this.#isOver = true;
     this.#guard.release();
     clearTimeout(this.#timer);
+    clearTimeout(this.#recheckTimer);
     this.#patience.stop();
     this.#options.admission.withdraw(this.#options.request.id);
     this.#telemetry.noteEnd();
--- a/packages/core/src/direct/eventSequence.ts
+++ b/packages/core/src/direct/eventSequence.ts
@@ -18,6 +18,8 @@
 export class EventSequence {
   #lastId: string | undefined;
 
+  #previousId: string | undefined;
+
   /** Undefined before the second id, and once the ids have not risen by a constant step. */
   #step: number | undefined;
 
@@ -28,6 +30,11 @@
     return this.#lastId;
   }
 
+  /** Id of the event before the last one that has an id. */
+  get previousId(): string | undefined {
+    return this.#previousId;
+  }
+
   /** Whether an id, undefined if the event has none, can be that of the next event. */
   canFollow(id: string | undefined): boolean {
     if (this.#lastId === undefined) return true;
@@ -42,6 +49,7 @@
   append(ids: readonly string[]): void {
     ids.forEach((id) => {
       this.#observeStep(id);
+      this.#previousId = this.#lastId;
       this.#lastId = id;
     });
   }
--- a/packages/core/src/direct/eventSplitter.ts
+++ b/packages/core/src/direct/eventSplitter.ts
@@ -28,6 +28,24 @@
   readonly isComment: boolean;
 }
 
+const EVENT_END = /\r?\n\r?\n/u;
+
+/** Removes all events up to the first one that has an id; the rest can be empty. */
+export function skipFirstId({ data, count, ids }: CompleteEvents): CompleteEvents {
+  const text = data.toString('latin1');
+  const idAt = text.search(ID_FIELD) + 1;
+  const end = EVENT_END.exec(text.slice(idAt));
+  const skippedBytes = end ? idAt + end.index + end[0].length : data.length;
+  const skipped = text.slice(0, skippedBytes).split(EVENT_END);
+  const rest = data.subarray(skippedBytes);
+  return {
+    data: rest,
+    count: count - skipped.filter((event) => event.trim() !== '').length,
+    ids: ids.slice(1),
+    isComment: ids.length === 1 && !DATA_FIELD.test(rest.toString('latin1')),
+  };
+}
+
 /** Splits the events of one upstream response. */
 export class EventSplitter {
   /** Bytes of the incomplete event. */
--- a/packages/core/src/direct/placement.ts
+++ b/packages/core/src/direct/placement.ts
@@ -150,16 +150,29 @@
   return drawOption(options, unreported, draw)?.upstream;
 }
 
+type Room = Pick<PlacementQuery, 'limit' | 'startsPerS' | 'nowMs'>;
+
+/** Whether an upstream can take one more request. */
+function hasRoom(board: FleetBoard, upstream: DirectUpstream, room: Room): boolean {
+  const { limit, startsPerS, nowMs } = room;
+  return (
+    board.countLoad(upstream, nowMs) + 1 <= Math.max(1, limit / upstream.readSlowdown(nowMs)) &&
+    upstream.startRate.count(nowMs) < startsPerS &&
+    board.permits.allows(upstream.incarnation, nowMs)
+  );
+}
+
+/** Whether a certain upstream can take a request now, be it ejected or not. */
+export function canPlaceAt(board: FleetBoard, upstream: DirectUpstream, room: Room): boolean {
+  return isAvailable(board, upstream, room.nowMs) && hasRoom(board, upstream, room);
+}
+
 /** Chooses the upstream of a request; `upstream` is undefined where none has capacity. */
 export function choosePlacement(board: FleetBoard, query: PlacementQuery): PlacementResult {
-  const { excluded, limit, startsPerS, nowMs } = query;
+  const { excluded, nowMs } = query;
   const available = listAvailable(board, query);
   const eligible = pickHealthy(available, nowMs).filter(
-    (upstream) =>
-      !excluded.has(upstream.id) &&
-      board.countLoad(upstream, nowMs) + 1 <= Math.max(1, limit / upstream.readSlowdown(nowMs)) &&
-      upstream.startRate.count(nowMs) < startsPerS &&
-      board.permits.allows(upstream.incarnation, nowMs),
+    (upstream) => !excluded.has(upstream.id) && hasRoom(board, upstream, query),
   );
   const upstream = query.weights
     ? chooseByWork(board, eligible, query.weights, query.draw())
--- a/packages/core/src/direct/poolAdmission.ts
+++ b/packages/core/src/direct/poolAdmission.ts
@@ -10,6 +10,7 @@
 
 import type { Refusal } from '../model/reason.js';
 import type { RequestSize } from '../model/requestSize.js';
+import { AnswerFraming } from '../ports/caller.js';
 import { LogLevel, type Log, type LogFields } from '../ports/log.js';
 import type { Metrics } from '../ports/metrics.js';
 import type { Random } from '../ports/random.js';
@@ -19,7 +20,13 @@
 import type { RequestCost } from './cost/requestCost.js';
 import type { DirectUpstream } from './directUpstream.js';
 import type { FleetBoard } from './fleetBoard.js';
-import { choosePlacement, readBackoffMs, type PlacementResult } from './placement.js';
+import {
+  canPlaceAt,
+  choosePlacement,
+  isInService,
+  readBackoffMs,
+  type PlacementResult,
+} from './placement.js';
 import type { PoolActivity } from './poolActivity.js';
 import type { PoolDemand } from './requestLimits/poolDemand.js';
 import type { BreakerChangeSource, PoolBreaker } from './poolBreaker.js';
@@ -105,6 +112,8 @@
   /** Less urgent requests that have yielded since the last one that did not. */
   #yieldCount = 0;
 
+  #hasUnframedRests = false;
+
   /** Set where the pool's requests differ in priority by their routes. */
   #urgency: PoolUrgency | undefined;
 
@@ -309,6 +318,42 @@
     return this.#place(excluded, nowMs, cost).upstream;
   }
 
+  /**
+   * Finds an upstream, of some in order of preference, for a request that confirms the end of a
+   * stream. It may take the slot that the stream has just released. Ejected upstreams come last.
+   */
+  findForConfirmation(ids: readonly string[], nowMs: number): DirectUpstream | undefined {
+    const limit = Math.ceil(this.capacity.limitPerUpstream) + 1;
+    const { startsPerS } = this.capacity;
+    const possible = this.#findUpstreams(ids).filter((upstream) =>
+      canPlaceAt(this.#options.board, upstream, { limit, startsPerS, nowMs }),
+    );
+    const found = possible.find(({ ejection }) => !ejection.isEjected(nowMs)) ?? possible[0];
+    return found && this.#breaker.tryPass(nowMs) ? found : undefined;
+  }
+
+  /** Records how a response to a request for the rest of a stream is delimited. */
+  noteRest(framing: AnswerFraming): void {
+    this.#hasUnframedRests = framing === AnswerFraming.UntilClose;
+  }
+
+  /**
+   * Whether the last rest of a stream was unframed. One that has no events shows nothing about the
+   * end of the stream then.
+   */
+  get hasUnframedRests(): boolean {
+    return this.#hasUnframedRests;
+  }
+
+  /** Whether one of some upstreams is in service, whether or not it has capacity. */
+  isAnyInService(ids: readonly string[]): boolean {
+    return this.#findUpstreams(ids).some((each) => isInService(this.#options.board, each));
+  }
+
+  #findUpstreams(ids: readonly string[]): readonly DirectUpstream[] {
+    return ids.flatMap((id) => this.#options.board.findUpstream(id) ?? []);
+  }
+
   /**
    * Creates the refusal of a request that has not run, with a delay after which capacity is
    * expected.
--- a/packages/core/src/direct/responseBuilder.ts
+++ b/packages/core/src/direct/responseBuilder.ts
@@ -7,15 +7,16 @@
  *
  * A stream is delimited for the caller even if the upstream does not do so: otherwise the events
  * forwarded before the end of this process would look like all of them. It is ended only once its
- * end is confirmed: by the framing of the upstream's response, or by a further attempt that has no
- * more events. A plain response without framing is forwarded without one, since it may have been
+ * end is proved: by the framing of the upstream's response, or by further attempts ({@link
+ * EndProof}). A plain response without framing is forwarded without one, since it may have been
  * truncated at the upstream.
  */
 import { AnswerFraming, type Caller } from '../ports/caller.js';
 import type { AnswerHead } from '../ports/upstreamCaller.js';
 
+import { EndProof } from './endProof.js';
 import { EventSequence } from './eventSequence.js';
-import { EventSplitter } from './eventSplitter.js';
+import { EventSplitter, skipFirstId, type CompleteEvents } from './eventSplitter.js';
 import { GrowingBuffer } from './growingBuffer.js';
 import { ResponseEnd } from './responseEnd.js';
 
@@ -56,8 +57,15 @@
   /** Framing of the current attempt's response. */
   #framing = AnswerFraming.Delimited;
 
-  /** Whether the current attempt's response has had a complete event. */
-  #hasEvents = false;
+  /** Whether the current attempt's response has had an event that the caller did not have. */
+  #hasNewEvents = false;
+
+  /** Whether the current attempt was asked to repeat the caller's last event. */
+  #isRepeatDue = false;
+
+  #hasRepeatedEvent = false;
+
+  #isResumed = false;
 
   #splitter = new EventSplitter();
 
@@ -79,8 +87,7 @@
   /** Events that the caller has received. */
   readonly #sequence = new EventSequence();
 
-  /** Whether an earlier attempt's response has ended where the events so far end. */
-  #isEndReached = false;
+  readonly #endProof = new EndProof();
 
   #isMisplaced = false;
 
@@ -110,6 +117,21 @@
     return this.#sequence.lastId;
   }
 
+  /** Whether an attempt has claimed that the stream ends after the caller's last event. */
+  get isEndClaimed(): boolean {
+    return this.#endProof.isClaimed;
+  }
+
+  /** Upstreams whose responses ended regularly after the caller's last event, the latest first. */
+  get endedUpstreams(): readonly string[] {
+    return this.#endProof.endedUpstreams;
+  }
+
+  /** Whether the current attempt was asked for the rest of a stream. */
+  get isResumed(): boolean {
+    return this.#isResumed;
+  }
+
   /** Whether an event exceeded the size limit, which no engine's events reach. */
   get isOversized(): boolean {
     return this.#splitter.isOversized;
@@ -120,20 +142,34 @@
     return this.#isMisplaced;
   }
 
-  /**
-   * Assesses the end of an attempt's response, all of which has been received. A resumed response
-   * without events shows that the stream is complete only if another one has ended there as well:
-   * an upstream that does not resume as it should can answer so.
-   */
-  assessEnd(): ResponseEnd {
+  /** Assesses the end of an attempt's response, all of which has been received. */
+  assessEnd(upstream: string): ResponseEnd {
     if (this.#splitter.isMidEvent) return ResponseEnd.WithinEvent;
     if (!this.#isStream || !this.isSuccess) return ResponseEnd.Complete;
     const isDelimited = this.#framing === AnswerFraming.Delimited;
-    if (!isDelimited && !this.#hasEvents) return ResponseEnd.Empty;
-    const isConfirmed = this.#hasEvents || this.#isEndReached || !this.#isCommitted;
-    if (isDelimited && isConfirmed) return ResponseEnd.Complete;
-    this.#isEndReached = true;
-    return ResponseEnd.Unconfirmed;
+    if (isDelimited && !this.#isResumed) return ResponseEnd.Complete;
+    if (!this.#isCommitted) return ResponseEnd.Empty;
+    return this.#endProof.add({
+      upstream,
+      isDelimited,
+      hasNewEvents: this.#hasNewEvents,
+      hasRepeatedEvent: this.#hasRepeatedEvent,
+    });
+  }
+
+  /**
+   * Prepares to resume the stream at an upstream.
+   *
+   * @param isUnframed whether responses of its pool to such requests are unframed
+   * @returns id of the event after which it is to be resumed; undefined for the start of the stream
+   */
+  resumeAt(upstream: string, isUnframed: boolean): string | undefined {
+    this.#isResumed = true;
+    this.#isRepeatDue =
+      this.#endProof.isInconclusive ||
+      this.endedUpstreams.includes(upstream) ||
+      (isUnframed && this.isEndClaimed);
+    return this.#isRepeatDue ? this.#sequence.previousId : this.#sequence.lastId;
   }
 
   /** Whether the response of an attempt can continue what has been sent to the caller. */
@@ -153,7 +189,8 @@
     this.#buffered.take();
     this.#bytesSinceProgress = PROGRESS_BYTES;
     this.#framing = head.framing;
-    this.#hasEvents = false;
+    this.#hasNewEvents = false;
+    this.#hasRepeatedEvent = false;
     this.#isMisplaced = false;
     this.#holdMemory(0, false);
     if (!this.#isCommitted) this.#head = head;
@@ -178,22 +215,35 @@
   }
 
   #pushEvents(data: Buffer): PieceResult {
-    const complete = this.#splitter.push(data);
+    const received = this.#splitter.push(data);
     // Without room the request has been ended, and its caller answered.
     const hasRoom = this.#holdMemory(this.#splitter.pendingBytes, true);
-    if (!complete || !hasRoom) return { events: 0, isProgress: false, isCallerReady: true };
-    if (!this.#hasEvents && !complete.isComment && !this.#sequence.canFollow(complete.ids[0])) {
+    if (!received || !hasRoom) return { events: 0, isProgress: false, isCallerReady: true };
+    const complete = this.#skipRepeatedEvent(received);
+    if (complete.count === 0) return { events: 0, isProgress: true, isCallerReady: true };
+    if (!this.#hasNewEvents && !complete.isComment && !this.#sequence.canFollow(complete.ids[0])) {
       this.#isMisplaced = true;
       return { events: 0, isProgress: false, isCallerReady: true };
     }
-    this.#hasEvents ||= !complete.isComment;
-    this.#isEndReached = false;
+    if (!complete.isComment) {
+      this.#hasNewEvents = true;
+      this.#endProof.reset();
+    }
     this.#sequence.append(complete.ids);
     this.#commit({});
     const isCallerReady = this.#caller.writeData(complete.data);
     return { events: complete.count, isProgress: true, isCallerReady };
   }
 
+  /** Removes the event that the attempt was asked to repeat, if it comes first. */
+  #skipRepeatedEvent(received: CompleteEvents): CompleteEvents {
+    if (!this.#isRepeatDue || received.isComment) return received;
+    this.#isRepeatDue = false;
+    if (received.ids[0] !== this.#sequence.lastId) return received;
+    this.#hasRepeatedEvent = true;
+    return skipFirstId(received);
+  }
+
   #pushBody(data: Buffer): PieceResult {
     const isProgress = this.#noteBytes(data.length);
     if (!this.#isCommitted) {
--- a/packages/core/src/direct/responseEnd.ts
+++ b/packages/core/src/direct/responseEnd.ts
@@ -6,6 +6,8 @@
   WithinEvent = 'within-event',
   /** The response to a request for a stream ended with its connection and had no event. */
   Empty = 'empty',
+  /** As {@link Empty}, after a response that ended at the same event. */
+  Inconclusive = 'inconclusive',
   /**
    * A stream ended with its connection, between two events. It looks the same whether it is
    * complete or the upstream broke off.
--- a/packages/core/src/direct/retryDecision.ts
+++ b/packages/core/src/direct/retryDecision.ts
@@ -59,17 +59,41 @@
     return upstream ? Ok(upstream) : Err(GiveUpReason.NoUpstream);
   }
 
+  /**
+   * Chooses an upstream that confirms the end of a stream, of those whose responses have ended
+   * there; fails with the reason why there is none.
+   */
+  chooseConfirming(nowMs: number, excluded?: string): Result<DirectUpstream, GiveUpReason> {
+    const { admission, endAtMs, history, request, response, route } = this.#options;
+    if (nowMs >= endAtMs) return Err(GiveUpReason.TimeOver);
+    if (!request.body.isRepeatable) return Err(GiveUpReason.BodyPassedOn);
+    if (!history.canConfirmAgain(route)) return Err(GiveUpReason.AttemptsSpent);
+    const candidates = response.endedUpstreams.filter((id) => id !== excluded);
+    const upstream = admission.findForConfirmation(candidates, nowMs);
+    return upstream ? Ok(upstream) : Err(GiveUpReason.NoUpstream);
+  }
+
+  /** Whether an upstream that can confirm the end of the stream may have capacity soon. */
+  get isConfirmationWorthWaiting(): boolean {
+    const { admission, response } = this.#options;
+    return admission.isAnyInService(response.endedUpstreams);
+  }
+
   /**
    * Whether another upstream can replace one that makes no progress. The silent one is kept until
-   * then, as it may only be slow.
+   * then, as it may only be slow. Where the whole pool is silent, another one would be no better,
+   * but one that has ended the stream may still confirm its end.
    */
-  canReplace(upstream: string, nowMs: number): boolean {
+  canReplace(upstream: string, isPoolLive: boolean, nowMs: number): boolean {
     const { context, admission, cost, endAtMs, pool, request, route, history } = this.#options;
     if (!canRunAgain(route) || !request.body.isComplete || nowMs >= endAtMs) return false;
-    if (!request.body.isRepeatable || !history.canSendAgain(route)) return false;
-    if (!context.mayRetry(pool, nowMs)) return false;
+    if (!request.body.isRepeatable || !context.mayRetry(pool, nowMs)) return false;
     const excluded = new Set([...history.triedUpstreams, upstream]);
-    return admission.chooseUpstream(excluded, nowMs, cost) !== undefined;
+    const isReplaceable =
+      isPoolLive &&
+      history.canSendAgain(route) &&
+      admission.chooseUpstream(excluded, nowMs, cost) !== undefined;
+    return isReplaceable || this.chooseConfirming(nowMs, upstream).ok;
   }
 
   /**
--- a/packages/core/src/direct/sendHistory.ts
+++ b/packages/core/src/direct/sendHistory.ts
@@ -12,9 +12,14 @@
  */
 const INTERRUPTED_SENDS_MAX = 10;
 
+/** Sends to upstreams that have ended the stream already, to confirm its end. */
+const CONFIRMING_SENDS_MAX = 4;
+
 /** One send, and how it ended; undefined while it is in progress. */
 interface Send {
   readonly upstream: string;
+  /** Whether it counts as a possible run of the request. */
+  readonly isRun: boolean;
   ending?: AttemptEnding;
   events?: number;
 }
@@ -25,6 +30,8 @@
 
   readonly #sends: Send[] = [];
 
+  #confirmingSends = 0;
+
   /** Sends that are not proved to have not run. */
   #possibleRuns = 0;
 
@@ -43,10 +50,16 @@
   }
 
   noteSent(upstream: string): void {
-    this.#sends.push({ upstream });
+    this.#sends.push({ upstream, isRun: true });
     this.#possibleRuns += 1;
   }
 
+  /** Records a send to an upstream that has run the request, to confirm the end of its stream. */
+  noteConfirmingSend(upstream: string): void {
+    this.#sends.push({ upstream, isRun: false });
+    this.#confirmingSends += 1;
+  }
+
   /** Records an upstream whose response is not, or may not be, a complete one. */
   noteTried(upstream: string): void {
     this.#triedUpstreams.add(upstream);
@@ -71,7 +84,7 @@
 
   /** Records the proof that the last send has not run. */
   noteNotRun(): void {
-    this.#possibleRuns -= 1;
+    if (this.#sends.at(-1)?.isRun) this.#possibleRuns -= 1;
   }
 
   /** Whether the route allows another send. */
@@ -79,4 +92,15 @@
     const extra = this.mayHaveRun ? INTERRUPTED_SENDS_MAX : NOT_RUN_SENDS_MAX;
     return this.#possibleRuns < attempts && this.#sends.length < attempts + extra;
   }
+
+  /**
+   * Whether upstreams that have ended the stream may be asked to confirm its end. They are no
+   * further upstreams, which the route's attempts limit.
+   */
+  canConfirmAgain({ attempts }: Route): boolean {
+    return (
+      this.#confirmingSends < CONFIRMING_SENDS_MAX &&
+      this.#sends.length < attempts + INTERRUPTED_SENDS_MAX
+    );
+  }
 }
--- /dev/null
+++ b/packages/core/test/direct/unconfirmedEnd.test.ts
@@ -0,0 +1,196 @@
+/** Guards against a reset of streams that their upstreams gave whole (issue 64). */
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { AnswerFraming } from '../../src/ports/caller.js';
+import type { FakeCaller } from '../entry/fakeCaller.js';
+
+import { NOT_RUN_HEAD, type FakeCall } from './fakeCall.js';
+import { BASE_ROUTE, DirectFixture, withClock, type TestClock } from './directFixture.js';
+
+const UNFRAMED = { framing: AnswerFraming.UntilClose };
+
+const LAST_ID = 5;
+
+/** Number of events after which a response is cut. */
+const CUT_AFTER = 2;
+
+/** Longest time from the last event to the end of a complete stream. */
+const CONFIRMATION_LIMIT_MS = 500;
+
+const STEP_MS = 10;
+
+/** Pause between the events of another stream, in milliseconds. */
+const PAUSE_MS = 50;
+
+const PATIENCE_MS = BASE_ROUTE.patienceMs;
+
+type Response = (call: FakeCall) => void;
+
+/** Sends the events after the one that the call asks for. */
+function sendRest(call: FakeCall, lastId = LAST_ID): FakeCall {
+  const afterId = Number(call.call.resumeAfterId ?? 0);
+  const ids = Array.from({ length: Math.max(0, lastId - afterId) }, (_, at) => afterId + at + 1);
+  return ids.length === 0 ? call : call.sendEvents(...ids);
+}
+
+const giveUnframed: Response = (call) => sendRest(call.head(UNFRAMED)).end();
+const giveDelimited: Response = (call) => sendRest(call.head()).end();
+const giveEmpty: Response = (call) => call.head(UNFRAMED).end();
+const denyRest: Response = (call) => call.head().end();
+const cutUnframed: Response = (call) => sendRest(call.head(UNFRAMED), CUT_AFTER).end();
+const breakOff: Response = (call) => sendRest(call.head(), CUT_AFTER).fail();
+const loseEnd: Response = (call) => sendRest(call.head()).fail();
+const reset: Response = (call) => call.fail();
+const giveError: Response = (call) => call.head({ status: 500 }).end();
+const giveNoContent: Response = (call) => call.head({ status: 204 }).end();
+const decline: Response = (call) => call.head(NOT_RUN_HEAD);
+const hang: Response = () => {};
+
+function createEntry(upstreams: number): DirectFixture {
+  const entry = new DirectFixture();
+  entry.addUpstreams('models', upstreams);
+  return entry;
+}
+
+/** Plays the responses to one stream until it ends or a time is over; the last one is repeated. */
+function play(
+  entry: DirectFixture,
+  clock: TestClock,
+  responses: readonly Response[],
+  limitMs = CONFIRMATION_LIMIT_MS,
+): FakeCaller {
+  const caller = entry.sendRequest('stream');
+  const firstCall = entry.calls.length - 1;
+  let answered = 0;
+  for (let elapsedMs = 0; caller.ends.length === 0 && elapsedMs < limitMs; elapsedMs += STEP_MS) {
+    const call = entry.calls[firstCall + answered];
+    if (call) {
+      responses[Math.min(answered, responses.length - 1)]?.(call);
+      answered += 1;
+    } else clock.tick(STEP_MS);
+  }
+  return caller;
+}
+
+function writeEvents(lastId: number): string {
+  return Array.from({ length: lastId }, (_, at) => `id: ${at + 1}\ndata: note\n\n`).join('');
+}
+
+/** Counts the upstreams at which a request may have run. */
+function countRunUpstreams({ calls }: DirectFixture, declined: number): number {
+  return new Set(calls.map(({ call }) => call.upstream.id)).size - declined;
+}
+
+const WHOLE_STREAMS: Readonly<Record<string, readonly Response[]>> = {
+  'whose rests are unframed as well': [giveUnframed],
+  'that breaks off, and whose rest is unframed': [breakOff, giveUnframed],
+  'whose confirming connection is reset': [giveUnframed, reset, giveUnframed],
+  'whose confirming connection is reset twice': [giveUnframed, reset, reset, giveUnframed],
+  'that is confirmed after an error': [giveUnframed, giveError, giveUnframed],
+  'that is confirmed after another status': [giveUnframed, giveNoContent, giveUnframed],
+  'that is confirmed after a refusal': [giveUnframed, decline, giveUnframed],
+  'that is reset after its last event': [loseEnd, giveDelimited],
+  'that is reset after its last event, with an unframed rest': [loseEnd, giveUnframed],
+};
+
+Object.entries(WHOLE_STREAMS).forEach(([name, responses]) => {
+  [1, 2, 3, 8].forEach((upstreams) => {
+    test(`a whole stream ${name} is complete, with ${upstreams} upstreams`, () =>
+      withClock((clock) => {
+        const entry = createEntry(upstreams);
+        const caller = play(entry, clock, responses);
+        assert.equal(caller.ends, ['end']);
+        assert.is(caller.text, writeEvents(LAST_ID));
+        const declined = upstreams > 2 && responses.includes(decline) ? 1 : 0;
+        assert.ok(countRunUpstreams(entry, declined) <= BASE_ROUTE.attempts);
+      }));
+  });
+});
+
+const CUT_STREAMS: Readonly<Record<string, readonly Response[]>> = {
+  'whose rests are empty and unframed': [cutUnframed, giveEmpty],
+  'that is reset, and whose rests are empty and unframed': [breakOff, giveEmpty],
+  'that is reset, and whose rests are denied by one upstream': [breakOff, denyRest],
+};
+
+Object.entries(CUT_STREAMS).forEach(([name, responses]) => {
+  test(`a cut stream ${name} is not complete`, () =>
+    withClock((clock) => {
+      const caller = play(createEntry(2), clock, responses);
+      assert.equal(caller.ends, ['abort']);
+      assert.is(caller.text, writeEvents(CUT_AFTER));
+    }));
+});
+
+const RESUMED_STREAMS: Readonly<Record<string, readonly Response[]>> = {
+  'after an empty unframed rest': [cutUnframed, giveEmpty, giveUnframed],
+  'after a reset': [cutUnframed, reset, giveUnframed],
+  'after an error': [cutUnframed, giveError, giveDelimited],
+  'at once': [cutUnframed, giveUnframed],
+};
+
+Object.entries(RESUMED_STREAMS).forEach(([name, responses]) => {
+  test(`a cut unframed stream goes on ${name}, each event once`, () =>
+    withClock((clock) => {
+      const caller = play(createEntry(3), clock, responses);
+      assert.equal(caller.ends, ['end']);
+      assert.is(caller.text, writeEvents(LAST_ID));
+    }));
+});
+
+test('a stream is confirmed by another upstream if the first one asked hangs', () =>
+  withClock((clock) => {
+    const entry = createEntry(3);
+    entry.sendRequest('stream');
+    const other = entry.lastCall.head();
+    let sent = 0;
+    const timer = setInterval(() => {
+      sent += 1;
+      other.sendEvents(sent);
+    }, PAUSE_MS);
+    const caller = play(entry, clock, [giveUnframed, hang, giveUnframed], PATIENCE_MS);
+    clearInterval(timer);
+    assert.equal(caller.ends, ['end']);
+  }));
+
+test('upstreams are not charged for rests that confirm nothing', () =>
+  withClock((clock) => {
+    const entry = createEntry(3);
+    const responses = [giveUnframed, giveEmpty, giveUnframed];
+    const callers = Array.from({ length: 8 }, () => play(entry, clock, responses));
+    assert.ok(callers.every(({ ends }) => ends.join() === 'end'));
+    assert.is(entry.log.find('Upstream ejected.'), undefined);
+    assert.is(entry.log.find('Circuit breaker of the pool opened.'), undefined);
+  }));
+
+test('later streams of a pool with unframed rests take one confirmation each', () =>
+  withClock((clock) => {
+    const entry = createEntry(3);
+    const countSends = () => {
+      const before = entry.calls.length;
+      play(entry, clock, [giveUnframed]);
+      return entry.calls.length - before;
+    };
+    assert.equal([countSends(), countSends(), countSends()], [3, 2, 2]);
+    play(entry, clock, [cutUnframed, giveDelimited]);
+    play(entry, clock, [giveUnframed, denyRest]);
+    assert.is(entry.lastCall.call.resumeAfterId, String(LAST_ID));
+  }));
+
+test('the end of a stream is confirmed while all slots are taken', () =>
+  withClock((clock) => {
+    const entry = createEntry(2);
+    const streams = Array.from({ length: 40 }, () => entry.sendRequest('stream'));
+    const [first] = entry.calls;
+    const sent = entry.calls.length;
+    assert.ok(first && sent < streams.length);
+    giveUnframed(first);
+    const confirming = entry.calls.slice(sent).filter(({ call }) => call.resumeAfterId);
+    clock.tick(CONFIRMATION_LIMIT_MS);
+    assert.is(confirming.length, 1);
+    confirming.forEach(giveDelimited);
+    assert.equal(streams[0]?.ends, ['end']);
+  }));
+
+test.run();
