Prove the end of a stream that its caller resumes after the last event

A caller that has all events of a stream but not its end, as its entry was stopped or reset it, asks again with Last-Event-Id. Workers that frame nothing answer without an event.

A caller's Last-Event-Id now counts as the last known event. A response without events is no failure of its upstream then, and the next one is asked to repeat that event, after the id before it where it is a number. Without such an id nothing can be proved: 502, but nobody is ejected or refused for it.

--- a/packages/core/src/direct/directRequest.ts
+++ b/packages/core/src/direct/directRequest.ts
@@ -140,7 +140,11 @@
     this.#options = options;
     const { caller, request, route } = options;
     this.#claim = options.admission.createClaim(options.workspace?.name, request.size);
-    this.#response = new ResponseBuilder(caller, route.kind === RouteKind.Stream);
+    this.#response = new ResponseBuilder(
+      caller,
+      route.kind === RouteKind.Stream,
+      route.isResumable ? request.resumeAfterId : undefined,
+    );
     this.#times = new ResponseTimes(request.arrivedAtMs);
     this.#endAtMs =
       request.arrivedAtMs + Math.min(route.timeoutMs, request.deadlineMs ?? route.timeoutMs);
@@ -229,7 +233,7 @@
       onAdmitted: (upstream) =>
         this.#contain(() => {
           this.#times.noteAdmitted(performance.now());
-          this.#send(upstream, false);
+          this.#send(upstream);
         }),
       onDenied: (denial) => {
         const deniedAtMs = performance.now();
@@ -259,7 +263,7 @@
     return { id: request.id, priority, arrivedAtMs: request.arrivedAtMs, cost, claim };
   }
 
-  #send(upstream: DirectUpstream, isResumed: boolean): void {
+  #send(upstream: DirectUpstream): void {
     const { context, admission, request, route, workspace } = this.#options;
     const nowMs = performance.now();
     const leftMs = this.#endAtMs - nowMs;
@@ -277,9 +281,7 @@
     if (this.#response.endedUpstreams.includes(upstream.id)) {
       this.#history.noteConfirmingSend(upstream.id);
     } else this.#history.noteSent(upstream.id);
-    const resumeAfterId = isResumed
-      ? this.#response.resumeAt(upstream.id, admission.hasUnframedRests)
-      : undefined;
+    const resumeAfterId = this.#response.prepareAttempt(upstream.id, admission.hasUnframedRests);
     this.#telemetry.noteSent(upstream, resumeAfterId, this.#cost);
     this.#attempt = new DirectAttempt({
       context,
@@ -288,7 +290,7 @@
       upstream,
       silenceLimitMs: chooseSilenceLimitMs(route, 0),
       cost: this.#cost,
-      earlierEvents: isResumed ? this.#eventCount : 0,
+      earlierEvents: this.#eventCount,
       call: {
         request,
         upstream: upstream.entry,
@@ -374,7 +376,7 @@
     if (chosen.err || !this.#retry.takeBudget(RetryReason.UpstreamFailed)) return false;
     this.#telemetry.noteErrorStatus(failed, head.status);
     failed.cancel();
-    this.#send(chosen.val, false);
+    this.#send(chosen.val);
     return true;
   }
 
@@ -590,7 +592,7 @@
   }
 
   #sendAgain(upstream: DirectUpstream, { reason, retryReason, detail }: AttemptFailure): void {
-    if (this.#retry.takeBudget(retryReason)) this.#send(upstream, this.#response.isCommitted);
+    if (this.#retry.takeBudget(retryReason)) this.#send(upstream);
     else this.#end(reason, detail);
   }
 
--- a/packages/core/src/direct/endProof.ts
+++ b/packages/core/src/direct/endProof.ts
@@ -28,8 +28,15 @@
   /** Those of them whose end shows something. */
   readonly #claimants = new Set<string>();
 
+  readonly #mayBeEnded: boolean;
+
   #isInconclusive = false;
 
+  /** @param mayBeEnded whether a response without events is to be expected from the start */
+  constructor(mayBeEnded: boolean) {
+    this.#mayBeEnded = mayBeEnded;
+  }
+
   /** Whether a response has claimed that the stream ends after the caller's last event. */
   get isClaimed(): boolean {
     return this.#claimants.size > 0;
@@ -58,7 +65,7 @@
     if (isDelimited && hasEvents) return ResponseEnd.Complete;
     this.#ended.add(upstream);
     if (!isDelimited && !hasEvents) {
-      const isExpected = this.isClaimed || this.#isInconclusive;
+      const isExpected = this.#mayBeEnded || this.isClaimed || this.#isInconclusive;
       this.#isInconclusive = true;
       return isExpected ? ResponseEnd.Inconclusive : ResponseEnd.Empty;
     }
--- a/packages/core/src/direct/eventSequence.ts
+++ b/packages/core/src/direct/eventSequence.ts
@@ -14,6 +14,20 @@
   return INTEGER.test(id) ? Number(id) : undefined;
 }
 
+/** @returns id of the event before one, as far as it can be told from the id alone */
+export function readPrecedingId(id: string): string | undefined {
+  const number = parseInteger(id);
+  return number === undefined || number < DEFAULT_STEP ? undefined : String(number - DEFAULT_STEP);
+}
+
+/** Whether an event comes after another one, as far as it can be told from their ids alone. */
+export function isLaterId(id: string | undefined, earlierId: string): boolean {
+  if (id === undefined || id === earlierId) return false;
+  const number = parseInteger(id);
+  const earlier = parseInteger(earlierId);
+  return number === undefined || earlier === undefined || number > earlier;
+}
+
 /** Ids of the events that the caller has received. */
 export class EventSequence {
   #lastId: string | undefined;
--- a/packages/core/src/direct/responseBuilder.ts
+++ b/packages/core/src/direct/responseBuilder.ts
@@ -15,7 +15,7 @@
 import type { AnswerHead } from '../ports/upstreamCaller.js';
 
 import { EndProof } from './endProof.js';
-import { EventSequence } from './eventSequence.js';
+import { EventSequence, isLaterId, readPrecedingId } from './eventSequence.js';
 import { EventSplitter, skipFirstId, type CompleteEvents } from './eventSplitter.js';
 import { GrowingBuffer } from './growingBuffer.js';
 import { ResponseEnd } from './responseEnd.js';
@@ -87,13 +87,19 @@
   /** Events that the caller has received. */
   readonly #sequence = new EventSequence();
 
-  readonly #endProof = new EndProof();
+  readonly #endProof: EndProof;
+
+  /** Id of the event after which the caller itself resumes the stream. */
+  readonly #resumeAfterId: string | undefined;
 
   #isMisplaced = false;
 
-  constructor(caller: Caller, isStream: boolean) {
+  /** @param resumeAfterId id of the event after which the caller resumes a stream, if it does */
+  constructor(caller: Caller, isStream: boolean, resumeAfterId?: string) {
     this.#caller = caller;
     this.#isStream = isStream;
+    this.#resumeAfterId = resumeAfterId;
+    this.#endProof = new EndProof(resumeAfterId !== undefined);
   }
 
   /** Whether part of the response has been sent to the caller. */
@@ -122,9 +128,27 @@
     return this.#endProof.isClaimed;
   }
 
-  /** Upstreams whose responses ended regularly after the caller's last event, the latest first. */
+  /**
+   * Upstreams that can be asked to repeat the caller's last event: those whose responses ended
+   * regularly after it, the latest first.
+   */
   get endedUpstreams(): readonly string[] {
-    return this.#endProof.endedUpstreams;
+    return this.#canBeRepeated ? this.#endProof.endedUpstreams : [];
+  }
+
+  get #canBeRepeated(): boolean {
+    return this.#isCommitted || this.#precedingId !== undefined;
+  }
+
+  /** Id of the last event that the caller has, from this response or an earlier one. */
+  get #knownId(): string | undefined {
+    return this.#sequence.lastId ?? this.#resumeAfterId;
+  }
+
+  /** Id of the event before the last one; undefined where the caller asked for the last one. */
+  get #precedingId(): string | undefined {
+    if (this.#sequence.lastId !== undefined) return this.#sequence.previousId;
+    return this.#resumeAfterId === undefined ? undefined : readPrecedingId(this.#resumeAfterId);
   }
 
   /** Whether the current attempt was asked for the rest of a stream. */
@@ -148,7 +172,7 @@
     if (!this.#isStream || !this.isSuccess) return ResponseEnd.Complete;
     const isDelimited = this.#framing === AnswerFraming.Delimited;
     if (isDelimited && !this.#isResumed) return ResponseEnd.Complete;
-    if (!this.#isCommitted) return ResponseEnd.Empty;
+    if (this.#knownId === undefined) return ResponseEnd.Empty;
     return this.#endProof.add({
       upstream,
       isDelimited,
@@ -158,18 +182,20 @@
   }
 
   /**
-   * Prepares to resume the stream at an upstream.
+   * Prepares for the response of an attempt.
    *
-   * @param isUnframed whether responses of its pool to such requests are unframed
-   * @returns id of the event after which it is to be resumed; undefined for the start of the stream
+   * @param isUnframed whether the pool's responses with the rest of a stream are unframed
+   * @returns id of the event after which the stream is to be resumed; undefined where the attempt
+   *   starts where the caller does
    */
-  resumeAt(upstream: string, isUnframed: boolean): string | undefined {
-    this.#isResumed = true;
+  prepareAttempt(upstream: string, isUnframed: boolean): string | undefined {
     this.#isRepeatDue =
-      this.#endProof.isInconclusive ||
-      this.endedUpstreams.includes(upstream) ||
-      (isUnframed && this.isEndClaimed);
-    return this.#isRepeatDue ? this.#sequence.previousId : this.#sequence.lastId;
+      this.#canBeRepeated &&
+      (this.#endProof.isInconclusive ||
+        this.endedUpstreams.includes(upstream) ||
+        (isUnframed && this.isEndClaimed));
+    this.#isResumed = this.#isCommitted || this.#isRepeatDue;
+    return this.#isRepeatDue ? this.#precedingId : this.#sequence.lastId;
   }
 
   /** Whether the response of an attempt can continue what has been sent to the caller. */
@@ -221,7 +247,7 @@
     if (!received || !hasRoom) return { events: 0, isProgress: false, isCallerReady: true };
     const complete = this.#skipRepeatedEvent(received);
     if (complete.count === 0) return { events: 0, isProgress: true, isCallerReady: true };
-    if (!this.#hasNewEvents && !complete.isComment && !this.#sequence.canFollow(complete.ids[0])) {
+    if (!this.#hasNewEvents && !complete.isComment && !this.#canGoOnWith(complete.ids[0])) {
       this.#isMisplaced = true;
       return { events: 0, isProgress: false, isCallerReady: true };
     }
@@ -235,11 +261,18 @@
     return { events: complete.count, isProgress: true, isCallerReady };
   }
 
+  /** Whether the first new event of the attempt can have an id, undefined if it has none. */
+  #canGoOnWith(id: string | undefined): boolean {
+    if (this.#sequence.lastId !== undefined) return this.#sequence.canFollow(id);
+    if (this.#resumeAfterId === undefined || !this.#isResumed) return true;
+    return isLaterId(id, this.#resumeAfterId);
+  }
+
   /** Removes the event that the attempt was asked to repeat, if it comes first. */
   #skipRepeatedEvent(received: CompleteEvents): CompleteEvents {
     if (!this.#isRepeatDue || received.isComment) return received;
     this.#isRepeatDue = false;
-    if (received.ids[0] !== this.#sequence.lastId) return received;
+    if (received.ids[0] !== this.#knownId) return received;
     this.#hasRepeatedEvent = true;
     return skipFirstId(received);
   }
--- a/packages/core/src/ports/upstreamCaller.ts
+++ b/packages/core/src/ports/upstreamCaller.ts
@@ -23,6 +23,8 @@
    * empty where the caller names none.
    */
   readonly sharedPromptParts: readonly string[];
+  /** Id of the event after which the caller resumes a stream; undefined where it resumes none. */
+  readonly resumeAfterId?: string | undefined;
   /** Declared size; undefined where the caller declares none. */
   readonly size?: RequestSize | undefined;
   /** Caller's deadline, from arrival; undefined if the caller gave none. */
--- a/packages/core/test/direct/endProof.test.ts
+++ b/packages/core/test/direct/endProof.test.ts
@@ -31,13 +31,13 @@
 
 CASES.forEach(([name, responses, end]) => {
   test(`the end of a stream: ${name}`, () => {
-    const proof = new EndProof();
+    const proof = new EndProof(false);
     assert.is(responses.map((response) => proof.add(response)).at(-1), end);
   });
 });
 
 test('new events discard earlier ends', () => {
-  const proof = new EndProof();
+  const proof = new EndProof(false);
   proof.add(UNFRAMED);
   proof.add(EMPTY);
   proof.reset();
--- a/packages/core/test/direct/unconfirmedEnd.test.ts
+++ b/packages/core/test/direct/unconfirmedEnd.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
+import { Outcome } from '../../src/model/reason.js';
 import { AnswerFraming } from '../../src/ports/caller.js';
 import type { FakeCaller } from '../entry/fakeCaller.js';
 
@@ -29,7 +30,8 @@
 
 /** Sends the events after the one that the call asks for. */
 function sendRest(call: FakeCall, lastId = LAST_ID): FakeCall {
-  const afterId = Number(call.call.resumeAfterId ?? 0);
+  const { request, resumeAfterId } = call.call;
+  const afterId = Number(resumeAfterId ?? request.resumeAfterId ?? 0);
   const ids = Array.from({ length: Math.max(0, lastId - afterId) }, (_, at) => afterId + at + 1);
   return ids.length === 0 ? call : call.sendEvents(...ids);
 }
@@ -53,14 +55,20 @@
   return entry;
 }
 
+interface PlayOptions {
+  readonly limitMs?: number;
+  /** Id of the event after which the caller resumes the stream. */
+  readonly resumeAfterId?: string;
+}
+
 /** Plays the responses to one stream until it ends or a time is over; the last one is repeated. */
 function play(
   entry: DirectFixture,
   clock: TestClock,
   responses: readonly Response[],
-  limitMs = CONFIRMATION_LIMIT_MS,
+  { limitMs = CONFIRMATION_LIMIT_MS, resumeAfterId }: PlayOptions = {},
 ): FakeCaller {
-  const caller = entry.sendRequest('stream');
+  const caller = entry.sendRequest('stream', { resumeAfterId });
   const firstCall = entry.calls.length - 1;
   let answered = 0;
   for (let elapsedMs = 0; caller.ends.length === 0 && elapsedMs < limitMs; elapsedMs += STEP_MS) {
@@ -73,8 +81,9 @@
   return caller;
 }
 
-function writeEvents(lastId: number): string {
-  return Array.from({ length: lastId }, (_, at) => `id: ${at + 1}\ndata: note\n\n`).join('');
+function writeEvents(lastId: number, firstId = 1): string {
+  const ids = Array.from({ length: lastId + 1 - firstId }, (_, at) => firstId + at);
+  return ids.map((id) => `id: ${id}\ndata: note\n\n`).join('');
 }
 
 /** Counts the upstreams at which a request may have run. */
@@ -149,7 +158,9 @@
       sent += 1;
       other.sendEvents(sent);
     }, PAUSE_MS);
-    const caller = play(entry, clock, [giveUnframed, hang, giveUnframed], PATIENCE_MS);
+    const caller = play(entry, clock, [giveUnframed, hang, giveUnframed], {
+      limitMs: PATIENCE_MS,
+    });
     clearInterval(timer);
     assert.equal(caller.ends, ['end']);
   }));
@@ -178,6 +189,49 @@
     assert.is(entry.lastCall.call.resumeAfterId, String(LAST_ID));
   }));
 
+[LAST_ID, LAST_ID - 1, CUT_AFTER].forEach((resumeAfterId) => {
+  Object.entries({
+    'unframed responses': [giveUnframed],
+    'an empty one': [giveEmpty, giveUnframed],
+    'a reset': [reset, giveUnframed],
+    'an error': [giveError, giveUnframed],
+  }).forEach(([name, responses]) => {
+    // An error of the only upstream is passed on.
+    [1, 2, 3].slice(responses.includes(giveError) ? 1 : 0).forEach((upstreams) => {
+      test(`a caller that resumes after ${resumeAfterId} gets the rest by ${name} of ${upstreams}`, () =>
+        withClock((clock) => {
+          const entry = createEntry(upstreams);
+          const caller = play(entry, clock, responses, { resumeAfterId: String(resumeAfterId) });
+          assert.equal(caller.ends, ['end']);
+          assert.is(caller.text, writeEvents(LAST_ID, resumeAfterId + 1));
+          assert.is(entry.log.find('Upstream ejected.'), undefined);
+        }));
+    });
+  });
+});
+
+test('callers that resume after the last event do not stop a pool without proof', () =>
+  withClock((clock) => {
+    const entry = createEntry(3);
+    const callers = Array.from({ length: 3 }, () =>
+      play(entry, clock, [giveEmpty], { resumeAfterId: 'last' }),
+    );
+    callers.forEach(({ ends, refusal }) => {
+      assert.equal(ends, ['refuse']);
+      assert.is(refusal?.outcome, Outcome.Unknown);
+    });
+    assert.is(entry.log.find('Upstream ejected.'), undefined);
+    assert.is(entry.log.find('Circuit breaker of the pool opened.'), undefined);
+  }));
+
+test('a caller that resumes a stream gets no event that it has', () =>
+  withClock((clock) => {
+    const entry = createEntry(2);
+    const restart: Response = (call) => call.head(UNFRAMED).sendEvents(1, 2, 3, 4, 5).end();
+    const caller = play(entry, clock, [giveEmpty, restart], { resumeAfterId: '3' });
+    assert.is(caller.text, '');
+  }));
+
 test('the end of a stream is confirmed while all slots are taken', () =>
   withClock((clock) => {
     const entry = createEntry(2);
