--- a/packages/core/test/direct/eventSplitter.test.ts
+++ b/packages/core/test/direct/eventSplitter.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
-import { EventSplitter } from '../../src/direct/eventSplitter.js';
+import { EventSplitter, skipFirstId } from '../../src/direct/eventSplitter.js';
 
 function splitAt(text: string, cuts: readonly number[]): readonly string[] {
   const sorted = [...new Set(cuts.map((cut) => cut % text.length))].sort((a, b) => a - b);
@@ -39,4 +39,30 @@
   assert.ok(splitter.isMidEvent);
 });
 
+test('the events up to the first id are removed, however they are written', () => {
+  const end = fc.constantFrom('\n', '\r\n');
+  const body = fc.constantFrom('data: a', 'data: \u{1f514}', 'event: note', ': id: 9');
+  const blankLines = fc.nat(2);
+  const event = fc.tuple(end, body, body, blankLines).map(([lineEnd, first, last, blank]) => ({
+    write: (id: string) =>
+      [first, `id: ${id}`, last, '', ...Array.from({ length: blank }, () => '')].join(lineEnd),
+    lineEnd,
+  }));
+  const comment = end.map((lineEnd) => `: comment${lineEnd}${lineEnd}`);
+  fc.assert(
+    fc.property(fc.array(comment), event, fc.array(event), (comments, first, others) => {
+      const start = `${comments.join('')}${first.write('1')}${first.lineEnd}`;
+      const rest = others.map(({ write, lineEnd }, at) => write(String(at + 2)) + lineEnd).join('');
+      const events = new EventSplitter().push(Buffer.from(start + rest));
+      assert.ok(events);
+      const kept = skipFirstId(events);
+      assert.equal([kept.data.toString().trim(), kept.count], [rest.trim(), others.length]);
+      assert.equal(
+        kept.ids,
+        others.map((_, at) => String(at + 2)),
+      );
+    }),
+  );
+});
+
 test.run();
