Leave the probes of a stalled pool to requests that can be placed

A stream that waited for the confirmation of its end, and had no upstream left that it had not tried, took the probe of its pool's open circuit breaker every 250 ms and sent nothing.

Cause: chooseUpstream took the probe first and looked for a place then. A probe is taken now once a place is found, and no place is looked for where all upstreams are excluded.

unconfirmedEnd (core), 'a stream that waits for its confirmation takes no probe of a stalled pool', fails without the change.

--- a/packages/core/src/direct/poolAdmission.ts
+++ b/packages/core/src/direct/poolAdmission.ts
@@ -314,8 +314,11 @@
     nowMs: number,
     cost?: RequestCost,
   ): DirectUpstream | undefined {
-    if (!this.#breaker.tryPass(nowMs)) return undefined;
-    return this.#place(excluded, nowMs, cost).upstream;
+    const pool = this.#options.board.listPool(this.#pool.name);
+    const isAnyAllowed = pool.some(({ id }) => !excluded.has(id));
+    if (!isAnyAllowed || !this.#breaker.canPass(nowMs)) return undefined;
+    const { upstream } = this.#place(excluded, nowMs, cost);
+    return upstream && this.#breaker.tryPass(nowMs) ? upstream : undefined;
   }
 
   /**
--- a/packages/core/src/direct/poolBreaker.ts
+++ b/packages/core/src/direct/poolBreaker.ts
@@ -62,9 +62,13 @@
    * @param probeIntervalMs minimum time since the last probe
    */
   tryPass(nowMs: number, probeIntervalMs = PROBE_INTERVAL_MS): boolean {
-    if (!this.isOpen) return true;
-    if (nowMs - this.#lastProbeAtMs < probeIntervalMs) return false;
-    this.#lastProbeAtMs = nowMs;
+    if (!this.canPass(nowMs, probeIntervalMs)) return false;
+    if (this.isOpen) this.#lastProbeAtMs = nowMs;
     return true;
   }
+
+  /** Whether {@link tryPass} would let a request pass now. */
+  canPass(nowMs: number, probeIntervalMs = PROBE_INTERVAL_MS): boolean {
+    return !this.isOpen || nowMs - this.#lastProbeAtMs >= probeIntervalMs;
+  }
 }
--- a/packages/core/test/direct/unconfirmedEnd.test.ts
+++ b/packages/core/test/direct/unconfirmedEnd.test.ts
@@ -7,7 +7,7 @@
 import type { FakeCaller } from '../entry/fakeCaller.js';
 
 import { NOT_RUN_HEAD, type FakeCall } from './fakeCall.js';
-import { BASE_ROUTE, DirectFixture, withClock, type TestClock } from './directFixture.js';
+import { BASE_ROUTE, CONTENT, DirectFixture, withClock, type TestClock } from './directFixture.js';
 
 const UNFRAMED = { framing: AnswerFraming.UntilClose };
 
@@ -165,6 +165,15 @@
     assert.equal(caller.ends, ['end']);
   }));
 
+test('a stream that waits for its confirmation takes no probe of a stalled pool', () =>
+  withClock((clock) => {
+    const routes = [{ ...BASE_ROUTE, attempts: 3 }];
+    const entry = new DirectFixture(1, undefined, 'entry-1', { ...CONTENT, routes });
+    entry.addUpstreams('models', 2);
+    const caller = play(entry, clock, [giveUnframed, reset, reset, reset, giveUnframed]);
+    assert.equal(caller.ends, ['end']);
+  }));
+
 test('upstreams are not charged for rests that confirm nothing', () =>
   withClock((clock) => {
     const entry = createEntry(3);
