Take more for a proof that a stream is complete

The review of found ends that were wrongly taken for proved, and evidence that was not used:

- A response that began a further event did not refute the end.
It does now, also where it broke off.
- Where a response of the pool was cut off by a regular close in the last 30 s, two responses have to confirm an end.
- Ids that rise by another step than 1 were repeated from an id that does not exist.
- Comments of confirming responses reached the caller again.
- The only upstream is asked again if it hangs.
- Blank lines and comments behind the last event counted as part of a further one, so that a whole stream was reset.

What a caller has of a stream and what proves its end is in StreamProgress now, apart from the buffering and forwarding of ResponseBuilder; RestHistory has what is known of the pool.

--- a/packages/core/src/direct/directRequest.ts
+++ b/packages/core/src/direct/directRequest.ts
@@ -18,7 +18,6 @@
 
 import { CallerPatience } from './callerPatience.js';
 import { ResponseBuilder } from './responseBuilder.js';
-import type { ResponseEnd } from './responseEnd.js';
 import { ResponseTimes } from './responseTimes.js';
 import type { RequestCost } from './cost/requestCost.js';
 import { AttemptEnding } from './attemptEnding.js';
@@ -140,11 +139,12 @@
     this.#options = options;
     const { caller, request, route } = options;
     this.#claim = options.admission.createClaim(options.workspace?.name, request.size);
-    this.#response = new ResponseBuilder(
+    this.#response = new ResponseBuilder({
       caller,
-      route.kind === RouteKind.Stream,
-      route.isResumable ? request.resumeAfterId : undefined,
-    );
+      isStream: route.kind === RouteKind.Stream,
+      rests: options.admission.rests,
+      resumeAfterId: route.isResumable ? request.resumeAfterId : undefined,
+    });
     this.#times = new ResponseTimes(request.arrivedAtMs);
     this.#endAtMs =
       request.arrivedAtMs + Math.min(route.timeoutMs, request.deadlineMs ?? route.timeoutMs);
@@ -281,7 +281,7 @@
     if (this.#response.endedUpstreams.includes(upstream.id)) {
       this.#history.noteConfirmingSend(upstream.id);
     } else this.#history.noteSent(upstream.id);
-    const resumeAfterId = this.#response.prepareAttempt(upstream.id, admission.hasUnframedRests);
+    const resumeAfterId = this.#response.prepareAttempt(upstream.id);
     this.#telemetry.noteSent(upstream, resumeAfterId, this.#cost);
     this.#attempt = new DirectAttempt({
       context,
@@ -303,7 +303,7 @@
         onHead: (head) => this.#handleHead(head),
         onData: (data) => this.#handleData(data),
         onSilence: (silentMs, isPoolLive) => this.#canReplace(upstream, silentMs, isPoolLive),
-        assessEnd: () => this.#assessEnd(upstream),
+        assessEnd: () => this.#response.assessEnd(upstream.id),
         onEnd: () => this.#handleEnd(),
         onUnconfirmedEnd: () => this.#handleUnconfirmedEnd(),
         onFailure: (failure) => this.#handleFailure(failure),
@@ -437,13 +437,6 @@
     this.#attempt?.resume();
   }
 
-  #assessEnd({ id }: DirectUpstream): ResponseEnd {
-    const { admission } = this.#options;
-    const framing = this.#attempt?.framing;
-    if (this.#response.isResumed && framing) admission.noteRest(framing);
-    return this.#response.assessEnd(id);
-  }
-
   #handleEnd(): void {
     this.#response.end(() => this.#isOver);
     // The rest of a response can exceed the memory, which refuses the request.
@@ -500,6 +493,8 @@
     this.#history.noteEnding(failure.ending, failed.eventCount);
     if (failure.isNotRun) this.#history.noteNotRun();
     this.#telemetry.noteFailed(failed, failure, this.#response.lastEventId);
+    this.#response.noteFailedAttempt();
+    if (!this.#response.isEndClaimed) this.#settleUnconfirmed(false);
     const cause = failure.isConnectionLost ? this.#guard.noteLost(failed) : undefined;
     if (cause) this.#continueOnceKnown(cause, failure);
     else this.#continueAfter(failure);
--- a/packages/core/src/direct/eventSequence.ts
+++ b/packages/core/src/direct/eventSequence.ts
@@ -10,14 +10,31 @@
 
 const DEFAULT_STEP = 1;
 
+/** Number of ids that are kept. */
+const RECENT_IDS_MAX = 4;
+
 function parseInteger(id: string): number | undefined {
   return INTEGER.test(id) ? Number(id) : undefined;
 }
 
-/** @returns id of the event before one, as far as it can be told from the id alone */
-export function readPrecedingId(id: string): string | undefined {
+/**
+ * Lists the ids of the events before one, in order, as far as they can be told from ids alone.
+ *
+ * @param nextId id of the event after it, which shows the step; undefined where it is not known
+ * @param count how many ids are listed at most
+ */
+export function listPrecedingIds(
+  id: string,
+  nextId: string | undefined,
+  count: number,
+): readonly string[] {
   const number = parseInteger(id);
-  return number === undefined || number < DEFAULT_STEP ? undefined : String(number - DEFAULT_STEP);
+  if (number === undefined) return [];
+  const next = nextId === undefined ? undefined : parseInteger(nextId);
+  const step = next !== undefined && next > number ? next - number : DEFAULT_STEP;
+  return Array.from({ length: count }, (_, at) => number - (count - at) * step)
+    .filter((each) => each >= 0)
+    .map(String);
 }
 
 /** Whether an event comes after another one, as far as it can be told from their ids alone. */
@@ -30,9 +47,9 @@
 
 /** Ids of the events that the caller has received. */
 export class EventSequence {
-  #lastId: string | undefined;
+  #recentIds: string[] = [];
 
-  #previousId: string | undefined;
+  #count = 0;
 
   /** Undefined before the second id, and once the ids have not risen by a constant step. */
   #step: number | undefined;
@@ -41,19 +58,25 @@
 
   /** Id of the last event that has one. */
   get lastId(): string | undefined {
-    return this.#lastId;
+    return this.#recentIds.at(-1);
+  }
+
+  /** Ids of the last events that have one, in order. */
+  get recentIds(): readonly string[] {
+    return this.#recentIds;
   }
 
-  /** Id of the event before the last one that has an id. */
-  get previousId(): string | undefined {
-    return this.#previousId;
+  /** Number of events that have an id. */
+  get count(): number {
+    return this.#count;
   }
 
   /** Whether an id, undefined if the event has none, can be that of the next event. */
   canFollow(id: string | undefined): boolean {
-    if (this.#lastId === undefined) return true;
-    if (id === undefined || id === this.#lastId) return false;
-    const last = parseInteger(this.#lastId);
+    const { lastId } = this;
+    if (lastId === undefined) return true;
+    if (id === undefined || id === lastId) return false;
+    const last = parseInteger(lastId);
     const next = parseInteger(id);
     if (last === undefined || next === undefined) return true;
     return this.#isRegular ? next === last + (this.#step ?? DEFAULT_STEP) : next > last;
@@ -63,14 +86,15 @@
   append(ids: readonly string[]): void {
     ids.forEach((id) => {
       this.#observeStep(id);
-      this.#previousId = this.#lastId;
-      this.#lastId = id;
+      this.#recentIds = [...this.#recentIds, id].slice(-RECENT_IDS_MAX);
     });
+    this.#count += ids.length;
   }
 
   #observeStep(id: string): void {
-    if (this.#lastId === undefined || !this.#isRegular) return;
-    const last = parseInteger(this.#lastId);
+    const { lastId } = this;
+    if (lastId === undefined || !this.#isRegular) return;
+    const last = parseInteger(lastId);
     const next = parseInteger(id);
     if (last === undefined || next === undefined) return;
     const step = next - last;
--- a/packages/core/src/direct/eventSplitter.ts
+++ b/packages/core/src/direct/eventSplitter.ts
@@ -13,6 +13,9 @@
 
 const ID_FIELD = /(?:^|\n)id:[ ]?([^\r\n]*)/gu;
 
+/** Start of a line that is neither blank nor a comment. */
+const FIELD = /(?:^|\n)[^:\r\n]/u;
+
 const DATA_FIELD = /(?:^|\n)data[:\r\n]/u;
 
 /** Maximum size of one event, far above that of the tokens of any pass. */
@@ -21,6 +24,8 @@
 /** Complete events, as they are forwarded to the caller. */
 export interface CompleteEvents {
   readonly data: Buffer;
+  /** Offset of the end of each event. */
+  readonly ends: readonly number[];
   readonly count: number;
   /** Ids of the events that have one, in order. */
   readonly ids: readonly string[];
@@ -28,22 +33,35 @@
   readonly isComment: boolean;
 }
 
-const EVENT_END = /\r?\n\r?\n/u;
+function listIds(text: string): readonly string[] {
+  return [...text.matchAll(ID_FIELD)].map(([, id = '']) => id);
+}
 
-/** Removes all events up to the first one that has an id; the rest can be empty. */
-export function skipFirstId({ data, count, ids }: CompleteEvents): CompleteEvents {
+function describeEvents(data: Buffer, ends: readonly number[]): CompleteEvents {
   const text = data.toString('latin1');
-  const idAt = text.search(ID_FIELD) + 1;
-  const end = EVENT_END.exec(text.slice(idAt));
-  const skippedBytes = end ? idAt + end.index + end[0].length : data.length;
-  const skipped = text.slice(0, skippedBytes).split(EVENT_END);
-  const rest = data.subarray(skippedBytes);
-  return {
-    data: rest,
-    count: count - skipped.filter((event) => event.trim() !== '').length,
-    ids: ids.slice(1),
-    isComment: ids.length === 1 && !DATA_FIELD.test(rest.toString('latin1')),
-  };
+  const ids = listIds(text);
+  const isComment = ids.length === 0 && !DATA_FIELD.test(text);
+  return { data, ends, count: ends.length, ids, isComment };
+}
+
+/** @returns the first event that has an id, and its index; undefined where there is none */
+export function findFirstId({
+  data,
+  ends,
+}: CompleteEvents): { readonly id: string; readonly index: number } | undefined {
+  for (let index = 0; index < ends.length; index += 1) {
+    const text = data.toString('latin1', ends[index - 1] ?? 0, ends[index]);
+    const [id] = listIds(text);
+    if (id !== undefined) return { id, index };
+  }
+  return undefined;
+}
+
+/** Removes a number of events from the start; the rest can be empty. */
+export function skipEvents({ data, ends }: CompleteEvents, skippedCount: number): CompleteEvents {
+  const skippedBytes = ends[skippedCount - 1] ?? 0;
+  const rest = ends.slice(skippedCount).map((end) => end - skippedBytes);
+  return describeEvents(data.subarray(skippedBytes), rest);
 }
 
 /** Splits the events of one upstream response. */
@@ -61,9 +79,9 @@
 
   #isOversized = false;
 
-  /** Whether bytes of an incomplete event are held back. */
+  /** Whether part of an event is held back; blank lines and comments are no part of one. */
   get isMidEvent(): boolean {
-    return this.#pending.sizeBytes > 0;
+    return this.#isOversized || FIELD.test(this.#pending.peek().toString('latin1'));
   }
 
   /** Memory in use for the incomplete event. */
@@ -79,36 +97,37 @@
   /** @returns the events that are complete now; undefined where there is none */
   push(chunk: Buffer): CompleteEvents | undefined {
     if (this.#isOversized) return undefined;
-    const { end, count } = this.#findEnds(chunk);
-    const complete =
-      end > 0 ? Buffer.concat([this.#pending.take(), chunk.subarray(0, end)]) : undefined;
-    this.#keepPending(chunk.subarray(end));
-    if (!complete) return undefined;
-    const text = complete.toString('latin1');
-    const ids = [...text.matchAll(ID_FIELD)].map(([, id = '']) => id);
-    return { data: complete, count, ids, isComment: ids.length === 0 && !DATA_FIELD.test(text) };
+    const ends = this.#findEnds(chunk);
+    const lastEnd = ends.at(-1);
+    if (lastEnd === undefined) {
+      this.#keepPending(chunk);
+      return undefined;
+    }
+    const pending = this.#pending.take();
+    const data = Buffer.concat([pending, chunk.subarray(0, lastEnd)]);
+    this.#keepPending(chunk.subarray(lastEnd));
+    return describeEvents(
+      data,
+      ends.map((end) => pending.length + end),
+    );
   }
 
-  /**
-   * Returns the end of the last complete event in a chunk, and the number of events that end in it.
-   */
-  #findEnds(chunk: Buffer): { readonly end: number; readonly count: number } {
-    let end = 0;
-    let count = 0;
+  /** Returns the offsets at which events end in a chunk. */
+  #findEnds(chunk: Buffer): readonly number[] {
+    const ends: number[] = [];
     let lineStart = 0;
     for (let at = chunk.indexOf(LINE_FEED); at >= 0; at = chunk.indexOf(LINE_FEED, at + 1)) {
       this.#noteLineBytes(chunk, lineStart, at);
       if (!this.#isLineBlank) this.#hasContent = true;
       else if (this.#hasContent) {
         this.#hasContent = false;
-        end = at + 1;
-        count += 1;
+        ends.push(at + 1);
       }
       this.#lineBytes = 0;
       lineStart = at + 1;
     }
     this.#noteLineBytes(chunk, lineStart, chunk.length);
-    return { end, count };
+    return ends;
   }
 
   #noteLineBytes(chunk: Buffer, start: number, end: number): void {
--- a/packages/core/src/direct/growingBuffer.ts
+++ b/packages/core/src/direct/growingBuffer.ts
@@ -29,6 +29,11 @@
     this.#sizeBytes = sizeBytes;
   }
 
+  /** Returns all buffered bytes, which the next change of the buffer invalidates. */
+  peek(): Buffer {
+    return this.#bytes.subarray(0, this.#sizeBytes);
+  }
+
   /** Returns all buffered bytes and empties the buffer. */
   take(): Buffer {
     const taken = this.#bytes.subarray(0, this.#sizeBytes);
--- a/packages/core/src/direct/poolAdmission.ts
+++ b/packages/core/src/direct/poolAdmission.ts
@@ -10,7 +10,6 @@
 
 import type { Refusal } from '../model/reason.js';
 import type { RequestSize } from '../model/requestSize.js';
-import { AnswerFraming } from '../ports/caller.js';
 import { LogLevel, type Log, type LogFields } from '../ports/log.js';
 import type { Metrics } from '../ports/metrics.js';
 import type { Random } from '../ports/random.js';
@@ -32,6 +31,7 @@
 import type { BreakerChangeSource, PoolBreaker } from './poolBreaker.js';
 import { PoolCapacity } from './poolCapacity.js';
 import { PoolRefusals } from './poolRefusals.js';
+import { RestHistory } from './restHistory.js';
 import type { DirectPool } from './routeTable.js';
 import { ShareTelemetry } from './sharing/shareTelemetry.js';
 import { weighRequest, type WorkspaceClaim } from './sharing/workspaceClaim.js';
@@ -112,7 +112,7 @@
   /** Less urgent requests that have yielded since the last one that did not. */
   #yieldCount = 0;
 
-  #hasUnframedRests = false;
+  readonly rests = new RestHistory();
 
   /** Set where the pool's requests differ in priority by their routes. */
   #urgency: PoolUrgency | undefined;
@@ -335,19 +335,6 @@
     return found && this.#breaker.tryPass(nowMs) ? found : undefined;
   }
 
-  /** Records how a response to a request for the rest of a stream is delimited. */
-  noteRest(framing: AnswerFraming): void {
-    this.#hasUnframedRests = framing === AnswerFraming.UntilClose;
-  }
-
-  /**
-   * Whether the last rest of a stream was unframed. One that has no events shows nothing about the
-   * end of the stream then.
-   */
-  get hasUnframedRests(): boolean {
-    return this.#hasUnframedRests;
-  }
-
   /** Whether one of some upstreams is in service, whether or not it has capacity. */
   isAnyInService(ids: readonly string[]): boolean {
     return this.#findUpstreams(ids).some((each) => isInService(this.#options.board, each));
--- a/packages/core/src/direct/responseBuilder.ts
+++ b/packages/core/src/direct/responseBuilder.ts
@@ -7,18 +7,17 @@
  *
  * A stream is delimited for the caller even if the upstream does not do so: otherwise the events
  * forwarded before the end of this process would look like all of them. It is ended only once its
- * end is proved: by the framing of the upstream's response, or by further attempts ({@link
- * EndProof}). A plain response without framing is forwarded without one, since it may have been
- * truncated at the upstream.
+ * end is proved: by the framing of the upstream's response, or by further attempts. A plain
+ * response without framing is forwarded without one, since it may have been truncated.
  */
 import { AnswerFraming, type Caller } from '../ports/caller.js';
 import type { AnswerHead } from '../ports/upstreamCaller.js';
 
-import { EndProof } from './endProof.js';
-import { EventSequence, isLaterId, readPrecedingId } from './eventSequence.js';
-import { EventSplitter, skipFirstId, type CompleteEvents } from './eventSplitter.js';
+import { EventSplitter } from './eventSplitter.js';
 import { GrowingBuffer } from './growingBuffer.js';
 import { ResponseEnd } from './responseEnd.js';
+import type { RestHistory } from './restHistory.js';
+import { StreamProgress } from './streamProgress.js';
 
 /** Bytes of a plain response that are buffered at most. */
 const BUFFERED_BYTES_MAX = 256 * 1024;
@@ -46,6 +45,15 @@
   return headers['content-type']?.split(';', 1)[0]?.trim().toLowerCase();
 }
 
+export interface ResponseBuilderOptions {
+  readonly caller: Caller;
+  readonly isStream: boolean;
+  /** How the rests of streams of the request's pool have ended. */
+  readonly rests: RestHistory;
+  /** Id of the event after which the caller resumes a stream; undefined where it resumes none. */
+  readonly resumeAfterId?: string | undefined;
+}
+
 /** Builds the response to one request. */
 export class ResponseBuilder {
   readonly #caller: Caller;
@@ -57,16 +65,6 @@
   /** Framing of the current attempt's response. */
   #framing = AnswerFraming.Delimited;
 
-  /** Whether the current attempt's response has had an event that the caller did not have. */
-  #hasNewEvents = false;
-
-  /** Whether the current attempt was asked to repeat the caller's last event. */
-  #isRepeatDue = false;
-
-  #hasRepeatedEvent = false;
-
-  #isResumed = false;
-
   #splitter = new EventSplitter();
 
   readonly #buffered = new GrowingBuffer();
@@ -84,22 +82,14 @@
   /** Memory in use, as the caller has been told. */
   #heldBytes = 0;
 
-  /** Events that the caller has received. */
-  readonly #sequence = new EventSequence();
-
-  readonly #endProof: EndProof;
-
-  /** Id of the event after which the caller itself resumes the stream. */
-  readonly #resumeAfterId: string | undefined;
+  readonly #progress: StreamProgress;
 
   #isMisplaced = false;
 
-  /** @param resumeAfterId id of the event after which the caller resumes a stream, if it does */
-  constructor(caller: Caller, isStream: boolean, resumeAfterId?: string) {
+  constructor({ caller, isStream, rests, resumeAfterId }: ResponseBuilderOptions) {
     this.#caller = caller;
     this.#isStream = isStream;
-    this.#resumeAfterId = resumeAfterId;
-    this.#endProof = new EndProof(resumeAfterId !== undefined);
+    this.#progress = new StreamProgress(rests, resumeAfterId);
   }
 
   /** Whether part of the response has been sent to the caller. */
@@ -120,40 +110,17 @@
 
   /** Id of the last event that was sent to the caller. */
   get lastEventId(): string | undefined {
-    return this.#sequence.lastId;
+    return this.#progress.lastEventId;
   }
 
-  /** Whether an attempt has claimed that the stream ends after the caller's last event. */
+  /** See {@link StreamProgress.isEndClaimed}. */
   get isEndClaimed(): boolean {
-    return this.#endProof.isClaimed;
+    return this.#progress.isEndClaimed;
   }
 
-  /**
-   * Upstreams that can be asked to repeat the caller's last event: those whose responses ended
-   * regularly after it, the latest first.
-   */
+  /** See {@link StreamProgress.endedUpstreams}. */
   get endedUpstreams(): readonly string[] {
-    return this.#canBeRepeated ? this.#endProof.endedUpstreams : [];
-  }
-
-  get #canBeRepeated(): boolean {
-    return this.#isCommitted || this.#precedingId !== undefined;
-  }
-
-  /** Id of the last event that the caller has, from this response or an earlier one. */
-  get #knownId(): string | undefined {
-    return this.#sequence.lastId ?? this.#resumeAfterId;
-  }
-
-  /** Id of the event before the last one; undefined where the caller asked for the last one. */
-  get #precedingId(): string | undefined {
-    if (this.#sequence.lastId !== undefined) return this.#sequence.previousId;
-    return this.#resumeAfterId === undefined ? undefined : readPrecedingId(this.#resumeAfterId);
-  }
-
-  /** Whether the current attempt was asked for the rest of a stream. */
-  get isResumed(): boolean {
-    return this.#isResumed;
+    return this.#progress.endedUpstreams;
   }
 
   /** Whether an event exceeded the size limit, which no engine's events reach. */
@@ -168,34 +135,23 @@
 
   /** Assesses the end of an attempt's response, all of which has been received. */
   assessEnd(upstream: string): ResponseEnd {
-    if (this.#splitter.isMidEvent) return ResponseEnd.WithinEvent;
+    if (this.#splitter.isMidEvent) {
+      if (this.#framing === AnswerFraming.UntilClose) this.#progress.noteCut();
+      return ResponseEnd.WithinEvent;
+    }
     if (!this.#isStream || !this.isSuccess) return ResponseEnd.Complete;
-    const isDelimited = this.#framing === AnswerFraming.Delimited;
-    if (isDelimited && !this.#isResumed) return ResponseEnd.Complete;
-    if (this.#knownId === undefined) return ResponseEnd.Empty;
-    return this.#endProof.add({
-      upstream,
-      isDelimited,
-      hasNewEvents: this.#hasNewEvents,
-      hasRepeatedEvent: this.#hasRepeatedEvent,
-    });
+    return this.#progress.assessEnd(upstream, this.#framing);
   }
 
-  /**
-   * Prepares for the response of an attempt.
-   *
-   * @param isUnframed whether the pool's responses with the rest of a stream are unframed
-   * @returns id of the event after which the stream is to be resumed; undefined where the attempt
-   *   starts where the caller does
-   */
-  prepareAttempt(upstream: string, isUnframed: boolean): string | undefined {
-    this.#isRepeatDue =
-      this.#canBeRepeated &&
-      (this.#endProof.isInconclusive ||
-        this.endedUpstreams.includes(upstream) ||
-        (isUnframed && this.isEndClaimed));
-    this.#isResumed = this.#isCommitted || this.#isRepeatDue;
-    return this.#isRepeatDue ? this.#precedingId : this.#sequence.lastId;
+  /** See {@link StreamProgress.prepareAttempt}. */
+  prepareAttempt(upstream: string): string | undefined {
+    this.#splitter = new EventSplitter();
+    return this.#progress.prepareAttempt(upstream);
+  }
+
+  /** Records that an attempt has failed; part of a further event shows that there is one. */
+  noteFailedAttempt(): void {
+    if (this.#splitter.isMidEvent) this.#progress.noteIncompleteEvent();
   }
 
   /** Whether the response of an attempt can continue what has been sent to the caller. */
@@ -215,8 +171,6 @@
     this.#buffered.take();
     this.#bytesSinceProgress = PROGRESS_BYTES;
     this.#framing = head.framing;
-    this.#hasNewEvents = false;
-    this.#hasRepeatedEvent = false;
     this.#isMisplaced = false;
     this.#holdMemory(0, false);
     if (!this.#isCommitted) this.#head = head;
@@ -245,36 +199,12 @@
     // Without room the request has been ended, and its caller answered.
     const hasRoom = this.#holdMemory(this.#splitter.pendingBytes, true);
     if (!received || !hasRoom) return { events: 0, isProgress: false, isCallerReady: true };
-    const complete = this.#skipRepeatedEvent(received);
-    if (complete.count === 0) return { events: 0, isProgress: true, isCallerReady: true };
-    if (!this.#hasNewEvents && !complete.isComment && !this.#canGoOnWith(complete.ids[0])) {
-      this.#isMisplaced = true;
-      return { events: 0, isProgress: false, isCallerReady: true };
-    }
-    if (!complete.isComment) {
-      this.#hasNewEvents = true;
-      this.#endProof.reset();
-    }
-    this.#sequence.append(complete.ids);
+    const { events, isMisplaced } = this.#progress.accept(received);
+    this.#isMisplaced = isMisplaced;
+    if (!events) return { events: 0, isProgress: !isMisplaced, isCallerReady: true };
     this.#commit({});
-    const isCallerReady = this.#caller.writeData(complete.data);
-    return { events: complete.count, isProgress: true, isCallerReady };
-  }
-
-  /** Whether the first new event of the attempt can have an id, undefined if it has none. */
-  #canGoOnWith(id: string | undefined): boolean {
-    if (this.#sequence.lastId !== undefined) return this.#sequence.canFollow(id);
-    if (this.#resumeAfterId === undefined || !this.#isResumed) return true;
-    return isLaterId(id, this.#resumeAfterId);
-  }
-
-  /** Removes the event that the attempt was asked to repeat, if it comes first. */
-  #skipRepeatedEvent(received: CompleteEvents): CompleteEvents {
-    if (!this.#isRepeatDue || received.isComment) return received;
-    this.#isRepeatDue = false;
-    if (received.ids[0] !== this.#knownId) return received;
-    this.#hasRepeatedEvent = true;
-    return skipFirstId(received);
+    const isCallerReady = this.#caller.writeData(events.data);
+    return { events: events.count, isProgress: true, isCallerReady };
   }
 
   #pushBody(data: Buffer): PieceResult {
--- a/packages/core/src/direct/retryDecision.ts
+++ b/packages/core/src/direct/retryDecision.ts
@@ -63,13 +63,12 @@
    * Chooses an upstream that confirms the end of a stream, of those whose responses have ended
    * there; fails with the reason why there is none.
    */
-  chooseConfirming(nowMs: number, excluded?: string): Result<DirectUpstream, GiveUpReason> {
+  chooseConfirming(nowMs: number): Result<DirectUpstream, GiveUpReason> {
     const { admission, endAtMs, history, request, response, route } = this.#options;
     if (nowMs >= endAtMs) return Err(GiveUpReason.TimeOver);
     if (!request.body.isRepeatable) return Err(GiveUpReason.BodyPassedOn);
     if (!history.canConfirmAgain(route)) return Err(GiveUpReason.AttemptsSpent);
-    const candidates = response.endedUpstreams.filter((id) => id !== excluded);
-    const upstream = admission.findForConfirmation(candidates, nowMs);
+    const upstream = admission.findForConfirmation(response.endedUpstreams, nowMs);
     return upstream ? Ok(upstream) : Err(GiveUpReason.NoUpstream);
   }
 
@@ -93,7 +92,7 @@
       isPoolLive &&
       history.canSendAgain(route) &&
       admission.chooseUpstream(excluded, nowMs, cost) !== undefined;
-    return isReplaceable || this.chooseConfirming(nowMs, upstream).ok;
+    return isReplaceable || this.chooseConfirming(nowMs).ok;
   }
 
   /**
--- a/packages/core/src/direct/sendHistory.ts
+++ b/packages/core/src/direct/sendHistory.ts
@@ -13,7 +13,7 @@
 const INTERRUPTED_SENDS_MAX = 10;
 
 /** Sends to upstreams that have ended the stream already, to confirm its end. */
-const CONFIRMING_SENDS_MAX = 4;
+const CONFIRMING_SENDS_MAX = 6;
 
 /** One send, and how it ended; undefined while it is in progress. */
 interface Send {
--- a/packages/core/test/direct/eventSplitter.test.ts
+++ b/packages/core/test/direct/eventSplitter.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
-import { EventSplitter, skipFirstId } from '../../src/direct/eventSplitter.js';
+import { EventSplitter, findFirstId, skipEvents } from '../../src/direct/eventSplitter.js';
 
 function splitAt(text: string, cuts: readonly number[]): readonly string[] {
   const sorted = [...new Set(cuts.map((cut) => cut % text.length))].sort((a, b) => a - b);
@@ -39,7 +39,7 @@
   assert.ok(splitter.isMidEvent);
 });
 
-test('the events up to the first id are removed, however they are written', () => {
+test('events are found and removed, however they are written', () => {
   const end = fc.constantFrom('\n', '\r\n');
   const body = fc.constantFrom('data: a', 'data: \u{1f514}', 'event: note', ': id: 9');
   const blankLines = fc.nat(2);
@@ -55,7 +55,9 @@
       const rest = others.map(({ write, lineEnd }, at) => write(String(at + 2)) + lineEnd).join('');
       const events = new EventSplitter().push(Buffer.from(start + rest));
       assert.ok(events);
-      const kept = skipFirstId(events);
+      const found = findFirstId(events);
+      assert.equal(found, { id: '1', index: comments.length });
+      const kept = skipEvents(events, comments.length + 1);
       assert.equal([kept.data.toString().trim(), kept.count], [rest.trim(), others.length]);
       assert.equal(
         kept.ids,
@@ -65,4 +67,14 @@
   );
 });
 
+['\n', '\r\n', ': comment\n', ': comment', '\n: comment\n\n'].forEach((text) => {
+  test(`${JSON.stringify(text)} behind an event is no part of one`, () => {
+    const splitter = new EventSplitter();
+    splitter.push(Buffer.from(`id: 1\n\n${text}`));
+    assert.not.ok(splitter.isMidEvent);
+    splitter.push(Buffer.from('\nd'));
+    assert.ok(splitter.isMidEvent);
+  });
+});
+
 test.run();
--- a/packages/core/test/direct/responseBuilder.test.ts
+++ b/packages/core/test/direct/responseBuilder.test.ts
@@ -3,6 +3,7 @@
 import * as assert from 'uvu/assert';
 
 import { ResponseBuilder } from '../../src/direct/responseBuilder.js';
+import { RestHistory } from '../../src/direct/restHistory.js';
 import { AnswerFraming, Caller } from '../../src/ports/caller.js';
 import type { AnswerHead } from '../../src/ports/upstreamCaller.js';
 
@@ -36,7 +37,11 @@
 }
 
 test('no event is forwarded once holding the next one has ended the request', () => {
-  const response = new ResponseBuilder(new ShortCaller(), true);
+  const response = new ResponseBuilder({
+    caller: new ShortCaller(),
+    isStream: true,
+    rests: new RestHistory(),
+  });
   response.begin({
     status: 200,
     headers: {},
--- a/packages/core/test/direct/unconfirmedEnd.test.ts
+++ b/packages/core/test/direct/unconfirmedEnd.test.ts
@@ -28,10 +28,14 @@
 
 type Response = (call: FakeCall) => void;
 
+/** Reads the id of the event after which a call asks for events. */
+function readAfterId({ call }: FakeCall): number {
+  return Number(call.resumeAfterId ?? call.request.resumeAfterId ?? 0);
+}
+
 /** Sends the events after the one that the call asks for. */
 function sendRest(call: FakeCall, lastId = LAST_ID): FakeCall {
-  const { request, resumeAfterId } = call.call;
-  const afterId = Number(resumeAfterId ?? request.resumeAfterId ?? 0);
+  const afterId = readAfterId(call);
   const ids = Array.from({ length: Math.max(0, lastId - afterId) }, (_, at) => afterId + at + 1);
   return ids.length === 0 ? call : call.sendEvents(...ids);
 }
@@ -117,10 +121,26 @@
   });
 });
 
+/** Gives one event that the call asks for, and ends the connection. */
+const giveOne: Response = (call) => {
+  const afterId = readAfterId(call);
+  call
+    .head(UNFRAMED)
+    .sendEvents(afterId + 1)
+    .end();
+};
+
+/** Shows part of the event after the ones that the call has to repeat. */
+const cutWithin: Response = (call) =>
+  sendRest(call.head(UNFRAMED), CUT_AFTER)
+    .send(`id: ${CUT_AFTER + 1}\nda`)
+    .end();
+
 const CUT_STREAMS: Readonly<Record<string, readonly Response[]>> = {
   'whose rests are empty and unframed': [cutUnframed, giveEmpty],
   'that is reset, and whose rests are empty and unframed': [breakOff, giveEmpty],
   'that is reset, and whose rests are denied by one upstream': [breakOff, denyRest],
+  'with a response that begins the next event': [cutUnframed, cutWithin, giveEmpty],
 };
 
 Object.entries(CUT_STREAMS).forEach(([name, responses]) => {
@@ -132,6 +152,34 @@
     }));
 });
 
+test('a stream is not complete by responses that end after one event each', () =>
+  withClock((clock) => {
+    const caller = play(createEntry(3), clock, [giveOne], { limitMs: PATIENCE_MS });
+    assert.equal(caller.ends, ['abort']);
+  }));
+
+test('a stream is confirmed twice where another one was cut lately', () =>
+  withClock((clock) => {
+    const entry = createEntry(3);
+    play(entry, clock, [cutUnframed, giveDelimited]);
+    const before = entry.calls.length;
+    const caller = play(entry, clock, [cutUnframed, giveEmpty, cutUnframed, giveUnframed]);
+    assert.is(caller.text, writeEvents(LAST_ID));
+    assert.equal(caller.ends, ['end']);
+    assert.equal(
+      entry.calls.slice(before).map(({ call }) => call.resumeAfterId),
+      [undefined, '2', '1', '1', '4', '3'],
+    );
+  }));
+
+test('a comment is sent once, however often the end of a stream is confirmed', () =>
+  withClock((clock) => {
+    const comment = ': done\n\n';
+    const give: Response = (call) => sendRest(call.head(UNFRAMED)).send(comment).end();
+    const caller = play(createEntry(3), clock, [give, giveEmpty, give]);
+    assert.equal([caller.ends, caller.text], [['end'], writeEvents(LAST_ID) + comment]);
+  }));
+
 const RESUMED_STREAMS: Readonly<Record<string, readonly Response[]>> = {
   'after an empty unframed rest': [cutUnframed, giveEmpty, giveUnframed],
   'after a reset': [cutUnframed, reset, giveUnframed],
@@ -165,6 +213,13 @@
     assert.equal(caller.ends, ['end']);
   }));
 
+test('the only upstream is asked again if it hangs', () =>
+  withClock((clock) => {
+    const responses = [giveUnframed, hang, giveUnframed];
+    const caller = play(createEntry(1), clock, responses, { limitMs: PATIENCE_MS });
+    assert.equal(caller.ends, ['end']);
+  }));
+
 test('a stream that waits for its confirmation takes no probe of a stalled pool', () =>
   withClock((clock) => {
     const routes = [{ ...BASE_ROUTE, attempts: 3 }];
