Tell an end behind which a reset follows from a reset

Its worker was ejected, and an order that a rank had accepted counted as lost.

Cause: ResponseReader took every connection without a peer at 'end' for one that was reset on the way. If a process finds the end and the reset in the same turn, the peer is gone for a whole answer too. Class: a state that two histories lead to is taken for one of them.

Now an empty write at 'end' reads the error that Linux keeps: EPIPE if the end had been received before the reset, ECONNRESET otherwise. The kernel takes an end only behind all data, and the data stays readable. The end of the response is held back until the write has called back. A refusal by Node, which also has the code EPIPE but no system call, proves nothing, nor does EPIPE on other systems.

Known red, new: an answer whose end and reset arrive while the request's body is still being sent is thrown away as before, as Node destroys the connection before the empty write runs.

--- a/packages/objects/src/responseReader.ts
+++ b/packages/objects/src/responseReader.ts
@@ -5,11 +5,12 @@
  * of these counts as a response, and the connection is closed.
  */
 import type { ClientRequest, IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
 
 import { toError } from '@radishbay/core/fault.js';
 import { isFinalStatus } from '@radishbay/core/model/responseStatus.js';
 
-import { onResetAtEnd } from './connectionReset.js';
+import { findLostPeerEnd, LostPeerEnd, onEndWithoutPeer } from './connectionReset.js';
 import { HeadInspector } from './headInspector.js';
 
 /** Maximum size of a response's headers, and of its trailers. */
@@ -90,8 +91,14 @@
 
   #isDone = false;
 
+  /** Whether it is not known yet how the connection ended, and so whether the response is whole. */
+  #isEndPending = false;
+
+  /** Whether the response has ended meanwhile. */
+  #isEndHeld = false;
+
   /** A response without a body, such as a 204, leaves its connection open for the next request. */
-  #unwatchReset: (() => void) | undefined;
+  #unwatchEnd: (() => void) | undefined;
 
   /** @param request created with {@link HEAD_BYTES_MAX} as `maxHeaderSize` */
   constructor(request: ClientRequest, events: ResponseEvents) {
@@ -161,9 +168,8 @@
       if (!response.complete) this.fail('the response was truncated');
     });
     if (!isDelimited(response)) {
-      this.#unwatchReset = onResetAtEnd(response.socket, () => {
-        this.fail('the connection was reset');
-      });
+      const { socket } = response;
+      this.#unwatchEnd = onEndWithoutPeer(socket, () => this.#proveEnd(socket));
     }
     this.#events.onHead(response);
     if (this.#isDone) return;
@@ -200,11 +206,29 @@
 
   #handleEnd(isWhole: boolean): void {
     if (this.#isDone || !isWhole) return;
+    if (this.#isEndPending) {
+      this.#isEndHeld = true;
+      return;
+    }
     this.#isDone = true;
-    this.#unwatchReset?.();
+    this.#unwatchEnd?.();
     this.#events.onEnd();
   }
 
+  #proveEnd(socket: Socket): void {
+    this.#isEndPending = true;
+    findLostPeerEnd(socket, (end) => this.#run(() => this.#handleLostPeerEnd(end)));
+  }
+
+  #handleLostPeerEnd(end: LostPeerEnd): void {
+    if (end === LostPeerEnd.Reset) {
+      this.fail('the connection was reset');
+      return;
+    }
+    this.#isEndPending = false;
+    if (this.#isEndHeld) this.#handleEnd(true);
+  }
+
   #handleError(error: NodeJS.ErrnoException): void {
     const isEndless = error.code !== undefined && OVERFLOW_CODES.has(error.code);
     this.fail(error.message || 'the connection failed', isEndless);
