Tell the end of a response whose bytes were dropped

Callers that had all bytes of a response were reset when their entry lost the link before the end came: the side process had meanwhile dropped the bytes, as delivered responses go first above 8 MiB, and answered the inquiry at the last offset as lost.

canSendFrom refused every offset of a dropped response. It now allows the end offset of one that is complete: head and end are still there, and no byte is missing. An offset before that stays lost (new test), as does any offset while the call runs.

--- a/packages/core/src/side/responseDelivery.ts
+++ b/packages/core/src/side/responseDelivery.ts
@@ -85,9 +85,12 @@
     return this.#isEndSent;
   }
 
-  /** Whether the response can be sent from this offset. */
+  /**
+   * Whether the response can be sent from this offset. Of a complete response whose bytes were
+   * dropped, the head and the end can still be sent.
+   */
   canSendFrom(offset: number): boolean {
-    if (this.#isDiscarded) return false;
+    if (this.#isDiscarded) return this.#isComplete && offset === this.#buffer.endOffset;
     return offset >= this.#buffer.startOffset && offset <= this.#buffer.endOffset;
   }
 
@@ -139,7 +142,7 @@
     this.#buffer.releaseBefore(Math.min(this.#acknowledgedOffset, this.#sentOffset));
   }
 
-  /** Drops the response: it can't be sent any more. */
+  /** Drops the bytes of the response: they can't be sent any more. */
   discard(): void {
     this.#isDiscarded = true;
     this.detach();
--- a/packages/core/test/side/endedAttempts.test.ts
+++ b/packages/core/test/side/endedAttempts.test.ts
@@ -20,9 +20,9 @@
 
 const test = suite('ended attempts');
 
-/** Guards against a whole response that is given up because only its end was lost. */
-test('the end of a response is told after its bytes were dropped', () =>
-  withSide(
+/** Runs a test with an entry that inquires after the response of `a1` was sent and dropped. */
+function withDropped(run: (successor: TestEntry) => void): Promise<void> {
+  return withSide(
     async ({ clock, engine, node }, entry) => {
       entry.submit('a1');
       await clock.tickAsync(SETTLE_MS);
@@ -37,13 +37,28 @@
       entry.link.close('cut');
       const successor = new TestEntry(entry.name);
       successor.connect(node);
-      successor.inquire('a1', RESPONSE_BYTES);
-      const [answer] = successor.list(MessageType.InquiryAnswer);
-      assert.is(answer?.state, AttemptState.Finished);
-      assert.is(successor.list(MessageType.End)[0]?.totalBytes, RESPONSE_BYTES);
+      run(successor);
     },
     { coldLimit: LARGE_COUNT, warmLimit: LARGE_COUNT },
-  ));
+  );
+}
+
+/** Guards against a whole response that is given up because only its end was lost. */
+test('the end of a response is told after its bytes were dropped', () =>
+  withDropped((successor) => {
+    successor.inquire('a1', RESPONSE_BYTES);
+    const [answer] = successor.list(MessageType.InquiryAnswer);
+    assert.is(answer?.state, AttemptState.Finished);
+    assert.is(successor.list(MessageType.End)[0]?.totalBytes, RESPONSE_BYTES);
+  }));
+
+test('a response whose bytes were dropped is lost for an entry that lacks one of them', () =>
+  withDropped((successor) => {
+    successor.inquire('a1', RESPONSE_BYTES - 1);
+    const [answer] = successor.list(MessageType.InquiryAnswer);
+    assert.is(answer?.state, AttemptState.Lost);
+    assert.is(successor.list(MessageType.End).length, 0);
+  }));
 
 /** Guards against a whole response that is dropped while its caller reads slowly. */
 test('a response that waits for credit is kept until it has been sent', () =>
