Keep complete responses that a session waits for

Callers that read slowly were cut 60 s after their upstream had ended, though their entry waited for the rest: the side process forgot ended attempts after attemptKeptMs, and the oldest one of 10,000, whoever waited. Deadlines may be up to 1 h.

An attempt with a session that has not been sent its whole response is now kept up to the deadline of its submission, and is passed over where 10,000 records are reached. What bounds it:

- Records: still 10,000.
At most 1,000 that wait are passed over; then the oldest one goes.
- Bytes: those past attemptKeptMs count towards the 8 MiB and go before responses without a session, so none is dropped that was kept before.
- Time: the deadline, for an entry that has given an attempt up without a word.
A cancelled repeatable attempt that has ended gives its response up at once; before, it kept its session, and a planned stop waited for it.

--- a/packages/core/src/side/attempt.ts
+++ b/packages/core/src/side/attempt.ts
@@ -85,6 +85,8 @@
 
   #lastChunkAtMs: number | undefined;
 
+  #deadlineAtMs = Number.NEGATIVE_INFINITY;
+
   #deadlineTimer: NodeJS.Timeout | undefined;
 
   #orphanTimer: NodeJS.Timeout | undefined;
@@ -129,10 +131,17 @@
     return this.#phase === AttemptPhase.Finished && !this.isDelivered;
   }
 
+  /** Whether a session waits for the rest of a complete response before the deadline. */
+  isWaiting(nowMs: number): boolean {
+    const isDue = this.#phase === AttemptPhase.Finished && nowMs <= this.#deadlineAtMs;
+    return isDue && this.session !== undefined && !this.isDelivered;
+  }
+
   /** Starts the call to the engine and delivers its response to the session. */
   start(submit: MessageOf<MessageType.Submit>, engine: Engine, session: LinkSession): void {
     this.#delivery.attach(session, 0, submit.creditBytes);
     const remainingMs = Math.min(submit.remainingMs, MAX_TIMER_MS);
+    this.#deadlineAtMs = readClockMs() + remainingMs;
     this.#deadlineTimer = setTimeout(() => this.abandon(RefusalReason.DeadlinePassed), remainingMs);
     this.#run = engine.start(
       {
@@ -185,10 +194,14 @@
     this.#updateBackpressure();
   }
 
-  /** Cancels a repeatable attempt; a non-repeatable one continues without a session. */
+  /**
+   * Cancels a repeatable attempt, or drops its complete response; a non-repeatable one continues
+   * without a session.
+   */
   cancel(): void {
-    if (this.isRepeatable) this.#cancelRun();
-    else this.detach();
+    if (!this.isRepeatable) this.detach();
+    else if (this.#phase === AttemptPhase.Finished) this.discardResponse();
+    else this.#cancelRun();
   }
 
   /** Cancels a running repeatable attempt and reports the reason to the entry. */
--- a/packages/core/src/side/attemptRecords.ts
+++ b/packages/core/src/side/attemptRecords.ts
@@ -11,6 +11,9 @@
  * An ended attempt that was forgotten must not be mistaken for one that was never received. An
  * inquiry names a tick received no later than its submission was sent: if that tick is newer than
  * the echo of all forgotten attempts, the attempt in question is not one of them.
+ *
+ * A complete response that a session waits for is kept longer than others, up to its deadline, but
+ * within the same limits of records and bytes.
  */
 import type { Attempt } from './attempt.js';
 
@@ -20,12 +23,15 @@
 /** Most ended attempts remembered at the same time. */
 const MAX_ENDED_ATTEMPTS = 10_000;
 
+/** Most attempts with a waiting session that are passed over to forget a newer one. */
+const MAX_PASSED_OVER = 1_000;
+
 /** Most response bytes kept for all ended attempts together. */
 const MAX_REPLAY_BYTES = 8_388_608;
 
 /** Retention limits. */
 export interface RecordLimits {
-  /** Time for which ended attempts are kept. */
+  /** Time for which ended attempts are kept, unless a session waits for the response. */
   readonly attemptKeptMs: number;
   readonly tickLimitMs: number;
 }
@@ -98,14 +104,14 @@
   /** Records that the call to the engine has ended. */
   markEnded(attempt: Attempt, nowMs: number): void {
     this.#ended.set(attempt, nowMs);
-    if (this.#ended.size > MAX_ENDED_ATTEMPTS) this.#forgetOldestAttempt();
+    if (this.#ended.size > MAX_ENDED_ATTEMPTS) this.#forgetAttempt(this.#findForgettable(nowMs));
   }
 
   /** Removes records past their retention time, and responses above the byte limit. */
   prune(nowMs: number): void {
     this.#pruneDead(nowMs);
     this.#pruneEnded(nowMs);
-    this.#enforceByteLimit();
+    this.#enforceByteLimit(nowMs);
   }
 
   #pruneDead(nowMs: number): void {
@@ -116,10 +122,14 @@
   }
 
   #pruneEnded(nowMs: number): void {
-    const [oldest] = this.#ended;
-    if (!oldest || nowMs - oldest[1] <= this.#limits.attemptKeptMs) return;
-    this.#forgetOldestAttempt();
-    this.#pruneEnded(nowMs);
+    this.#ended.forEach((endedAtMs, attempt) => {
+      if (!this.#isPastRetention(endedAtMs, nowMs) || attempt.isWaiting(nowMs)) return;
+      this.#forgetAttempt(attempt);
+    });
+  }
+
+  #isPastRetention(endedAtMs: number, nowMs: number): boolean {
+    return nowMs - endedAtMs > this.#limits.attemptKeptMs;
   }
 
   #forgetOldestDead(): void {
@@ -129,23 +139,39 @@
     this.#forgottenDeadTickMs = Math.max(this.#forgottenDeadTickMs, oldest[1]);
   }
 
-  #forgetOldestAttempt(): void {
+  /** Oldest ended attempt that no session waits for; the oldest one if there are too many. */
+  #findForgettable(nowMs: number): Attempt | undefined {
+    const attempts = this.#ended.keys();
+    for (let passed = 0; passed < MAX_PASSED_OVER; passed += 1) {
+      const { value } = attempts.next();
+      if (value && !value.isWaiting(nowMs)) return value;
+    }
     const [oldest] = this.#ended.keys();
-    if (!oldest) return;
-    this.#ended.delete(oldest);
-    this.#attempts.delete(oldest.id);
-    oldest.discardResponse();
-    this.#forgottenAttemptTickMs = Math.max(this.#forgottenAttemptTickMs, oldest.echoTickMs);
+    return oldest;
+  }
+
+  #forgetAttempt(attempt: Attempt | undefined): void {
+    if (!attempt) return;
+    this.#ended.delete(attempt);
+    this.#attempts.delete(attempt.id);
+    attempt.discardResponse();
+    this.#forgottenAttemptTickMs = Math.max(this.#forgottenAttemptTickMs, attempt.echoTickMs);
   }
 
-  /** Discards the oldest responses: first those sent in full, then those without a session. */
-  #enforceByteLimit(): void {
+  /**
+   * Discards the oldest responses: first those sent in full, then those kept past the retention
+   * time, then those without a session.
+   */
+  #enforceByteLimit(nowMs: number): void {
     const ended = [...this.#ended.keys()];
     let heldBytes = ended.reduce((sum, attempt) => sum + attempt.heldBytes, 0);
     if (heldBytes <= MAX_REPLAY_BYTES) return;
     const delivered = ended.filter((attempt) => attempt.isDelivered);
+    const late = [...this.#ended]
+      .filter(([, endedAtMs]) => this.#isPastRetention(endedAtMs, nowMs))
+      .map(([attempt]) => attempt);
     const orphaned = ended.filter((attempt) => !attempt.session);
-    [...delivered, ...orphaned].forEach((attempt) => {
+    [...delivered, ...late, ...orphaned].forEach((attempt) => {
       if (heldBytes <= MAX_REPLAY_BYTES) return;
       heldBytes -= attempt.heldBytes;
       attempt.discardResponse();
