Wait for a link while no retry is allowed

Callers of repeatable requests got 502 retry-budget-spent 500 ms after the link to the side process was lost, though the whole response lay there and the link came back in time. The attempt was given up for a retry, and only then was the budget asked.

The budget is now asked first, each reconnectGraceMs: the attempt goes on until a retry is allowed, at most for inquiryLimitMs, as one that may not be repeated does. Check and retry are in the same turn, so the retry that ends a wait is the one that was allowed. How an attempt ends is as before, so not run is still only what the side process has confirmed.

The price: with a spent budget and a side process that is gone, callers get their 502 after 3 s, not 0.5 s.

--- a/packages/core/src/entry/attempt.ts
+++ b/packages/core/src/entry/attempt.ts
@@ -41,11 +41,13 @@
   readonly progressTimeoutMs: number;
   /** Longest wait for the answer to an inquiry, including the reconnect. */
   readonly inquiryLimitMs: number;
-  /** Used in place of `inquiryLimitMs` while the request may still be retried elsewhere. */
+  /** Used in place of `inquiryLimitMs` while the request may be retried elsewhere. */
   readonly reconnectGraceMs: number;
   readonly relay: AnswerRelay;
   /** Sends on the upstream's current link; the message is dropped if there is none. */
   readonly send: (message: Message) => void;
+  /** Whether a retry after a failure would be allowed now. */
+  readonly canRetry: () => boolean;
   /** Whether the side process would still have a record of the attempt if it had received it. */
   readonly isRemembered: () => boolean;
   /** Called when the answer resumes after the link was lost. */
@@ -283,15 +285,31 @@
   #startInquiryTimer(): void {
     clearTimeout(this.#progressTimer);
     if (this.#inquiryTimer) return;
-    const { inquiryLimitMs, reconnectGraceMs } = this.#options;
-    const limitMs = this.#canRunElsewhere ? reconnectGraceMs : inquiryLimitMs;
-    this.#inquiryTimer = setTimeout(() => this.#endUnknown(RefusalReason.LinkLost), limitMs);
+    this.#waitForAnswer(this.#options.inquiryLimitMs);
+  }
+
+  /**
+   * Ends the attempt after a time without an answer. Where the request may be retried elsewhere,
+   * that is after `reconnectGraceMs`, or as soon after that as the retry is allowed.
+   */
+  #waitForAnswer(limitMs: number): void {
+    const { reconnectGraceMs } = this.#options;
+    const waitMs = this.#canRunElsewhere ? Math.min(reconnectGraceMs, limitMs) : limitMs;
+    this.#inquiryTimer = setTimeout(() => {
+      const remainingMs = limitMs - waitMs;
+      if (remainingMs === 0 || this.#mayRetry) this.#endUnknown(RefusalReason.LinkLost);
+      else this.#waitForAnswer(remainingMs);
+    }, waitMs);
   }
 
   get #canRunElsewhere(): boolean {
     return this.#options.isRepeatable && !this.#relay.isCommitted;
   }
 
+  get #mayRetry(): boolean {
+    return this.#canRunElsewhere && this.#options.canRetry();
+  }
+
   #sendCredit(upToOffset: number): void {
     if (this.#phase !== AttemptPhase.Running) return;
     this.#options.send({ type: MessageType.Credit, attemptId: this.id, upToOffset });
--- a/packages/core/src/entry/attemptLauncher.ts
+++ b/packages/core/src/entry/attemptLauncher.ts
@@ -14,7 +14,7 @@
 import { refuseUnknown } from './refusal.js';
 import type { ClassifiedRequest } from './requestClassifier.js';
 import type { RequestContext } from './requestContext.js';
-import { createSubmit, checkTarget, type AttemptTarget } from './submission.js';
+import { createSubmit, checkTarget, readRetryShare, type AttemptTarget } from './submission.js';
 
 /** Retry-after hint for requests whose idempotency key is in use. */
 const KEY_IN_USE_RETRY_AFTER_MS = 1_000;
@@ -94,7 +94,7 @@
   }
 
   #register(target: AttemptTarget): Attempt {
-    const { board, timing, metrics, attempts } = this.#context;
+    const { board, timing, metrics, attempts, retries } = this.#context;
     const { requestClass } = this.#classified;
     const attempt = new Attempt({
       id: target.attemptId,
@@ -108,6 +108,7 @@
       reconnectGraceMs: timing.heartbeatMs,
       relay: this.#relay,
       send: (message) => board.upstreams.get(target.upstream)?.link?.send(message),
+      canRetry: () => retries.canRetryFailure(readRetryShare(board), Date.now()),
       isRemembered: () => this.#isRemembered(target),
       onResume: () => metrics.count('request.retried', { reason: RetryReason.StreamResumed }),
       onEnd: this.#events.onEnd,
--- a/packages/core/src/retry/retryPolicy.ts
+++ b/packages/core/src/retry/retryPolicy.ts
@@ -72,6 +72,16 @@
     return Err(RefusalReason.RetryBudgetSpent);
   }
 
+  /**
+   * Whether a retry after a failure would be allowed now; takes nothing from the budget.
+   *
+   * @param share share of the requests that may be retried
+   * @param nowMs time by the runtime's clock
+   */
+  canRetryFailure(share: number, nowMs: number): boolean {
+    return this.#budget.canTake(share, nowMs);
+  }
+
   /**
    * Computes the backoff in ms before the same upstreams are tried again, with random jitter.
    *
--- a/packages/core/test/retry/retryPolicy.test.ts
+++ b/packages/core/test/retry/retryPolicy.test.ts
@@ -44,6 +44,14 @@
   assert.is(countRetries(policy, 50, 0), 5);
 });
 
+test('to ask for a retry takes nothing from the budget', () => {
+  const policy = new RetryPolicy(new Random(1));
+  Array.from({ length: 20 }).forEach(() => assert.ok(policy.canRetryFailure(SHARE, 0)));
+  assert.is(countRetries(policy, 50, 0), 5);
+  assert.not(policy.canRetryFailure(SHARE, 0));
+  assert.ok(policy.canRetryFailure(SHARE, 30_000));
+});
+
 test('gate refusals do not use the budget and are limited per request', () => {
   const policy = new RetryPolicy(new Random(1));
   const refused = { ...FAILED, isGateRefusal: true };
