Ask about a slow attempt while no retry is allowed

Callers of repeatable requests got 502 retry-budget-spent at the progress timeout, long before their deadline: the attempt was cancelled for a retry, and only then was the budget asked. A response that came a moment later was discarded.

While no retry is allowed, the entry now inquires, as it does for requests that may not be repeated, and goes on if the attempt runs. Each further progress timeout asks the budget anew. The deadline ends the wait; a lost attempt or 3 s without a reply end it at once, with the 502 as before. An inquiry without a reply on an open link would keep a repeatable attempt running if it arrived late, so its cancellation follows it.

The price: with a spent budget and an upstream that never answers, a request keeps its place there up to its deadline.

core/test/entry: 41 passed before, 45 after.

--- a/packages/core/src/entry/attempt.ts
+++ b/packages/core/src/entry/attempt.ts
@@ -161,7 +161,7 @@
    */
   relocate(): void {
     if (this.#phase === AttemptPhase.Ended || !this.#canRunElsewhere) return;
-    this.#options.send({ type: MessageType.Cancel, attemptId: this.id });
+    this.#sendCancel();
     this.#end(Outcome.Unknown, RefusalReason.DomainDrained, RetryReason.DomainDrained, 0);
   }
 
@@ -178,7 +178,7 @@
   /** Cancels the attempt at the side process and stops tracking it. */
   cancel(): void {
     if (this.#phase === AttemptPhase.Ended) return;
-    this.#options.send({ type: MessageType.Cancel, attemptId: this.id });
+    this.#sendCancel();
     this.stopTracking();
   }
 
@@ -272,12 +272,12 @@
 
   #handleProgressTimeout(): void {
     if (this.#relay.isBlocked) this.#restartProgressTimer();
-    else if (this.#canRunElsewhere) this.#endTimedOut();
+    else if (this.#mayRetry) this.#endTimedOut();
     else this.inquire();
   }
 
   #endTimedOut(): void {
-    this.#options.send({ type: MessageType.Cancel, attemptId: this.id });
+    this.#sendCancel();
     this.#end(Outcome.Unknown, RefusalReason.UpstreamSilent, RetryReason.ProgressTimeout, 0);
   }
 
@@ -297,11 +297,17 @@
     const waitMs = this.#canRunElsewhere ? Math.min(reconnectGraceMs, limitMs) : limitMs;
     this.#inquiryTimer = setTimeout(() => {
       const remainingMs = limitMs - waitMs;
-      if (remainingMs === 0 || this.#mayRetry) this.#endUnknown(RefusalReason.LinkLost);
+      if (remainingMs === 0 || this.#mayRetry) this.#endUnanswered();
       else this.#waitForAnswer(remainingMs);
     }, waitMs);
   }
 
+  /** Also cancels a repeatable attempt, as an inquiry that arrives late would keep it running. */
+  #endUnanswered(): void {
+    if (this.#options.isRepeatable) this.#sendCancel();
+    this.#endUnknown(RefusalReason.LinkLost);
+  }
+
   get #canRunElsewhere(): boolean {
     return this.#options.isRepeatable && !this.#relay.isCommitted;
   }
@@ -310,6 +316,10 @@
     return this.#canRunElsewhere && this.#options.canRetry();
   }
 
+  #sendCancel(): void {
+    this.#options.send({ type: MessageType.Cancel, attemptId: this.id });
+  }
+
   #sendCredit(upToOffset: number): void {
     if (this.#phase !== AttemptPhase.Running) return;
     this.#options.send({ type: MessageType.Credit, attemptId: this.id, upToOffset });
--- a/packages/core/test/entry/spentBudget.test.ts
+++ b/packages/core/test/entry/spentBudget.test.ts
@@ -17,6 +17,10 @@
 /** Window in which retries count. */
 const WINDOW_MS = 30_000;
 
+/** Limits of the class of the requests. */
+const PROGRESS_TIMEOUT_MS = 4_000;
+const DEADLINE_MS = 20_000;
+
 /** Step of the clock in which nothing else is due. */
 const MOMENT_MS = 1;
 
@@ -141,4 +145,69 @@
   assert.is(entry.countExecutions(BODY), 0);
 });
 
+/** Guards against a slow upstream whose answer is cancelled for a retry that may not be made. */
+scenario('a slow answer is waited for if no retry is left', async (entry, clock) => {
+  await spendRetries(entry, clock);
+  const { caller, target } = await submit(entry, clock);
+  await clock.tickAsync(PROGRESS_TIMEOUT_MS);
+  const [inquiry, ...others] = entry.links.get(target)?.outbox ?? [];
+  assert.is(inquiry?.type, MessageType.Inquire);
+  assert.equal(others, []);
+  entry.deliver();
+  await clock.tickAsync(PROGRESS_TIMEOUT_MS - MOMENT_MS);
+  entry.finishAll();
+  checkAnswered(caller);
+  assert.is(entry.countExecutions(BODY), 1);
+});
+
+/** Moves the clock by a number of progress timeouts, and answers the inquiries. */
+async function passTimeouts(entry: EntryFixture, clock: TestClock, count: number): Promise<void> {
+  if (count === 0) return;
+  await clock.tickAsync(PROGRESS_TIMEOUT_MS);
+  entry.deliver();
+  await passTimeouts(entry, clock, count - 1);
+}
+
+scenario('a slow request runs elsewhere once a retry is free', async (entry, clock) => {
+  await spendRetries(entry, clock);
+  await clock.tickAsync(WINDOW_MS - 2 * PROGRESS_TIMEOUT_MS);
+  [...entry.sides.keys()].forEach((name) => entry.report(name));
+  const { caller, target } = await submit(entry, clock);
+  await passTimeouts(entry, clock, 1);
+  assert.is(entry.countRunning(target), 1);
+  assert.is(entry.countExecutions(BODY), 1);
+  await passTimeouts(entry, clock, 1);
+  assert.is(entry.countRunning(target), 0);
+  assert.is(entry.countExecutions(BODY), 2);
+  entry.finishAll();
+  checkAnswered(caller, 2);
+});
+
+/** Guards against a silent upstream that holds a request past its time. */
+scenario('a wait for a slow answer ends at the deadline', async (entry, clock) => {
+  await spendRetries(entry, clock);
+  const { caller, target } = await submit(entry, clock);
+  await passTimeouts(entry, clock, DEADLINE_MS / PROGRESS_TIMEOUT_MS - 1);
+  await clock.tickAsync(PROGRESS_TIMEOUT_MS - MOMENT_MS);
+  assert.equal(caller.ends, []);
+  await clock.tickAsync(MOMENT_MS);
+  assert.is(caller.refusal?.reason, RefusalReason.DeadlinePassed);
+  assert.is(caller.refusal?.outcome, Outcome.Unknown);
+  entry.deliver();
+  assert.is(entry.countRunning(target), 0);
+});
+
+/** Guards against an attempt that runs on for nobody after a late inquiry. */
+scenario('an attempt whose inquiry is not answered is cancelled', async (entry, clock) => {
+  await spendRetries(entry, clock);
+  const { caller, target } = await submit(entry, clock);
+  await clock.tickAsync(PROGRESS_TIMEOUT_MS + DEFAULT_TIMING.inquiryLimitMs - MOMENT_MS);
+  assert.equal(caller.ends, []);
+  await clock.tickAsync(MOMENT_MS);
+  assert.is(caller.refusal?.reason, RefusalReason.RetryBudgetSpent);
+  assert.is(caller.refusal?.outcome, Outcome.Unknown);
+  const types = entry.links.get(target)?.outbox.map((message) => message.type);
+  assert.equal(types, [MessageType.Inquire, MessageType.Cancel]);
+});
+
 test.run();
