Let confirmations of streams go before queued requests

PoolAdmission offers each free slot to waiting confirmations first. An error after a response that ended at the same event is a failed attempt. Upstreams that do not repeat events are asked three times, not six, as each request takes a retry.

--- a/packages/core/src/direct/directRequest.ts
+++ b/packages/core/src/direct/directRequest.ts
@@ -70,9 +70,6 @@
 /** Largest part of the caller's remaining time that a Retry-After delay may use. */
 const RETRY_AFTER_FRACTION = 0.3;
 
-/** Interval at which a stream looks for an upstream that can confirm its end, in milliseconds. */
-const CONFIRMATION_RECHECK_MS = 50;
-
 export interface DirectRequestOptions {
   readonly context: DirectContext;
   readonly request: ForwardedRequest;
@@ -128,8 +125,6 @@
 
   #timer: NodeJS.Timeout | undefined;
 
-  #recheckTimer: NodeJS.Timeout | undefined;
-
   readonly #patience: CallerPatience;
 
   /** Constant, so that what is added to the workspace's use is what is taken off. */
@@ -369,6 +364,10 @@
   #retryElsewhere(head: AnswerHead): boolean {
     const failed = this.#attempt;
     if (!failed || !canRunAgain(this.#options.route)) return false;
+    if (this.#response.endedUpstreams.length > 0) {
+      this.#failResumption(head);
+      return true;
+    }
     this.#history.noteTried(failed.upstream.id);
     this.#history.noteEnding(AttemptEnding.ErrorStatus, 0);
     const chosen = this.#retry.chooseUpstream(performance.now());
@@ -551,14 +550,15 @@
     const chosen = this.#retry.chooseConfirming(nowMs);
     if (chosen.ok) this.#sendAgain(chosen.val, failure);
     else if (chosen.val !== GiveUpReason.NoUpstream) this.#giveUp(failure, chosen.val);
-    else if (this.#retry.isConfirmationWorthWaiting) this.#recheckAfter(failure);
+    else if (this.#retry.isConfirmationWorthWaiting) this.#awaitConfirmation(failure);
     else this.#queueOrGiveUp(failure, giveUpReason);
   }
 
-  #recheckAfter(failure: AttemptFailure): void {
-    this.#recheckTimer = setTimeout(() => {
+  #awaitConfirmation(failure: AttemptFailure): void {
+    const { admission, request } = this.#options;
+    admission.awaitConfirmation(request.id, () => {
       this.#contain(() => this.#continueAfter(failure));
-    }, CONFIRMATION_RECHECK_MS);
+    });
   }
 
   #queueOrGiveUp(failure: AttemptFailure, giveUpReason: GiveUpReason): void {
@@ -664,7 +664,6 @@
     this.#isOver = true;
     this.#guard.release();
     clearTimeout(this.#timer);
-    clearTimeout(this.#recheckTimer);
     this.#patience.stop();
     this.#options.admission.withdraw(this.#options.request.id);
     this.#telemetry.noteEnd();
--- a/packages/core/src/direct/endProof.ts
+++ b/packages/core/src/direct/endProof.ts
@@ -13,6 +13,9 @@
  */
 import { ResponseEnd } from './responseEnd.js';
 
+/** Responses without the events that they were to repeat, after which no more are requested. */
+const UNREPEATED_MAX = 3;
+
 /** A response that has ended regularly, between two events. */
 export interface EndedResponse {
   readonly upstream: string;
@@ -44,6 +47,9 @@
 
   #confirmations = 0;
 
+  /** Responses that ended without the events that they were to repeat. */
+  #unrepeatedCount = 0;
+
   #isInconclusive = false;
 
   /** @param mayBeEnded whether a response without events is to be expected from the start */
@@ -61,9 +67,12 @@
     return this.#isInconclusive;
   }
 
-  /** Upstreams whose responses ended regularly after the caller's last event, the latest first. */
+  /**
+   * Upstreams that may repeat the last events, the latest first: those whose responses ended
+   * regularly after them, unless too many did not repeat them.
+   */
   get endedUpstreams(): readonly string[] {
-    return [...this.#ended].reverse();
+    return this.#unrepeatedCount < UNREPEATED_MAX ? [...this.#ended].reverse() : [];
   }
 
   /**
@@ -85,6 +94,7 @@
     this.#claimedCounts.clear();
     this.#confirmedCounts.clear();
     this.#confirmations = 0;
+    this.#unrepeatedCount = 0;
     this.#isInconclusive = false;
   }
 
@@ -98,6 +108,7 @@
     const hasProgress = newEvents > 0 || (repeatedEvents > 0 && !lacksRepeats);
     if (isDelimited && hasProgress) return ResponseEnd.Complete;
     this.#ended.add(upstream);
+    if (lacksRepeats) this.#unrepeatedCount += 1;
     if (!hasProgress) {
       return isDelimited && repeatedEvents === 0
         ? this.#addDenial(upstream)
--- a/packages/core/src/direct/poolAdmission.ts
+++ b/packages/core/src/direct/poolAdmission.ts
@@ -114,6 +114,9 @@
 
   readonly rests = new RestHistory();
 
+  /** Streams that wait for an upstream to confirm their ends, by request id. */
+  readonly #confirmations = new Map<string, () => void>();
+
   /** Set where the pool's requests differ in priority by their routes. */
   #urgency: PoolUrgency | undefined;
 
@@ -303,6 +306,7 @@
 
   /** Removes a request from the queue, as it has ended. */
   withdraw(id: string): void {
+    this.#confirmations.delete(id);
     this.#queue.remove(id);
   }
 
@@ -335,6 +339,26 @@
     return found && this.#breaker.tryPass(nowMs) ? found : undefined;
   }
 
+  /**
+   * Waits until a slot may be free for the confirmation of a stream's end, which takes precedence
+   * over queued requests.
+   *
+   * @param onChance called once, unless the request is withdrawn
+   */
+  awaitConfirmation(id: string, onChance: () => void): void {
+    this.#confirmations.set(id, onChance);
+    this.#admitTimer ??= setTimeout(this.#admitWaiting, RECHECK_MS);
+  }
+
+  #offerConfirmations(): void {
+    [...this.#confirmations].forEach(([id, onChance]) => {
+      // A call can end another request, or make it wait anew.
+      if (this.#confirmations.get(id) !== onChance) return;
+      this.#confirmations.delete(id);
+      onChance();
+    });
+  }
+
   /** Whether one of some upstreams is in service, whether or not it has capacity. */
   isAnyInService(ids: readonly string[]): boolean {
     return this.#findUpstreams(ids).some((each) => isInService(this.#options.board, each));
@@ -501,6 +525,7 @@
   #admitQueued(isOwnRelease: boolean): void {
     clearTimeout(this.#admitTimer);
     this.#admitTimer = undefined;
+    this.#offerConfirmations();
     const nowMs = performance.now();
     let admittedCount = 0;
     for (let next = this.#queue.first; next; next = this.#queue.first) {
--- a/packages/core/test/direct/unconfirmedEnd.test.ts
+++ b/packages/core/test/direct/unconfirmedEnd.test.ts
@@ -229,6 +229,27 @@
     assert.equal(caller.ends, ['end']);
   }));
 
+test('an error in place of a confirmation is not passed on', () =>
+  withClock((clock) => {
+    const responses = [giveEmpty, giveError, giveUnframed];
+    const caller = play(createEntry(2), clock, responses, { resumeAfterId: String(LAST_ID) });
+    assert.equal([caller.ends, caller.status], [['end'], 200]);
+  }));
+
+test('a stream that waits for its confirmation goes before queued requests', () =>
+  withClock((clock) => {
+    const entry = createEntry(1);
+    const [first] = [entry.sendRequest('stream')];
+    giveUnframed(entry.lastCall);
+    decline(entry.lastCall);
+    const sent = entry.calls.length;
+    Array.from({ length: 40 }, () => entry.sendRequest('stream'));
+    clock.tick(CONFIRMATION_LIMIT_MS);
+    entry.calls.slice(sent).forEach(giveDelimited);
+    assert.equal(first?.ends, ['end']);
+    assert.is(entry.calls[sent]?.call.request.id, 'request-1');
+  }));
+
 test('upstreams are not charged for rests that confirm nothing', () =>
   withClock((clock) => {
     const entry = createEntry(3);
