--- a/packages/core/src/direct/endProof.ts
+++ b/packages/core/src/direct/endProof.ts
@@ -31,7 +31,7 @@
 
 /** What is known about the end of one stream. */
 export class EndProof {
-  /** Upstreams whose responses ended regularly after the caller's last event, in order. */
+  /** Upstreams whose responses ended regularly after the caller's last event, the latest last. */
   readonly #ended = new Set<string>();
 
   /** Those of them whose responses claim that no event follows. */
@@ -68,11 +68,11 @@
   }
 
   /**
-   * Upstreams that may repeat the last events, the latest first: those whose responses ended
-   * regularly after them, unless too many did not repeat them.
+   * Upstreams that may repeat the last events: those whose responses ended regularly after them,
+   * unless too many did not repeat them. The one that was asked longest ago comes first.
    */
   get endedUpstreams(): readonly string[] {
-    return this.#unrepeatedCount < UNREPEATED_MAX ? [...this.#ended].reverse() : [];
+    return this.#unrepeatedCount < UNREPEATED_MAX ? [...this.#ended] : [];
   }
 
   /**
@@ -107,6 +107,7 @@
     const { upstream, isDelimited, newEvents, repeatedEvents, lacksRepeats } = response;
     const hasProgress = newEvents > 0 || (repeatedEvents > 0 && !lacksRepeats);
     if (isDelimited && hasProgress) return ResponseEnd.Complete;
+    this.#ended.delete(upstream);
     this.#ended.add(upstream);
     if (lacksRepeats) this.#unrepeatedCount += 1;
     if (!hasProgress) {
--- a/packages/core/src/direct/streamProgress.ts
+++ b/packages/core/src/direct/streamProgress.ts
@@ -75,8 +75,8 @@
   }
 
   /**
-   * Upstreams that can be asked to repeat the caller's last events: those whose responses ended
-   * regularly after them, the latest first.
+   * Upstreams that can be asked to repeat the caller's last events, in order of preference: those
+   * whose responses ended regularly after them.
    */
   get endedUpstreams(): readonly string[] {
     return this.#planRepeat() ? this.#endProof.endedUpstreams : [];
