Replace a silent confirmation also where no slot is free yet

The silent one is given up now, and the confirmation waits for the next slot, before queued requests.

Core/test/direct: 464 passed.

--- a/packages/core/src/direct/retryDecision.ts
+++ b/packages/core/src/direct/retryDecision.ts
@@ -72,16 +72,16 @@
     return upstream ? Ok(upstream) : Err(GiveUpReason.NoUpstream);
   }
 
-  /** Whether an upstream that can confirm the end of the stream may have capacity soon. */
+  /** Whether an upstream may confirm the end of the stream now, or once it has capacity. */
   get isConfirmationWorthWaiting(): boolean {
-    const { admission, response } = this.#options;
-    return admission.isAnyInService(response.endedUpstreams);
+    const { admission, history, response, route } = this.#options;
+    return history.canConfirmAgain(route) && admission.isAnyInService(response.endedUpstreams);
   }
 
   /**
    * Whether another upstream can replace one that makes no progress. The silent one is kept until
    * then, as it may only be slow. Where the whole pool is silent, another one would be no better,
-   * but one that has ended the stream may still confirm its end.
+   * but one that has ended the stream may still confirm its end, also if it has no capacity yet.
    */
   canReplace(upstream: string, isPoolLive: boolean, nowMs: number): boolean {
     const { context, admission, cost, endAtMs, pool, request, route, history } = this.#options;
@@ -92,7 +92,7 @@
       isPoolLive &&
       history.canSendAgain(route) &&
       admission.chooseUpstream(excluded, nowMs, cost) !== undefined;
-    return isReplaceable || this.chooseConfirming(nowMs).ok;
+    return isReplaceable || this.isConfirmationWorthWaiting;
   }
 
   /**
