--- a/packages/core/src/direct/poolAdmission.ts
+++ b/packages/core/src/direct/poolAdmission.ts
@@ -112,6 +112,7 @@
   /** Less urgent requests that have yielded since the last one that did not. */
   #yieldCount = 0;
 
+  /** How the rests of the pool's streams have ended. */
   readonly rests = new RestHistory();
 
   /** Streams that wait for an upstream to confirm their ends, by request id. */
