Keep the recent ids of a stream without copying them

The list of the last four ids was copied twice for each event of each stream, on the path of every event. It is changed in place now. Behaviour is the same: core/test/direct 464 passed.

--- a/packages/core/src/direct/eventSequence.ts
+++ b/packages/core/src/direct/eventSequence.ts
@@ -47,7 +47,7 @@
 
 /** Ids of the events that the caller has received. */
 export class EventSequence {
-  #recentIds: string[] = [];
+  readonly #recentIds: string[] = [];
 
   #count = 0;
 
@@ -86,7 +86,8 @@
   append(ids: readonly string[]): void {
     ids.forEach((id) => {
       this.#observeStep(id);
-      this.#recentIds = [...this.#recentIds, id].slice(-RECENT_IDS_MAX);
+      this.#recentIds.push(id);
+      if (this.#recentIds.length > RECENT_IDS_MAX) this.#recentIds.shift();
     });
     this.#count += ids.length;
   }
